--- /dev/null
+++ b/entry/answers.go
@@ -0,0 +1,343 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/grpc"
+
+	"github.com/linkmast/linkmast/claim/claimpb"
+)
+
+// maxKeptBytes bounds one answer that is kept.
+const maxKeptBytes = 4 << 20
+
+// maxKept bounds the answers that are kept.
+const maxKept = 4096
+
+// errNoAnswer is an answer that is not, or no longer, there.
+var errNoAnswer = errors.New("the answer is not there")
+
+// Attacher fetches answers from other instances.
+type Attacher interface {
+	// Attach passes on the answer to a request that an instance runs or keeps.
+	Attach(ctx context.Context, instance, request string, out writer) error
+}
+
+// Part is a piece of an answer on its way between instances.
+type Part = claimpb.AttachChunk
+
+// writer takes an answer as it is sent to a caller.
+type writer interface {
+	// head takes the status and content type. It comes first.
+	head(status int, contentType string) error
+	// write takes a piece of the body and sends it on.
+	write(data []byte) error
+}
+
+// Answers keeps the answers to requests with a key, for those that are sent
+// again.
+type Answers struct {
+	claimpb.UnimplementedAnswersServer
+
+	keep time.Duration
+
+	mu   sync.Mutex
+	kept map[string]*kept
+}
+
+// kept is an answer that may still grow.
+type kept struct {
+	mu          sync.Mutex
+	status      int
+	contentType string
+	data        []byte
+	ended       bool
+	whole       bool
+	endedAt     time.Time
+	changed     chan struct{}
+}
+
+func newAnswers(keep time.Duration) *Answers {
+	return &Answers{
+		keep: keep,
+		kept: make(map[string]*kept),
+	}
+}
+
+// open starts to keep the answer to a request.
+func (a *Answers) open(request string) *kept {
+	k := &kept{
+		changed: make(chan struct{}),
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.expire(time.Now())
+	a.kept[request] = k
+	return k
+}
+
+// expire forgets answers that ended long ago, and the oldest when there are too
+// many. The caller holds the lock.
+func (a *Answers) expire(now time.Time) {
+	var oldest string
+	var at time.Time
+	for id, k := range a.kept {
+		k.mu.Lock()
+		ended, endedAt := k.ended, k.endedAt
+		k.mu.Unlock()
+		switch {
+		case !ended:
+		case now.Sub(endedAt) > a.keep:
+			delete(a.kept, id)
+		case oldest == "" || endedAt.Before(at):
+			oldest, at = id, endedAt
+		}
+	}
+	if len(a.kept) >= maxKept {
+		delete(a.kept, oldest)
+	}
+}
+
+// get returns the answer to a request.
+func (a *Answers) get(request string) (*kept, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	k, ok := a.kept[request]
+	return k, ok
+}
+
+// head implements writer.
+func (k *kept) head(status int, contentType string) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.status = status
+	k.contentType = contentType
+	k.announce()
+	return nil
+}
+
+// write implements writer. An answer that is too long to be kept can't be
+// attached to any more; its first caller gets it all the same.
+func (k *kept) write(data []byte) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(k.data)+len(data) > maxKeptBytes {
+		k.close(false)
+		return nil
+	}
+	k.data = append(k.data, data...)
+	k.announce()
+	return nil
+}
+
+// end notes that nothing more comes.
+func (k *kept) end(whole bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.close(whole)
+}
+
+func (k *kept) close(whole bool) {
+	if k.ended {
+		return
+	}
+	k.ended = true
+	k.whole = whole
+	k.endedAt = time.Now()
+	k.announce()
+}
+
+func (k *kept) announce() {
+	close(k.changed)
+	k.changed = make(chan struct{})
+}
+
+// copyTo passes the answer on from its start, as it grows.
+func (k *kept) copyTo(ctx context.Context, out writer) error {
+	sent := 0
+	headed := false
+	for {
+		k.mu.Lock()
+		status, contentType, data := k.status, k.contentType, k.data
+		ended, whole, changed := k.ended, k.whole, k.changed
+		k.mu.Unlock()
+		if status != 0 && !headed {
+			if err := out.head(status, contentType); err != nil {
+				return err
+			}
+			headed = true
+		}
+		if sent < len(data) {
+			if err := out.write(data[sent:]); err != nil {
+				return err
+			}
+			sent = len(data)
+		}
+		if ended {
+			if !whole || !headed {
+				return errNoAnswer
+			}
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// Copy passes on the answer to a request of this instance.
+func (a *Answers) copyTo(ctx context.Context, request string, out writer) error {
+	k, ok := a.get(request)
+	if !ok {
+		return errNoAnswer
+	}
+	return k.copyTo(ctx, out)
+}
+
+// Attach implements claimpb.AnswersServer.
+func (a *Answers) Attach(in *claimpb.AttachRequest, out grpc.ServerStreamingServer[claimpb.AttachChunk]) error {
+	if err := a.copyTo(out.Context(), in.Request, &partWriter{out: out}); err != nil {
+		return err
+	}
+	return out.Send(&Part{
+		End: true,
+	})
+}
+
+// partWriter sends an answer to another instance.
+type partWriter struct {
+	out grpc.ServerStreamingServer[claimpb.AttachChunk]
+}
+
+func (p *partWriter) head(status int, contentType string) error {
+	return p.out.Send(&Part{
+		Status:      int32(status),
+		ContentType: contentType,
+	})
+}
+
+func (p *partWriter) write(data []byte) error {
+	return p.out.Send(&Part{
+		Data: data,
+	})
+}
+
+// Instances gives connections to instances.
+type Instances interface {
+	// ConnTo returns the connection to an instance.
+	ConnTo(instance string) (*grpc.ClientConn, error)
+}
+
+// Remote attaches to answers of other instances over gRPC. It implements
+// Attacher.
+type Remote struct {
+	instances Instances
+}
+
+// NewRemote returns an attacher over connections.
+func NewRemote(i Instances) *Remote {
+	return &Remote{
+		instances: i,
+	}
+}
+
+// Attach implements Attacher.
+func (r *Remote) Attach(ctx context.Context, instance, request string, out writer) error {
+	conn, err := r.instances.ConnTo(instance)
+	if err != nil {
+		return err
+	}
+	stream, err := claimpb.NewAnswersClient(conn).Attach(ctx, &claimpb.AttachRequest{
+		Request: request,
+	})
+	if err != nil {
+		return err
+	}
+	for {
+		p, err := stream.Recv()
+		switch {
+		case err != nil:
+			return err
+		case p.End:
+			return nil
+		case p.Status != 0:
+			err = out.head(int(p.Status), p.ContentType)
+		default:
+			err = out.write(p.Data)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// callerWriter sends an answer to the caller.
+type callerWriter struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+	headed  bool
+}
+
+// writeTimeout bounds how long a caller may take to accept a piece of its
+// answer.
+const writeTimeout = 30 * time.Second
+
+func newCallerWriter(w http.ResponseWriter) *callerWriter {
+	return &callerWriter{
+		w:       w,
+		control: http.NewResponseController(w),
+	}
+}
+
+func (c *callerWriter) head(status int, contentType string) error {
+	c.headed = true
+	c.w.Header().Set("Content-Type", contentType)
+	c.w.WriteHeader(status)
+	return nil
+}
+
+func (c *callerWriter) write(data []byte) error {
+	if err := c.control.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return err
+	}
+	if _, err := c.w.Write(data); err != nil {
+		return err
+	}
+	return c.control.Flush()
+}
+
+// teeWriter keeps an answer while it is sent. A caller that goes away does not
+// end it.
+type teeWriter struct {
+	caller *callerWriter
+	kept   *kept
+	gone   bool
+}
+
+func (t *teeWriter) head(status int, contentType string) error {
+	if err := t.kept.head(status, contentType); err != nil {
+		return err
+	}
+	return t.caller.head(status, contentType)
+}
+
+func (t *teeWriter) write(data []byte) error {
+	if err := t.kept.write(data); err != nil {
+		return err
+	}
+	if t.gone {
+		return nil
+	}
+	if err := t.caller.write(data); err != nil {
+		t.gone = true
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/complete.go
@@ -0,0 +1,361 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/linkmast/linkmast/engine"
+	"github.com/linkmast/linkmast/owner"
+	"github.com/linkmast/linkmast/policy"
+	"github.com/linkmast/linkmast/problem"
+)
+
+// sink is where the tokens of an answer go.
+type sink interface {
+	// token takes the next token.
+	token(text string) error
+	// end takes the end of a whole answer.
+	end(u usage) error
+	// begun states whether the caller has received part of the answer.
+	begun() bool
+	// restart forgets what the caller has not received yet.
+	restart()
+}
+
+// usage is what an answer took.
+type usage struct {
+	prompt int
+	cached int
+	output int
+	reason string
+}
+
+// errCaller is a caller that can't be written to.
+var errCaller = errors.New("the caller does not take the answer")
+
+// errStalled is an endpoint that went silent.
+var errStalled = errors.New("the endpoint went silent")
+
+// maxResumes is how often one attempt's stream is taken up again.
+const maxResumes = 3
+
+// complete runs a job until it has a whole answer, or returns its final
+// refusal or failure.
+func (e *Entry) complete(ctx context.Context, j *job, out sink) *problem.Error {
+	s := &search{
+		job: j,
+	}
+	for {
+		team, fail := e.gather(ctx, s)
+		if fail != nil {
+			return fail
+		}
+		again, fail := e.attempt(ctx, s, team, out)
+		if !again {
+			return fail
+		}
+		if !e.budget.spend() {
+			return fail
+		}
+		out.restart()
+	}
+}
+
+// attempt runs one attempt. It states whether another one may be made after
+// the failure that it returns.
+func (e *Entry) attempt(ctx context.Context, s *search, t *team, out sink) (bool, *problem.Error) {
+	j := s.job
+	// The last look at the clock before the dispatch: a process that was
+	// paused since must not start what is no longer wanted.
+	if fail := e.expired(ctx, j); fail != nil {
+		e.disband(t, owner.NotStarted)
+		return false, fail
+	}
+	if !time.Now().Before(t.lead.startBy) {
+		e.disband(t, owner.NotStarted)
+		return true, problem.Busy(problem.CodeBusy, "the lease lapsed before it was used", defaultRetry)
+	}
+	run := &run{
+		entry: e,
+		job:   j,
+		team:  t,
+		out:   out,
+		check: engine.Check{
+			Attempt: t.lead.attempt,
+		},
+	}
+	err := run.do(ctx)
+	return e.judge(ctx, s, run, err)
+}
+
+// judge takes over the outcome of an attempt.
+func (e *Entry) judge(ctx context.Context, s *search, r *run, err error) (bool, *problem.Error) {
+	j, lead := s.job, r.team.lead
+	if err == nil {
+		e.finished(r)
+		return false, nil
+	}
+	e.stories.add(j.id, Event{
+		What:     "attempt failed",
+		Attempt:  lead.attempt,
+		Endpoint: lead.endpoint,
+		Reason:   err.Error(),
+	})
+	e.parts.Log.Info("attempt failed", "request", j.id, "attempt", lead.attempt, "endpoint", lead.endpoint,
+		"cause", err.Error(), "started", r.started)
+	s.skip = append(s.skip, lead.endpoint)
+	var re *engine.RunError
+	if errors.As(err, &re) && re.Ran == problem.NotRun && !r.started {
+		j.dispatches--
+		e.disband(r.team, owner.NotStarted)
+		if fail := e.expired(ctx, j); fail != nil {
+			return false, fail
+		}
+		fail := problem.Busy(problem.CodeNoEndpoint, "the endpoint did not start the request", defaultRetry)
+		fail.Ran = j.ran()
+		return true, fail
+	}
+	e.abort(r.team)
+	if fail := e.expired(ctx, j); fail != nil {
+		return false, fail
+	}
+	fail := failure(err, r.started)
+	return !j.once && !r.out.begun() && j.dispatches < maxDispatches, fail
+}
+
+// failure returns the answer to a request whose attempt failed.
+func failure(err error, started bool) *problem.Error {
+	ran := problem.MayHaveRun
+	if started {
+		ran = problem.DidRun
+	}
+	var bad *engine.AnswerError
+	p := &problem.Error{
+		Code:       problem.CodeEndpointFailed,
+		Status:     http.StatusBadGateway,
+		Ran:        ran,
+		Detail:     "the endpoint failed before the answer was whole",
+		RetryAfter: defaultRetry,
+	}
+	switch {
+	case errors.As(err, &bad):
+		p.Code = problem.CodeBadAnswer
+		p.Detail = bad.Error()
+	case errors.Is(err, errStalled):
+		p.Code = problem.CodeStalled
+		p.Status = http.StatusGatewayTimeout
+		p.Detail = err.Error()
+	case errors.Is(err, errCaller):
+		p.Code = problem.CodeCancelled
+		p.Status = statusClosed
+		p.Detail = err.Error()
+	}
+	return p
+}
+
+// run is one attempt on its way.
+type run struct {
+	entry *Entry
+	job   *job
+	team  *team
+	out   sink
+	check engine.Check
+
+	// started is true when the engine has sent something.
+	started bool
+	resumes int
+	first   time.Time
+	last    time.Time
+	tokens  int
+	usage   usage
+}
+
+// do dispatches the attempt and relays its answer.
+func (r *run) do(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w := newWatchdog(time.Duration(r.job.view.File.Limits.Stall), cancel)
+	defer w.stop()
+	client := r.entry.parts.Endpoints.Engine(r.team.lead.Address)
+	r.job.dispatches++
+	r.entry.metrics.add("dispatches", 1)
+	stream, err := client.Run(ctx, r.attempt())
+	for {
+		if err == nil {
+			err = r.relay(stream, w)
+		}
+		if err == nil || !r.resumable(ctx, err) {
+			return w.cause(err)
+		}
+		r.resumes++
+		stream, err = client.Resume(ctx, r.team.lead.attempt, r.check.Next())
+	}
+}
+
+// attempt returns what the engine is asked for.
+func (r *run) attempt() engine.Attempt {
+	lead := r.team.lead
+	a := engine.Attempt{
+		ID:        lead.attempt,
+		Holder:    r.entry.settings.Self.ID,
+		Instance:  lead.Instance,
+		Model:     r.job.model.ID,
+		Adapter:   r.job.adapter,
+		Prompt:    r.job.prompt,
+		MaxTokens: r.job.output,
+		Priority:  lead.Priority,
+	}
+	for _, m := range r.team.members {
+		a.Members = append(a.Members, m.attempt)
+	}
+	return a
+}
+
+// resumable states whether the stream may be taken up where it broke.
+func (r *run) resumable(ctx context.Context, err error) bool {
+	var re *engine.RunError
+	refused := errors.As(err, &re)
+	return ctx.Err() == nil && !refused && !errors.Is(err, errCaller) && r.started && r.resumes < maxResumes
+}
+
+// relay passes an answer on until its end.
+func (r *run) relay(stream engine.Stream, w *watchdog) error {
+	// Closing lets go of the connection; what failed is known by then.
+	defer func() { _ = stream.Close() }()
+	for {
+		k, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			return io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return err
+		}
+		w.alive()
+		r.started = true
+		fresh, err := r.check.Accept(k)
+		if err != nil {
+			return err
+		}
+		if !fresh {
+			continue
+		}
+		if k.End != "" {
+			return r.finish(k)
+		}
+		if err := r.pass(k); err != nil {
+			return err
+		}
+	}
+}
+
+// pass hands one token to the caller.
+func (r *run) pass(k engine.Chunk) error {
+	r.last = time.Now()
+	r.tokens++
+	if r.tokens == 1 {
+		r.first = r.last
+		r.firstToken()
+	}
+	if err := r.out.token(k.Text); err != nil {
+		return errors.Wrap(errCaller, err.Error())
+	}
+	if r.out.begun() {
+		// No other attempt will need it.
+		r.job.prompt = ""
+	}
+	return nil
+}
+
+// firstToken tells the owner of a long prompt that its prefill is done.
+func (r *run) firstToken() {
+	if r.job.class() < policy.Long {
+		return
+	}
+	for _, h := range r.team.all() {
+		r.entry.errand(func(ctx context.Context) {
+			// The owner goes on estimating when it does not hear of it.
+			_ = h.leaser.Release(ctx, owner.Release{
+				Attempt:  h.attempt,
+				Endpoint: h.endpoint,
+				Outcome:  owner.FirstToken,
+			})
+		})
+	}
+}
+
+func (r *run) finish(k engine.Chunk) error {
+	r.usage = usage{
+		prompt: k.PromptTokens,
+		cached: k.CachedTokens,
+		output: r.tokens,
+		reason: k.End,
+	}
+	if err := r.out.end(r.usage); err != nil {
+		return errors.Wrap(errCaller, err.Error())
+	}
+	return nil
+}
+
+// step returns the mean time between tokens.
+func (r *run) step() time.Duration {
+	if r.tokens < 2 {
+		return 0
+	}
+	return r.last.Sub(r.first) / time.Duration(r.tokens-1)
+}
+
+// finished takes over a whole answer.
+func (e *Entry) finished(r *run) {
+	e.hits.observe(r.job.customer.ID, r.job.class(), r.usage.cached, r.usage.prompt)
+	e.metrics.add("tokens", int64(r.tokens))
+	e.stories.add(r.job.id, Event{
+		What:     "answered",
+		Attempt:  r.team.lead.attempt,
+		Endpoint: r.team.lead.endpoint,
+	})
+	e.release(r.team.lead, owner.Done, r.step())
+	for _, m := range r.team.members {
+		e.cancel(m, owner.Done)
+	}
+}
+
+// watchdog cancels an attempt whose endpoint is silent for too long.
+type watchdog struct {
+	limit   time.Duration
+	timer   *time.Timer
+	stalled atomic.Bool
+}
+
+func newWatchdog(limit time.Duration, cancel context.CancelFunc) *watchdog {
+	w := &watchdog{
+		limit: limit,
+	}
+	w.timer = time.AfterFunc(limit, func() {
+		w.stalled.Store(true)
+		cancel()
+	})
+	return w
+}
+
+func (w *watchdog) alive() {
+	w.timer.Reset(w.limit)
+}
+
+func (w *watchdog) stop() {
+	w.timer.Stop()
+}
+
+// cause returns errStalled for an error that the watchdog brought about.
+func (w *watchdog) cause(err error) error {
+	if err != nil && w.stalled.Load() {
+		return errStalled
+	}
+	return err
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,255 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"expvar"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/linkmast/linkmast/claim"
+	"github.com/linkmast/linkmast/config"
+	"github.com/linkmast/linkmast/instances"
+	"github.com/linkmast/linkmast/limit"
+	"github.com/linkmast/linkmast/member"
+	"github.com/linkmast/linkmast/owner"
+	"github.com/linkmast/linkmast/policy"
+)
+
+// Settings are the measures of an Entry.
+type Settings struct {
+	// Self is the instance's own entry in the list of instances.
+	Self instances.Instance
+	// Strategy is how endpoints are chosen; the default is policy.Weighed.
+	Strategy policy.Strategy
+	// KeepAnswers is how long answers to requests with a key are kept; the
+	// default is 1m.
+	KeepAnswers time.Duration
+}
+
+const defaultKeepAnswers = time.Minute
+
+// Parts are what an Entry works with.
+type Parts struct {
+	// Configuration returns the configuration in force; nil while there is
+	// none.
+	Configuration func() *config.View
+	// Members returns what is known of the instances.
+	Members func() *member.View
+	// Leaser returns the leaser on an instance.
+	Leaser func(i instances.Instance) (owner.Leaser, error)
+	// Suspect notes a failed exchange with an instance.
+	Suspect func(id string)
+	// Endpoints makes the adapters to endpoints.
+	Endpoints owner.Endpoints
+	// Claimer claims keys.
+	Claimer *claim.Claimer
+	// Borrower spends customers' allowance.
+	Borrower *limit.Borrower
+	// Attach fetches the answer to a request from the instance that runs it.
+	Attach Attacher
+	// Log gets a line for each decision.
+	Log logr.Logger
+}
+
+// Entry serves callers.
+type Entry struct {
+	// Registry is the attempts that the instance holds.
+	Registry *Registry
+	// Answers are the answers to requests with a key.
+	Answers *Answers
+
+	settings    Settings
+	parts       Parts
+	fleet       *fleet
+	budget      *budget
+	stories     *stories
+	hits        *hits
+	metrics     *metrics
+	incarnation string
+	counter     atomic.Uint64
+	stopping    atomic.Bool
+	// inFlight counts requests and what is left to do after them.
+	inFlight atomic.Int64
+}
+
+// New returns an entry. It serves once Rebuild was called with a
+// configuration.
+func New(s Settings, p Parts) *Entry {
+	if s.Strategy == nil {
+		s.Strategy = policy.Weighed{}
+	}
+	if s.KeepAnswers == 0 {
+		s.KeepAnswers = defaultKeepAnswers
+	}
+	return &Entry{
+		Registry:    NewRegistry(),
+		Answers:     newAnswers(s.KeepAnswers),
+		settings:    s,
+		parts:       p,
+		fleet:       newFleet(s.Strategy, s.Self.Region, s.Self.FailureDomain),
+		budget:      newBudget(),
+		stories:     newStories(),
+		hits:        newHits(),
+		metrics:     newMetrics(),
+		incarnation: newIncarnation(),
+	}
+}
+
+// newIncarnation returns a name that no other start of any instance has.
+func newIncarnation() string {
+	var b [8]byte
+	// crypto/rand.Read never fails.
+	_, _ = rand.Read(b[:])
+	return strconv.FormatUint(binary.LittleEndian.Uint64(b[:]), 36)
+}
+
+// newID returns an id that no other request has.
+func (e *Entry) newID() string {
+	return e.incarnation + "-" + strconv.FormatUint(e.counter.Add(1), 36)
+}
+
+// Rebuild takes over a change of the configuration or of the instances.
+func (e *Entry) Rebuild() {
+	if v := e.parts.Configuration(); v != nil {
+		e.fleet.rebuild(v, e.parts.Members())
+	}
+}
+
+// Hear takes over summaries of endpoints.
+func (e *Entry) Hear(summaries []policy.Summary) {
+	e.fleet.hear(summaries, time.Now())
+}
+
+// Ready states whether the entry can serve, and if not, why.
+func (e *Entry) Ready() (bool, string) {
+	switch {
+	case e.stopping.Load():
+		return false, "stopping"
+	case e.parts.Configuration() == nil:
+		return false, "no configuration yet"
+	case !e.parts.Members().Complete:
+		return false, "no list of instances yet"
+	}
+	return true, ""
+}
+
+// Stop takes the entry out of service. Requests are still served for as long
+// as the balancer sends them, so that none is cut.
+func (e *Entry) Stop() {
+	e.stopping.Store(true)
+}
+
+// Wait returns when no request is in flight, or ctx ends.
+func (e *Entry) Wait(ctx context.Context) error {
+	tick := time.NewTicker(waitInterval)
+	defer tick.Stop()
+	for e.inFlight.Load() > 0 {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// InFlight returns how many requests, and errands after them, are left.
+func (e *Entry) InFlight() int64 {
+	return e.inFlight.Load()
+}
+
+// errand runs f after its request, and keeps a planned stop waiting for it.
+func (e *Entry) errand(f func(ctx context.Context)) {
+	e.inFlight.Add(1)
+	go func() {
+		defer e.inFlight.Add(-1)
+		ctx, cancel := context.WithTimeout(context.Background(), errandTimeout)
+		defer cancel()
+		f(ctx)
+	}()
+}
+
+// The times of stopping and of errands.
+const (
+	waitInterval  = 10 * time.Millisecond
+	errandTimeout = 3 * time.Second
+)
+
+// Explain returns what happened to a request.
+func (e *Entry) Explain(id string) (Story, bool) {
+	return e.stories.get(id)
+}
+
+// metrics are the entry's counters. They are published by the instance.
+type metrics struct {
+	vars *expvar.Map
+}
+
+func newMetrics() *metrics {
+	return &metrics{
+		vars: new(expvar.Map).Init(),
+	}
+}
+
+func (m *metrics) add(name string, n int64) {
+	m.vars.Add(name, n)
+}
+
+// Metrics returns the entry's counters.
+func (e *Entry) Metrics() *expvar.Map {
+	return e.metrics.vars
+}
+
+// hits learns, for each customer, which part of its prompts was cached.
+type hits struct {
+	mu   sync.Mutex
+	part map[hitKey]float64
+}
+
+// hitKey is what a cached part is learned for.
+type hitKey struct {
+	customer string
+	class    policy.Class
+}
+
+// hitWeight is the weight of a new observation.
+const hitWeight = 0.1
+
+func newHits() *hits {
+	return &hits{
+		part: make(map[hitKey]float64),
+	}
+}
+
+// expect returns the part of a customer's prompt that is likely cached on the
+// endpoints that its prefix belongs to.
+func (h *hits) expect(customer string, c policy.Class) float64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.part[hitKey{
+		customer: customer,
+		class:    c,
+	}]
+}
+
+// observe takes over what an answer showed.
+func (h *hits) observe(customer string, c policy.Class, cached, prompt int) {
+	if prompt == 0 {
+		return
+	}
+	k := hitKey{
+		customer: customer,
+		class:    c,
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.part[k] += hitWeight * (float64(cached)/float64(prompt) - h.part[k])
+}
--- /dev/null
+++ b/entry/explain.go
@@ -0,0 +1,111 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package entry
+
+import (
+	"sync"
+	"time"
+)
+
+// keptRequests is how many requests can be explained.
+const keptRequests = 4096
+
+// Event is one step of a request's path.
+type Event struct {
+	// At is when it happened.
+	At time.Time `json:"at"`
+	// What names the step.
+	What string `json:"what"`
+	// Attempt is the attempt's id.
+	Attempt string `json:"attempt,omitempty"`
+	// Endpoint is where the step took place.
+	Endpoint string `json:"endpoint,omitempty"`
+	// Owner is the instance that owns the endpoint.
+	Owner string `json:"owner,omitempty"`
+	// Reason says why.
+	Reason string `json:"reason,omitempty"`
+	// Candidates are the choices with their estimates.
+	Candidates []Seen `json:"candidates,omitempty"`
+}
+
+// Story is what happened to a request.
+type Story struct {
+	// Request is the request's id.
+	Request string `json:"request"`
+	// Customer, Tier, Class and Model are what the request was.
+	Customer string `json:"customer"`
+	// Tier is the tier that held.
+	Tier string `json:"tier"`
+	// Class is the class of prompt length.
+	Class string `json:"class"`
+	// Model is the model or plain service.
+	Model string `json:"model"`
+	// Tokens is the length of the prompt.
+	Tokens int `json:"tokens"`
+	// Events are the steps in order.
+	Events []Event `json:"events"`
+}
+
+// stories keeps the latest requests.
+type stories struct {
+	mu    sync.Mutex
+	byID  map[string]*Story
+	order []string
+	next  int
+}
+
+func newStories() *stories {
+	return &stories{
+		byID:  make(map[string]*Story),
+		order: make([]string, keptRequests),
+	}
+}
+
+// begin starts a story, in the place of the oldest.
+func (s *stories) begin(j *job) {
+	st := &Story{
+		Request:  j.id,
+		Customer: j.customer.ID,
+		Tier:     j.tier.ID,
+		Class:    className(j),
+		Model:    j.group(),
+		Tokens:   j.tokens,
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.byID, s.order[s.next])
+	s.order[s.next] = j.id
+	s.next = (s.next + 1) % len(s.order)
+	s.byID[j.id] = st
+}
+
+// add adds a step.
+func (s *stories) add(id string, e Event) {
+	e.At = time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if st := s.byID[id]; st != nil {
+		st.Events = append(st.Events, e)
+	}
+}
+
+// get returns a copy of a story.
+func (s *stories) get(id string) (Story, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.byID[id]
+	if st == nil {
+		return Story{}, false
+	}
+	out := *st
+	out.Events = append([]Event{}, st.Events...)
+	return out, true
+}
+
+// className returns the class of a job's prompt; plain calls have their own.
+func className(j *job) string {
+	if j.service != "" {
+		return "plain"
+	}
+	return j.class().String()
+}
--- /dev/null
+++ b/entry/fleet.go
@@ -0,0 +1,270 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package entry
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/linkmast/linkmast/config"
+	"github.com/linkmast/linkmast/member"
+	"github.com/linkmast/linkmast/policy"
+)
+
+// summaryAge is how old a summary may be before its endpoint counts as
+// unknown.
+const summaryAge = 3 * time.Second
+
+// fleet is what the entry knows of the endpoints.
+type fleet struct {
+	strategy policy.Strategy
+	region   string
+	domain   string
+
+	mu     sync.Mutex
+	groups map[string]*group
+	places map[string]place
+}
+
+// group is the endpoints of one model or plain service.
+type group struct {
+	candidates []policy.Candidate
+	heard      []time.Time
+}
+
+// place is where an endpoint stands in its group.
+type place struct {
+	group *group
+	index int
+}
+
+func newFleet(s policy.Strategy, region, domain string) *fleet {
+	return &fleet{
+		strategy: s,
+		region:   region,
+		domain:   domain,
+		groups:   make(map[string]*group),
+		places:   make(map[string]place),
+	}
+}
+
+// otherDomain and otherRegion are the delays that are assumed towards other
+// failure domains and regions.
+const (
+	otherDomain = 500 * time.Microsecond
+	otherRegion = 50 * time.Millisecond
+)
+
+// rebuild takes over the configuration and the list of instances. What was
+// heard of endpoints that stay is kept.
+func (f *fleet) rebuild(v *config.View, m *member.View) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	groups := make(map[string]*group)
+	places := make(map[string]place)
+	for i := range v.File.Endpoints {
+		e := &v.File.Endpoints[i]
+		name := e.Model
+		if e.Kind == config.KindPlain {
+			name = servicePrefix + e.Service
+		}
+		g := groups[name]
+		if g == nil {
+			g = &group{}
+			groups[name] = g
+		}
+		c, heard := f.carry(e)
+		c.Barred = leaving(m, e.Address)
+		c.Delay = f.delay(e.FailureDomain, v.Region(e.FailureDomain))
+		places[e.ID] = place{
+			group: g,
+			index: len(g.candidates),
+		}
+		g.candidates = append(g.candidates, c)
+		g.heard = append(g.heard, heard)
+	}
+	f.groups = groups
+	f.places = places
+}
+
+// carry returns the candidate of an endpoint with what was heard of it.
+func (f *fleet) carry(e *config.Endpoint) (policy.Candidate, time.Time) {
+	c := policy.Candidate{
+		Summary: policy.Summary{
+			Endpoint: e.ID,
+		},
+		Hash: xxhash.Sum64String(e.ID),
+	}
+	var heard time.Time
+	if old, ok := f.places[e.ID]; ok {
+		c = old.group.candidates[old.index]
+		heard = old.group.heard[old.index]
+	}
+	c.Rate = e.PrefillTokensPerSecond
+	c.Memory = e.MemoryBytes
+	return c, heard
+}
+
+func (f *fleet) delay(domain, region string) time.Duration {
+	switch {
+	case domain == f.domain:
+		return 0
+	case region == f.region:
+		return otherDomain
+	}
+	return otherRegion
+}
+
+// leaving states whether the platform's list says that the endpoint instance
+// at an address is leaving.
+func leaving(m *member.View, address string) bool {
+	i, ok := m.Endpoint(address)
+	return ok && i.State != "live"
+}
+
+// hear takes over summaries.
+func (f *fleet) hear(summaries []policy.Summary, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range summaries {
+		s := &summaries[i]
+		p, ok := f.places[s.Endpoint]
+		if !ok {
+			continue
+		}
+		c := &p.group.candidates[p.index]
+		c.Summary = *s
+		c.Known = true
+		c.Pending = [policy.Priorities]float32{}
+		c.PendingBytes = 0
+		p.group.heard[p.index] = now
+	}
+}
+
+// choice is a decision with what is needed to act on it.
+type choice struct {
+	policy.Decision
+	// endpoint is the endpoint's id.
+	endpoint string
+	// usable is how many candidates there were.
+	usable int
+	// seen are the estimates of the first candidates, for the log.
+	seen []Seen
+}
+
+// Seen is a candidate as a decision saw it.
+type Seen struct {
+	// Endpoint is the endpoint's id.
+	Endpoint string `json:"endpoint"`
+	// EstimateMs is the estimated time to first token in milliseconds.
+	EstimateMs int64 `json:"estimate_ms"`
+}
+
+// maxSeen bounds the candidates that a decision line lists.
+const maxSeen = 3
+
+// choose picks an endpoint for work and notes it as pending there. Those in
+// skip are left out.
+func (f *fleet) choose(name string, w *policy.Work, hit float64, skip []string, now time.Time) choice {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g := f.groups[name]
+	if g == nil {
+		return choice{
+			Decision: policy.Decision{
+				Index: -1,
+			},
+		}
+	}
+	barred := g.bar(skip, now)
+	d := policy.Choose(f.strategy, w, hit, g.candidates, now)
+	c := choice{
+		Decision: d,
+		usable:   len(g.candidates) - len(barred),
+	}
+	if d.Index >= 0 {
+		c.seen = seen(w, d.Index, g.candidates, now)
+		chosen := &g.candidates[d.Index]
+		c.endpoint = chosen.Endpoint
+		if chosen.Rate > 0 {
+			p := policy.Priority(w.RankAt(now), w.Class())
+			chosen.Pending[p] += float32(float64(w.Prompt) * (1 - hit) / chosen.Rate)
+		}
+		chosen.PendingBytes += w.Bytes
+	}
+	for _, i := range barred {
+		g.candidates[i].Barred = false
+	}
+	return c
+}
+
+// bar leaves out what is in skip, and marks as unknown what was not heard of
+// for long. It returns what was barred here.
+func (g *group) bar(skip []string, now time.Time) []int {
+	var barred []int
+	for i := range g.candidates {
+		c := &g.candidates[i]
+		if c.Known && now.Sub(g.heard[i]) > summaryAge {
+			c.Known = false
+			c.Summary = policy.Summary{
+				Endpoint: c.Endpoint,
+			}
+		}
+		if !c.Barred && slices.Contains(skip, c.Endpoint) {
+			c.Barred = true
+			barred = append(barred, i)
+		}
+	}
+	return barred
+}
+
+// seen returns the choice and the next candidates with their estimates.
+func seen(w *policy.Work, chosen int, cs []policy.Candidate, now time.Time) []Seen {
+	p := policy.Priority(w.RankAt(now), w.Class())
+	out := make([]Seen, 0, maxSeen)
+	for k := 0; k < len(cs) && len(out) < maxSeen; k++ {
+		c := &cs[(chosen+k)%len(cs)]
+		if c.Barred || c.Aside {
+			continue
+		}
+		out = append(out, Seen{
+			Endpoint:   c.Endpoint,
+			EstimateMs: policy.Estimate(w, p, 0, c).Milliseconds(),
+		})
+	}
+	return out
+}
+
+// memories returns the memories of the endpoints of a group that may get work,
+// largest first.
+func (f *fleet) memories(name string) []int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g := f.groups[name]
+	if g == nil {
+		return nil
+	}
+	var out []int64
+	for i := range g.candidates {
+		if c := &g.candidates[i]; !c.Barred {
+			out = append(out, c.Memory)
+		}
+	}
+	slices.Sort(out)
+	slices.Reverse(out)
+	return out
+}
+
+// size returns how many endpoints a group has.
+func (f *fleet) size(name string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g := f.groups[name]
+	if g == nil {
+		return 0
+	}
+	return len(g.candidates)
+}
--- /dev/null
+++ b/entry/http.go
@@ -0,0 +1,245 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/linkmast/linkmast/internal/wirehttp"
+	"github.com/linkmast/linkmast/limit"
+	"github.com/linkmast/linkmast/plain"
+	"github.com/linkmast/linkmast/problem"
+)
+
+// servicePath is the path below which plain services are called.
+const servicePath = "/services/"
+
+// Handler serves callers.
+func (e *Entry) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) {
+		e.serve(w, r, e.completion(false))
+	})
+	mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) {
+		e.serve(w, r, e.completion(true))
+	})
+	mux.HandleFunc("GET /v1/models", func(w http.ResponseWriter, r *http.Request) {
+		e.serve(w, r, e.models)
+	})
+	mux.HandleFunc(servicePath+"{service}/", func(w http.ResponseWriter, r *http.Request) {
+		e.serve(w, r, e.call)
+	})
+	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
+		problem.New(problem.CodeNotFound, http.StatusNotFound, "there is nothing at this path").Write(w, "")
+	})
+	return mux
+}
+
+// serve knows the customer, and hands its request to f.
+func (e *Entry) serve(w http.ResponseWriter, r *http.Request, f func(http.ResponseWriter, *http.Request, *job) *problem.Error) {
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	j := &job{
+		id:      e.newID(),
+		arrived: time.Now(),
+	}
+	w.Header().Set(HeaderRequest, j.id)
+	e.metrics.add("requests", 1)
+	fail := e.identify(r, j)
+	if fail == nil {
+		fail = f(w, r, j)
+	}
+	if fail == nil {
+		return
+	}
+	e.refusedFinally(j, fail)
+	fail.Write(w, j.id)
+}
+
+// refusedFinally notes the final answer to a request without one.
+func (e *Entry) refusedFinally(j *job, p *problem.Error) {
+	e.metrics.add("refused_"+string(p.Code), 1)
+	customer := ""
+	if j.customer != nil {
+		customer = j.customer.ID
+	}
+	e.parts.Log.Info("refused", "request", j.id, "customer", customer, "code", string(p.Code), "ran", string(p.Ran),
+		"detail", p.Detail, "retry_after_ms", p.RetryAfter.Milliseconds(), "after_ms", time.Since(j.arrived).Milliseconds())
+	e.stories.add(j.id, Event{
+		What:   "refused",
+		Reason: string(p.Code) + ": " + p.Detail,
+	})
+}
+
+// bearer is the scheme of the Authorization header.
+const bearer = "Bearer "
+
+// notReadyRetry is when to come back to an instance that has no configuration.
+const notReadyRetry = 2 * time.Second
+
+// identify finds the customer by its key.
+func (e *Entry) identify(r *http.Request, j *job) *problem.Error {
+	j.view = e.parts.Configuration()
+	if j.view == nil {
+		return problem.Busy(problem.CodeNotReady, "there is no configuration yet", notReadyRetry)
+	}
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearer)
+	if ok {
+		j.customer, ok = j.view.Authenticate(key)
+	}
+	if !ok {
+		p := problem.New(problem.CodeUnauthorized, http.StatusUnauthorized, "no customer has this key")
+		p.Field = "Authorization"
+		return p
+	}
+	return nil
+}
+
+// models lists the models and adapters.
+func (e *Entry) models(w http.ResponseWriter, _ *http.Request, j *job) *problem.Error {
+	type entry struct {
+		ID     string `json:"id"`
+		Object string `json:"object"`
+		Owner  string `json:"owned_by"`
+	}
+	list := struct {
+		Object string  `json:"object"`
+		Data   []entry `json:"data"`
+	}{
+		Object: "list",
+	}
+	add := func(id string) {
+		list.Data = append(list.Data, entry{
+			ID:     id,
+			Object: "model",
+			Owner:  "linkmast",
+		})
+	}
+	for i := range j.view.File.Models {
+		add(j.view.File.Models[i].ID)
+	}
+	for i := range j.view.File.Adapters {
+		add(j.view.File.Adapters[i].ID)
+	}
+	wirehttp.JSON(w, http.StatusOK, list)
+	return nil
+}
+
+// failer is a sink that can tell of a failure after part of the answer.
+type failer interface {
+	sink
+	fail(p *problem.Error)
+}
+
+// completion serves one completion.
+func (e *Entry) completion(chat bool) func(http.ResponseWriter, *http.Request, *job) *problem.Error {
+	return func(w http.ResponseWriter, r *http.Request, j *job) *problem.Error {
+		if fail := j.readHeaders(r.Header, false); fail != nil {
+			return fail
+		}
+		data, fail := readBody(w, r, j.view.File.Limits.MaxBodyBytes)
+		if fail != nil {
+			return fail
+		}
+		stream, fail := parseCompletion(data, chat, j)
+		if fail != nil {
+			return fail
+		}
+		j.hit = e.hits.expect(j.customer.ID, j.class())
+		return e.admitted(w, r, j, func(ctx context.Context, out writer) *problem.Error {
+			s := newShape(j.id, j.modelName(), chat)
+			if !stream {
+				return e.complete(ctx, j, newWholeSink(out, s))
+			}
+			sink := newStreamSink(out, s)
+			fail := e.complete(ctx, j, sink)
+			return e.failAfterStart(j, sink, fail)
+		})
+	}
+}
+
+// failAfterStart tells a caller that has part of its answer that there is no
+// more, in the stream itself.
+func (e *Entry) failAfterStart(j *job, s failer, p *problem.Error) *problem.Error {
+	if p == nil || !s.begun() {
+		return p
+	}
+	e.metrics.add("cut", 1)
+	s.fail(p)
+	return &problem.Error{
+		Code:   p.Code,
+		Status: 0,
+		Ran:    p.Ran,
+		Detail: p.Detail,
+	}
+}
+
+// admitted checks the customer's limits and, for a request with a key, that it
+// runs at most once. Then it runs f.
+func (e *Entry) admitted(w http.ResponseWriter, r *http.Request, j *job, f func(context.Context, writer) *problem.Error) *problem.Error {
+	e.stories.begin(j)
+	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
+	defer cancel()
+	giveBack, refusal := e.parts.Borrower.Take(ctx, j.customer.ID, limit.Bounds{
+		Rate:        j.customer.RequestsPerSecond,
+		Concurrency: j.customer.Concurrency,
+	})
+	if refusal != nil {
+		return limited(refusal)
+	}
+	defer giveBack()
+	e.budget.earn()
+	caller := newCallerWriter(w)
+	if j.claim != nil {
+		return ended(e.once(ctx, j, caller, f))
+	}
+	return ended(f(ctx, caller))
+}
+
+// ended drops a failure that the caller has been told of in its stream. The
+// connection is broken off, so that nobody takes the answer for whole.
+func ended(p *problem.Error) *problem.Error {
+	if p != nil && p.Status == 0 {
+		panic(http.ErrAbortHandler)
+	}
+	return p
+}
+
+func limited(r *limit.Refusal) *problem.Error {
+	code, detail := problem.CodeRateLimited, "the customer's rate is used up"
+	if r.Concurrency {
+		code, detail = problem.CodeConcurrency, "the customer's requests in flight are used up"
+	}
+	p := problem.New(code, http.StatusTooManyRequests, detail)
+	p.RetryAfter = max(r.RetryAfter, time.Millisecond)
+	return p
+}
+
+// call serves one call of a plain service.
+func (e *Entry) call(w http.ResponseWriter, r *http.Request, j *job) *problem.Error {
+	j.service = r.PathValue("service")
+	if e.fleet.size(j.group()) == 0 {
+		return problem.New(problem.CodeNotFound, http.StatusNotFound, "there is no plain service of this name")
+	}
+	repeatable := r.Method == http.MethodGet || r.Method == http.MethodHead
+	if fail := j.readHeaders(r.Header, !repeatable); fail != nil {
+		return fail
+	}
+	data, fail := readBody(w, r, j.view.File.Limits.MaxBodyBytes)
+	if fail != nil {
+		return fail
+	}
+	c := plain.Call{
+		Request:     j.id,
+		Method:      r.Method,
+		Path:        strings.TrimPrefix(r.URL.RequestURI(), servicePath+j.service),
+		ContentType: r.Header.Get("Content-Type"),
+		Body:        data,
+	}
+	return e.admitted(w, r, j, func(ctx context.Context, out writer) *problem.Error {
+		return e.callPlain(ctx, j, c, out)
+	})
+}
--- /dev/null
+++ b/entry/input.go
@@ -0,0 +1,336 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package entry
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/linkmast/linkmast/claim"
+	"github.com/linkmast/linkmast/config"
+	"github.com/linkmast/linkmast/engine"
+	"github.com/linkmast/linkmast/problem"
+)
+
+// The headers of requests and answers.
+const (
+	// HeaderDeadline says how long the answer may take, such as "30s".
+	HeaderDeadline = "Linkmast-Deadline"
+	// HeaderTier asks for a tier that is not above the customer's.
+	HeaderTier = "Linkmast-Tier"
+	// HeaderOnce says whether the request must not be repeated.
+	HeaderOnce = "Linkmast-Once"
+	// HeaderKey is the key of a request that runs at most once.
+	HeaderKey = "Idempotency-Key"
+	// HeaderKeyValid is when the key's validity ends, as in RFC 3339.
+	HeaderKeyValid = "Linkmast-Key-Valid-Until"
+	// HeaderRequest is the request's id, in answers.
+	HeaderRequest = "Linkmast-Request-Id"
+)
+
+// maxKeyBytes bounds a once-only key.
+const maxKeyBytes = 255
+
+// defaultOutput is how long an answer may be when the caller does not say, in
+// tokens.
+const defaultOutput = 256
+
+// prefixBlocks is how much of a prompt decides where its prefix belongs, in
+// blocks of the prefix cache.
+const prefixBlocks = 4
+
+// completionBody is the part of OpenAI's request that matters here. Everything
+// else that clients send is passed over.
+type completionBody struct {
+	Model               string          `json:"model"`
+	Prompt              json.RawMessage `json:"prompt"`
+	Messages            []message       `json:"messages"`
+	MaxTokens           *int            `json:"max_tokens"`
+	MaxCompletionTokens *int            `json:"max_completion_tokens"`
+	Stream              bool            `json:"stream"`
+	N                   *int            `json:"n"`
+}
+
+// message is one message of a chat.
+type message struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// bodyTimeout bounds how long a body may take to arrive, and bodyRate adds to
+// it by size.
+const (
+	bodyTimeout = 10 * time.Second
+	bodyRate    = 1 << 20
+)
+
+// readBody reads a whole body within its limits.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *problem.Error) {
+	if r.ContentLength > limit {
+		return nil, tooLarge(limit)
+	}
+	size := max(r.ContentLength, 0)
+	deadline := time.Now().Add(bodyTimeout + time.Duration(size)*time.Second/bodyRate)
+	if err := http.NewResponseController(w).SetReadDeadline(deadline); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return nil, problem.Bad("body", "can't be read: "+err.Error())
+	}
+	buf := make([]byte, 0, size+1)
+	data, err := appendAll(buf, http.MaxBytesReader(w, r.Body, limit))
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return nil, tooLarge(limit)
+	}
+	if err != nil {
+		return nil, problem.Bad("body", "did not arrive whole: "+err.Error())
+	}
+	// The connection goes on without a time limit for the answer's sake.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	return data, nil
+}
+
+// appendAll reads r to its end into a buffer of the right size.
+func appendAll(b []byte, r io.Reader) ([]byte, error) {
+	for {
+		n, err := r.Read(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		if errors.Is(err, io.EOF) {
+			return b, nil
+		}
+		if err != nil {
+			return b, err
+		}
+		if len(b) == cap(b) {
+			b = append(b, 0)[:len(b)]
+		}
+	}
+}
+
+func tooLarge(limit int64) *problem.Error {
+	p := problem.New(problem.CodeTooLarge, http.StatusRequestEntityTooLarge,
+		"the body is above the limit of "+strconv.FormatInt(limit, 10)+" bytes")
+	p.Field = "body"
+	return p
+}
+
+// parseCompletion reads the body of a completion into a job.
+func parseCompletion(data []byte, chat bool, j *job) (bool, *problem.Error) {
+	var b completionBody
+	if err := json.Unmarshal(data, &b); err != nil {
+		return false, badJSON(err)
+	}
+	if fail := j.setModel(b.Model); fail != nil {
+		return false, fail
+	}
+	prompt, fail := promptOf(&b, chat)
+	if fail != nil {
+		return false, fail
+	}
+	if fail := j.setOutput(&b); fail != nil {
+		return false, fail
+	}
+	if b.N != nil && *b.N != 1 {
+		return false, problem.Bad("n", "only one answer can be asked for")
+	}
+	return b.Stream, j.setPrompt(prompt)
+}
+
+// badJSON names the field that could not be read.
+func badJSON(err error) *problem.Error {
+	var typed *json.UnmarshalTypeError
+	if errors.As(err, &typed) && typed.Field != "" {
+		return problem.Bad(typed.Field, "must be "+typed.Type.String())
+	}
+	return problem.Bad("body", "is no JSON object: "+err.Error())
+}
+
+func (j *job) setModel(name string) *problem.Error {
+	if name == "" {
+		return problem.Bad("model", "is missing")
+	}
+	m, adapter, ok := j.view.Model(name)
+	if !ok {
+		p := problem.New(problem.CodeNotFound, http.StatusNotFound, "there is no model of this name")
+		p.Field = "model"
+		return p
+	}
+	j.model = m
+	j.adapter = adapter
+	return nil
+}
+
+func (j *job) setOutput(b *completionBody) *problem.Error {
+	field, asked := "max_tokens", b.MaxTokens
+	if b.MaxCompletionTokens != nil {
+		field, asked = "max_completion_tokens", b.MaxCompletionTokens
+	}
+	j.output = min(defaultOutput, j.model.MaxOutputTokens)
+	if asked == nil {
+		return nil
+	}
+	if *asked < 1 || *asked > j.model.MaxOutputTokens {
+		return problem.Bad(field, "must be 1 to "+strconv.Itoa(j.model.MaxOutputTokens))
+	}
+	j.output = *asked
+	return nil
+}
+
+func (j *job) setPrompt(prompt string) *problem.Error {
+	j.prompt = prompt
+	j.tokens = engine.Tokens(len(prompt))
+	if j.tokens > j.model.MaxPromptTokens {
+		return problem.Bad("prompt", "has "+strconv.Itoa(j.tokens)+" tokens, the model takes "+
+			strconv.Itoa(j.model.MaxPromptTokens))
+	}
+	if blocks := engine.Blocks(j.model.ID+"/"+j.adapter, prompt, prefixBlocks); len(blocks) > 0 {
+		j.prefix = blocks[len(blocks)-1]
+	}
+	return nil
+}
+
+// promptOf returns the prompt of a text or chat completion.
+func promptOf(b *completionBody, chat bool) (string, *problem.Error) {
+	if !chat {
+		return textPrompt(b.Prompt)
+	}
+	if len(b.Messages) == 0 {
+		return "", problem.Bad("messages", "is missing or empty")
+	}
+	var out strings.Builder
+	for i, m := range b.Messages {
+		text, fail := contentOf(m.Content)
+		if fail != nil {
+			fail.Field = "messages[" + strconv.Itoa(i) + "].content"
+			return "", fail
+		}
+		out.WriteString(m.Role)
+		out.WriteString(": ")
+		out.WriteString(text)
+		out.WriteByte('\n')
+	}
+	return out.String(), nil
+}
+
+func textPrompt(raw json.RawMessage) (string, *problem.Error) {
+	var one string
+	if err := json.Unmarshal(raw, &one); err == nil && one != "" {
+		return one, nil
+	}
+	var list []string
+	if err := json.Unmarshal(raw, &list); err == nil && len(list) == 1 && list[0] != "" {
+		return list[0], nil
+	}
+	return "", problem.Bad("prompt", "must be one text that is not empty")
+}
+
+// contentOf returns the text of a chat message: a string, or parts of type
+// text.
+func contentOf(raw json.RawMessage) (string, *problem.Error) {
+	var one string
+	if err := json.Unmarshal(raw, &one); err == nil {
+		return one, nil
+	}
+	var parts []struct {
+		Type string `json:"type"`
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal(raw, &parts); err != nil {
+		return "", problem.Bad("content", "must be a text or a list of texts")
+	}
+	var out strings.Builder
+	for _, p := range parts {
+		if p.Type != "text" {
+			return "", problem.Bad("content", "parts of type "+strconv.Quote(p.Type)+" are not served")
+		}
+		out.WriteString(p.Text)
+	}
+	return out.String(), nil
+}
+
+// readHeaders takes over the deadline, tier and once-only marks of a request.
+func (j *job) readHeaders(h http.Header, onceByDefault bool) *problem.Error {
+	limits := &j.view.File.Limits
+	within := time.Duration(limits.DefaultDeadline)
+	if v := h.Get(HeaderDeadline); v != "" {
+		d, err := time.ParseDuration(v)
+		if err != nil || d <= 0 || d > time.Duration(limits.MaxDeadline) {
+			return problem.Bad(HeaderDeadline, "must be a duration above zero and up to "+
+				time.Duration(limits.MaxDeadline).String())
+		}
+		within = d
+	}
+	j.deadline = j.arrived.Add(within)
+	if fail := j.readTier(h.Get(HeaderTier)); fail != nil {
+		return fail
+	}
+	return j.readOnce(h, onceByDefault, limits)
+}
+
+func (j *job) readTier(name string) *problem.Error {
+	bought, ok := j.view.Tier(j.customer.Tier)
+	if !ok {
+		return problem.New(problem.CodeInternal, http.StatusInternalServerError, "the customer's tier is unknown")
+	}
+	j.tier = bought
+	if name == "" {
+		return nil
+	}
+	asked, ok := j.view.Tier(name)
+	if !ok {
+		return problem.Bad(HeaderTier, "there is no tier of this name")
+	}
+	if asked.Rank < bought.Rank {
+		p := problem.New(problem.CodeForbidden, http.StatusForbidden, "the customer did not buy this tier")
+		p.Field = HeaderTier
+		return p
+	}
+	j.tier = asked
+	return nil
+}
+
+func (j *job) readOnce(h http.Header, onceByDefault bool, limits *config.Limits) *problem.Error {
+	j.once = onceByDefault
+	if v := h.Get(HeaderOnce); v != "" {
+		once, err := strconv.ParseBool(v)
+		if err != nil {
+			return problem.Bad(HeaderOnce, "must be true or false")
+		}
+		j.once = once
+	}
+	key, until := h.Get(HeaderKey), h.Get(HeaderKeyValid)
+	switch {
+	case key == "" && until == "":
+		return nil
+	case key == "" || len(key) > maxKeyBytes:
+		return problem.Bad(HeaderKey, "must have 1 to "+strconv.Itoa(maxKeyBytes)+" bytes")
+	}
+	j.once = true
+	valid := j.arrived.Add(time.Duration(limits.MaxKeyValidity))
+	if until != "" {
+		v, err := time.Parse(time.RFC3339, until)
+		if err != nil {
+			return problem.Bad(HeaderKeyValid, "must be a time as in RFC 3339")
+		}
+		if v.After(valid.Add(time.Duration(limits.ClockBound))) {
+			return problem.Bad(HeaderKeyValid, "must be at most "+
+				time.Duration(limits.MaxKeyValidity).String()+" ahead")
+		}
+		valid = v
+	}
+	if !valid.After(j.arrived.Add(time.Duration(limits.ClockBound))) {
+		p := problem.New(problem.CodeKeyExpired, http.StatusGone, "the key's validity has ended, or ends too soon to be sure")
+		p.Field = HeaderKeyValid
+		return p
+	}
+	j.claim = &claim.Claim{
+		Key:        claim.KeyOf(j.customer.ID, key),
+		Request:    j.id,
+		ValidUntil: valid,
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/once.go
@@ -0,0 +1,78 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/linkmast/linkmast/claim"
+	"github.com/linkmast/linkmast/problem"
+)
+
+// claimTimeout bounds the wait for the log to decide a claim.
+const claimTimeout = 3 * time.Second
+
+// logRetry is when to come back while the log does not answer.
+const logRetry = 5 * time.Second
+
+// once runs a request with a key at most once. The request that holds the key
+// runs to its end also when its caller goes away, because that caller, or
+// another with the same key, will come back for the answer.
+func (e *Entry) once(ctx context.Context, j *job, caller *callerWriter, f func(context.Context, writer) *problem.Error) *problem.Error {
+	j.claim.Instance = e.settings.Self.ID
+	// The answer is kept from before the claim, so that whoever finds the claim
+	// finds the answer.
+	k := e.Answers.open(j.id)
+	waiting, cancel := context.WithTimeout(ctx, claimTimeout)
+	winner, err := e.parts.Claimer.Claim(waiting, *j.claim)
+	cancel()
+	if err != nil {
+		k.end(false)
+		return problem.Busy(problem.CodeLogDown, "whether the key is free can't be told now", logRetry)
+	}
+	if winner.Request != j.id {
+		k.end(false)
+		return e.attach(ctx, j, winner, caller)
+	}
+	run, cancel := context.WithDeadline(context.WithoutCancel(ctx), j.deadline)
+	defer cancel()
+	fail := f(run, &teeWriter{
+		caller: caller,
+		kept:   k,
+	})
+	k.end(fail == nil)
+	if fail != nil && j.dispatches == 0 {
+		e.parts.Claimer.GiveUp(*j.claim)
+	}
+	return fail
+}
+
+// attach passes on the answer to the request that holds the key, if it can be
+// had.
+func (e *Entry) attach(ctx context.Context, j *job, winner claim.Claim, caller *callerWriter) *problem.Error {
+	e.stories.add(j.id, Event{
+		What:   "attached",
+		Reason: "request " + winner.Request + " on " + winner.Instance + " holds the key",
+	})
+	e.metrics.add("attached", 1)
+	err := e.attachTo(ctx, winner, caller)
+	if err == nil {
+		return nil
+	}
+	p := problem.New(problem.CodeKeyUsed, http.StatusConflict,
+		"a request with this key was accepted before, and its answer can't be had: "+err.Error())
+	p.Ran = problem.MayHaveRun
+	if caller.headed {
+		p.Status = 0
+	}
+	return p
+}
+
+func (e *Entry) attachTo(ctx context.Context, winner claim.Claim, caller *callerWriter) error {
+	if winner.Instance == e.settings.Self.ID {
+		return e.Answers.copyTo(ctx, winner.Request, caller)
+	}
+	return e.parts.Attach.Attach(ctx, winner.Instance, winner.Request, caller)
+}
--- /dev/null
+++ b/entry/sink.go
@@ -0,0 +1,219 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/linkmast/linkmast/problem"
+)
+
+// shape is the form of an answer: text or chat completions, as OpenAI's
+// clients read them.
+type shape struct {
+	id      string
+	model   string
+	chat    bool
+	created int64
+}
+
+func newShape(id, model string, chat bool) shape {
+	return shape{
+		id:      id,
+		model:   model,
+		chat:    chat,
+		created: time.Now().Unix(),
+	}
+}
+
+func (s *shape) object(stream bool) string {
+	switch {
+	case s.chat && stream:
+		return "chat.completion.chunk"
+	case s.chat:
+		return "chat.completion"
+	}
+	return "text_completion"
+}
+
+// frame returns what stands before the text of a streamed token.
+func (s *shape) frame() []byte {
+	b := []byte(`data: {"id":`)
+	b = appendString(b, s.id)
+	b = append(b, `,"object":"`...)
+	b = append(b, s.object(true)...)
+	b = append(b, `","created":`...)
+	b = strconv.AppendInt(b, s.created, 10)
+	b = append(b, `,"model":`...)
+	b = appendString(b, s.model)
+	b = append(b, `,"choices":[{"index":0,`...)
+	if s.chat {
+		return append(b, `"delta":{"content":`...)
+	}
+	return append(b, `"text":`...)
+}
+
+// streamSink sends each token as a server-sent event.
+type streamSink struct {
+	out    writer
+	shape  shape
+	before []byte
+	buf    []byte
+	headed bool
+}
+
+func newStreamSink(out writer, s shape) *streamSink {
+	return &streamSink{
+		out:    out,
+		shape:  s,
+		before: s.frame(),
+	}
+}
+
+func (s *streamSink) begun() bool {
+	return s.headed
+}
+
+func (s *streamSink) restart() {}
+
+func (s *streamSink) start() error {
+	if s.headed {
+		return nil
+	}
+	s.headed = true
+	return s.out.head(http.StatusOK, "text/event-stream")
+}
+
+func (s *streamSink) token(text string) error {
+	if err := s.start(); err != nil {
+		return err
+	}
+	s.event(text, "null")
+	return s.out.write(s.buf)
+}
+
+// event puts one token's event into the buffer.
+func (s *streamSink) event(text, reason string) {
+	s.buf = append(s.buf[:0], s.before...)
+	s.buf = appendString(s.buf, text)
+	if s.shape.chat {
+		s.buf = append(s.buf, '}')
+	}
+	s.buf = append(s.buf, `,"finish_reason":`...)
+	s.buf = append(s.buf, reason...)
+	s.buf = append(s.buf, "}]}\n\n"...)
+}
+
+func (s *streamSink) end(u usage) error {
+	if err := s.start(); err != nil {
+		return err
+	}
+	s.event("", strconv.Quote(u.reason))
+	// The last event before [DONE] carries the usage.
+	s.buf = append(s.buf[:len(s.buf)-len("}\n\n")], `,"usage":`...)
+	s.buf = appendUsage(s.buf, u)
+	s.buf = append(s.buf, "}\n\ndata: [DONE]\n\n"...)
+	return s.out.write(s.buf)
+}
+
+// fail tells a caller that has part of the answer that there is no more.
+func (s *streamSink) fail(p *problem.Error) {
+	b := []byte("event: error\ndata: {\"error\":")
+	b = append(b, p.Marshal(s.shape.id)...)
+	b = append(b, "}\n\n"...)
+	// The caller may have gone; there is nobody left to tell.
+	_ = s.out.write(b)
+}
+
+// wholeSink sends the answer as one JSON object.
+type wholeSink struct {
+	out    writer
+	shape  shape
+	text   []byte
+	headed bool
+}
+
+func newWholeSink(out writer, s shape) *wholeSink {
+	return &wholeSink{
+		out:   out,
+		shape: s,
+	}
+}
+
+func (s *wholeSink) begun() bool {
+	return s.headed
+}
+
+func (s *wholeSink) restart() {
+	s.text = s.text[:0]
+}
+
+func (s *wholeSink) token(text string) error {
+	s.text = append(s.text, text...)
+	return nil
+}
+
+func (s *wholeSink) end(u usage) error {
+	b := []byte(`{"id":`)
+	b = appendString(b, s.shape.id)
+	b = append(b, `,"object":"`...)
+	b = append(b, s.shape.object(false)...)
+	b = append(b, `","created":`...)
+	b = strconv.AppendInt(b, s.shape.created, 10)
+	b = append(b, `,"model":`...)
+	b = appendString(b, s.shape.model)
+	b = append(b, `,"choices":[{"index":0,`...)
+	if s.shape.chat {
+		b = append(b, `"message":{"role":"assistant","content":`...)
+		b = appendString(b, string(s.text))
+		b = append(b, '}')
+	} else {
+		b = append(b, `"text":`...)
+		b = appendString(b, string(s.text))
+	}
+	b = append(b, `,"finish_reason":`...)
+	b = strconv.AppendQuote(b, u.reason)
+	b = append(b, `}],"usage":`...)
+	b = appendUsage(b, u)
+	b = append(b, "}\n"...)
+	s.headed = true
+	if err := s.out.head(http.StatusOK, "application/json"); err != nil {
+		return err
+	}
+	return s.out.write(b)
+}
+
+// appendUsage adds the usage object.
+func appendUsage(b []byte, u usage) []byte {
+	b = append(b, `{"prompt_tokens":`...)
+	b = strconv.AppendInt(b, int64(u.prompt), 10)
+	b = append(b, `,"completion_tokens":`...)
+	b = strconv.AppendInt(b, int64(u.output), 10)
+	b = append(b, `,"total_tokens":`...)
+	b = strconv.AppendInt(b, int64(u.prompt+u.output), 10)
+	b = append(b, `,"prompt_tokens_details":{"cached_tokens":`...)
+	b = strconv.AppendInt(b, int64(u.cached), 10)
+	return append(b, "}}"...)
+}
+
+// appendString adds a JSON string. Plain text is copied; anything else goes
+// through the standard library.
+func appendString(b []byte, s string) []byte {
+	for i := range len(s) {
+		if c := s[i]; c < ' ' || c > '~' || c == '"' || c == '\\' {
+			return appendEscaped(b, s)
+		}
+	}
+	b = append(b, '"')
+	b = append(b, s...)
+	return append(b, '"')
+}
+
+func appendEscaped(b []byte, s string) []byte {
+	// A string always encodes.
+	q, _ := json.Marshal(s)
+	return append(b, q...)
+}
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,153 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package fleet
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/standin"
+)
+
+// fast are engines that make a test short.
+func fast() standin.EngineSettings {
+	return standin.EngineSettings{
+		PrefillTokensPerSecond: 4_000_000,
+		ChunkTokens:            20_000,
+		DecodeStep:             time.Millisecond,
+	}
+}
+
+func start(t *testing.T, s Settings) *Fleet {
+	t.Helper()
+	if s.Engine.DecodeStep == 0 {
+		s.Engine = fast()
+	}
+	f, err := Start(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	return f
+}
+
+// prompt returns a prompt of n tokens that begins with a name.
+func prompt(name string, n int) string {
+	return name + strings.Repeat("abcdefgh", n/2)[:n*4-len(name)]
+}
+
+func post(t *testing.T, url, key string, header map[string]string, body any) (*http.Response, []byte) {
+	t.Helper()
+	data, err := json.Marshal(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(data))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	out, err := io.ReadAll(res.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return res, out
+}
+
+// textOf returns the text of a whole answer.
+func textOf(t *testing.T, data []byte) string {
+	t.Helper()
+	var a struct {
+		Choices []struct {
+			Text string `json:"text"`
+		} `json:"choices"`
+	}
+	if err := json.Unmarshal(data, &a); err != nil || len(a.Choices) != 1 {
+		t.Fatalf("no answer: %s", data)
+	}
+	return a.Choices[0].Text
+}
+
+// streamOf returns the text of a streamed answer, and whether it was whole.
+func streamOf(t *testing.T, data []byte) (string, bool) {
+	t.Helper()
+	var text strings.Builder
+	for _, line := range strings.Split(string(data), "\n") {
+		event, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if event == "[DONE]" {
+			return text.String(), true
+		}
+		text.WriteString(textOf(t, []byte(event)))
+	}
+	return text.String(), false
+}
+
+func TestWholePath(t *testing.T) {
+	f := start(t, Settings{})
+	for _, tokens := range []int{1_000, 30_000, 200_000, 1_000_000} {
+		t.Run("whole "+humanTokens(tokens), func(t *testing.T) {
+			is := is.New(t)
+			p := prompt("whole", tokens)
+			res, data := post(t, "http://"+f.Nodes[0].Listen+"/v1/completions", "key-desk", nil, map[string]any{
+				"model":      Model,
+				"prompt":     p,
+				"max_tokens": 20,
+			})
+			is.Equal(res.StatusCode, http.StatusOK)
+			is.Equal(textOf(t, data), standin.Answer(p, 20))
+		})
+		t.Run("stream "+humanTokens(tokens), func(t *testing.T) {
+			is := is.New(t)
+			p := prompt("stream", tokens)
+			res, data := post(t, "http://"+f.Nodes[1].Listen+"/v1/completions", "key-office", nil, map[string]any{
+				"model":      Model,
+				"prompt":     p,
+				"max_tokens": 20,
+				"stream":     true,
+			})
+			is.Equal(res.StatusCode, http.StatusOK)
+			text, whole := streamOf(t, data)
+			is.True(whole)
+			is.Equal(text, standin.Answer(p, 20))
+		})
+	}
+	t.Run("plain call", func(t *testing.T) {
+		is := is.New(t)
+		res, data := post(t, "http://"+f.Nodes[2].Listen+"/services/lots/bids?lot=7", "key-desk", nil, map[string]any{
+			"bid": 12,
+		})
+		is.Equal(res.StatusCode, http.StatusOK)
+		var echo standin.Echo
+		is.NoErr(json.Unmarshal(data, &echo))
+		is.Equal(echo.Path, "/bids?lot=7")
+	})
+	t.Run("memory is back", func(t *testing.T) {
+		is := is.New(t)
+		is.Equal(f.WaitFree(10*time.Second), int64(0))
+	})
+}
+
+func humanTokens(n int) string {
+	if n >= 1_000_000 {
+		return "1M"
+	}
+	return string(rune('0'+n/100_000%10)) + string(rune('0'+n/10_000%10)) + string(rune('0'+n/1000%10)) + "k"
+}
--- /dev/null
+++ b/logsvc/logsvc.go
@@ -0,0 +1,183 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package logsvc
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/linkmast/linkmast/internal/wirehttp"
+)
+
+// Record is one entry of a stream.
+type Record struct {
+	// Offset is the record's place in its stream, from 1.
+	Offset int64 `json:"offset"`
+	// Data is what was appended.
+	Data []byte `json:"data"`
+}
+
+// Batch is the answer to a read.
+type Batch struct {
+	// Earliest is the lowest offset that is still kept; Next-1 is the highest.
+	Earliest int64 `json:"earliest"`
+	// Next is the offset that the next append will get.
+	Next int64 `json:"next"`
+	// Records are in order and without gaps. There may be more to read.
+	Records []Record `json:"records"`
+}
+
+// Log is the platform's log.
+type Log interface {
+	// Append adds records to a stream and returns the offset of the first.
+	// An error is a *Error.
+	Append(ctx context.Context, stream string, records [][]byte) (int64, error)
+	// Read returns records from an offset on. It waits up to wait for one.
+	Read(ctx context.Context, stream string, from int64, wait time.Duration) (Batch, error)
+}
+
+// Error is a failed call to the log.
+type Error struct {
+	// Unknown is true when the append may have taken effect.
+	Unknown bool
+	// Err is the cause.
+	Err error
+}
+
+// Error returns the cause and whether the append may have taken effect.
+func (e *Error) Error() string {
+	if e.Unknown {
+		return fmt.Sprintf("log: effect unknown: %v", e.Err)
+	}
+	return fmt.Sprintf("log: no effect: %v", e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
+
+// IsUnknown states whether the append that failed with err may have taken
+// effect.
+func IsUnknown(err error) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Unknown
+}
+
+// AppendBody is the wire form of an append.
+type AppendBody struct {
+	// Records are added in order.
+	Records [][]byte `json:"records"`
+}
+
+// AppendAnswer is the wire form of the answer to an append.
+type AppendAnswer struct {
+	// Offset is the place of the first record.
+	Offset int64 `json:"offset"`
+}
+
+// HTTP is the adapter to the log over HTTP.
+type HTTP struct {
+	client *http.Client
+	base   string
+}
+
+// NewHTTP returns an adapter to the log at a host and port.
+func NewHTTP(client *http.Client, address string) *HTTP {
+	return &HTTP{
+		client: client,
+		base:   "http://" + address,
+	}
+}
+
+// Append implements Log.
+func (h *HTTP) Append(ctx context.Context, stream string, records [][]byte) (int64, error) {
+	data, err := json.Marshal(AppendBody{
+		Records: records,
+	})
+	if err != nil {
+		return 0, &Error{
+			Err: err,
+		}
+	}
+	var touched atomic.Bool
+	trace := &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) {
+			touched.Store(true)
+		},
+	}
+	path := h.base + "/v1/streams/" + url.PathEscape(stream)
+	body := wirehttp.Once(bytes.NewReader(data))
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, path, body)
+	if err != nil {
+		return 0, &Error{
+			Err: err,
+		}
+	}
+	res, err := h.client.Do(req)
+	if err != nil {
+		return 0, &Error{
+			Unknown: touched.Load(),
+			Err:     err,
+		}
+	}
+	defer wirehttp.Drain(res.Body)
+	if res.StatusCode != http.StatusOK {
+		return 0, &Error{
+			Unknown: res.StatusCode/100 == 5 && res.StatusCode != http.StatusServiceUnavailable,
+			Err:     errors.Errorf("append: status %d", res.StatusCode),
+		}
+	}
+	var a AppendAnswer
+	if err := json.NewDecoder(res.Body).Decode(&a); err != nil {
+		return 0, &Error{
+			Unknown: true,
+			Err:     err,
+		}
+	}
+	return a.Offset, nil
+}
+
+// Read implements Log.
+func (h *HTTP) Read(ctx context.Context, stream string, from int64, wait time.Duration) (Batch, error) {
+	var b Batch
+	query := url.Values{
+		"from":    {strconv.FormatInt(from, 10)},
+		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+	path := h.base + "/v1/streams/" + url.PathEscape(stream) + "?" + query.Encode()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return b, &Error{
+			Err: err,
+		}
+	}
+	res, err := h.client.Do(req)
+	if err != nil {
+		return b, &Error{
+			Err: err,
+		}
+	}
+	defer wirehttp.Drain(res.Body)
+	if res.StatusCode != http.StatusOK {
+		return b, &Error{
+			Err: errors.Errorf("read: status %d", res.StatusCode),
+		}
+	}
+	if err := json.NewDecoder(res.Body).Decode(&b); err != nil {
+		return b, &Error{
+			Err: err,
+		}
+	}
+	return b, nil
+}
--- /dev/null
+++ b/member/grpc.go
@@ -0,0 +1,108 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package member
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/linkmast/linkmast/instances"
+	"github.com/linkmast/linkmast/member/memberpb"
+)
+
+// Server answers probes for a Member.
+type Server struct {
+	memberpb.UnimplementedMemberServer
+
+	member *Member
+}
+
+// NewServer returns a server.
+func NewServer(m *Member) *Server {
+	return &Server{
+		member: m,
+	}
+}
+
+// Probe implements memberpb.MemberServer.
+func (s *Server) Probe(_ context.Context, in *memberpb.ProbeRequest) (*memberpb.ProbeReply, error) {
+	return s.member.Answer(in), nil
+}
+
+// Answer answers a probe.
+func (m *Member) Answer(in *memberpb.ProbeRequest) *memberpb.ProbeReply {
+	m.mu.Lock()
+	m.heard[in.From] = time.Now()
+	reply := &memberpb.ProbeReply{
+		Instance:   m.settings.Self.ID,
+		Stopping:   m.stopping,
+		Generation: m.generation(),
+	}
+	if in.WantInstances {
+		for _, i := range m.list.Instances {
+			reply.Instances = append(reply.Instances, encodeInstance(i))
+		}
+	}
+	m.mu.Unlock()
+	m.incoming(in.Reports)
+	reply.Reports = m.outgoing()
+	return reply
+}
+
+func encodeInstance(i instances.Instance) *memberpb.Instance {
+	return &memberpb.Instance{
+		Id:            i.ID,
+		Kind:          string(i.Kind),
+		Address:       i.Address,
+		FailureDomain: i.FailureDomain,
+		Region:        i.Region,
+		State:         string(i.State),
+	}
+}
+
+// decodeList returns a list that any answer of the platform replaces.
+func decodeList(in []*memberpb.Instance) instances.List {
+	l := instances.List{
+		Instances: make([]instances.Instance, 0, len(in)),
+	}
+	for _, i := range in {
+		l.Instances = append(l.Instances, instances.Instance{
+			ID:            i.Id,
+			Kind:          instances.Kind(i.Kind),
+			Address:       i.Address,
+			FailureDomain: i.FailureDomain,
+			Region:        i.Region,
+			State:         instances.State(i.State),
+		})
+	}
+	return l
+}
+
+// Conns gives connections to addresses.
+type Conns interface {
+	// Conn returns the connection to an address.
+	Conn(address string) (*grpc.ClientConn, error)
+}
+
+// RPC sends probes over connections. It implements Prober.
+type RPC struct {
+	conns Conns
+}
+
+// NewRPC returns a prober over connections.
+func NewRPC(conns Conns) *RPC {
+	return &RPC{
+		conns: conns,
+	}
+}
+
+// Probe implements Prober.
+func (r *RPC) Probe(ctx context.Context, address string, in *memberpb.ProbeRequest) (*memberpb.ProbeReply, error) {
+	conn, err := r.conns.Conn(address)
+	if err != nil {
+		return nil, err
+	}
+	return memberpb.NewMemberClient(conn).Probe(ctx, in)
+}
--- /dev/null
+++ b/node/follow.go
@@ -0,0 +1,144 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/linkmast/linkmast/instances"
+	"github.com/linkmast/linkmast/owner"
+	"github.com/linkmast/linkmast/owner/ownerpb"
+)
+
+// refreshInterval is how often everything is derived anew without a change.
+const refreshInterval = 2 * time.Second
+
+// follow derives what the instance owns, and what the entry knows, from each
+// change of the configuration and of the instances.
+func (n *Node) follow(ctx context.Context) {
+	for {
+		members, configuration := n.member.Changed(), n.rollout.Changed()
+		n.derive()
+		select {
+		case <-ctx.Done():
+			return
+		case <-members:
+		case <-configuration:
+		case <-time.After(refreshInterval):
+		}
+	}
+}
+
+// derive sets the endpoints that the instance owns.
+func (n *Node) derive() {
+	v, m := n.rollout.View(), n.member.View()
+	if v == nil {
+		return
+	}
+	var mine []owner.Target
+	for i := range v.File.Endpoints {
+		e := &v.File.Endpoints[i]
+		by, ok := m.Owner(e.ID, v.Region(e.FailureDomain))
+		if !ok || by.ID != n.self.ID {
+			continue
+		}
+		t := owner.Target{
+			Endpoint: *e,
+		}
+		if at, listed := m.Endpoint(e.Address); listed {
+			t.Instance = at.ID
+			t.Leaving = at.State != instances.Live
+		}
+		mine = append(mine, t)
+	}
+	n.owner.Own(mine)
+	n.entry.Rebuild()
+	known := make(map[string]bool, len(m.Listed))
+	for _, i := range m.Listed {
+		known[i.Address] = true
+	}
+	for _, a := range n.settings.Peers {
+		known[a] = true
+	}
+	n.pool.Keep(func(a string) bool { return known[a] })
+}
+
+// watchAll keeps a watch on every instance of the region that may own
+// endpoints, and looks at the instance's own endpoints.
+func (n *Node) watchAll(ctx context.Context) {
+	watches := make(map[string]context.CancelFunc)
+	var all sync.WaitGroup
+	defer all.Wait()
+	defer func() {
+		for _, cancel := range watches {
+			cancel()
+		}
+	}()
+	look := time.NewTicker(localLook)
+	defer look.Stop()
+	for {
+		n.entry.Hear(n.owner.Summaries())
+		select {
+		case <-ctx.Done():
+			return
+		case <-look.C:
+		}
+		nodes := n.member.View().Nodes
+		for id, i := range nodes {
+			if _, ok := watches[id]; ok || id == n.self.ID {
+				continue
+			}
+			watch, cancel := context.WithCancel(ctx)
+			watches[id] = cancel
+			all.Go(func() { n.watch(watch, i) })
+		}
+		for id, cancel := range watches {
+			if _, ok := nodes[id]; !ok {
+				cancel()
+				delete(watches, id)
+			}
+		}
+	}
+}
+
+// The times of watches.
+const (
+	// localLook is how often the instance's own endpoints are looked at.
+	localLook = 20 * time.Millisecond
+	// watchRetry is when a watch that broke is tried again.
+	watchRetry = 300 * time.Millisecond
+)
+
+// watch takes over the summaries of one instance until ctx ends.
+func (n *Node) watch(ctx context.Context, i instances.Instance) {
+	for ctx.Err() == nil {
+		n.watchOnce(ctx, i)
+		select {
+		case <-ctx.Done():
+		case <-time.After(watchRetry):
+		}
+	}
+}
+
+func (n *Node) watchOnce(ctx context.Context, i instances.Instance) {
+	c, err := n.peers.conn(i)
+	if err != nil {
+		return
+	}
+	stream, err := ownerpb.NewOwnerClient(c).Watch(ctx, &ownerpb.WatchRequest{
+		Watcher:    n.self.ID,
+		IntervalMs: time.Duration(n.settings.Times.Watch).Milliseconds(),
+	})
+	if err != nil {
+		return
+	}
+	for {
+		in, err := stream.Recv()
+		if err != nil {
+			return
+		}
+		n.entry.Hear(owner.Decode(in))
+	}
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,305 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+
+	"github.com/linkmast/linkmast/claim"
+	"github.com/linkmast/linkmast/claim/claimpb"
+	"github.com/linkmast/linkmast/config"
+	"github.com/linkmast/linkmast/engine"
+	"github.com/linkmast/linkmast/entry"
+	"github.com/linkmast/linkmast/instances"
+	"github.com/linkmast/linkmast/internal/wirehttp"
+	"github.com/linkmast/linkmast/limit"
+	"github.com/linkmast/linkmast/limit/limitpb"
+	"github.com/linkmast/linkmast/logsvc"
+	"github.com/linkmast/linkmast/member"
+	"github.com/linkmast/linkmast/member/memberpb"
+	"github.com/linkmast/linkmast/owner"
+	"github.com/linkmast/linkmast/owner/ownerpb"
+	"github.com/linkmast/linkmast/peer"
+	"github.com/linkmast/linkmast/plain"
+	"github.com/linkmast/linkmast/policy"
+	"github.com/linkmast/linkmast/rollout"
+	"github.com/linkmast/linkmast/rollout/rolloutpb"
+	"github.com/linkmast/linkmast/settings"
+)
+
+// Node is one instance of the system.
+type Node struct {
+	// Done is closed when the node has stopped.
+	Done chan struct{}
+	// Listen, PeerListen and AdminListen are the addresses in use.
+	Listen string
+	// PeerListen is where other instances connect.
+	PeerListen string
+	// AdminListen is where operators connect.
+	AdminListen string
+
+	settings *settings.File
+	self     instances.Instance
+	log      logr.Logger
+	pool     *peer.Pool
+	peers    *peers
+	member   *member.Member
+	rollout  *rollout.Rollout
+	// generation is the rollout once it exists; probes may come before.
+	generation atomic.Pointer[rollout.Rollout]
+	owner      *owner.Owner
+	entry      *entry.Entry
+	writer     *claim.Writer
+	claimer    *claim.Claimer
+	lender     *limit.Lender
+	borrower   *limit.Borrower
+
+	callers *http.Server
+	admin   *http.Server
+	rpc     *grpc.Server
+	// closing ends the streams of watchers.
+	closing chan struct{}
+	cancel  context.CancelFunc
+	parts   sync.WaitGroup
+	stop    sync.Once
+}
+
+// endpoints makes the adapters to endpoints over one HTTP client.
+type endpoints struct {
+	client *http.Client
+}
+
+// Engine implements owner.Endpoints.
+func (e *endpoints) Engine(address string) engine.Client {
+	return engine.NewHTTP(e.client, address)
+}
+
+// Plain implements owner.Endpoints.
+func (e *endpoints) Plain(address string) plain.Client {
+	return plain.NewHTTP(e.client, address)
+}
+
+// listeners are the sockets of a node.
+type listeners struct {
+	callers net.Listener
+	peers   net.Listener
+	admin   net.Listener
+}
+
+func listen(f *settings.File) (*listeners, error) {
+	var l listeners
+	for _, one := range []struct {
+		address string
+		into    *net.Listener
+	}{
+		{f.Listen, &l.callers},
+		{f.PeerListen, &l.peers},
+		{f.AdminListen, &l.admin},
+	} {
+		s, err := net.Listen("tcp", one.address)
+		if err != nil {
+			l.close()
+			return nil, errors.Wrap(err, "listen")
+		}
+		*one.into = s
+	}
+	return &l, nil
+}
+
+func (l *listeners) close() {
+	for _, s := range []net.Listener{l.callers, l.peers, l.admin} {
+		if s != nil {
+			// Nothing was served on it yet.
+			_ = s.Close()
+		}
+	}
+}
+
+// New starts a node. Stop ends it as planned, Close at once.
+func New(f *settings.File, log logr.Logger) (*Node, error) {
+	client, server, err := transport(f.TLS)
+	if err != nil {
+		return nil, err
+	}
+	if client == nil {
+		log.Info("warning: connections between instances are neither encrypted nor authenticated; set [tls]")
+	}
+	l, err := listen(f)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &Node{
+		Done:        make(chan struct{}),
+		Listen:      l.callers.Addr().String(),
+		PeerListen:  l.peers.Addr().String(),
+		AdminListen: l.admin.Addr().String(),
+		settings:    f,
+		log:         log,
+		pool:        peer.New(client),
+		closing:     make(chan struct{}),
+		cancel:      cancel,
+	}
+	n.self = instances.Instance{
+		ID:            f.ID,
+		Kind:          instances.KindNode,
+		Address:       n.PeerListen,
+		FailureDomain: f.FailureDomain,
+		Region:        f.Region,
+		State:         instances.Live,
+	}
+	n.assemble()
+	n.serve(l, server)
+	n.parts.Go(func() { n.follow(ctx) })
+	n.parts.Go(func() { n.watchAll(ctx) })
+	return n, nil
+}
+
+// assemble makes the parts. Each is given what it works with; the functions
+// that refer to later parts are not called before those exist.
+func (n *Node) assemble() {
+	f := n.settings
+	http := wirehttp.Client()
+	log := logsvc.NewHTTP(http, f.Platform.Log)
+	strategy := strategyOf(f.Strategy)
+	decisions := n.log
+	if !*f.LogDecisions {
+		decisions = logr.Discard()
+	}
+	n.peers = &peers{
+		self:  n.self,
+		seeds: f.Peers,
+		pool:  n.pool,
+		view:  func() *member.View { return n.member.View() },
+		local: n,
+	}
+	n.member = member.New(member.Settings{
+		Self:          n.self,
+		Seeds:         f.Peers,
+		ProbeInterval: time.Duration(f.Times.Probe),
+	}, instances.NewHTTP(http, f.Platform.Instances), member.NewRPC(n.pool), n.Generation, n.log.WithName("member"))
+	n.writer = claim.NewWriter(claim.Settings{}, log)
+	n.claimer = claim.NewClaimer(n.peers.route)
+	n.lender = limit.NewLender(0)
+	n.borrower = limit.NewBorrower(f.ID, n.peers)
+	n.rollout = rollout.New(rollout.Settings{
+		RepeatAfter: time.Duration(f.Times.RepeatConfiguration),
+	}, log, n.peers, n.log.WithName("rollout"))
+	n.generation.Store(n.rollout)
+	adapters := &endpoints{
+		client: http,
+	}
+	n.entry = entry.New(entry.Settings{
+		Self:     n.self,
+		Strategy: strategy,
+	}, entry.Parts{
+		Configuration: n.rollout.View,
+		Members:       n.member.View,
+		Leaser:        n.peers.leaser,
+		Suspect:       n.member.Suspect,
+		Endpoints:     adapters,
+		Claimer:       n.claimer,
+		Borrower:      n.borrower,
+		Attach:        entry.NewRemote(n.peers),
+		Log:           decisions.WithName("entry"),
+	})
+	n.owner = owner.New(owner.Settings{
+		Strategy:      strategy,
+		SweepInterval: time.Duration(f.Times.Sweep),
+	}, adapters, n.peers, decisions.WithName("owner"))
+}
+
+func strategyOf(name string) policy.Strategy {
+	if name == settings.Naive {
+		return policy.Naive{}
+	}
+	return policy.Weighed{}
+}
+
+// maxHeaderBytes bounds the headers of a caller's request.
+const maxHeaderBytes = 32 << 10
+
+// headerTimeout bounds how long headers may take to arrive, and idleTimeout
+// how long a connection may stay unused.
+const (
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 2 * time.Minute
+)
+
+// serve starts the servers.
+func (n *Node) serve(l *listeners, creds credentials.TransportCredentials) {
+	opts := []grpc.ServerOption{
+		grpc.ReadBufferSize(rpcBuffer),
+		grpc.WriteBufferSize(rpcBuffer),
+		grpc.MaxRecvMsgSize(config.MaxBytes * 2),
+	}
+	if creds != nil {
+		opts = append(opts, grpc.Creds(creds))
+	}
+	n.rpc = grpc.NewServer(opts...)
+	memberpb.RegisterMemberServer(n.rpc, member.NewServer(n.member))
+	rolloutpb.RegisterRolloutServer(n.rpc, rollout.NewServer(n.rollout))
+	ownerpb.RegisterOwnerServer(n.rpc, owner.NewServer(n.owner, n.closing))
+	ownerpb.RegisterHolderServer(n.rpc, n.entry.Registry)
+	claimpb.RegisterClaimsServer(n.rpc, claim.NewServer(n.writer))
+	claimpb.RegisterAnswersServer(n.rpc, n.entry.Answers)
+	limitpb.RegisterLenderServer(n.rpc, limit.NewServer(n.lender, n.bounds))
+	n.callers = server(n.entry.Handler())
+	n.admin = server(n.adminHandler())
+	n.parts.Go(func() { n.ended("peers", n.rpc.Serve(l.peers)) })
+	n.parts.Go(func() { n.ended("callers", n.callers.Serve(l.callers)) })
+	n.parts.Go(func() { n.ended("admin", n.admin.Serve(l.admin)) })
+}
+
+// rpcBuffer is the buffer of each direction of a connection between instances.
+const rpcBuffer = 16 << 10
+
+func server(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+// ended notes why a server ended.
+func (n *Node) ended(name string, err error) {
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		n.log.Error(err, "server ended", "server", name)
+	}
+}
+
+// Generation returns the generation of the configuration in force.
+func (n *Node) Generation() int64 {
+	if r := n.generation.Load(); r != nil {
+		return r.Generation()
+	}
+	return 0
+}
+
+// bounds returns a customer's limits under the configuration in force.
+func (n *Node) bounds(customer string) (limit.Bounds, bool) {
+	v := n.rollout.View()
+	if v == nil {
+		return limit.Bounds{}, false
+	}
+	c, ok := v.Customer(customer)
+	if !ok {
+		return limit.Bounds{}, false
+	}
+	return limit.Bounds{
+		Rate:        c.RequestsPerSecond,
+		Concurrency: c.Concurrency,
+	}, true
+}
--- /dev/null
+++ b/node/peers.go
@@ -0,0 +1,170 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/grpc"
+
+	"github.com/linkmast/linkmast/claim"
+	"github.com/linkmast/linkmast/instances"
+	"github.com/linkmast/linkmast/limit"
+	"github.com/linkmast/linkmast/member"
+	"github.com/linkmast/linkmast/owner"
+	"github.com/linkmast/linkmast/owner/ownerpb"
+	"github.com/linkmast/linkmast/peer"
+	"github.com/linkmast/linkmast/rollout/rolloutpb"
+)
+
+// The keys that duties of all instances go by.
+const (
+	readersKey  = "configuration-readers"
+	repeaterKey = "configuration-repeater"
+)
+
+// readersPerDomain is how many instances of each failure domain read the log.
+const readersPerDomain = 2
+
+// claimWriters is how many instances are tried to write a claim.
+const claimWriters = 2
+
+// peers reaches the other instances, or this one's own parts.
+type peers struct {
+	self  instances.Instance
+	seeds []string
+	pool  *peer.Pool
+	view  func() *member.View
+	// local are this instance's own parts.
+	local *Node
+}
+
+// conn returns the connection to an instance.
+func (p *peers) conn(i instances.Instance) (*grpc.ClientConn, error) {
+	return p.pool.Conn(i.Address)
+}
+
+// ConnTo returns the connection to an instance by id.
+func (p *peers) ConnTo(id string) (*grpc.ClientConn, error) {
+	i, ok := p.view().Listed[id]
+	if !ok {
+		return nil, errors.Errorf("instance %q is not on the list", id)
+	}
+	return p.conn(i)
+}
+
+// leaser returns the leaser on an instance.
+func (p *peers) leaser(i instances.Instance) (owner.Leaser, error) {
+	if i.ID == p.self.ID {
+		return p.local.owner, nil
+	}
+	c, err := p.conn(i)
+	if err != nil {
+		return nil, err
+	}
+	return owner.NewClient(c), nil
+}
+
+// Held implements owner.Holders.
+func (p *peers) Held(ctx context.Context, holder string, attempts []string) ([]string, error) {
+	if holder == p.self.ID {
+		return p.local.entry.Registry.Which(attempts), nil
+	}
+	c, err := p.ConnTo(holder)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := ownerpb.NewHolderClient(c).Held(ctx, &ownerpb.HeldRequest{
+		Attempts: attempts,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return reply.Attempts, nil
+}
+
+// Addresses implements rollout.Peers.
+func (p *peers) Addresses() []string {
+	v := p.view()
+	out := make([]string, 0, len(v.Listed))
+	for id, i := range v.Listed {
+		if id != p.self.ID {
+			out = append(out, i.Address)
+		}
+	}
+	if len(out) == 0 {
+		return p.seeds
+	}
+	return out
+}
+
+// Pull implements rollout.Peers.
+func (p *peers) Pull(ctx context.Context, address string, in *rolloutpb.PullRequest) (*rolloutpb.PullReply, error) {
+	c, err := p.pool.Conn(address)
+	if err != nil {
+		return nil, err
+	}
+	return rolloutpb.NewRolloutClient(c).Pull(ctx, in)
+}
+
+// Reader implements rollout.Peers.
+func (p *peers) Reader() bool {
+	v := p.view()
+	before := 0
+	for _, i := range v.Ranked(readersKey, len(v.Nodes)) {
+		if i.ID == p.self.ID {
+			return true
+		}
+		if i.FailureDomain == p.self.FailureDomain {
+			before++
+		}
+		if before == readersPerDomain {
+			return false
+		}
+	}
+	return true
+}
+
+// Repeater implements rollout.Peers.
+func (p *peers) Repeater() bool {
+	i, ok := p.view().Keeper(repeaterKey)
+	return !ok || i.ID == p.self.ID
+}
+
+// Borrow implements limit.Keepers.
+func (p *peers) Borrow(ctx context.Context, a limit.Ask, b limit.Bounds) (limit.Loan, error) {
+	i, ok := p.view().Keeper("customer:" + a.Customer)
+	if !ok {
+		return limit.Loan{}, errors.New("there is no instance")
+	}
+	if i.ID == p.self.ID {
+		return p.local.lender.Lend(a, b, time.Now()), nil
+	}
+	c, err := p.conn(i)
+	if err != nil {
+		return limit.Loan{}, err
+	}
+	return limit.Borrow(ctx, c, a)
+}
+
+// Nodes implements limit.Keepers.
+func (p *peers) Nodes() int {
+	return len(p.view().Nodes)
+}
+
+// route returns the instances that may write a partition's claims.
+func (p *peers) route(partition int) []claim.Asker {
+	var out []claim.Asker
+	for _, i := range p.view().Ranked(claim.StreamOf(partition), claimWriters) {
+		if i.ID == p.self.ID {
+			out = append(out, p.local.writer)
+			continue
+		}
+		if c, err := p.conn(i); err == nil {
+			out = append(out, claim.NewClient(c))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/owner/grpc.go
@@ -0,0 +1,296 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/grpc"
+
+	"github.com/linkmast/linkmast/owner/ownerpb"
+	"github.com/linkmast/linkmast/policy"
+)
+
+// The units of summaries on the wire.
+const (
+	backlogUnit = 100 // a hundredth of a second
+	mebibyte    = 1 << 20
+)
+
+// lifeInterval is how often a queued request shows a sign of life; a client
+// gives up on an owner that is silent for silence.
+const (
+	lifeInterval = 500 * time.Millisecond
+	silence      = 3 * lifeInterval
+)
+
+// Server serves an Owner to other instances.
+type Server struct {
+	ownerpb.UnimplementedOwnerServer
+
+	owner *Owner
+	// closing ends the streams of watchers.
+	closing <-chan struct{}
+}
+
+// NewServer returns a server. Watches end when closing is closed.
+func NewServer(o *Owner, closing <-chan struct{}) *Server {
+	return &Server{
+		owner:   o,
+		closing: closing,
+	}
+}
+
+// Acquire implements ownerpb.OwnerServer.
+func (s *Server) Acquire(in *ownerpb.AcquireRequest, out grpc.ServerStreamingServer[ownerpb.AcquireUpdate]) error {
+	now := time.Now()
+	r := Request{
+		Attempt:  in.Attempt,
+		Holder:   in.Holder,
+		Endpoint: in.Endpoint,
+		Work: policy.Work{
+			ID:       in.Attempt,
+			Customer: in.Customer,
+			Rank:     int(in.Rank),
+			MaxWait:  time.Duration(in.MaxWaitMs) * time.Millisecond,
+			Prompt:   int(in.PromptTokens),
+			Output:   int(in.OutputTokens),
+			Bytes:    in.Bytes,
+			Prefix:   in.Prefix,
+			Arrived:  now.Add(-time.Duration(in.AgeMs) * time.Millisecond),
+			Deadline: now.Add(time.Duration(in.DeadlineMs) * time.Millisecond),
+		},
+		Patience: time.Duration(in.PatienceMs) * time.Millisecond,
+	}
+	done := make(chan *ownerpb.AcquireUpdate, 1)
+	estimates := make(chan time.Duration, 1)
+	go func() {
+		g, err := s.owner.Acquire(out.Context(), r, func(d time.Duration) { estimates <- d })
+		done <- update(g, err)
+	}()
+	return s.wait(out, done, estimates, r)
+}
+
+// wait sends signs of life until the outcome is there.
+func (s *Server) wait(out grpc.ServerStreamingServer[ownerpb.AcquireUpdate], done <-chan *ownerpb.AcquireUpdate, estimates <-chan time.Duration, r Request) error {
+	var estimate time.Duration
+	life := time.NewTicker(lifeInterval)
+	defer life.Stop()
+	for {
+		select {
+		case u := <-done:
+			if err := out.Send(u); err != nil {
+				s.owner.Withdraw(r.Endpoint, r.Attempt)
+				return err
+			}
+			return nil
+		case estimate = <-estimates:
+		case <-life.C:
+		}
+		queued := &ownerpb.AcquireUpdate{
+			Update: &ownerpb.AcquireUpdate_Queued{
+				Queued: &ownerpb.Queued{
+					EstimateMs: msOf(estimate),
+				},
+			},
+		}
+		if err := out.Send(queued); err != nil {
+			return err
+		}
+	}
+}
+
+// Withdraw ends a lease whose grant could not be delivered.
+func (o *Owner) Withdraw(endpoint, attempt string) {
+	// Release of an unknown lease is no error.
+	_ = o.Release(context.Background(), Release{
+		Attempt:  attempt,
+		Endpoint: endpoint,
+		Outcome:  NotStarted,
+	})
+}
+
+// update returns the message for the outcome of Acquire.
+func update(g Grant, err error) *ownerpb.AcquireUpdate {
+	if err == nil {
+		return &ownerpb.AcquireUpdate{
+			Update: &ownerpb.AcquireUpdate_Granted{
+				Granted: &ownerpb.Granted{
+					Address:       g.Address,
+					Instance:      g.Instance,
+					Priority:      int32(g.Priority),
+					StartWithinMs: msOf(g.StartWithin),
+				},
+			},
+		}
+	}
+	var r *Refusal
+	if !errors.As(err, &r) {
+		r = refuse(RefusedNotOwner, err.Error(), 0)
+	}
+	return &ownerpb.AcquireUpdate{
+		Update: &ownerpb.AcquireUpdate_Refused{
+			Refused: &ownerpb.Refused{
+				Code:         string(r.Code),
+				Detail:       r.Detail,
+				RetryAfterMs: msOf(r.RetryAfter),
+			},
+		},
+	}
+}
+
+// Release implements ownerpb.OwnerServer.
+func (s *Server) Release(ctx context.Context, in *ownerpb.ReleaseRequest) (*ownerpb.ReleaseReply, error) {
+	err := s.owner.Release(ctx, Release{
+		Attempt:  in.Attempt,
+		Endpoint: in.Endpoint,
+		Outcome:  Outcome(in.Outcome),
+		Step:     time.Duration(in.StepUs) * time.Microsecond,
+	})
+	return &ownerpb.ReleaseReply{}, err
+}
+
+// Watch implements ownerpb.OwnerServer.
+func (s *Server) Watch(in *ownerpb.WatchRequest, out grpc.ServerStreamingServer[ownerpb.Summaries]) error {
+	interval := max(time.Duration(in.IntervalMs)*time.Millisecond, minWatch)
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	for {
+		if err := out.Send(Encode(s.owner.Summaries())); err != nil {
+			return err
+		}
+		select {
+		case <-tick.C:
+		case <-s.closing:
+			return nil
+		case <-out.Context().Done():
+			return out.Context().Err()
+		}
+	}
+}
+
+// minWatch bounds how often summaries are sent.
+const minWatch = 20 * time.Millisecond
+
+// Encode returns the message for summaries.
+func Encode(summaries []policy.Summary) *ownerpb.Summaries {
+	out := &ownerpb.Summaries{
+		Summaries: make([]*ownerpb.Summary, 0, len(summaries)),
+	}
+	for i := range summaries {
+		s := &summaries[i]
+		m := &ownerpb.Summary{
+			Endpoint:    s.Endpoint,
+			FreeMib:     s.Free / mebibyte,
+			TurnoverMib: uint64(s.Turnover) / mebibyte,
+			Slots:       int32(s.Slots),
+			Aside:       s.Aside,
+		}
+		last := 0
+		for p, b := range s.Backlog {
+			if b > 0 {
+				last = p + 1
+			}
+		}
+		for _, b := range s.Backlog[:last] {
+			m.Backlog = append(m.Backlog, uint32(b*backlogUnit+0.5))
+		}
+		out.Summaries = append(out.Summaries, m)
+	}
+	return out
+}
+
+// Decode returns the summaries of a message.
+func Decode(in *ownerpb.Summaries) []policy.Summary {
+	out := make([]policy.Summary, 0, len(in.Summaries))
+	for _, m := range in.Summaries {
+		s := policy.Summary{
+			Endpoint: m.Endpoint,
+			Free:     m.FreeMib * mebibyte,
+			Turnover: float64(m.TurnoverMib) * mebibyte,
+			Slots:    int(m.Slots),
+			Aside:    m.Aside,
+		}
+		for p, b := range m.Backlog {
+			if p < policy.Priorities {
+				s.Backlog[p] = float32(b) / backlogUnit
+			}
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// Client asks the owner on another instance. It implements Leaser.
+type Client struct {
+	rpc ownerpb.OwnerClient
+}
+
+// NewClient returns a client over a connection.
+func NewClient(conn grpc.ClientConnInterface) *Client {
+	return &Client{
+		rpc: ownerpb.NewOwnerClient(conn),
+	}
+}
+
+// Acquire implements Leaser. An owner that shows no sign of life is a refusal
+// too.
+func (c *Client) Acquire(ctx context.Context, r Request, queued func(time.Duration)) (Grant, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	life := time.AfterFunc(silence, cancel)
+	defer life.Stop()
+	now := time.Now()
+	stream, err := c.rpc.Acquire(ctx, &ownerpb.AcquireRequest{
+		Attempt:      r.Attempt,
+		Holder:       r.Holder,
+		Endpoint:     r.Endpoint,
+		Customer:     r.Work.Customer,
+		Rank:         int32(r.Work.Rank),
+		MaxWaitMs:    r.Work.MaxWait.Milliseconds(),
+		PromptTokens: int64(r.Work.Prompt),
+		OutputTokens: int64(r.Work.Output),
+		Bytes:        r.Work.Bytes,
+		Prefix:       r.Work.Prefix,
+		AgeMs:        now.Sub(r.Work.Arrived).Milliseconds(),
+		DeadlineMs:   r.Work.Deadline.Sub(now).Milliseconds(),
+		PatienceMs:   msOf(r.Patience),
+	})
+	for err == nil {
+		var u *ownerpb.AcquireUpdate
+		if u, err = stream.Recv(); err != nil {
+			break
+		}
+		life.Reset(silence)
+		switch v := u.Update.(type) {
+		case *ownerpb.AcquireUpdate_Granted:
+			return Grant{
+				Address:     v.Granted.Address,
+				Instance:    v.Granted.Instance,
+				Priority:    int(v.Granted.Priority),
+				StartWithin: time.Duration(v.Granted.StartWithinMs) * time.Millisecond,
+			}, nil
+		case *ownerpb.AcquireUpdate_Refused:
+			after := time.Duration(v.Refused.RetryAfterMs) * time.Millisecond
+			return Grant{}, refuse(Code(v.Refused.Code), v.Refused.Detail, after)
+		case *ownerpb.AcquireUpdate_Queued:
+			if queued != nil {
+				queued(time.Duration(v.Queued.EstimateMs) * time.Millisecond)
+			}
+		}
+	}
+	return Grant{}, refuse(RefusedSilent, err.Error(), 0)
+}
+
+// Release implements Leaser.
+func (c *Client) Release(ctx context.Context, r Release) error {
+	_, err := c.rpc.Release(ctx, &ownerpb.ReleaseRequest{
+		Attempt:  r.Attempt,
+		Endpoint: r.Endpoint,
+		Outcome:  string(r.Outcome),
+		StepUs:   r.Step.Microseconds(),
+	})
+	return err
+}
--- /dev/null
+++ b/owner/owner.go
@@ -0,0 +1,258 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/linkmast/linkmast/config"
+	"github.com/linkmast/linkmast/engine"
+	"github.com/linkmast/linkmast/plain"
+	"github.com/linkmast/linkmast/policy"
+)
+
+// Settings are the times of an Owner. A zero value means the default.
+type Settings struct {
+	// SweepInterval is how often each endpoint is compared; the default is 1s.
+	SweepInterval time.Duration
+	// ConfirmAfter is how long a lease goes unheard of before its holder is
+	// asked; the default is 3s.
+	ConfirmAfter time.Duration
+	// OrphanAfter is how long a holder may be silent; the default is 4s.
+	OrphanAfter time.Duration
+	// StartWithin is how long a lease may go unused; the default is 2s.
+	StartWithin time.Duration
+	// CallTimeout bounds one call to an endpoint; the default is 700ms.
+	CallTimeout time.Duration
+	// Strategy is the order of the queue; the default is policy.Weighed.
+	Strategy policy.Strategy
+}
+
+const (
+	defaultSweep       = time.Second
+	defaultConfirm     = 3 * time.Second
+	defaultOrphan      = 4 * time.Second
+	defaultStartWithin = 2 * time.Second
+	defaultCall        = 700 * time.Millisecond
+)
+
+// pumpInterval is how often a queue that can't move is looked at again.
+const pumpInterval = 5 * time.Millisecond
+
+func (s *Settings) setDefaults() {
+	orDuration(&s.SweepInterval, defaultSweep)
+	orDuration(&s.ConfirmAfter, defaultConfirm)
+	orDuration(&s.OrphanAfter, defaultOrphan)
+	orDuration(&s.StartWithin, defaultStartWithin)
+	orDuration(&s.CallTimeout, defaultCall)
+	if s.Strategy == nil {
+		s.Strategy = policy.Weighed{}
+	}
+}
+
+func orDuration(v *time.Duration, def time.Duration) {
+	if *v == 0 {
+		*v = def
+	}
+}
+
+// Endpoints makes the adapters to endpoints.
+type Endpoints interface {
+	// Engine returns the adapter to the engine at an address.
+	Engine(address string) engine.Client
+	// Plain returns the adapter to the plain endpoint at an address.
+	Plain(address string) plain.Client
+}
+
+// Target is one endpoint that the instance owns.
+type Target struct {
+	// Endpoint is its entry in the configuration.
+	Endpoint config.Endpoint
+	// Instance names the endpoint instance at the address; empty when the
+	// platform's list names none.
+	Instance string
+	// Leaving is true when the endpoint may get no new work.
+	Leaving bool
+}
+
+// Owner schedules the endpoints that the instance owns.
+type Owner struct {
+	// Done is closed when the owner has stopped.
+	Done chan struct{}
+
+	settings  Settings
+	endpoints Endpoints
+	holders   Holders
+	log       logr.Logger
+	cancel    context.CancelFunc
+	// kick asks for a sweep at once.
+	kick chan struct{}
+
+	mu       sync.Mutex
+	owned    map[string]*endpoint
+	stopping bool
+}
+
+// endpoint is the queue and ledger of one endpoint.
+type endpoint struct {
+	target Target
+	ledger *policy.Ledger
+	queue  []*waiter
+	leases map[string]*lease
+	// strange are attempts that run without a lease, by when they were first
+	// seen.
+	strange map[string]time.Time
+	// instance is the endpoint instance that reported last.
+	instance string
+	// known is false until the endpoint has reported once.
+	known   bool
+	aside   bool
+	fails   int
+	pumping bool
+}
+
+// lease is what a holder may use.
+type lease struct {
+	holder    string
+	granted   time.Time
+	confirmed time.Time
+	// unsure is when the holder was first found silent.
+	unsure time.Time
+}
+
+// New starts an owner that owns nothing yet. Close ends it.
+func New(s Settings, endpoints Endpoints, holders Holders, log logr.Logger) *Owner {
+	s.setDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
+	o := &Owner{
+		Done:      make(chan struct{}),
+		settings:  s,
+		endpoints: endpoints,
+		holders:   holders,
+		log:       log,
+		cancel:    cancel,
+		kick:      make(chan struct{}, 1),
+		owned:     make(map[string]*endpoint),
+	}
+	go o.loop(ctx)
+	return o
+}
+
+// Close stops the owner and waits for it. Requests that wait are refused.
+func (o *Owner) Close() {
+	o.Stop()
+	o.cancel()
+	<-o.Done
+}
+
+// Stop refuses whatever waits and takes nothing new. Leases stay.
+func (o *Owner) Stop() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.stopping = true
+	for _, e := range o.owned {
+		e.refuseAll(RefusedStopping, "the owner is stopping")
+	}
+}
+
+// Own sets which endpoints the instance owns. Those that it no longer owns are
+// forgotten, and what waits for them is refused so that it goes elsewhere.
+func (o *Owner) Own(targets []Target) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	keep := make(map[string]bool, len(targets))
+	for _, t := range targets {
+		keep[t.Endpoint.ID] = true
+		e, ok := o.owned[t.Endpoint.ID]
+		if !ok || e.target.Endpoint.Address != t.Endpoint.Address {
+			if ok {
+				e.refuseAll(RefusedNotOwner, "the endpoint has moved")
+			}
+			e = newEndpoint()
+			o.owned[t.Endpoint.ID] = e
+			o.poke()
+		}
+		e.set(t)
+	}
+	for id, e := range o.owned {
+		if !keep[id] {
+			e.refuseAll(RefusedNotOwner, "the endpoint has another owner")
+			delete(o.owned, id)
+		}
+	}
+}
+
+// poke asks for a sweep at once.
+func (o *Owner) poke() {
+	select {
+	case o.kick <- struct{}{}:
+	default:
+	}
+}
+
+func newEndpoint() *endpoint {
+	return &endpoint{
+		leases:  make(map[string]*lease),
+		strange: make(map[string]time.Time),
+	}
+}
+
+// set takes over what the configuration and the list say of the endpoint.
+func (e *endpoint) set(t Target) {
+	if e.ledger == nil {
+		e.ledger = policy.NewLedger(t.Endpoint.MemoryBytes, t.Endpoint.PrefillTokensPerSecond, t.Endpoint.MaxRunning)
+	}
+	e.target = t
+	e.ledger.Memory = t.Endpoint.MemoryBytes
+	e.ledger.Rate = t.Endpoint.PrefillTokensPerSecond
+	e.ledger.MaxRunning = t.Endpoint.MaxRunning
+	if t.Leaving {
+		e.refuseAll(RefusedLeaving, "the endpoint is leaving")
+	}
+}
+
+// Owned returns the ids of the endpoints that the instance owns.
+func (o *Owner) Owned() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	ids := make([]string, 0, len(o.owned))
+	for id := range o.owned {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Summaries returns a summary of each endpoint that the instance owns.
+func (o *Owner) Summaries() []policy.Summary {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := time.Now()
+	out := make([]policy.Summary, 0, len(o.owned))
+	for id, e := range o.owned {
+		out = append(out, e.summary(id, now))
+	}
+	return out
+}
+
+func (e *endpoint) summary(id string, now time.Time) policy.Summary {
+	s := policy.Summary{
+		Endpoint: id,
+		Free:     e.ledger.Free(),
+		Turnover: e.ledger.Turnover(),
+		Slots:    e.ledger.MaxRunning - e.ledger.Running() - len(e.queue),
+		Aside:    e.aside || e.target.Leaving,
+	}
+	for p, seconds := range e.ledger.Outstanding(now) {
+		s.Backlog[p] = float32(seconds)
+	}
+	for _, w := range e.queue {
+		p := policy.Priority(w.request.Work.RankAt(now), w.request.Work.Class())
+		s.Backlog[p] += float32(e.ledger.Prefill(w.request.Work.Prompt).Seconds())
+		s.Free -= w.request.Work.Bytes
+	}
+	return s
+}
--- /dev/null
+++ b/owner/sweep.go
@@ -0,0 +1,223 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package owner
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/linkmast/linkmast/config"
+	"github.com/linkmast/linkmast/engine"
+)
+
+// failsAside is how many reports in a row must fail before an endpoint is set
+// aside.
+const failsAside = 2
+
+// sweepParallel bounds the endpoints that are looked at together.
+const sweepParallel = 32
+
+// loop sweeps until ctx ends.
+func (o *Owner) loop(ctx context.Context) {
+	defer close(o.Done)
+	for {
+		o.Sweep(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-o.kick:
+		case <-time.After(o.settings.SweepInterval):
+		}
+	}
+}
+
+// Sweep compares every owned endpoint with its leases once.
+func (o *Owner) Sweep(ctx context.Context) {
+	o.mu.Lock()
+	owned := make([]*endpoint, 0, len(o.owned))
+	for _, e := range o.owned {
+		owned = append(owned, e)
+	}
+	o.mu.Unlock()
+	var g errgroup.Group
+	g.SetLimit(sweepParallel)
+	for _, e := range owned {
+		g.Go(func() error {
+			o.sweep(ctx, e)
+			return nil
+		})
+	}
+	// The parts return no error.
+	_ = g.Wait()
+}
+
+// sweep compares one endpoint.
+func (o *Owner) sweep(ctx context.Context, e *endpoint) {
+	o.mu.Lock()
+	target := e.target.Endpoint
+	o.mu.Unlock()
+	call, cancel := context.WithTimeout(ctx, o.settings.CallTimeout)
+	defer cancel()
+	if target.Kind == config.KindPlain {
+		o.note(e, engine.Status{}, o.endpoints.Plain(target.Address).Probe(call))
+		o.settle(ctx, e, nil, o.suspects(e, nil))
+		return
+	}
+	client := o.endpoints.Engine(target.Address)
+	s, err := client.Status(call)
+	o.note(e, s, err)
+	if err != nil {
+		// What the holders say is asked all the same: a dead endpoint holds
+		// no memory, but its leases take up the ledger.
+		o.settle(ctx, e, nil, o.suspects(e, nil))
+		return
+	}
+	running := make(map[string]engine.Held, len(s.Running))
+	for _, h := range s.Running {
+		running[h.ID] = h
+	}
+	o.settle(ctx, e, running, o.suspects(e, running))
+}
+
+// note takes over a report, or the lack of one.
+func (o *Owner) note(e *endpoint, s engine.Status, err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	id := e.target.Endpoint.ID
+	if err != nil {
+		e.fails++
+		if e.fails >= failsAside && !e.aside {
+			e.aside = true
+			e.refuseAll(RefusedAside, "the endpoint does not answer")
+			o.log.Info("endpoint set aside", "endpoint", id, "cause", err.Error())
+		}
+		return
+	}
+	if e.aside {
+		o.log.Info("endpoint back", "endpoint", id)
+	}
+	e.fails = 0
+	e.aside = false
+	e.known = true
+	e.instance = s.Instance
+	o.pump(e, time.Now())
+}
+
+// suspects returns, by holder, the attempts that the holder must be asked
+// about, and notes the memory that others hold.
+func (o *Owner) suspects(e *endpoint, running map[string]engine.Held) map[string][]string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := time.Now()
+	ask := make(map[string][]string)
+	foreign := int64(0)
+	for id, h := range running {
+		if _, ok := e.leases[id]; ok {
+			continue
+		}
+		foreign += h.Bytes
+		if _, ok := e.strange[id]; !ok {
+			e.strange[id] = now
+		}
+		if h.Age > o.settings.SweepInterval {
+			ask[h.Holder] = append(ask[h.Holder], id)
+		}
+	}
+	e.ledger.Foreign = foreign
+	for id := range e.strange {
+		if _, ok := running[id]; !ok {
+			delete(e.strange, id)
+		}
+	}
+	for id, l := range e.leases {
+		_, runs := running[id]
+		unused := !runs && now.Sub(l.granted) > o.settings.StartWithin+o.settings.SweepInterval
+		if unused || now.Sub(l.confirmed) > o.settings.ConfirmAfter {
+			ask[l.holder] = append(ask[l.holder], id)
+		}
+	}
+	return ask
+}
+
+// settle asks the holders, and cancels what nobody holds.
+func (o *Owner) settle(ctx context.Context, e *endpoint, running map[string]engine.Held, ask map[string][]string) {
+	for holder, ids := range ask {
+		call, cancel := context.WithTimeout(ctx, o.settings.CallTimeout)
+		held, err := o.holders.Held(call, holder, ids)
+		cancel()
+		orphans := o.judge(e, holder, ids, held, err, running)
+		if len(orphans) == 0 {
+			continue
+		}
+		client := o.endpoints.Engine(e.target.Endpoint.Address)
+		for _, id := range orphans {
+			call, cancel := context.WithTimeout(ctx, o.settings.CallTimeout)
+			err := client.Cancel(call, id)
+			cancel()
+			o.log.Info("orphan cancelled", "endpoint", e.target.Endpoint.ID, "attempt", id, "holder", holder,
+				"reached", err == nil)
+		}
+	}
+}
+
+// judge takes over what a holder said, and returns the attempts to cancel.
+func (o *Owner) judge(e *endpoint, holder string, ids, held []string, err error, running map[string]engine.Held) []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := time.Now()
+	has := make(map[string]bool, len(held))
+	for _, id := range held {
+		has[id] = true
+	}
+	var orphans []string
+	for _, id := range ids {
+		l, leased := e.leases[id]
+		switch {
+		case err == nil && has[id]:
+			o.confirm(e, holder, id, running, now)
+			continue
+		case err != nil && leased:
+			if l.unsure.IsZero() {
+				l.unsure = now
+			}
+			if now.Sub(l.unsure) < o.settings.OrphanAfter {
+				continue
+			}
+		case err != nil:
+			if now.Sub(e.strange[id]) < o.settings.OrphanAfter {
+				continue
+			}
+		}
+		if _, runs := running[id]; runs {
+			orphans = append(orphans, id)
+		}
+		if leased {
+			o.end(e, id)
+		}
+	}
+	return orphans
+}
+
+// confirm notes that a holder holds an attempt, and adopts it when there is no
+// lease for it yet.
+func (o *Owner) confirm(e *endpoint, holder, id string, running map[string]engine.Held, now time.Time) {
+	if l, ok := e.leases[id]; ok {
+		l.confirmed = now
+		l.unsure = time.Time{}
+		return
+	}
+	h, ok := running[id]
+	if !ok {
+		return
+	}
+	e.leases[id] = &lease{
+		holder:    holder,
+		granted:   now,
+		confirmed: now,
+	}
+	e.ledger.Adopt(id, h.Bytes, now)
+	e.ledger.Foreign -= h.Bytes
+	delete(e.strange, id)
+}
--- /dev/null
+++ b/peer/peer.go
@@ -0,0 +1,106 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+// Package peer holds the connections between the system's own instances.
+//
+// A connection is opened on its first use and closed when it has been idle, so
+// that an instance keeps connections only to the peers that it talks to.
+package peer
+
+import (
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+// The times of connections.
+const (
+	idleTimeout    = 2 * time.Minute
+	connectTimeout = 500 * time.Millisecond
+	firstBackoff   = 50 * time.Millisecond
+	lastBackoff    = time.Second
+)
+
+// The growth and spread of the waits between tries to connect.
+const (
+	backoffFactor = 1.6
+	backoffJitter = 0.2
+)
+
+// bufferBytes is the buffer of each direction of a connection. Messages
+// between instances are small.
+const bufferBytes = 16 << 10
+
+// Pool holds connections by address.
+type Pool struct {
+	creds credentials.TransportCredentials
+
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+}
+
+// New returns a pool. Nil credentials mean connections without TLS.
+func New(creds credentials.TransportCredentials) *Pool {
+	if creds == nil {
+		creds = insecure.NewCredentials()
+	}
+	return &Pool{
+		creds: creds,
+		conns: make(map[string]*grpc.ClientConn),
+	}
+}
+
+// Conn returns the connection to an address. It does not wait for it to come
+// about.
+func (p *Pool) Conn(address string) (*grpc.ClientConn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c, ok := p.conns[address]; ok {
+		return c, nil
+	}
+	c, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(p.creds),
+		grpc.WithIdleTimeout(idleTimeout),
+		grpc.WithReadBufferSize(bufferBytes),
+		grpc.WithWriteBufferSize(bufferBytes),
+		grpc.WithDisableRetry(),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff: backoff.Config{
+				BaseDelay:  firstBackoff,
+				Multiplier: backoffFactor,
+				Jitter:     backoffJitter,
+				MaxDelay:   lastBackoff,
+			},
+			MinConnectTimeout: connectTimeout,
+		}),
+	)
+	if err != nil {
+		return nil, errors.Wrap(err, "connect to peer")
+	}
+	p.conns[address] = c
+	return c, nil
+}
+
+// Keep closes the connections to all addresses but those for which keep is
+// true.
+func (p *Pool) Keep(keep func(address string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for a, c := range p.conns {
+		if keep(a) {
+			continue
+		}
+		// A connection that fails to close is forgotten all the same.
+		_ = c.Close()
+		delete(p.conns, a)
+	}
+}
+
+// Close closes all connections.
+func (p *Pool) Close() {
+	p.Keep(func(string) bool { return false })
+}
--- /dev/null
+++ b/rollout/grpc.go
@@ -0,0 +1,28 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package rollout
+
+import (
+	"context"
+
+	"github.com/linkmast/linkmast/rollout/rolloutpb"
+)
+
+// Server answers the pulls of other instances.
+type Server struct {
+	rolloutpb.UnimplementedRolloutServer
+
+	rollout *Rollout
+}
+
+// NewServer returns a server.
+func NewServer(r *Rollout) *Server {
+	return &Server{
+		rollout: r,
+	}
+}
+
+// Pull implements rolloutpb.RolloutServer.
+func (s *Server) Pull(_ context.Context, in *rolloutpb.PullRequest) (*rolloutpb.PullReply, error) {
+	return s.rollout.Answer(in)
+}
--- /dev/null
+++ b/rollout/judge.go
@@ -0,0 +1,232 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package rollout
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/linkmast/linkmast/config"
+	"github.com/linkmast/linkmast/logsvc"
+	"github.com/linkmast/linkmast/rollout/rolloutpb"
+)
+
+// Stream is the name of the configuration's stream.
+const Stream = "config"
+
+// Outcome is what became of a record.
+type Outcome string
+
+// The outcomes of records.
+const (
+	// Accepted records are in force until a newer one is.
+	Accepted Outcome = "accepted"
+	// Repeated records carry a generation that was accepted before.
+	Repeated Outcome = "repeated"
+	// Stale records repeat a generation that is no longer in force.
+	Stale Outcome = "stale"
+	// Overtaken records replace a generation that was not in force.
+	Overtaken Outcome = "overtaken"
+	// Invalid records hold no valid file.
+	Invalid Outcome = "invalid"
+	// Unjudged records depend on records that are no longer kept, or have a
+	// format that this version does not know.
+	Unjudged Outcome = "unjudged"
+)
+
+// Verdict is the outcome of one record.
+type Verdict struct {
+	// Offset is the record's place.
+	Offset int64
+	// ID names the publication.
+	ID string
+	// Operator is who published.
+	Operator string
+	// Outcome is what became of the record.
+	Outcome Outcome
+	// Reason explains a refusal.
+	Reason string
+}
+
+// State is the configuration in force.
+type State struct {
+	// Generation is the offset of the accepted record; zero means none yet.
+	Generation int64
+	// Text is the file.
+	Text []byte
+	// File is the file as read.
+	File *config.File
+	// Written is when the file was last written to the log.
+	Written time.Time
+}
+
+// Judge follows the configuration's stream. The zero value starts before the
+// first record.
+type Judge struct {
+	// InForce is the configuration in force.
+	InForce State
+	// Next is the offset to read next; zero means from the start.
+	Next int64
+
+	// unsure is true when records were missed.
+	unsure bool
+	// pending are publications that depend on missed records.
+	pending []pending
+}
+
+// pending is a publication that can't be judged yet.
+type pending struct {
+	offset   int64
+	replaces int64
+	state    State
+}
+
+// Sure states whether every record up to Next was judged.
+func (j *Judge) Sure() bool {
+	return !j.unsure
+}
+
+// Skip takes over what a peer has judged up to an offset.
+func (j *Judge) Skip(s State, next int64, sure bool) {
+	if s.Generation > j.InForce.Generation {
+		j.InForce = s
+	}
+	if next > j.Next {
+		j.Next = next
+		j.unsure = !sure
+		j.pending = nil
+	}
+}
+
+// Apply judges the records of a batch that are due, in order.
+func (j *Judge) Apply(b logsvc.Batch) []Verdict {
+	if j.Next == 0 {
+		j.Next = 1
+	}
+	if b.Earliest > j.Next {
+		j.unsure = true
+		j.pending = nil
+		j.Next = b.Earliest
+	}
+	var out []Verdict
+	for _, r := range b.Records {
+		if r.Offset != j.Next {
+			continue
+		}
+		out = append(out, j.one(r))
+		j.Next++
+	}
+	return out
+}
+
+// one judges one record.
+func (j *Judge) one(r logsvc.Record) Verdict {
+	v := Verdict{
+		Offset: r.Offset,
+	}
+	var rec rolloutpb.Record
+	if err := proto.Unmarshal(r.Data, &rec); err != nil {
+		return v.with(Invalid, "record is malformed")
+	}
+	v.ID = rec.Id
+	v.Operator = rec.Operator
+	if rec.Format != config.Format {
+		j.unsure = true
+		return v.with(Unjudged, "format is not known to this version")
+	}
+	state, err := open(&rec)
+	if err != nil {
+		return v.with(Invalid, err.Error())
+	}
+	if rec.Repeats > 0 {
+		return j.repeat(v, &rec, state)
+	}
+	return j.publication(v, &rec, state)
+}
+
+func (v Verdict) with(o Outcome, reason string) Verdict {
+	v.Outcome = o
+	v.Reason = reason
+	return v
+}
+
+// repeat judges a record that carries an accepted generation.
+func (j *Judge) repeat(v Verdict, rec *rolloutpb.Record, s State) Verdict {
+	switch {
+	case rec.Repeats >= v.Offset:
+		return v.with(Invalid, "repeats a record that stands behind it")
+	case rec.Repeats < j.InForce.Generation:
+		return v.with(Stale, "a newer generation is in force")
+	case !j.unsure && rec.Repeats > j.InForce.Generation:
+		return v.with(Invalid, "repeats a record that was not accepted")
+	}
+	s.Generation = rec.Repeats
+	j.InForce = s
+	if j.unsure {
+		j.resolve()
+	}
+	return v.with(Repeated, "")
+}
+
+// resolve judges what had to wait for a record that names the generation in
+// force.
+func (j *Judge) resolve() {
+	waiting := j.pending
+	j.pending = nil
+	j.unsure = false
+	for _, p := range waiting {
+		if p.offset > j.InForce.Generation && p.replaces == j.InForce.Generation {
+			j.InForce = p.state
+		}
+	}
+}
+
+// publication judges a new file.
+func (j *Judge) publication(v Verdict, rec *rolloutpb.Record, s State) Verdict {
+	s.Generation = v.Offset
+	switch {
+	case rec.Replaces == 0:
+		j.unsure = false
+		j.pending = nil
+	case j.unsure:
+		j.pending = append(j.pending, pending{
+			offset:   v.Offset,
+			replaces: rec.Replaces,
+			state:    s,
+		})
+		return v.with(Unjudged, "depends on records that are no longer kept")
+	case rec.Replaces != j.InForce.Generation:
+		return v.with(Overtaken, "another generation is in force")
+	}
+	j.InForce = s
+	return v.with(Accepted, "")
+}
+
+// open reads the file of a record.
+func open(rec *rolloutpb.Record) (State, error) {
+	text, err := unpack(rec.Body, nil)
+	if err != nil {
+		return State{}, errors.Wrap(err, "unpack")
+	}
+	return parse(text, rec.Sha256, rec.WrittenMs)
+}
+
+// parse checks the hash and reads the file.
+func parse(text, sum []byte, written int64) (State, error) {
+	if have := sha256.Sum256(text); !bytes.Equal(have[:], sum) {
+		return State{}, errors.New("hash does not match")
+	}
+	f, err := config.Parse(text)
+	if err != nil {
+		return State{}, err
+	}
+	return State{
+		Text:    text,
+		File:    f,
+		Written: time.UnixMilli(written),
+	}, nil
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,222 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+// Package settings holds the settings of one process: where it runs, where it
+// listens, and where it finds the platform. They are a small TOML file, apart
+// from the configuration that operators publish. Nothing is read from the
+// environment.
+package settings
+
+import (
+	"bytes"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/linkmast/linkmast/config"
+)
+
+// File is the settings of one process.
+type File struct {
+	// ID names the instance. It is the id on the platform's list.
+	ID string `toml:"id"`
+	// Region is the region that the instance runs in.
+	Region string `toml:"region"`
+	// FailureDomain is the failure domain that the instance runs in.
+	FailureDomain string `toml:"failure_domain"`
+	// Listen is where callers connect; the default is "127.0.0.1:8080".
+	Listen string `toml:"listen"`
+	// PeerListen is where other instances connect; the default is
+	// "127.0.0.1:8081".
+	PeerListen string `toml:"peer_listen"`
+	// AdminListen is where operators connect; the default is "127.0.0.1:8082".
+	AdminListen string `toml:"admin_listen"`
+	// Peers are peer addresses of other instances, asked at a start while the
+	// platform does not answer. None is needed.
+	Peers []string `toml:"peers"`
+	// Strategy is "weighed" (the default) or "naive", the baseline.
+	Strategy string `toml:"strategy"`
+	// LogDecisions states whether a line is written for each decision; the
+	// default is true.
+	LogDecisions *bool `toml:"log_decisions"`
+	// Platform is where the platform's services are.
+	Platform Platform `toml:"platform"`
+	// TLS are the keys for connections between instances; without them the
+	// connections are in the clear.
+	TLS TLS `toml:"tls"`
+	// Times are the measures that operators may want to change.
+	Times Times `toml:"times"`
+}
+
+// Platform is where the platform's services are, each as host and port.
+type Platform struct {
+	// Log is the append-only log.
+	Log string `toml:"log"`
+	// Instances is the list of instances.
+	Instances string `toml:"instances"`
+	// Weights is the weight store.
+	Weights string `toml:"weights"`
+}
+
+// TLS are the files for mutual authentication between instances.
+type TLS struct {
+	// Certificate is the instance's certificate, in PEM.
+	Certificate string `toml:"certificate"`
+	// Key is the certificate's private key, in PEM.
+	Key string `toml:"key"`
+	// Authorities are the certificates that sign those of peers, in PEM.
+	Authorities string `toml:"authorities"`
+}
+
+// Times are the measures that operators may want to change. A zero value means
+// the default.
+type Times struct {
+	// Drain is how long a stopping instance goes on taking requests, because
+	// the balancer goes on sending; the default is 5s.
+	Drain config.Duration `toml:"drain"`
+	// StopWithin bounds a planned stop; the default is 15m.
+	StopWithin config.Duration `toml:"stop_within"`
+	// Watch is how often owners tell of their endpoints; the default is 200ms.
+	Watch config.Duration `toml:"watch"`
+	// Probe is how often peers are probed; the default is 500ms.
+	Probe config.Duration `toml:"probe"`
+	// Sweep is how often endpoints are compared with leases; the default is 1s.
+	Sweep config.Duration `toml:"sweep"`
+	// RepeatConfiguration is the age at which the configuration is written to
+	// the log again; the default is 4h. It must be below half of the log's
+	// retention.
+	RepeatConfiguration config.Duration `toml:"repeat_configuration"`
+}
+
+// The defaults of File.
+const (
+	defaultListen = "127.0.0.1:8080"
+	defaultPeer   = "127.0.0.1:8081"
+	defaultAdmin  = "127.0.0.1:8082"
+	defaultDrain  = 5 * time.Second
+	defaultStop   = 15 * time.Minute
+	defaultWatch  = 200 * time.Millisecond
+)
+
+// The strategies.
+const (
+	// Weighed is the strategy of package policy.
+	Weighed = "weighed"
+	// Naive is the baseline: a random endpoint, in order of arrival.
+	Naive = "naive"
+)
+
+// Read reads and checks a file.
+func Read(path string) (*File, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "settings")
+	}
+	f, err := Parse(data)
+	if err != nil {
+		return nil, errors.Wrap(err, path)
+	}
+	return f, nil
+}
+
+// Parse reads and checks settings. The error names all that is wrong.
+func Parse(data []byte) (*File, error) {
+	f := &File{}
+	if err := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields().Decode(f); err != nil {
+		return nil, explain(err)
+	}
+	f.SetDefaults()
+	if err := f.check(); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+// explain adds the place to a decoder's error.
+func explain(err error) error {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) {
+		return errors.New("unknown keys:\n" + strict.String())
+	}
+	var one *toml.DecodeError
+	if errors.As(err, &one) {
+		return errors.New(one.String())
+	}
+	return err
+}
+
+// SetDefaults fills what is left out.
+func (f *File) SetDefaults() {
+	orText(&f.Listen, defaultListen)
+	orText(&f.PeerListen, defaultPeer)
+	orText(&f.AdminListen, defaultAdmin)
+	orText(&f.Strategy, Weighed)
+	if f.LogDecisions == nil {
+		yes := true
+		f.LogDecisions = &yes
+	}
+	orTime(&f.Times.Drain, defaultDrain)
+	orTime(&f.Times.StopWithin, defaultStop)
+	orTime(&f.Times.Watch, defaultWatch)
+}
+
+func orText(v *string, def string) {
+	if *v == "" {
+		*v = def
+	}
+}
+
+func orTime(v *config.Duration, def time.Duration) {
+	if *v == 0 {
+		*v = config.Duration(def)
+	}
+}
+
+// check returns an error that names all that is wrong.
+func (f *File) check() error {
+	var wrong []string
+	need := func(name, v string) {
+		if v == "" {
+			wrong = append(wrong, name+" is missing")
+		}
+	}
+	need("id", f.ID)
+	need("region", f.Region)
+	need("failure_domain", f.FailureDomain)
+	for name, v := range map[string]string{
+		"listen":             f.Listen,
+		"peer_listen":        f.PeerListen,
+		"admin_listen":       f.AdminListen,
+		"platform.log":       f.Platform.Log,
+		"platform.instances": f.Platform.Instances,
+	} {
+		if _, _, err := net.SplitHostPort(v); err != nil {
+			wrong = append(wrong, name+" must be a host and port, is "+`"`+v+`"`)
+		}
+	}
+	if f.Strategy != Weighed && f.Strategy != Naive {
+		wrong = append(wrong, `strategy must be "weighed" or "naive"`)
+	}
+	if t := f.TLS; t != (TLS{}) && (t.Certificate == "" || t.Key == "" || t.Authorities == "") {
+		wrong = append(wrong, "tls needs certificate, key and authorities together")
+	}
+	for name, d := range map[string]config.Duration{
+		"times.drain":                f.Times.Drain,
+		"times.stop_within":          f.Times.StopWithin,
+		"times.watch":                f.Times.Watch,
+		"times.probe":                f.Times.Probe,
+		"times.sweep":                f.Times.Sweep,
+		"times.repeat_configuration": f.Times.RepeatConfiguration,
+	} {
+		if d < 0 {
+			wrong = append(wrong, name+" must not be below zero")
+		}
+	}
+	if len(wrong) > 0 {
+		return errors.New(strings.Join(wrong, "\n"))
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/client.go
@@ -0,0 +1,317 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package standin
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/linkmast/linkmast/engine"
+	"github.com/linkmast/linkmast/problem"
+)
+
+// lifeInterval is how often a stream without tokens shows a sign of life.
+const lifeInterval = 500 * time.Millisecond
+
+// errCut is a connection that broke.
+var errCut = errors.New("connection broke")
+
+// gate waits while the engine is frozen, and fails when it is dead.
+func (e *Engine) gate(ctx context.Context) error {
+	for {
+		e.mu.Lock()
+		dead, thawed := e.faults.Dead, e.thawed
+		frozen := e.faults.Frozen
+		e.mu.Unlock()
+		if dead {
+			return runError(problem.NotRun, engine.Unreachable, errors.New("connection refused"))
+		}
+		if !frozen {
+			return nil
+		}
+		select {
+		case <-thawed:
+		case <-ctx.Done():
+			return runError(problem.MayHaveRun, engine.Unreachable, ctx.Err())
+		}
+	}
+}
+
+func runError(ran problem.Ran, code string, err error) *engine.RunError {
+	return &engine.RunError{
+		Ran:  ran,
+		Code: code,
+		Err:  err,
+	}
+}
+
+// Run implements engine.Client.
+func (e *Engine) Run(ctx context.Context, a engine.Attempt) (engine.Stream, error) {
+	if err := e.gate(ctx); err != nil {
+		return nil, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if take(&e.faults.RefuseBefore) {
+		return nil, runError(problem.NotRun, engine.RefusedFault, errors.New("refused before the start"))
+	}
+	r, no := e.start(a)
+	if no != nil {
+		return nil, runError(problem.NotRun, no.Code, errors.New(no.Detail))
+	}
+	if take(&e.faults.RefuseAfter) {
+		return nil, runError(problem.MayHaveRun, engine.RefusedFault, errors.New("refused after the start"))
+	}
+	if take(&e.faults.LoseAnswer) {
+		return nil, runError(problem.MayHaveRun, engine.Unreachable, errCut)
+	}
+	return e.reader(ctx, r, 1), nil
+}
+
+// Resume implements engine.Client.
+func (e *Engine) Resume(ctx context.Context, id string, seq int) (engine.Stream, error) {
+	if err := e.gate(ctx); err != nil {
+		return nil, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := e.runs[id]
+	if r == nil {
+		return nil, runError(problem.MayHaveRun, engine.RefusedFault, errors.New("no such attempt"))
+	}
+	return e.reader(ctx, r, seq), nil
+}
+
+// Cancel implements engine.Client.
+func (e *Engine) Cancel(ctx context.Context, id string) error {
+	if err := e.gate(ctx); err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if take(&e.faults.LoseCancel) {
+		return nil
+	}
+	if r := e.runs[id]; r != nil {
+		r.gone = true
+		e.finish(r)
+		close(r.changed)
+		r.changed = make(chan struct{})
+	}
+	if v, ok := e.reserved[id]; ok {
+		e.held -= v.bytes
+		delete(e.reserved, id)
+	}
+	return nil
+}
+
+// Reserve implements engine.Client.
+func (e *Engine) Reserve(ctx context.Context, r engine.Reservation) error {
+	if err := e.gate(ctx); err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	bytes := int64(r.Tokens) * e.settings.KVBytesPerToken
+	if _, ok := e.reserved[r.ID]; ok {
+		return nil
+	}
+	if take(&e.faults.RefuseBefore) || e.held+bytes > e.settings.MemoryBytes {
+		return runError(problem.NotRun, engine.RefusedMemory, errors.New("memory is taken"))
+	}
+	e.held += bytes
+	e.cache.shrink(e.cacheRoom())
+	e.reserved[r.ID] = reservation{
+		Reservation: r,
+		began:       e.now(),
+		bytes:       bytes,
+	}
+	if take(&e.faults.LoseAnswer) {
+		return runError(problem.MayHaveRun, engine.Unreachable, errCut)
+	}
+	return nil
+}
+
+// Status implements engine.Client.
+func (e *Engine) Status(ctx context.Context) (engine.Status, error) {
+	if err := e.gate(ctx); err != nil {
+		return engine.Status{}, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := engine.Status{
+		Instance:  e.settings.Instance,
+		HeldBytes: e.held,
+		Running:   make([]engine.Held, 0, len(e.runs)+len(e.reserved)),
+		Model:     e.settings.Model,
+		Version:   e.settings.Version,
+		Adapters:  append([]string{}, e.adapters...),
+	}
+	now := e.now()
+	for id, r := range e.runs {
+		s.PrefillTokens += r.left
+		s.Running = append(s.Running, engine.Held{
+			ID:     id,
+			Holder: r.attempt.Holder,
+			Bytes:  r.bytes,
+			Age:    now.Sub(r.began),
+		})
+	}
+	for id, r := range e.reserved {
+		s.Running = append(s.Running, engine.Held{
+			ID:     id,
+			Holder: r.Holder,
+			Bytes:  r.bytes,
+			Age:    now.Sub(r.began),
+		})
+	}
+	return s, nil
+}
+
+// Order implements engine.Client.
+func (e *Engine) Order(ctx context.Context, o engine.Order) error {
+	if err := e.gate(ctx); err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.settings.ChecksOrders && o.Fence < e.fence {
+		return runError(problem.NotRun, engine.RefusedFence, errors.Errorf("fence %d is below %d", o.Fence, e.fence))
+	}
+	e.fence = max(e.fence, o.Fence)
+	e.settings.Model = o.Model
+	e.settings.Version = o.Version
+	e.adapters = append([]string{}, o.Adapters...)
+	if take(&e.faults.LoseAnswer) {
+		return runError(problem.MayHaveRun, engine.Unreachable, errCut)
+	}
+	return nil
+}
+
+// Events implements engine.Client.
+func (e *Engine) Events(ctx context.Context, after int64) ([]engine.CacheEvent, error) {
+	if err := e.gate(ctx); err != nil {
+		return nil, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	events := e.cache.after(after)
+	if gap := int64(e.faults.EventGap); gap > 0 {
+		kept := events[:0]
+		for _, ev := range events {
+			if ev.Seq%gap != 0 {
+				kept = append(kept, ev)
+			}
+		}
+		events = kept
+	}
+	return events, nil
+}
+
+// reader streams a run. It is one answer on its way to one holder.
+type reader struct {
+	engine *Engine
+	ctx    context.Context
+	cancel context.CancelFunc
+	run    *run
+	seq    int
+	sent   int
+	queue  []engine.Chunk
+}
+
+func (e *Engine) reader(ctx context.Context, r *run, seq int) *reader {
+	ctx, cancel := context.WithCancel(ctx)
+	return &reader{
+		engine: e,
+		ctx:    ctx,
+		cancel: cancel,
+		run:    r,
+		seq:    seq,
+	}
+}
+
+// Next implements engine.Stream.
+func (d *reader) Next() (engine.Chunk, error) {
+	life := time.NewTimer(lifeInterval)
+	defer life.Stop()
+	for {
+		if len(d.queue) > 0 {
+			k := d.queue[0]
+			d.queue = d.queue[1:]
+			return k, nil
+		}
+		changed, err := d.fill()
+		if err != nil {
+			return engine.Chunk{}, err
+		}
+		if changed == nil {
+			continue
+		}
+		select {
+		case <-changed:
+		case <-life.C:
+			if err := d.engine.gate(d.ctx); err != nil {
+				return engine.Chunk{}, err
+			}
+			return engine.Chunk{
+				Attempt: d.run.attempt.ID,
+			}, nil
+		case <-d.ctx.Done():
+			return engine.Chunk{}, d.ctx.Err()
+		}
+	}
+}
+
+// fill queues the next chunk, with the faults that strike it. It returns what
+// to wait for when there is none yet.
+func (d *reader) fill() (<-chan struct{}, error) {
+	e := d.engine
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.Frozen {
+		return e.thawed, nil
+	}
+	if e.faults.CutAfter > 0 && d.sent >= e.faults.CutAfter {
+		return nil, errCut
+	}
+	if d.seq > len(d.run.chunks) {
+		if d.run.gone {
+			return nil, errCut
+		}
+		if d.run.ended {
+			return nil, io.EOF
+		}
+		return d.run.changed, nil
+	}
+	k := d.run.chunks[d.seq-1]
+	d.seq++
+	d.sent++
+	d.queue = append(d.queue, e.strike(k)...)
+	return nil, nil
+}
+
+// strike returns a chunk as the faults in force deliver it.
+func (e *Engine) strike(k engine.Chunk) []engine.Chunk {
+	switch {
+	case k.End != "" && take(&e.faults.DropEnd):
+		return nil
+	case k.End == "" && take(&e.faults.DropChunks):
+		return nil
+	case take(&e.faults.DoubleChunks):
+		return []engine.Chunk{k, k}
+	case take(&e.faults.CrossChunks):
+		other := k
+		other.Attempt = "other-" + k.Attempt
+		return []engine.Chunk{other, k}
+	}
+	return []engine.Chunk{k}
+}
+
+// Close implements engine.Stream.
+func (d *reader) Close() error {
+	d.cancel()
+	return nil
+}
--- /dev/null
+++ b/standin/enginehttp.go
@@ -0,0 +1,145 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/go-faster/errors"
+
+	"github.com/linkmast/linkmast/engine"
+	"github.com/linkmast/linkmast/internal/wirehttp"
+	"github.com/linkmast/linkmast/problem"
+)
+
+// Handler serves the protocol of package engine, and PUT /faults.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/attempts", e.serveRun)
+	mux.HandleFunc("GET /v1/attempts/{id}", e.serveResume)
+	mux.HandleFunc("DELETE /v1/attempts/{id}", func(w http.ResponseWriter, r *http.Request) {
+		finish(w, struct{}{}, e.Cancel(r.Context(), r.PathValue("id")))
+	})
+	mux.HandleFunc("POST /v1/reservations", func(w http.ResponseWriter, r *http.Request) {
+		if v, ok := read[engine.Reservation](w, r); ok {
+			finish(w, struct{}{}, e.Reserve(r.Context(), v))
+		}
+	})
+	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, r *http.Request) {
+		s, err := e.Status(r.Context())
+		finish(w, s, err)
+	})
+	mux.HandleFunc("POST /v1/orders", func(w http.ResponseWriter, r *http.Request) {
+		if v, ok := read[engine.Order](w, r); ok {
+			finish(w, struct{}{}, e.Order(r.Context(), v))
+		}
+	})
+	mux.HandleFunc("GET /v1/events", func(w http.ResponseWriter, r *http.Request) {
+		after, err := strconv.ParseInt(r.FormValue("after"), 10, 64)
+		if err != nil {
+			http.Error(w, "after must be a number", http.StatusBadRequest)
+			return
+		}
+		events, err := e.Events(r.Context(), after)
+		finish(w, events, err)
+	})
+	serveFaults(mux, e.SetFaults)
+	return mux
+}
+
+// serveFaults lets a tester change what goes wrong at run time.
+func serveFaults(mux *http.ServeMux, set func(Faults)) {
+	mux.HandleFunc("PUT /faults", func(w http.ResponseWriter, r *http.Request) {
+		if f, ok := read[Faults](w, r); ok {
+			set(f)
+			w.WriteHeader(http.StatusNoContent)
+		}
+	})
+}
+
+// read decodes a request body. It answers the request when it can't.
+func read[T any](w http.ResponseWriter, r *http.Request) (T, bool) {
+	var v T
+	if err := json.NewDecoder(r.Body).Decode(&v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return v, false
+	}
+	return v, true
+}
+
+// finish answers a request with v, or with the refusal that err stands for. An
+// answer that was lost becomes a broken connection.
+func finish(w http.ResponseWriter, v any, err error) {
+	if err == nil {
+		wirehttp.JSON(w, http.StatusOK, v)
+		return
+	}
+	var e *engine.RunError
+	if !errors.As(err, &e) || e.Code == engine.Unreachable {
+		panic(http.ErrAbortHandler)
+	}
+	wirehttp.JSON(w, http.StatusServiceUnavailable, engine.Refusal{
+		Code:    e.Code,
+		Started: e.Ran != problem.NotRun,
+		Detail:  e.Err.Error(),
+	})
+}
+
+func (e *Engine) serveRun(w http.ResponseWriter, r *http.Request) {
+	a, ok := read[engine.Attempt](w, r)
+	if !ok {
+		return
+	}
+	s, err := e.Run(r.Context(), a)
+	if err != nil {
+		finish(w, nil, err)
+		return
+	}
+	relay(w, s)
+}
+
+func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
+	seq, err := strconv.Atoi(r.FormValue("from"))
+	if err != nil {
+		http.Error(w, "from must be a number", http.StatusBadRequest)
+		return
+	}
+	s, err := e.Resume(r.Context(), r.PathValue("id"), seq)
+	if err != nil {
+		finish(w, nil, err)
+		return
+	}
+	relay(w, s)
+}
+
+// relay writes an answer line by line. A stream that breaks breaks the
+// connection.
+func relay(w http.ResponseWriter, s engine.Stream) {
+	// Closing a reader only lets go of it.
+	defer func() { _ = s.Close() }()
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	w.WriteHeader(http.StatusOK)
+	out := http.NewResponseController(w)
+	enc := json.NewEncoder(w)
+	if err := out.Flush(); err != nil {
+		return
+	}
+	for {
+		k, err := s.Next()
+		if errors.Is(err, io.EOF) {
+			return
+		}
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		if err := enc.Encode(k); err != nil {
+			return
+		}
+		if err := out.Flush(); err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/standin/platform.go
@@ -0,0 +1,190 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package standin
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/linkmast/linkmast/instances"
+	"github.com/linkmast/linkmast/internal/wirehttp"
+	"github.com/linkmast/linkmast/logsvc"
+)
+
+// Instances is a stand-in list of instances. It implements instances.Lister.
+type Instances struct {
+	mu      sync.Mutex
+	faults  Faults
+	version int64
+	current map[string]instances.Instance
+	history []snapshot
+}
+
+// snapshot is the list as it was from a moment on.
+type snapshot struct {
+	at   time.Time
+	list instances.List
+}
+
+// maxSnapshots bounds how far a lagging list can look back.
+const maxSnapshots = 256
+
+// NewInstances returns an empty list.
+func NewInstances() *Instances {
+	return &Instances{
+		current: make(map[string]instances.Instance),
+	}
+}
+
+// SetFaults changes what goes wrong from now on.
+func (l *Instances) SetFaults(f Faults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = f
+}
+
+// Put adds or changes an instance.
+func (l *Instances) Put(i instances.Instance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.current[i.ID] = i
+	l.record()
+}
+
+// Remove takes an instance off the list.
+func (l *Instances) Remove(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.current, id)
+	l.record()
+}
+
+func (l *Instances) record() {
+	l.version++
+	list := instances.List{
+		Version:   l.version,
+		Instances: make([]instances.Instance, 0, len(l.current)),
+	}
+	for _, i := range l.current {
+		list.Instances = append(list.Instances, i)
+	}
+	l.history = append(l.history, snapshot{
+		at:   time.Now(),
+		list: list,
+	})
+	if len(l.history) > maxSnapshots {
+		l.history = l.history[1:]
+	}
+}
+
+// List implements instances.Lister. It returns the list as it was Lag ago.
+func (l *Instances) List(context.Context) (instances.List, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.faults.Outage {
+		return instances.List{}, errors.New("outage")
+	}
+	until := time.Now().Add(-l.faults.Lag)
+	var list instances.List
+	for _, s := range l.history {
+		if !s.at.After(until) {
+			list = s.list
+		}
+	}
+	return list, nil
+}
+
+// Platform is the stand-in log and list of instances behind one address.
+type Platform struct {
+	// Log is the append-only log.
+	Log *Log
+	// Instances is the list of instances.
+	Instances *Instances
+	// Weights is the weight store.
+	Weights *Weights
+}
+
+// NewPlatform returns a platform with an empty log and list.
+func NewPlatform(s LogSettings) *Platform {
+	return &Platform{
+		Log:       NewLog(s),
+		Instances: NewInstances(),
+		Weights:   NewWeights(WeightSettings{}),
+	}
+}
+
+// Handler serves the protocols of packages logsvc, instances and weights,
+// PUT and DELETE on /v1/instances/{id}, and PUT /faults.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/streams/{name}", p.serveAppend)
+	mux.HandleFunc("GET /v1/streams/{name}", p.serveRead)
+	mux.HandleFunc("GET /v1/instances", func(w http.ResponseWriter, r *http.Request) {
+		list, err := p.Instances.List(r.Context())
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		wirehttp.JSON(w, http.StatusOK, list)
+	})
+	mux.HandleFunc("PUT /v1/instances/{id}", func(w http.ResponseWriter, r *http.Request) {
+		if i, ok := read[instances.Instance](w, r); ok {
+			i.ID = r.PathValue("id")
+			p.Instances.Put(i)
+			w.WriteHeader(http.StatusNoContent)
+		}
+	})
+	mux.HandleFunc("DELETE /v1/instances/{id}", func(w http.ResponseWriter, r *http.Request) {
+		p.Instances.Remove(r.PathValue("id"))
+		w.WriteHeader(http.StatusNoContent)
+	})
+	p.Weights.serve(mux)
+	serveFaults(mux, func(f Faults) {
+		p.Log.SetFaults(f)
+		p.Instances.SetFaults(f)
+		p.Weights.SetFaults(f)
+	})
+	return mux
+}
+
+func (p *Platform) serveAppend(w http.ResponseWriter, r *http.Request) {
+	body, ok := read[logsvc.AppendBody](w, r)
+	if !ok {
+		return
+	}
+	offset, err := p.Log.Append(r.Context(), r.PathValue("name"), body.Records)
+	if logsvc.IsUnknown(err) {
+		panic(http.ErrAbortHandler)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	wirehttp.JSON(w, http.StatusOK, logsvc.AppendAnswer{
+		Offset: offset,
+	})
+}
+
+func (p *Platform) serveRead(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseInt(r.FormValue("from"), 10, 64)
+	if err != nil {
+		http.Error(w, "from must be a number", http.StatusBadRequest)
+		return
+	}
+	wait, err := strconv.Atoi(r.FormValue("wait_ms"))
+	if err != nil {
+		http.Error(w, "wait_ms must be a number", http.StatusBadRequest)
+		return
+	}
+	b, err := p.Log.Read(r.Context(), r.PathValue("name"), from, time.Duration(wait)*time.Millisecond)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	wirehttp.JSON(w, http.StatusOK, b)
+}
