--- /dev/null
+++ b/config/diff.go
@@ -0,0 +1,77 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package config
+
+import (
+	"strings"
+)
+
+// Diff returns the lines that differ between two files, "-" before those of
+// the first and "+" before those of the second, by a longest common
+// subsequence. Beginnings and ends that are alike are left out first, which
+// keeps the table small for the usual small change; when what is left is too
+// large for the table, all of it is listed.
+func Diff(a, b string) []string {
+	x, y := strings.Split(a, "\n"), strings.Split(b, "\n")
+	for len(x) > 0 && len(y) > 0 && x[0] == y[0] {
+		x, y = x[1:], y[1:]
+	}
+	for len(x) > 0 && len(y) > 0 && x[len(x)-1] == y[len(y)-1] {
+		x, y = x[:len(x)-1], y[:len(y)-1]
+	}
+	if len(x)*len(y) > maxTable {
+		return append(marked("-", x), marked("+", y)...)
+	}
+	return walk(x, y, table(x, y))
+}
+
+// maxTable bounds the cells of the table of a comparison.
+const maxTable = 16 << 20
+
+func marked(sign string, lines []string) []string {
+	out := make([]string, 0, len(lines))
+	for _, l := range lines {
+		out = append(out, sign+l)
+	}
+	return out
+}
+
+// table returns the length of the longest common subsequence of each pair of
+// remainders.
+func table(x, y []string) [][]int32 {
+	t := make([][]int32, len(x)+1)
+	for i := range t {
+		t[i] = make([]int32, len(y)+1)
+	}
+	for i := len(x) - 1; i >= 0; i-- {
+		for j := len(y) - 1; j >= 0; j-- {
+			if x[i] == y[j] {
+				t[i][j] = t[i+1][j+1] + 1
+			} else {
+				t[i][j] = max(t[i+1][j], t[i][j+1])
+			}
+		}
+	}
+	return t
+}
+
+// walk lists what is not part of the longest common subsequence.
+func walk(x, y []string, t [][]int32) []string {
+	var out []string
+	i, j := 0, 0
+	for i < len(x) && j < len(y) {
+		switch {
+		case x[i] == y[j]:
+			i++
+			j++
+		case t[i+1][j] >= t[i][j+1]:
+			out = append(out, "-"+x[i])
+			i++
+		default:
+			out = append(out, "+"+y[j])
+			j++
+		}
+	}
+	out = append(out, marked("-", x[i:])...)
+	return append(out, marked("+", y[j:])...)
+}
--- a/entry/call.go
+++ b/entry/call.go
@@ -24,7 +24,7 @@
 		if fail != nil {
 			return fail
 		}
-		if fail := e.expired(ctx, j); fail != nil {
+		if fail = e.expired(ctx, j); fail != nil {
 			e.release(h, owner.NotStarted, 0)
 			return fail
 		}
--- a/entry/http.go
+++ b/entry/http.go
@@ -156,14 +156,14 @@
 			}
 			sink := newStreamSink(out, s)
 			fail := e.complete(ctx, j, sink)
-			return e.failAfterStart(j, sink, fail)
+			return e.failAfterStart(sink, fail)
 		})
 	}
 }
 
 // failAfterStart tells a caller that has part of its answer that there is no
 // more, in the stream itself.
-func (e *Entry) failAfterStart(j *job, s failer, p *problem.Error) *problem.Error {
+func (e *Entry) failAfterStart(s failer, p *problem.Error) *problem.Error {
 	if p == nil || !s.begun() {
 		return p
 	}
--- /dev/null
+++ b/load/report.go
@@ -0,0 +1,229 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package load
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/linkmast/linkmast/policy"
+	"github.com/linkmast/linkmast/problem"
+)
+
+// The range of the histograms, in microseconds, and their significant digits.
+const (
+	lowest  = 1
+	highest = int64(time.Hour / time.Microsecond)
+	digits  = 3
+)
+
+// outcome is what became of one request.
+type outcome struct {
+	kind     *Kind
+	tokens   int
+	measured bool
+	answered bool
+	refused  bool
+	failed   bool
+	cut      bool
+	wrong    bool
+	code     problem.Code
+	cause    string
+	first    time.Duration
+	total    time.Duration
+}
+
+// Class is what was measured of one class of prompt length, or of plain calls.
+type Class struct {
+	// Name names the class.
+	Name string `json:"class"`
+	// Sent, Answered, Refused, Failed, Cut and Wrong count requests. Refused
+	// requests did not run; cut ones failed after part of the answer; wrong
+	// ones got an answer that is not theirs.
+	Sent     int `json:"sent"`
+	Answered int `json:"answered"`
+	Refused  int `json:"refused"`
+	Failed   int `json:"failed"`
+	Cut      int `json:"cut"`
+	Wrong    int `json:"wrong"`
+	// The times to first token, in milliseconds.
+	FirstP50 float64 `json:"ttft_p50_ms"`
+	FirstP95 float64 `json:"ttft_p95_ms"`
+	FirstP99 float64 `json:"ttft_p99_ms"`
+	// TotalP95 is the time to the end, in milliseconds.
+	TotalP95 float64 `json:"total_p95_ms"`
+	// RefusalP99 is the time to a refusal, in milliseconds.
+	RefusalP99 float64 `json:"refusal_p99_ms"`
+
+	first   *hdrhistogram.Histogram
+	total   *hdrhistogram.Histogram
+	refusal *hdrhistogram.Histogram
+}
+
+// Report is what was measured in a run.
+type Report struct {
+	// Profile and Rate are what was sent.
+	Profile string  `json:"profile"`
+	Rate    float64 `json:"rate"`
+	// Seconds is how long the run took.
+	Seconds float64 `json:"seconds"`
+	// Sent, Answered, Refused, Failed, Cut and Wrong count requests.
+	Sent     int `json:"sent"`
+	Answered int `json:"answered"`
+	Refused  int `json:"refused"`
+	Failed   int `json:"failed"`
+	Cut      int `json:"cut"`
+	Wrong    int `json:"wrong"`
+	// Doubled counts requests that ran more than once though they must not;
+	// only an embedded fleet can tell.
+	Doubled int `json:"doubled"`
+	// LeakedBytes is engine memory that was not returned; only an embedded
+	// fleet can tell.
+	LeakedBytes int64 `json:"leaked_bytes"`
+	// GoodTokens is the prompt tokens of answered requests, a second.
+	GoodTokens float64 `json:"good_tokens_per_second"`
+	// Codes counts refusals and failures by code or cause.
+	Codes map[string]int `json:"codes"`
+	// Classes are what was measured of each class.
+	Classes []*Class `json:"classes"`
+
+	mu     sync.Mutex
+	tokens int
+}
+
+func newReport(p *Profile, s Settings) *Report {
+	r := &Report{
+		Profile: p.Name,
+		Rate:    s.Rate,
+		Codes:   make(map[string]int),
+	}
+	names := []string{"plain"}
+	for c := range policy.Class(policy.Classes) {
+		names = append(names, c.String())
+	}
+	for _, n := range names {
+		r.Classes = append(r.Classes, &Class{
+			Name:    n,
+			first:   hdrhistogram.New(lowest, highest, digits),
+			total:   hdrhistogram.New(lowest, highest, digits),
+			refusal: hdrhistogram.New(lowest, highest, digits),
+		})
+	}
+	return r
+}
+
+// Class returns what was measured of a class.
+func (r *Report) Class(name string) *Class {
+	for _, c := range r.Classes {
+		if c.Name == name {
+			return c
+		}
+	}
+	return &Class{}
+}
+
+// add takes over an outcome.
+func (r *Report) add(o *outcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	name := "plain"
+	if o.tokens > 0 {
+		name = policy.ClassOf(o.tokens).String()
+	}
+	c := r.Class(name)
+	r.Sent++
+	c.Sent++
+	count(o.answered, &r.Answered, &c.Answered)
+	count(o.refused, &r.Refused, &c.Refused)
+	count(o.failed, &r.Failed, &c.Failed)
+	count(o.cut, &r.Cut, &c.Cut)
+	count(o.wrong, &r.Wrong, &c.Wrong)
+	switch {
+	case o.code != "":
+		r.Codes[string(o.code)]++
+	case o.cause != "":
+		r.Codes[o.cause]++
+	}
+	if o.answered {
+		r.tokens += o.tokens
+	}
+	if o.measured {
+		c.record(o)
+	}
+}
+
+func count(yes bool, counters ...*int) {
+	if !yes {
+		return
+	}
+	for _, c := range counters {
+		*c++
+	}
+}
+
+func (c *Class) record(o *outcome) {
+	switch {
+	case o.answered:
+		put(c.first, o.first)
+		put(c.total, o.total)
+	case o.refused:
+		put(c.refusal, o.total)
+	}
+}
+
+// put records a time. One beyond the range counts as its end.
+func put(h *hdrhistogram.Histogram, d time.Duration) {
+	// The value is kept within the range, so recording can't fail.
+	_ = h.RecordValue(min(max(d.Microseconds(), lowest), highest))
+}
+
+// Finish works out the figures of all classes.
+func (r *Report) Finish() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.Seconds > 0 {
+		r.GoodTokens = float64(r.tokens) / r.Seconds
+	}
+	for _, c := range r.Classes {
+		c.FirstP50 = quantile(c.first, 50)
+		c.FirstP95 = quantile(c.first, 95)
+		c.FirstP99 = quantile(c.first, 99)
+		c.TotalP95 = quantile(c.total, 95)
+		c.RefusalP99 = quantile(c.refusal, 99)
+	}
+}
+
+func quantile(h *hdrhistogram.Histogram, q float64) float64 {
+	return float64(h.ValueAtQuantile(q)) / 1000
+}
+
+// Table writes the report for a person.
+func (r *Report) Table(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "class\tsent\tanswered\trefused\tfailed\tcut\twrong\tTTFT p50 ms\tTTFT p95 ms\tend p95 ms\t")
+	for _, c := range r.Classes {
+		if c.Sent == 0 {
+			continue
+		}
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t\n", c.Name, c.Sent, c.Answered, c.Refused, c.Failed,
+			c.Cut, c.Wrong, c.FirstP50, c.FirstP95, c.TotalP95)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	codes := make([]string, 0, len(r.Codes))
+	for c := range r.Codes {
+		codes = append(codes, c)
+	}
+	sort.Strings(codes)
+	for _, c := range codes {
+		fmt.Fprintf(w, "%6d  %s\n", r.Codes[c], c)
+	}
+	return nil
+}
--- /dev/null
+++ b/load/send.go
@@ -0,0 +1,268 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/linkmast/linkmast/engine"
+	"github.com/linkmast/linkmast/internal/wirehttp"
+	"github.com/linkmast/linkmast/problem"
+	"github.com/linkmast/linkmast/standin"
+)
+
+// Settings are the measures of a run.
+type Settings struct {
+	// Addresses are the nodes, or the balancer before them.
+	Addresses []string
+	// Rate is how many requests come in a second.
+	Rate float64
+	// Duration is for how long they come.
+	Duration time.Duration
+	// Seed decides arrivals, kinds and lengths.
+	Seed uint64
+	// Warmup is how much of the beginning is sent but not measured.
+	Warmup time.Duration
+}
+
+// Run sends the requests of a profile and waits for all answers.
+func Run(ctx context.Context, p *Profile, s Settings) *Report {
+	r := rand.New(rand.NewPCG(s.Seed, s.Seed))
+	due := p.arrivals(s.Rate, s.Duration, r)
+	x := &sender{
+		profile:  p,
+		settings: s,
+		client:   wirehttp.Client(),
+		text:     filler(p, r),
+		report:   newReport(p, s),
+	}
+	var all sync.WaitGroup
+	start := time.Now()
+	for _, a := range due {
+		select {
+		case <-time.After(time.Until(start.Add(a.at))):
+		case <-ctx.Done():
+			all.Wait()
+			return x.report
+		}
+		all.Go(func() { x.one(ctx, a, start.Add(a.at)) })
+	}
+	all.Wait()
+	x.report.Seconds = time.Since(start).Seconds()
+	return x.report
+}
+
+// sender sends requests and takes their answers.
+type sender struct {
+	profile  *Profile
+	settings Settings
+	client   *http.Client
+	text     string
+	turn     atomic.Uint64
+	report   *Report
+}
+
+// filler returns text as long as the longest prompt.
+func filler(p *Profile, r *rand.Rand) string {
+	longest := 0
+	for i := range p.Kinds {
+		longest = max(longest, p.Kinds[i].MaxTokens)
+	}
+	b := make([]byte, longest*engine.TokenBytes)
+	const letters = "abcdefghijklmnopqrstuvwxyz     0123456789"
+	for i := range b {
+		b[i] = letters[r.IntN(len(letters))]
+	}
+	return string(b)
+}
+
+// prompt returns a prompt that no other request has: the kind's shared
+// beginning, the request's number, and filler.
+func (x *sender) prompt(a arrival) string {
+	size := a.tokens * engine.TokenBytes
+	shared := a.kind.SharedTokens * engine.TokenBytes
+	mark := fmt.Sprintf(" %s %d %d ", a.kind.Name, x.settings.Seed, a.number)
+	var b strings.Builder
+	b.Grow(size)
+	b.WriteString(x.text[:shared])
+	b.WriteString(mark)
+	if rest := size - b.Len(); rest > 0 {
+		b.WriteString(x.text[shared : shared+rest])
+	}
+	return b.String()
+}
+
+// one sends one request and notes its outcome.
+func (x *sender) one(ctx context.Context, a arrival, due time.Time) {
+	o := outcome{
+		kind:     a.kind,
+		tokens:   a.tokens,
+		measured: a.at >= x.settings.Warmup,
+	}
+	if a.kind.plain() {
+		x.plain(ctx, a, due, &o)
+	} else {
+		x.complete(ctx, a, due, &o)
+	}
+	x.report.add(&o)
+}
+
+// request makes a request to the next address.
+func (x *sender) request(ctx context.Context, a arrival, path string, body []byte) (*http.Request, error) {
+	address := x.settings.Addresses[int(x.turn.Add(1))%len(x.settings.Addresses)]
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, wirehttp.Once(bytes.NewReader(body)))
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = int64(len(body))
+	req.Header.Set("Authorization", "Bearer "+a.kind.Key)
+	req.Header.Set("Linkmast-Deadline", time.Duration(a.kind.Deadline).String())
+	if a.kind.Once {
+		req.Header.Set("Linkmast-Once", "true")
+	}
+	return req, nil
+}
+
+// do sends a request. A node that refuses the connection is left out, as a
+// balancer does.
+func (x *sender) do(ctx context.Context, a arrival, path string, body []byte) (*http.Response, error) {
+	var last error
+	for range x.settings.Addresses {
+		req, err := x.request(ctx, a, path, body)
+		if err != nil {
+			return nil, err
+		}
+		res, err := x.client.Do(req)
+		if err == nil {
+			return res, nil
+		}
+		last = err
+		if !strings.Contains(err.Error(), "connection refused") {
+			break
+		}
+	}
+	return nil, last
+}
+
+// plain makes a plain call.
+func (x *sender) plain(ctx context.Context, a arrival, due time.Time, o *outcome) {
+	body := []byte(fmt.Sprintf(`{"bid":%d,"seed":%d}`, a.number, x.settings.Seed))
+	res, err := x.do(ctx, a, "/services/"+x.profile.Service+"/bids", body)
+	if err != nil {
+		o.fail(err)
+		return
+	}
+	defer wirehttp.Drain(res.Body)
+	if res.StatusCode != http.StatusOK {
+		o.refuse(res, due)
+		return
+	}
+	o.first = time.Since(due)
+	if _, err := io.ReadAll(res.Body); err != nil {
+		o.fail(err)
+		return
+	}
+	o.total = time.Since(due)
+	o.answered = true
+}
+
+// complete asks for a streamed completion.
+func (x *sender) complete(ctx context.Context, a arrival, due time.Time, o *outcome) {
+	prompt := x.prompt(a)
+	body, err := json.Marshal(map[string]any{
+		"model":      x.profile.Model,
+		"prompt":     prompt,
+		"max_tokens": a.kind.OutputTokens,
+		"stream":     true,
+	})
+	if err != nil {
+		o.fail(err)
+		return
+	}
+	want := standin.Answer(prompt, a.kind.OutputTokens)
+	res, err := x.do(ctx, a, "/v1/completions", body)
+	if err != nil {
+		o.fail(err)
+		return
+	}
+	defer wirehttp.Drain(res.Body)
+	if res.StatusCode != http.StatusOK {
+		o.refuse(res, due)
+		return
+	}
+	x.read(res.Body, due, want, o)
+}
+
+// errCut is an answer without its end.
+var errCut = errors.New("the answer was cut")
+
+// read takes a streamed answer.
+func (x *sender) read(body io.Reader, due time.Time, want string, o *outcome) {
+	var text strings.Builder
+	lines := bufio.NewReaderSize(body, 2<<10)
+	for {
+		line, err := lines.ReadString('\n')
+		if err != nil {
+			o.cut = o.first > 0
+			o.fail(errCut)
+			return
+		}
+		event, ok := strings.CutPrefix(strings.TrimSpace(line), "data: ")
+		switch {
+		case !ok:
+			continue
+		case event == "[DONE]":
+			o.total = time.Since(due)
+			o.answered = true
+			o.wrong = text.String() != want
+			return
+		}
+		if o.first == 0 {
+			o.first = time.Since(due)
+		}
+		var k struct {
+			Choices []struct {
+				Text string `json:"text"`
+			} `json:"choices"`
+		}
+		if err := json.Unmarshal([]byte(event), &k); err != nil || len(k.Choices) != 1 {
+			o.cut = true
+			o.fail(errCut)
+			return
+		}
+		text.WriteString(k.Choices[0].Text)
+	}
+}
+
+// refuse notes a refusal.
+func (o *outcome) refuse(res *http.Response, due time.Time) {
+	data, err := io.ReadAll(io.LimitReader(res.Body, wirehttp.MaxRefusal))
+	p, ok := problem.Parse(data)
+	if err != nil || !ok {
+		o.fail(errors.Errorf("status %d without a problem", res.StatusCode))
+		return
+	}
+	o.code = p.Code
+	o.refused = p.Ran == problem.NotRun
+	o.failed = !o.refused
+	o.total = time.Since(due)
+}
+
+// fail notes a failure.
+func (o *outcome) fail(err error) {
+	o.failed = true
+	o.cause = err.Error()
+}
--- a/standin/service.go
+++ b/standin/service.go
@@ -8,6 +8,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -209,3 +210,10 @@
 		_, _ = w.Write(a.Body)
 	}
 }
+
+// AllCalls returns how often each body took effect, by its SHA-256.
+func (v *Service) AllCalls() map[string]int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return maps.Clone(v.calls)
+}
