Find the lines of a configuration in one pass

Cause: reading a file took time with the square of its length, because the parser's Shape counts lines from the start for every key.

Ruled out: the decoder itself (its share is linear).

Change: line starts are collected once, and a key's line is found by binary search.

--- /dev/null
+++ b/claim/bench_test.go
@@ -0,0 +1,88 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package claim
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/linkmast/linkmast/claim/claimpb"
+	"github.com/linkmast/linkmast/logsvc"
+)
+
+var until = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// batch returns a record of n claims that begin with a number.
+func batch(b *testing.B, from, n int) []byte {
+	b.Helper()
+	rec := &claimpb.Record{}
+	for i := range n {
+		rec.Entries = append(rec.Entries, encode(Claim{
+			Key:        KeyOf("customer", fmt.Sprint(from+i)),
+			Request:    fmt.Sprintf("1q2w3e4r5t6y7-%x", from+i),
+			Instance:   "node-1234",
+			ValidUntil: until,
+		}, false))
+	}
+	data, err := proto.Marshal(rec)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return data
+}
+
+func BenchmarkSlopeApply(b *testing.B) {
+	for _, n := range []int{1, 10, 100, 1_000} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			data := batch(b, 0, n)
+			for b.Loop() {
+				NewBook().Apply(logsvc.Batch{
+					Earliest: 1,
+					Next:     2,
+					Records: []logsvc.Record{
+						{
+							Offset: 1,
+							Data:   data,
+						},
+					},
+				})
+			}
+			b.ReportMetric(float64(len(data)), "record-bytes")
+		})
+	}
+}
+
+func BenchmarkSlopeBookMemory(b *testing.B) {
+	for _, n := range []int{1_000, 10_000, 100_000, 1_000_000} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			book := NewBook()
+			const step = 500
+			for i := range n / step {
+				book.Apply(logsvc.Batch{
+					Earliest: 1,
+					Next:     int64(i + 2),
+					Records: []logsvc.Record{
+						{
+							Offset: int64(i + 1),
+							Data:   batch(b, i*step, step),
+						},
+					},
+				})
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			for b.Loop() {
+				book.Holder(Key{})
+			}
+			b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "held-bytes")
+			runtime.KeepAlive(book)
+		})
+	}
+}
--- a/config/parse.go
+++ b/config/parse.go
@@ -128,10 +128,11 @@
 	counts := make(map[string]int)
 	var p unstable.Parser
 	p.Reset(data)
+	place := newPlaces(data)
 	prefix := ""
 	for p.NextExpression() {
 		e := p.Expression()
-		name, line := keyOf(&p, e)
+		name, line := keyOf(e, place)
 		switch e.Kind {
 		case unstable.Table:
 			prefix = name + "."
@@ -147,7 +148,26 @@
 	return lines
 }
 
-func keyOf(p *unstable.Parser, e *unstable.Node) (string, int) {
+// places are the offsets at which lines begin.
+type places []int
+
+func newPlaces(data []byte) places {
+	p := places{0}
+	for i, c := range data {
+		if c == '\n' {
+			p = append(p, i+1)
+		}
+	}
+	return p
+}
+
+// line returns the line, from 1, of an offset.
+func (p places) line(offset int) int {
+	return sort.SearchInts(p, offset+1)
+}
+
+// keyOf returns the dotted key of an expression and its line.
+func keyOf(e *unstable.Node, place places) (string, int) {
 	var parts []string
 	line := 0
 	it := e.Key()
@@ -155,7 +175,7 @@
 		n := it.Node()
 		parts = append(parts, string(n.Data))
 		if line == 0 {
-			line = p.Shape(n.Raw).Start.Line
+			line = place.line(int(n.Raw.Offset))
 		}
 	}
 	return strings.Join(parts, "."), line
--- /dev/null
+++ b/member/bench_test.go
@@ -0,0 +1,123 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package member
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/linkmast/linkmast/instances"
+	"github.com/linkmast/linkmast/member/memberpb"
+)
+
+// listOf returns a list of n nodes in four regions.
+func listOf(n int) instances.List {
+	l := instances.List{
+		Version: 1,
+	}
+	for i := range n {
+		l.Instances = append(l.Instances, instances.Instance{
+			ID:            fmt.Sprintf("node-%d", i),
+			Kind:          instances.KindNode,
+			Address:       fmt.Sprintf("10.0.%d.%d:8081", i>>8, i&255),
+			FailureDomain: fmt.Sprintf("d%d", i%12),
+			Region:        fmt.Sprintf("r%d", i%4),
+			State:         instances.Live,
+		})
+	}
+	return l
+}
+
+// still is a platform and a network on which nothing ever happens.
+type still struct{}
+
+var errStill = errors.New("nothing answers")
+
+func (still) List(context.Context) (instances.List, error) {
+	return instances.List{}, errStill
+}
+
+func (still) Probe(context.Context, string, *memberpb.ProbeRequest) (*memberpb.ProbeReply, error) {
+	return nil, errStill
+}
+
+func idle(b *testing.B, n int) *Member {
+	b.Helper()
+	m := New(Settings{
+		Self:          listOf(1).Instances[0],
+		ProbeInterval: time.Hour,
+		ListInterval:  time.Hour,
+	}, still{}, still{}, func() int64 { return 1 }, logr.Discard())
+	b.Cleanup(m.Close)
+	m.take(listOf(n))
+	return m
+}
+
+func BenchmarkSlopeRebuild(b *testing.B) {
+	for _, n := range []int{10, 100, 1_000, 10_000} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			m := idle(b, n)
+			for b.Loop() {
+				m.rebuild()
+			}
+		})
+	}
+}
+
+func BenchmarkSlopeOwner(b *testing.B) {
+	for _, n := range []int{10, 100, 1_000, 10_000} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			v := idle(b, n).View()
+			b.ReportAllocs()
+			for b.Loop() {
+				v.Keeper("endpoint-17")
+			}
+		})
+	}
+}
+
+func BenchmarkSlopeProbeBytes(b *testing.B) {
+	for _, n := range []int{1, 4, 16, 64} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			m := idle(b, 100)
+			for i := range n {
+				m.mu.Lock()
+				m.report(fmt.Sprintf("node-%d", i+1), "node-99", time.Now())
+				m.mu.Unlock()
+			}
+			in := &memberpb.ProbeRequest{
+				From:    "node-1",
+				Reports: m.outgoing(),
+			}
+			var out *memberpb.ProbeReply
+			for b.Loop() {
+				out = m.Answer(in)
+			}
+			b.ReportMetric(float64(proto.Size(in)+proto.Size(out)), "message-bytes")
+		})
+	}
+}
+
+func BenchmarkSlopeMemberMemory(b *testing.B) {
+	for _, n := range []int{10, 100, 1_000, 10_000} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			m := idle(b, n)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			for b.Loop() {
+				m.View()
+			}
+			b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "held-bytes")
+		})
+	}
+}
