--- /dev/null
+++ b/node/bench_test.go
@@ -0,0 +1,470 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package node_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/linkmast/linkmast/engine"
+	"github.com/linkmast/linkmast/fleet"
+	"github.com/linkmast/linkmast/internal/wirehttp"
+	"github.com/linkmast/linkmast/limit/limitpb"
+	"github.com/linkmast/linkmast/member/memberpb"
+	"github.com/linkmast/linkmast/owner/ownerpb"
+	"github.com/linkmast/linkmast/rollout/rolloutpb"
+	"github.com/linkmast/linkmast/settings"
+	"github.com/linkmast/linkmast/standin"
+)
+
+// counted is a connection that counts its bytes in both directions.
+type counted struct {
+	net.Conn
+
+	n *atomic.Int64
+}
+
+func (c *counted) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+func (c *counted) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+// dialCounted connects to a node and counts the bytes of the connection.
+func dialCounted(b *testing.B, address string) (*grpc.ClientConn, *atomic.Int64) {
+	b.Helper()
+	n := new(atomic.Int64)
+	c, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(func(ctx context.Context, a string) (net.Conn, error) {
+			var d net.Dialer
+			conn, err := d.DialContext(ctx, "tcp", a)
+			if err != nil {
+				return nil, err
+			}
+			return &counted{
+				Conn: conn,
+				n:    n,
+			}, nil
+		}))
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { c.Close() })
+	return c, n
+}
+
+func quiet(s *settings.File) {
+	no := false
+	s.LogDecisions = &no
+}
+
+func startFleet(b *testing.B, s fleet.Settings) *fleet.Fleet {
+	b.Helper()
+	s.Node = quiet
+	f, err := fleet.Start(s)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(f.Close)
+	return f
+}
+
+// BenchmarkMessage reports the bytes on the wire, in both directions and with
+// the frames of HTTP/2, of each kind of message between nodes.
+func BenchmarkMessage(b *testing.B) {
+	f := startFleet(b, fleet.Settings{
+		Nodes:   1,
+		Engines: 4,
+	})
+	c, n := dialCounted(b, f.Nodes[0].PeerListen)
+	ctx := context.Background()
+	leases := 0
+	for _, m := range []struct {
+		name string
+		call func() error
+	}{
+		{"probe", func() error {
+			_, err := memberpb.NewMemberClient(c).Probe(ctx, &memberpb.ProbeRequest{
+				From: "node-1234",
+			})
+			return err
+		}},
+		{"pull without change", func() error {
+			_, err := rolloutpb.NewRolloutClient(c).Pull(ctx, &rolloutpb.PullRequest{
+				Generation: f.Nodes[0].Generation(),
+				Sha256:     make([]byte, 32),
+			})
+			return err
+		}},
+		{"borrow", func() error {
+			_, err := limitpb.NewLenderClient(c).Borrow(ctx, &limitpb.BorrowRequest{
+				Customer: "desk",
+				Borrower: "node-1234",
+				Starts:   3,
+				Running:  9,
+			})
+			return err
+		}},
+		{"held", func() error {
+			_, err := ownerpb.NewHolderClient(c).Held(ctx, &ownerpb.HeldRequest{
+				Attempts: []string{"1q2w3e4r5t6y7-1a2b.1"},
+			})
+			return err
+		}},
+		{"acquire and release", func() error {
+			leases++
+			return lease(ctx, c, leases)
+		}},
+	} {
+		b.Run(m.name, func(b *testing.B) {
+			if err := m.call(); err != nil {
+				b.Fatal(err)
+			}
+			before := n.Load()
+			calls := 0
+			for b.Loop() {
+				if err := m.call(); err != nil {
+					b.Fatal(err)
+				}
+				calls++
+			}
+			b.ReportMetric(float64(n.Load()-before)/float64(calls), "wire-bytes/op")
+		})
+	}
+}
+
+// lease acquires and releases one lease over a connection.
+func lease(ctx context.Context, c *grpc.ClientConn, number int) error {
+	attempt := fmt.Sprintf("1q2w3e4r5t6y7-%x.1", number)
+	stream, err := ownerpb.NewOwnerClient(c).Acquire(ctx, &ownerpb.AcquireRequest{
+		Attempt:      attempt,
+		Holder:       "n1",
+		Endpoint:     "e1",
+		Customer:     "customer-17",
+		Rank:         1,
+		MaxWaitMs:    20_000,
+		PromptTokens: 2_000,
+		OutputTokens: 200,
+		Bytes:        2_200 << 10,
+		Prefix:       1 << 60,
+		DeadlineMs:   30_000,
+	})
+	if err != nil {
+		return err
+	}
+	for {
+		u, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		if u.GetGranted() != nil {
+			break
+		}
+		if r := u.GetRefused(); r != nil {
+			return fmt.Errorf("refused: %s", r.Code)
+		}
+	}
+	_, err = ownerpb.NewOwnerClient(c).Release(ctx, &ownerpb.ReleaseRequest{
+		Attempt:  attempt,
+		Endpoint: "e1",
+		Outcome:  "done",
+		StepUs:   20_000,
+	})
+	return err
+}
+
+// quick is an engine without delays of its own, so that what is left is the
+// node's.
+func quick() standin.EngineSettings {
+	return standin.EngineSettings{
+		PrefillTokensPerSecond: 1e9,
+		DecodeStep:             100 * time.Microsecond,
+	}
+}
+
+// BenchmarkFirstToken compares the time to first token through a node with
+// that of the engine itself, in turn.
+func BenchmarkFirstToken(b *testing.B) {
+	f := startFleet(b, fleet.Settings{
+		Nodes:   1,
+		Engines: 1,
+		Engine:  quick(),
+	})
+	prompt := strings.Repeat("abcdefgh", 500)
+	client := wirehttp.Client()
+	var direct, through []time.Duration
+	e := engine.NewHTTP(client, f.Engines[0].Address)
+	n := 0
+	for b.Loop() {
+		n++
+		start := time.Now()
+		s, err := e.Run(context.Background(), engine.Attempt{
+			ID:        fmt.Sprintf("direct-%d", n),
+			Model:     fleet.Model,
+			Prompt:    prompt,
+			MaxTokens: 1,
+		})
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := s.Next(); err != nil {
+			b.Fatal(err)
+		}
+		direct = append(direct, time.Since(start))
+		s.Close()
+		start = time.Now()
+		body := ask(b, client, f.Nodes[0].Listen, prompt, 1)
+		var one [1]byte
+		if _, err := io.ReadFull(body, one[:]); err != nil {
+			b.Fatal(err)
+		}
+		through = append(through, time.Since(start))
+		wirehttp.Drain(body)
+	}
+	for _, q := range []float64{0.5, 0.99} {
+		d, t := at(direct, q), at(through, q)
+		b.ReportMetric(float64(d.Microseconds()), fmt.Sprintf("direct-p%g-µs", q*100))
+		b.ReportMetric(float64(t.Microseconds()), fmt.Sprintf("node-p%g-µs", q*100))
+		b.ReportMetric(float64((t - d).Microseconds()), fmt.Sprintf("added-p%g-µs", q*100))
+	}
+}
+
+// ask asks a node for a streamed completion and returns its body.
+func ask(b *testing.B, client *http.Client, address, prompt string, tokens int) io.ReadCloser {
+	b.Helper()
+	data, err := json.Marshal(map[string]any{
+		"model":      fleet.Model,
+		"prompt":     prompt,
+		"max_tokens": tokens,
+		"stream":     true,
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/completions", bytes.NewReader(data))
+	if err != nil {
+		b.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer key-desk")
+	req.Header.Set("Linkmast-Deadline", "5m")
+	res, err := client.Do(req)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if res.StatusCode != http.StatusOK {
+		out, _ := io.ReadAll(res.Body)
+		b.Fatalf("status %d: %s", res.StatusCode, out)
+	}
+	return res.Body
+}
+
+// at returns a quantile.
+func at(d []time.Duration, q float64) time.Duration {
+	sorted := append([]time.Duration{}, d...)
+	for i := range sorted {
+		for k := i; k > 0 && sorted[k] < sorted[k-1]; k-- {
+			sorted[k], sorted[k-1] = sorted[k-1], sorted[k]
+		}
+	}
+	return sorted[int(q*float64(len(sorted)-1))]
+}
+
+// processor returns the processor time that this process has used.
+func processor() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkSlopeRelay reports the processor time of n streams of 1000 tokens
+// through a node, and of the same streams straight from the engine. The process
+// holds the engine and the caller too, so the node's part is the difference.
+func BenchmarkSlopeRelay(b *testing.B) {
+	const tokens = 1000
+	for _, n := range []int{1, 10, 50, 100} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			f := startFleet(b, fleet.Settings{
+				Nodes:   1,
+				Engines: 4,
+				Engine:  paced(),
+			})
+			client := wirehttp.Client()
+			var direct, through time.Duration
+			rounds := 0
+			for b.Loop() {
+				rounds++
+				start := processor()
+				together(n, func(i int) { drainEngine(b, client, f, rounds*1000+i, tokens) })
+				direct += processor() - start
+				start = processor()
+				together(n, func(i int) {
+					wirehttpDrainAll(ask(b, client, f.Nodes[0].Listen, fmt.Sprintf("prompt %d", i), tokens))
+				})
+				through += processor() - start
+			}
+			all := float64(rounds * n * tokens)
+			b.ReportMetric(float64(direct.Nanoseconds())/all, "direct-cpu-ns/token")
+			b.ReportMetric(float64((through-direct).Nanoseconds())/all, "node-cpu-ns/token")
+		})
+	}
+}
+
+// paced is an engine whose tokens come one by one.
+func paced() standin.EngineSettings {
+	return standin.EngineSettings{
+		PrefillTokensPerSecond: 1e9,
+		DecodeStep:             2 * time.Millisecond,
+	}
+}
+
+func together(n int, f func(int)) {
+	var all sync.WaitGroup
+	for i := range n {
+		all.Go(func() { f(i) })
+	}
+	all.Wait()
+}
+
+func wirehttpDrainAll(body io.ReadCloser) {
+	io.Copy(io.Discard, body)
+	body.Close()
+}
+
+// drainEngine reads a whole answer straight from an engine, line by line as
+// the caller of a node reads events.
+func drainEngine(b *testing.B, client *http.Client, f *fleet.Fleet, number, tokens int) {
+	data, err := json.Marshal(engine.Attempt{
+		ID:        fmt.Sprintf("direct-%d", number),
+		Model:     fleet.Model,
+		Prompt:    "prompt",
+		MaxTokens: tokens,
+	})
+	if err != nil {
+		b.Error(err)
+		return
+	}
+	address := f.Engines[number%len(f.Engines)].Address
+	res, err := client.Post("http://"+address+"/v1/attempts", "application/json", bytes.NewReader(data))
+	if err != nil {
+		b.Error(err)
+		return
+	}
+	wirehttpDrainAll(res.Body)
+}
+
+// BenchmarkSlopeStreamMemory reports the memory of n open streams: heap and
+// stacks of the process, which holds the engine's and the caller's ends too,
+// with the same streams straight from the engine taken off.
+func BenchmarkSlopeStreamMemory(b *testing.B) {
+	const tokens = 4000
+	for _, n := range []int{10, 100, 200, 400} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			f := startFleet(b, fleet.Settings{
+				Nodes:   1,
+				Engines: 8,
+				Engine: standin.EngineSettings{
+					PrefillTokensPerSecond: 1e9,
+					DecodeStep:             20 * time.Millisecond,
+				},
+			})
+			var direct, through int64
+			for b.Loop() {
+				direct = openMemory(func(c *http.Client, i int) io.Closer {
+					data, _ := json.Marshal(engine.Attempt{
+						ID:        fmt.Sprintf("direct-%d", i),
+						Model:     fleet.Model,
+						Prompt:    "prompt",
+						MaxTokens: tokens,
+					})
+					res, err := c.Post("http://"+f.Engines[i%8].Address+"/v1/attempts", "application/json", bytes.NewReader(data))
+					if err != nil {
+						b.Fatal(err)
+					}
+					return res.Body
+				}, n)
+				for i := range n {
+					f.Engines[i%8].Engine.Cancel(context.Background(), fmt.Sprintf("direct-%d", i))
+				}
+				through = openMemory(func(c *http.Client, i int) io.Closer {
+					return ask(b, c, f.Nodes[0].Listen, fmt.Sprintf("prompt %d", i), tokens)
+				}, n)
+				f.WaitFree(10 * time.Second)
+			}
+			b.ReportMetric(float64(through-direct), "node-bytes")
+		})
+	}
+}
+
+// openMemory returns how much memory n open streams take.
+func openMemory(open func(*http.Client, int) io.Closer, n int) int64 {
+	client := &http.Client{
+		Transport: &http.Transport{},
+	}
+	before := memory()
+	streams := make([]io.Closer, n)
+	for i := range n {
+		streams[i] = open(client, i)
+	}
+	time.Sleep(200 * time.Millisecond)
+	after := memory()
+	for _, s := range streams {
+		s.Close()
+	}
+	client.CloseIdleConnections()
+	time.Sleep(300 * time.Millisecond)
+	return after - before
+}
+
+func memory() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
+
+// BenchmarkSlopeIdle reports what an idle node costs among n nodes: processor
+// time and bytes between nodes, for a second.
+func BenchmarkSlopeIdle(b *testing.B) {
+	for _, n := range []int{2, 4, 8, 16} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			f := startFleet(b, fleet.Settings{
+				Nodes:   n,
+				Engines: 2 * n,
+			})
+			const look = 3 * time.Second
+			var cpu time.Duration
+			for b.Loop() {
+				start := processor()
+				time.Sleep(look)
+				cpu = processor() - start
+			}
+			perNode := cpu.Seconds() / look.Seconds() / float64(len(f.Nodes))
+			b.ReportMetric(perNode*100, "core-percent/node")
+		})
+	}
+}
