--- a/cmd/linkmastctl/load.go
+++ b/cmd/linkmastctl/load.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/linkmast/linkmast/config"
 	"github.com/linkmast/linkmast/fleet"
 	"github.com/linkmast/linkmast/load"
 	"github.com/linkmast/linkmast/settings"
@@ -28,11 +29,12 @@
 	Baseline bool          `long:"baseline" description:"first run the profile without its long prompts"`
 	JSON     bool          `long:"json" description:"print JSON"`
 
-	Nodes    int    `long:"nodes" default:"8" description:"nodes of the embedded fleet"`
-	Engines  int    `long:"engines" default:"20" description:"engines of the embedded fleet"`
-	Services int    `long:"services" default:"3" description:"plain endpoints of the embedded fleet"`
-	Strategy string `long:"strategy" default:"weighed" choice:"weighed" choice:"naive" description:"strategy of the embedded fleet"`
-	Fault    string `long:"fault" choice:"none" choice:"engine-killed" choice:"engine-frozen" choice:"node-killed" default:"none" description:"what goes wrong a third into the run (embedded fleet)"`
+	Nodes    int           `long:"nodes" default:"8" description:"nodes of the embedded fleet"`
+	Engines  int           `long:"engines" default:"20" description:"engines of the embedded fleet"`
+	Services int           `long:"services" default:"3" description:"plain endpoints of the embedded fleet"`
+	Strategy string        `long:"strategy" default:"weighed" choice:"weighed" choice:"naive" description:"strategy of the embedded fleet"`
+	Watch    time.Duration `long:"watch" default:"200ms" description:"how often owners tell of their endpoints (embedded fleet)"`
+	Fault    string        `long:"fault" choice:"none" choice:"engine-killed" choice:"engine-frozen" choice:"node-killed" default:"none" description:"what goes wrong a third into the run (embedded fleet)"`
 }
 
 // Result is what the load tool prints as JSON.
@@ -118,6 +120,7 @@
 		Node: func(s *settings.File) {
 			no := false
 			s.LogDecisions = &no
+			s.Times.Watch = config.Duration(c.Watch)
 		},
 	})
 	if err != nil {
--- a/instances/instances.go
+++ b/instances/instances.go
@@ -6,13 +6,16 @@
 // The list lags: an instance that has gone may still be on it, and a new one
 // may not be yet. It says who should be there, never who answers.
 //
-// The protocol over HTTP: GET /v1/instances -> List.
+// The protocol over HTTP: GET /v1/instances?since=V -> List. With since, the
+// platform may answer with just the changes after version V, which keeps the
+// regular reads small: the whole list of 11 200 instances is 1.7 MB.
 package instances
 
 import (
 	"context"
 	"encoding/json"
 	"net/http"
+	"strconv"
 
 	"github.com/go-faster/errors"
 
@@ -61,14 +64,45 @@
 type List struct {
 	// Version grows with each change.
 	Version int64 `json:"version"`
+	// Since is the version that the list is the change from; zero means that
+	// it is the whole list.
+	Since int64 `json:"since,omitempty"`
+	// Removed are the ids that are no longer on the list since then.
+	Removed []string `json:"removed,omitempty"`
 	// Instances are in no order.
 	Instances []Instance `json:"instances"`
 }
 
 // Lister returns the list.
 type Lister interface {
-	// List returns the list as the platform sees it now.
-	List(ctx context.Context) (List, error)
+	// List returns the list as the platform sees it now, or the change from
+	// version since. Zero asks for the whole list.
+	List(ctx context.Context, since int64) (List, error)
+}
+
+// Apply returns the list after a change: next itself when it is whole.
+func (l List) Apply(next List) List {
+	if next.Since == 0 {
+		return next
+	}
+	gone := make(map[string]bool, len(next.Removed)+len(next.Instances))
+	for _, id := range next.Removed {
+		gone[id] = true
+	}
+	for _, i := range next.Instances {
+		gone[i.ID] = true
+	}
+	out := List{
+		Version:   next.Version,
+		Instances: make([]Instance, 0, len(l.Instances)+len(next.Instances)),
+	}
+	for _, i := range l.Instances {
+		if !gone[i.ID] {
+			out.Instances = append(out.Instances, i)
+		}
+	}
+	out.Instances = append(out.Instances, next.Instances...)
+	return out
 }
 
 // HTTP is the adapter to the list over HTTP.
@@ -86,9 +120,9 @@
 }
 
 // List implements Lister.
-func (h *HTTP) List(ctx context.Context) (List, error) {
+func (h *HTTP) List(ctx context.Context, since int64) (List, error) {
 	var l List
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, h.base+"/v1/instances", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, h.base+"/v1/instances?since="+strconv.FormatInt(since, 10), nil)
 	if err != nil {
 		return l, errors.Wrap(err, "list instances")
 	}
--- a/member/bench_test.go
+++ b/member/bench_test.go
@@ -40,7 +40,7 @@
 
 var errStill = errors.New("nothing answers")
 
-func (still) List(context.Context) (instances.List, error) {
+func (still) List(context.Context, int64) (instances.List, error) {
 	return instances.List{}, errStill
 }
 
--- a/member/member.go
+++ b/member/member.go
@@ -178,12 +178,12 @@
 // readList takes over the platform's list. While the platform gives none, the
 // last one holds; an instance that has none asks a seed.
 func (m *Member) readList(ctx context.Context) {
-	call, cancel := context.WithTimeout(ctx, m.settings.ProbeTimeout)
-	l, err := m.lister.List(call)
-	cancel()
 	m.mu.Lock()
-	complete := m.complete
+	complete, since := m.complete, m.list.Version
 	m.mu.Unlock()
+	call, cancel := context.WithTimeout(ctx, m.settings.ProbeTimeout)
+	l, err := m.lister.List(call, since)
+	cancel()
 	if err != nil {
 		if !complete {
 			m.askSeeds(ctx)
@@ -197,8 +197,11 @@
 func (m *Member) take(l instances.List) {
 	m.mu.Lock()
 	newer := !m.complete || l.Version > m.list.Version
+	if l.Since > 0 && l.Since != m.list.Version {
+		newer = false
+	}
 	if newer {
-		m.list = l
+		m.list = m.list.Apply(l)
 		m.complete = true
 	}
 	m.mu.Unlock()
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -3,6 +3,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"strconv"
@@ -83,7 +84,7 @@
 }
 
 // List implements instances.Lister. It returns the list as it was Lag ago.
-func (l *Instances) List(context.Context) (instances.List, error) {
+func (l *Instances) List(_ context.Context, since int64) (instances.List, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.faults.Outage {
@@ -96,9 +97,36 @@
 			list = s.list
 		}
 	}
+	for _, s := range l.history {
+		if since > 0 && s.list.Version == since && since <= list.Version {
+			return change(s.list, list), nil
+		}
+	}
 	return list, nil
 }
 
+// change returns the change from one list to another.
+func change(from, to instances.List) instances.List {
+	out := instances.List{
+		Version: to.Version,
+		Since:   from.Version,
+	}
+	old := make(map[string]instances.Instance, len(from.Instances))
+	for _, i := range from.Instances {
+		old[i.ID] = i
+	}
+	for _, i := range to.Instances {
+		if old[i.ID] != i {
+			out.Instances = append(out.Instances, i)
+		}
+		delete(old, i.ID)
+	}
+	for id := range old {
+		out.Removed = append(out.Removed, id)
+	}
+	return out
+}
+
 // Platform is the stand-in log and list of instances behind one address.
 type Platform struct {
 	// Log is the append-only log.
@@ -125,7 +153,12 @@
 	mux.HandleFunc("POST /v1/streams/{name}", p.serveAppend)
 	mux.HandleFunc("GET /v1/streams/{name}", p.serveRead)
 	mux.HandleFunc("GET /v1/instances", func(w http.ResponseWriter, r *http.Request) {
-		list, err := p.Instances.List(r.Context())
+		since, err := strconv.ParseInt(cmp.Or(r.FormValue("since"), "0"), 10, 64)
+		if err != nil {
+			http.Error(w, "since must be a number", http.StatusBadRequest)
+			return
+		}
+		list, err := p.Instances.List(r.Context(), since)
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 			return
