Bound what a node hears of endpoints

Cause: worked out for the capacity page from the slope of summaries (28 bytes an endpoint and 29 a message): watching all 300 owners of a region five times a second is 375 KB/s against a budget of 5 KB/s.

Change: a node watches at most 32 owners, at an interval that keeps 4 KB/s (today's eight nodes stay at 200 ms). The answer to a release carries the owner's summaries, so what a node uses it hears of without a message more. Deriving what is owned is redone every 15 s instead of 2 s without a change.

--- a/member/view.go
+++ b/member/view.go
@@ -71,6 +71,26 @@
 	return v.pick(key, v.all)
 }
 
+// Watched returns up to n instances of a region for one instance to watch,
+// other than itself: all of them when they are few, else those that rendezvous
+// hashing gives it, so that each is watched by about as many.
+func (v *View) Watched(self, region string, n int) []instances.Instance {
+	h := xxhash.Sum64String(self)
+	order := slices.Clone(v.byRegion[region])
+	order = slices.DeleteFunc(order, func(i hashed) bool { return i.id == self })
+	if len(order) > n {
+		slices.SortFunc(order, func(a, b hashed) int {
+			return cmp.Compare(policy.Mix(h, b.hash), policy.Mix(h, a.hash))
+		})
+		order = order[:n]
+	}
+	out := make([]instances.Instance, 0, len(order))
+	for _, i := range order {
+		out = append(out, v.Nodes[i.id])
+	}
+	return out
+}
+
 // Ranked returns up to n instances for a key, the keeper first, and each next
 // one the keeper if those before it were gone.
 func (v *View) Ranked(key string, n int) []instances.Instance {
--- a/node/admin.go
+++ b/node/admin.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 
+	"github.com/linkmast/linkmast/entry"
 	"github.com/linkmast/linkmast/internal/wirehttp"
 	"github.com/linkmast/linkmast/policy"
 )
@@ -91,3 +92,8 @@
 	// The operator may have gone; there is nobody left to tell.
 	_, _ = w.Write([]byte(out))
 }
+
+// Explain returns what happened to a request of this node.
+func (n *Node) Explain(request string) (entry.Story, bool) {
+	return n.entry.Explain(request)
+}
--- a/node/follow.go
+++ b/node/follow.go
@@ -8,12 +8,13 @@
 	"time"
 
 	"github.com/linkmast/linkmast/instances"
+	"github.com/linkmast/linkmast/member"
 	"github.com/linkmast/linkmast/owner"
 	"github.com/linkmast/linkmast/owner/ownerpb"
 )
 
 // refreshInterval is how often everything is derived anew without a change.
-const refreshInterval = 2 * time.Second
+const refreshInterval = 15 * time.Second
 
 // follow derives what the instance owns, and what the entry knows, from each
 // change of the configuration and of the instances.
@@ -76,6 +77,7 @@
 			cancel()
 		}
 	}()
+	var seen *member.View
 	look := time.NewTicker(localLook)
 	defer look.Stop()
 	for {
@@ -85,17 +87,23 @@
 			return
 		case <-look.C:
 		}
-		nodes := n.member.View().Nodes
-		for id, i := range nodes {
-			if _, ok := watches[id]; ok || id == n.self.ID {
+		view := n.member.View()
+		if view == seen {
+			continue
+		}
+		seen = view
+		wanted := make(map[string]bool)
+		for _, i := range view.Watched(n.self.ID, n.self.Region, maxWatched) {
+			wanted[i.ID] = true
+			if _, ok := watches[i.ID]; ok {
 				continue
 			}
 			watch, cancel := context.WithCancel(ctx)
-			watches[id] = cancel
+			watches[i.ID] = cancel
 			all.Go(func() { n.watch(watch, i) })
 		}
 		for id, cancel := range watches {
-			if _, ok := nodes[id]; !ok {
+			if !wanted[id] {
 				cancel()
 				delete(watches, id)
 			}
@@ -103,6 +111,33 @@
 	}
 }
 
+// maxWatched bounds the owners that an instance watches. What it hears of
+// others comes with the answers to its releases.
+const maxWatched = 32
+
+// watchBudget bounds the bytes a second that an instance hears by watching.
+const watchBudget = 4000
+
+// The bytes of a message with summaries, as measured: docs/CAPACITY.md.
+const (
+	watchFrame   = 29
+	watchSummary = 28
+)
+
+// watchInterval returns how often one of the watched owners tells of its
+// endpoints: as often as is set, unless that is above the budget.
+func (n *Node) watchInterval() time.Duration {
+	set := time.Duration(n.settings.Times.Watch)
+	v, m := n.rollout.View(), n.member.View()
+	if v == nil {
+		return set
+	}
+	nodes := max(len(m.Nodes), 1)
+	watched := min(nodes-1, maxWatched)
+	bytes := watched * (watchFrame + watchSummary*len(v.File.Endpoints)/nodes)
+	return max(set, time.Duration(bytes)*time.Second/watchBudget)
+}
+
 // The times of watches.
 const (
 	// localLook is how often the instance's own endpoints are looked at.
@@ -129,7 +164,7 @@
 	}
 	stream, err := ownerpb.NewOwnerClient(c).Watch(ctx, &ownerpb.WatchRequest{
 		Watcher:    n.self.ID,
-		IntervalMs: time.Duration(n.settings.Times.Watch).Milliseconds(),
+		IntervalMs: n.watchInterval().Milliseconds(),
 	})
 	if err != nil {
 		return
--- a/node/peers.go
+++ b/node/peers.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return owner.NewClient(c), nil
+	return owner.NewClient(c, p.local.entry.Hear), nil
 }
 
 // Held implements owner.Holders.
--- a/owner/grpc.go
+++ b/owner/grpc.go
@@ -149,9 +149,19 @@
 		Outcome:  Outcome(in.Outcome),
 		Step:     time.Duration(in.StepUs) * time.Microsecond,
 	})
-	return &ownerpb.ReleaseReply{}, err
+	if err != nil {
+		return nil, err
+	}
+	out := &ownerpb.ReleaseReply{}
+	if summaries := s.owner.Summaries(); len(summaries) <= maxPiggyback {
+		out.Summaries = Encode(summaries).Summaries
+	}
+	return out, nil
 }
 
+// maxPiggyback bounds the summaries that go with the answer to a release.
+const maxPiggyback = 32
+
 // Watch implements ownerpb.OwnerServer.
 func (s *Server) Watch(in *ownerpb.WatchRequest, out grpc.ServerStreamingServer[ownerpb.Summaries]) error {
 	interval := max(time.Duration(in.IntervalMs)*time.Millisecond, minWatch)
@@ -204,8 +214,12 @@
 
 // Decode returns the summaries of a message.
 func Decode(in *ownerpb.Summaries) []policy.Summary {
-	out := make([]policy.Summary, 0, len(in.Summaries))
-	for _, m := range in.Summaries {
+	return decodeAll(in.Summaries)
+}
+
+func decodeAll(in []*ownerpb.Summary) []policy.Summary {
+	out := make([]policy.Summary, 0, len(in))
+	for _, m := range in {
 		s := policy.Summary{
 			Endpoint: m.Endpoint,
 			Free:     m.FreeMib * mebibyte,
@@ -225,13 +239,16 @@
 
 // Client asks the owner on another instance. It implements Leaser.
 type Client struct {
-	rpc ownerpb.OwnerClient
+	rpc  ownerpb.OwnerClient
+	hear func([]policy.Summary)
 }
 
-// NewClient returns a client over a connection.
-func NewClient(conn grpc.ClientConnInterface) *Client {
+// NewClient returns a client over a connection. It calls hear with the
+// summaries that come with answers.
+func NewClient(conn grpc.ClientConnInterface, hear func([]policy.Summary)) *Client {
 	return &Client{
-		rpc: ownerpb.NewOwnerClient(conn),
+		rpc:  ownerpb.NewOwnerClient(conn),
+		hear: hear,
 	}
 }
 
@@ -286,11 +303,15 @@
 
 // Release implements Leaser.
 func (c *Client) Release(ctx context.Context, r Release) error {
-	_, err := c.rpc.Release(ctx, &ownerpb.ReleaseRequest{
+	reply, err := c.rpc.Release(ctx, &ownerpb.ReleaseRequest{
 		Attempt:  r.Attempt,
 		Endpoint: r.Endpoint,
 		Outcome:  string(r.Outcome),
 		StepUs:   r.Step.Microseconds(),
 	})
-	return err
+	if err != nil {
+		return err
+	}
+	c.hear(decodeAll(reply.Summaries))
+	return nil
 }
--- a/owner/sweep.go
+++ b/owner/sweep.go
@@ -62,7 +62,7 @@
 	defer cancel()
 	if target.Kind == config.KindPlain {
 		o.note(e, engine.Status{}, o.endpoints.Plain(target.Address).Probe(call))
-		o.settle(ctx, e, nil, o.suspects(e, nil))
+		o.settle(ctx, e, &target, nil)
 		return
 	}
 	client := o.endpoints.Engine(target.Address)
@@ -71,14 +71,14 @@
 	if err != nil {
 		// What the holders say is asked all the same: a dead endpoint holds
 		// no memory, but its leases take up the ledger.
-		o.settle(ctx, e, nil, o.suspects(e, nil))
+		o.settle(ctx, e, &target, nil)
 		return
 	}
 	running := make(map[string]engine.Held, len(s.Running))
 	for _, h := range s.Running {
 		running[h.ID] = h
 	}
-	o.settle(ctx, e, running, o.suspects(e, running))
+	o.settle(ctx, e, &target, running)
 }
 
 // note takes over a report, or the lack of one.
@@ -141,9 +141,9 @@
 	return ask
 }
 
-// settle asks the holders, and cancels what nobody holds.
-func (o *Owner) settle(ctx context.Context, e *endpoint, running map[string]engine.Held, ask map[string][]string) {
-	for holder, ids := range ask {
+// settle asks the holders of what is in doubt, and cancels what nobody holds.
+func (o *Owner) settle(ctx context.Context, e *endpoint, target *config.Endpoint, running map[string]engine.Held) {
+	for holder, ids := range o.suspects(e, running) {
 		call, cancel := context.WithTimeout(ctx, o.settings.CallTimeout)
 		held, err := o.holders.Held(call, holder, ids)
 		cancel()
@@ -151,12 +151,12 @@
 		if len(orphans) == 0 {
 			continue
 		}
-		client := o.endpoints.Engine(e.target.Endpoint.Address)
+		client := o.endpoints.Engine(target.Address)
 		for _, id := range orphans {
 			call, cancel := context.WithTimeout(ctx, o.settings.CallTimeout)
 			err := client.Cancel(call, id)
 			cancel()
-			o.log.Info("orphan cancelled", "endpoint", e.target.Endpoint.ID, "attempt", id, "holder", holder,
+			o.log.Info("orphan cancelled", "endpoint", target.ID, "attempt", id, "holder", holder,
 				"reached", err == nil)
 		}
 	}
