Tell a resend that the first request was refused before it ran

Change: the kept answer says that its request was given up; the resend hears not_run and when to come back. A request whose endpoints all refused starts over once after a pause.

--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,195 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package claim
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/linkmast/linkmast/logsvc"
+	"github.com/linkmast/linkmast/standin"
+)
+
+func claimOf(key, request string) Claim {
+	return Claim{
+		Key:        KeyOf("club", key),
+		Request:    request,
+		Instance:   "n1",
+		ValidUntil: time.Now().Add(time.Hour),
+	}
+}
+
+// TestOneWinner proves that of claims on one key through writers that all take
+// themselves for the usual one, one wins and all hear of the same.
+func TestOneWinner(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faults standin.Faults
+	}{
+		{"nothing", standin.Faults{}},
+		{"one answer lost", standin.Faults{LoseAnswer: 1}},
+		{"every answer lost", standin.Faults{LoseAnswer: -1}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				log := standin.NewLog(standin.LogSettings{})
+				log.SetFaults(c.faults)
+				winners := make([]Claim, 9)
+				var all sync.WaitGroup
+				for w := range 3 {
+					writer := NewWriter(Settings{}, log)
+					defer writer.Close()
+					for k := range 3 {
+						all.Go(func() {
+							var err error
+							winners[3*w+k], err = writer.Claim(t.Context(), claimOf("k", fmt.Sprintf("r%d", 3*w+k)))
+							if err != nil {
+								t.Error(err)
+							}
+						})
+					}
+				}
+				all.Wait()
+				for _, w := range winners {
+					is.Equal(w.Request, winners[0].Request)
+				}
+			})
+		})
+	}
+}
+
+// TestOutage proves that a claim fails soon while the log is down, and that a
+// claim that was given up holds nothing once it is back, also when its append
+// lands late.
+func TestOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := standin.NewLog(standin.LogSettings{})
+		writer := NewWriter(Settings{}, log)
+		defer writer.Close()
+		claimer := NewClaimer(func(int) []Asker { return []Asker{writer} })
+		defer claimer.Close()
+		log.SetFaults(standin.Faults{Outage: true})
+		start := time.Now()
+		first := claimOf("k", "r1")
+		_, err := claimer.Claim(t.Context(), first)
+		is.True(err != nil)
+		is.True(time.Since(start) < 3*time.Second)
+		log.SetFaults(standin.Faults{})
+		time.Sleep(5 * time.Second)
+		is.Equal(claimer.Pending(), 0)
+		// The first claim's append lands only now.
+		late, err := writer.Claim(t.Context(), first)
+		is.True(err != nil || late.Request != "r1") // it was given up
+		won, err := claimer.Claim(t.Context(), claimOf("k", "r2"))
+		is.NoErr(err)
+		is.Equal(won.Request, "r2")
+	})
+}
+
+// TestBatches proves that many claims at one moment take few appends.
+func TestBatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := standin.NewLog(standin.LogSettings{})
+		writer := NewWriter(Settings{}, log)
+		defer writer.Close()
+		var all sync.WaitGroup
+		const n = 2000
+		start := time.Now()
+		for i := range n {
+			all.Go(func() {
+				if _, err := writer.Claim(t.Context(), claimOf(fmt.Sprint(i), fmt.Sprint(i))); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		all.Wait()
+		is.True(time.Since(start) < 2*time.Second)
+		is.True(log.Appends() <= 5*Partitions)
+	})
+}
+
+// naive is one entry of a history.
+type naive struct {
+	claim Claim
+	freed bool
+}
+
+// naiveHolder is the rule of Book in its simplest form: it replays the whole
+// history of a key for each question. A claim that found the key held, or was
+// given up before, is lost for good.
+func naiveHolder(history []naive, k Key) string {
+	holder := ""
+	for i, e := range history {
+		request := e.claim.Request
+		switch {
+		case e.freed && holder == request:
+			holder = ""
+		case e.freed || e.claim.Key != k || holder != "" || wasFreed(history[:i], request):
+		default:
+			holder = request
+		}
+	}
+	return holder
+}
+
+func wasFreed(history []naive, request string) bool {
+	for _, e := range history {
+		if e.freed && e.claim.Request == request {
+			return true
+		}
+	}
+	return false
+}
+
+// TestBookAgainstNaive compares Book with the naive rule on histories in which
+// claims of one request stand twice, and are given up before and after.
+func TestBookAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		book := NewBook()
+		var history []naive
+		for range rapid.IntRange(1, 14).Draw(t, "entries") {
+			key := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "key")
+			e := naive{
+				claim: claimOf(key, key+fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "request"))),
+				freed: rapid.Bool().Draw(t, "freed"),
+			}
+			history = append(history, e)
+			book.entry(encode(e.claim, e.freed))
+			got, _ := book.Holder(e.claim.Key)
+			if want := naiveHolder(history, e.claim.Key); got.Request != want {
+				t.Fatalf("book says that %q holds the key, the naive rule %q", got.Request, want)
+			}
+		}
+	})
+}
+
+// TestRetention proves that a reader that starts after records were trimmed
+// goes on with what is kept.
+func TestRetention(t *testing.T) {
+	is := is.New(t)
+	b := NewBook()
+	b.Apply(logsvc.Batch{
+		Earliest: 50,
+		Next:     50,
+	})
+	is.Equal(b.Next(), int64(50))
+}
+
+// TestClaimAfterClose proves that a closed writer fails claims at once.
+func TestClaimAfterClose(t *testing.T) {
+	is := is.New(t)
+	w := NewWriter(Settings{}, standin.NewLog(standin.LogSettings{}))
+	w.Close()
+	_, err := w.Claim(context.Background(), claimOf("k", "r"))
+	is.True(err != nil)
+}
--- a/entry/answers.go
+++ b/entry/answers.go
@@ -20,24 +20,28 @@
 // maxKept bounds the answers that are kept.
 const maxKept = 4096
 
+// errGivenUp is the answer to a request that was refused before it ran. Its key
+// is free, or will be soon.
+var errGivenUp = errors.New("the request with this key was refused before it ran")
+
 // errNoAnswer is an answer that is not, or no longer, there.
 var errNoAnswer = errors.New("the answer is not there")
 
 // Attacher fetches answers from other instances.
 type Attacher interface {
 	// Attach passes on the answer to a request that an instance runs or keeps.
-	Attach(ctx context.Context, instance, request string, out writer) error
+	Attach(ctx context.Context, instance, request string, out Writer) error
 }
 
 // Part is a piece of an answer on its way between instances.
 type Part = claimpb.AttachChunk
 
-// writer takes an answer as it is sent to a caller.
-type writer interface {
-	// head takes the status and content type. It comes first.
-	head(status int, contentType string) error
-	// write takes a piece of the body and sends it on.
-	write(data []byte) error
+// Writer takes an answer as it is sent to a caller.
+type Writer interface {
+	// Head takes the status and content type. It comes first.
+	Head(status int, contentType string) error
+	// Write takes a piece of the body and sends it on.
+	Write(data []byte) error
 }
 
 // Answers keeps the answers to requests with a key, for those that are sent
@@ -58,7 +62,7 @@
 	contentType string
 	data        []byte
 	ended       bool
-	whole       bool
+	outcome     error
 	endedAt     time.Time
 	changed     chan struct{}
 }
@@ -112,8 +116,8 @@
 	return k, ok
 }
 
-// head implements writer.
-func (k *kept) head(status int, contentType string) error {
+// Head implements Writer.
+func (k *kept) Head(status int, contentType string) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.status = status
@@ -122,13 +126,13 @@
 	return nil
 }
 
-// write implements writer. An answer that is too long to be kept can't be
+// Write implements Writer. An answer that is too long to be kept can't be
 // attached to any more; its first caller gets it all the same.
-func (k *kept) write(data []byte) error {
+func (k *kept) Write(data []byte) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if len(k.data)+len(data) > maxKeptBytes {
-		k.close(false)
+		k.close(errNoAnswer)
 		return nil
 	}
 	k.data = append(k.data, data...)
@@ -136,19 +140,19 @@
 	return nil
 }
 
-// end notes that nothing more comes.
-func (k *kept) end(whole bool) {
+// end notes that nothing more comes: nil after a whole answer.
+func (k *kept) end(outcome error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.close(whole)
+	k.close(outcome)
 }
 
-func (k *kept) close(whole bool) {
+func (k *kept) close(outcome error) {
 	if k.ended {
 		return
 	}
 	k.ended = true
-	k.whole = whole
+	k.outcome = outcome
 	k.endedAt = time.Now()
 	k.announce()
 }
@@ -159,31 +163,28 @@
 }
 
 // copyTo passes the answer on from its start, as it grows.
-func (k *kept) copyTo(ctx context.Context, out writer) error {
+func (k *kept) copyTo(ctx context.Context, out Writer) error {
 	sent := 0
 	headed := false
 	for {
 		k.mu.Lock()
 		status, contentType, data := k.status, k.contentType, k.data
-		ended, whole, changed := k.ended, k.whole, k.changed
+		ended, outcome, changed := k.ended, k.outcome, k.changed
 		k.mu.Unlock()
 		if status != 0 && !headed {
-			if err := out.head(status, contentType); err != nil {
+			if err := out.Head(status, contentType); err != nil {
 				return err
 			}
 			headed = true
 		}
 		if sent < len(data) {
-			if err := out.write(data[sent:]); err != nil {
+			if err := out.Write(data[sent:]); err != nil {
 				return err
 			}
 			sent = len(data)
 		}
 		if ended {
-			if !whole || !headed {
-				return errNoAnswer
-			}
-			return nil
+			return outcome
 		}
 		select {
 		case <-changed:
@@ -193,8 +194,9 @@
 	}
 }
 
-// Copy passes on the answer to a request of this instance.
-func (a *Answers) copyTo(ctx context.Context, request string, out writer) error {
+// CopyTo passes on the answer to a request of this instance, from its start and
+// as it grows.
+func (a *Answers) CopyTo(ctx context.Context, request string, out Writer) error {
 	k, ok := a.get(request)
 	if !ok {
 		return errNoAnswer
@@ -204,7 +206,15 @@
 
 // Attach implements claimpb.AnswersServer.
 func (a *Answers) Attach(in *claimpb.AttachRequest, out grpc.ServerStreamingServer[claimpb.AttachChunk]) error {
-	if err := a.copyTo(out.Context(), in.Request, &partWriter{out: out}); err != nil {
+	err := a.CopyTo(out.Context(), in.Request, &partWriter{
+		out: out,
+	})
+	if errors.Is(err, errGivenUp) {
+		return out.Send(&Part{
+			GivenUp: true,
+		})
+	}
+	if err != nil {
 		return err
 	}
 	return out.Send(&Part{
@@ -217,14 +227,14 @@
 	out grpc.ServerStreamingServer[claimpb.AttachChunk]
 }
 
-func (p *partWriter) head(status int, contentType string) error {
+func (p *partWriter) Head(status int, contentType string) error {
 	return p.out.Send(&Part{
 		Status:      int32(status),
 		ContentType: contentType,
 	})
 }
 
-func (p *partWriter) write(data []byte) error {
+func (p *partWriter) Write(data []byte) error {
 	return p.out.Send(&Part{
 		Data: data,
 	})
@@ -250,7 +260,7 @@
 }
 
 // Attach implements Attacher.
-func (r *Remote) Attach(ctx context.Context, instance, request string, out writer) error {
+func (r *Remote) Attach(ctx context.Context, instance, request string, out Writer) error {
 	conn, err := r.instances.ConnTo(instance)
 	if err != nil {
 		return err
@@ -268,10 +278,12 @@
 			return err
 		case p.End:
 			return nil
+		case p.GivenUp:
+			return errGivenUp
 		case p.Status != 0:
-			err = out.head(int(p.Status), p.ContentType)
+			err = out.Head(int(p.Status), p.ContentType)
 		default:
-			err = out.write(p.Data)
+			err = out.Write(p.Data)
 		}
 		if err != nil {
 			return err
@@ -297,14 +309,14 @@
 	}
 }
 
-func (c *callerWriter) head(status int, contentType string) error {
+func (c *callerWriter) Head(status int, contentType string) error {
 	c.headed = true
 	c.w.Header().Set("Content-Type", contentType)
 	c.w.WriteHeader(status)
 	return nil
 }
 
-func (c *callerWriter) write(data []byte) error {
+func (c *callerWriter) Write(data []byte) error {
 	if err := c.control.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return err
 	}
@@ -322,21 +334,21 @@
 	gone   bool
 }
 
-func (t *teeWriter) head(status int, contentType string) error {
-	if err := t.kept.head(status, contentType); err != nil {
+func (t *teeWriter) Head(status int, contentType string) error {
+	if err := t.kept.Head(status, contentType); err != nil {
 		return err
 	}
-	return t.caller.head(status, contentType)
+	return t.caller.Head(status, contentType)
 }
 
-func (t *teeWriter) write(data []byte) error {
-	if err := t.kept.write(data); err != nil {
+func (t *teeWriter) Write(data []byte) error {
+	if err := t.kept.Write(data); err != nil {
 		return err
 	}
 	if t.gone {
 		return nil
 	}
-	if err := t.caller.write(data); err != nil {
+	if err := t.caller.Write(data); err != nil {
 		t.gone = true
 	}
 	return nil
--- a/entry/call.go
+++ b/entry/call.go
@@ -15,7 +15,7 @@
 )
 
 // callPlain makes one call of a plain service.
-func (e *Entry) callPlain(ctx context.Context, j *job, c plain.Call, out writer) *problem.Error {
+func (e *Entry) callPlain(ctx context.Context, j *job, c plain.Call, out Writer) *problem.Error {
 	s := &search{
 		job: j,
 	}
@@ -62,10 +62,10 @@
 }
 
 // answered passes a whole answer on.
-func answered(a plain.Answer, out writer) *problem.Error {
+func answered(a plain.Answer, out Writer) *problem.Error {
 	// The call has run; a caller that went away changes nothing.
-	_ = out.head(a.Status, a.ContentType)
-	_ = out.write(a.Body)
+	_ = out.Head(a.Status, a.ContentType)
+	_ = out.Write(a.Body)
 	return nil
 }
 
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -33,6 +33,8 @@
 	leases int
 	// impatient counts the refusals for lack of patience.
 	impatient int
+	// again is true once the refusals were forgotten.
+	again bool
 	// late counts the refusals for the deadline.
 	late int
 	// last is the refusal to tell the caller in the end.
@@ -112,7 +114,7 @@
 	j := s.job
 	c := e.fleet.choose(j.group(), &w, j.hit, s.skip, time.Now())
 	if c.Index < 0 {
-		return nil, false
+		return nil, s.startOver(ctx)
 	}
 	s.leases++
 	attempt := attemptID(j.id, s.leases)
@@ -154,6 +156,18 @@
 	return nil, e.refused(ctx, s, c.endpoint, by.ID, attempt, err)
 }
 
+// startOver forgets once which endpoints refused, after a pause, when there is
+// none left to ask.
+func (s *search) startOver(ctx context.Context) bool {
+	if len(s.skip) == 0 || s.again || s.late > 0 {
+		return false
+	}
+	s.again = true
+	s.skip = nil
+	pause(ctx, s.leases)
+	return true
+}
+
 // patience returns how long a request waits at its choice: not much longer
 // than it expects to elsewhere.
 func patience(d policy.Decision) time.Duration {
--- a/entry/http.go
+++ b/entry/http.go
@@ -149,7 +149,7 @@
 			return fail
 		}
 		j.hit = e.hits.expect(j.customer.ID, j.class())
-		return e.admitted(w, r, j, func(ctx context.Context, out writer) *problem.Error {
+		return e.admitted(w, r, j, func(ctx context.Context, out Writer) *problem.Error {
 			s := newShape(j.id, j.modelName(), chat)
 			if !stream {
 				return e.complete(ctx, j, newWholeSink(out, s))
@@ -179,7 +179,7 @@
 
 // admitted checks the customer's limits and, for a request with a key, that it
 // runs at most once. Then it runs f.
-func (e *Entry) admitted(w http.ResponseWriter, r *http.Request, j *job, f func(context.Context, writer) *problem.Error) *problem.Error {
+func (e *Entry) admitted(w http.ResponseWriter, r *http.Request, j *job, f func(context.Context, Writer) *problem.Error) *problem.Error {
 	e.stories.begin(j)
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
 	defer cancel()
@@ -239,7 +239,7 @@
 		ContentType: r.Header.Get("Content-Type"),
 		Body:        data,
 	}
-	return e.admitted(w, r, j, func(ctx context.Context, out writer) *problem.Error {
+	return e.admitted(w, r, j, func(ctx context.Context, out Writer) *problem.Error {
 		return e.callPlain(ctx, j, c, out)
 	})
 }
--- a/entry/once.go
+++ b/entry/once.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/linkmast/linkmast/claim"
 	"github.com/linkmast/linkmast/problem"
 )
@@ -14,13 +16,16 @@
 // claimTimeout bounds the wait for the log to decide a claim.
 const claimTimeout = 3 * time.Second
 
+// givenUpRetry is when to come back while a key is being freed.
+const givenUpRetry = time.Second
+
 // logRetry is when to come back while the log does not answer.
 const logRetry = 5 * time.Second
 
 // once runs a request with a key at most once. The request that holds the key
 // runs to its end also when its caller goes away, because that caller, or
 // another with the same key, will come back for the answer.
-func (e *Entry) once(ctx context.Context, j *job, caller *callerWriter, f func(context.Context, writer) *problem.Error) *problem.Error {
+func (e *Entry) once(ctx context.Context, j *job, caller *callerWriter, f func(context.Context, Writer) *problem.Error) *problem.Error {
 	j.claim.Instance = e.settings.Self.ID
 	// The answer is kept from before the claim, so that whoever finds the claim
 	// finds the answer.
@@ -29,11 +34,11 @@
 	winner, err := e.parts.Claimer.Claim(waiting, *j.claim)
 	cancel()
 	if err != nil {
-		k.end(false)
+		k.end(errNoAnswer)
 		return problem.Busy(problem.CodeLogDown, "whether the key is free can't be told now", logRetry)
 	}
 	if winner.Request != j.id {
-		k.end(false)
+		k.end(errNoAnswer)
 		return e.attach(ctx, j, winner, caller)
 	}
 	run, cancel := context.WithDeadline(context.WithoutCancel(ctx), j.deadline)
@@ -42,9 +47,14 @@
 		caller: caller,
 		kept:   k,
 	})
-	k.end(fail == nil)
-	if fail != nil && j.dispatches == 0 {
+	switch {
+	case fail == nil:
+		k.end(nil)
+	case j.dispatches == 0:
 		e.parts.Claimer.GiveUp(*j.claim)
+		k.end(errGivenUp)
+	default:
+		k.end(errNoAnswer)
 	}
 	return fail
 }
@@ -58,8 +68,11 @@
 	})
 	e.metrics.add("attached", 1)
 	err := e.attachTo(ctx, winner, caller)
-	if err == nil {
+	switch {
+	case err == nil:
 		return nil
+	case errors.Is(err, errGivenUp):
+		return problem.Busy(problem.CodeBusy, "another request with this key was refused just now", givenUpRetry)
 	}
 	p := problem.New(problem.CodeKeyUsed, http.StatusConflict,
 		"a request with this key was accepted before, and its answer can't be had: "+err.Error())
@@ -72,7 +85,7 @@
 
 func (e *Entry) attachTo(ctx context.Context, winner claim.Claim, caller *callerWriter) error {
 	if winner.Instance == e.settings.Self.ID {
-		return e.Answers.copyTo(ctx, winner.Request, caller)
+		return e.Answers.CopyTo(ctx, winner.Request, caller)
 	}
 	return e.parts.Attach.Attach(ctx, winner.Instance, winner.Request, caller)
 }
--- a/entry/sink.go
+++ b/entry/sink.go
@@ -58,14 +58,14 @@
 
 // streamSink sends each token as a server-sent event.
 type streamSink struct {
-	out    writer
+	out    Writer
 	shape  shape
 	before []byte
 	buf    []byte
 	headed bool
 }
 
-func newStreamSink(out writer, s shape) *streamSink {
+func newStreamSink(out Writer, s shape) *streamSink {
 	return &streamSink{
 		out:    out,
 		shape:  s,
@@ -84,7 +84,7 @@
 		return nil
 	}
 	s.headed = true
-	return s.out.head(http.StatusOK, "text/event-stream")
+	return s.out.Head(http.StatusOK, "text/event-stream")
 }
 
 func (s *streamSink) token(text string) error {
@@ -92,7 +92,7 @@
 		return err
 	}
 	s.event(text, "null")
-	return s.out.write(s.buf)
+	return s.out.Write(s.buf)
 }
 
 // event puts one token's event into the buffer.
@@ -116,7 +116,7 @@
 	s.buf = append(s.buf[:len(s.buf)-len("}\n\n")], `,"usage":`...)
 	s.buf = appendUsage(s.buf, u)
 	s.buf = append(s.buf, "}\n\ndata: [DONE]\n\n"...)
-	return s.out.write(s.buf)
+	return s.out.Write(s.buf)
 }
 
 // fail tells a caller that has part of the answer that there is no more.
@@ -125,18 +125,18 @@
 	b = append(b, p.Marshal(s.shape.id)...)
 	b = append(b, "}\n\n"...)
 	// The caller may have gone; there is nobody left to tell.
-	_ = s.out.write(b)
+	_ = s.out.Write(b)
 }
 
 // wholeSink sends the answer as one JSON object.
 type wholeSink struct {
-	out    writer
+	out    Writer
 	shape  shape
 	text   []byte
 	headed bool
 }
 
-func newWholeSink(out writer, s shape) *wholeSink {
+func newWholeSink(out Writer, s shape) *wholeSink {
 	return &wholeSink{
 		out:   out,
 		shape: s,
@@ -180,10 +180,10 @@
 	b = appendUsage(b, u)
 	b = append(b, "}\n"...)
 	s.headed = true
-	if err := s.out.head(http.StatusOK, "application/json"); err != nil {
+	if err := s.out.Head(http.StatusOK, "application/json"); err != nil {
 		return err
 	}
-	return s.out.write(b)
+	return s.out.Write(b)
 }
 
 // appendUsage adds the usage object.
