--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -338,6 +338,17 @@
 // readyLook is how often readiness is looked at.
 const readyLook = 10 * time.Millisecond
 
+// Text returns the configuration of engines and plain endpoints with the
+// default measures.
+func Text(engines, services []*Host) string {
+	f := &Fleet{
+		Engines:  engines,
+		Services: services,
+	}
+	f.settings.setDefaults()
+	return f.Configuration()
+}
+
 // Configuration returns the fleet's configuration.
 func (f *Fleet) Configuration() string {
 	var b strings.Builder
--- /dev/null
+++ b/rollout/judge_test.go
@@ -0,0 +1,175 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package rollout
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/linkmast/linkmast/logsvc"
+	"github.com/linkmast/linkmast/rollout/rolloutpb"
+)
+
+// record returns a record of a small file that a version tells apart.
+func record(t interface{ Fatal(...any) }, version int, change func(*rolloutpb.Record)) []byte {
+	rec := &rolloutpb.Record{
+		Id: fmt.Sprintf("p%d", version),
+	}
+	change(rec)
+	replaces, format, sum := rec.Replaces, rec.Format, rec.Sha256
+	data, err := encode(file(1, version), rec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if format != 0 || sum != nil || replaces < 0 {
+		rec.Format = max(format, 1)
+		if sum != nil {
+			rec.Sha256 = sum
+		}
+		if data, err = proto.Marshal(rec); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return data
+}
+
+func publication(version int, replaces int64) func(testing.TB) []byte {
+	return func(t testing.TB) []byte {
+		return record(t, version, func(r *rolloutpb.Record) { r.Replaces = replaces })
+	}
+}
+
+func repeat(version int, generation int64) func(testing.TB) []byte {
+	return func(t testing.TB) []byte {
+		return record(t, version, func(r *rolloutpb.Record) { r.Repeats = generation })
+	}
+}
+
+func odd(change func(*rolloutpb.Record)) func(testing.TB) []byte {
+	return func(t testing.TB) []byte {
+		return record(t, 99, change)
+	}
+}
+
+func TestJudge(t *testing.T) {
+	raw := func(testing.TB) []byte { return []byte("no record") }
+	for _, c := range []struct {
+		name     string
+		earliest int64
+		records  []func(testing.TB) []byte
+		outcomes string
+		inForce  int64
+	}{
+		{"one", 1, list(publication(1, 0)), "accepted", 1},
+		{"two operators race", 1, list(publication(1, 0), publication(2, 1), publication(3, 1)),
+			"accepted accepted overtaken", 2},
+		{"replaces what never was", 1, list(publication(1, 7)), "overtaken", 0},
+		{"forced", 1, list(publication(1, 0), publication(2, 0)), "accepted accepted", 2},
+		{"an old one again", 1, list(publication(1, 0), publication(2, 1), repeat(1, 1)),
+			"accepted accepted stale", 2},
+		{"repeated", 1, list(publication(1, 0), repeat(1, 1), publication(2, 1)),
+			"accepted repeated accepted", 3},
+		{"repeat of what was refused", 1, list(publication(1, 0), publication(2, 5), repeat(2, 2)),
+			"accepted overtaken invalid", 1},
+		{"repeat of what comes later", 1, list(publication(1, 0), repeat(2, 2)), "accepted invalid", 1},
+		{"malformed", 1, list(raw, publication(1, 0)), "invalid accepted", 2},
+		{"wrong hash", 1, list(publication(1, 0), odd(func(r *rolloutpb.Record) { r.Sha256 = make([]byte, 32) })),
+			"accepted invalid", 1},
+		{"other format", 1, list(publication(1, 0), odd(func(r *rolloutpb.Record) { r.Format = 2 }), publication(2, 1)),
+			"accepted unjudged unjudged", 1},
+		{"other format, then a whole answer", 1, list(publication(1, 0),
+			odd(func(r *rolloutpb.Record) { r.Format = 2 }), publication(2, 1), repeat(2, 3)),
+			"accepted unjudged unjudged repeated", 3},
+		{"start in the middle", 10, list(repeat(1, 4), publication(2, 4)), "repeated accepted", 11},
+		{"start in the middle, base trimmed", 10, list(publication(2, 4), repeat(2, 10)), "unjudged repeated", 10},
+		{"start in the middle, base trimmed, refused", 10,
+			list(publication(2, 4), publication(3, 10), repeat(1, 6)), "unjudged unjudged repeated", 6},
+		{"start in the middle, chain", 10, list(publication(2, 4), publication(3, 10), repeat(1, 4)),
+			"unjudged unjudged repeated", 11},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			j := &Judge{}
+			b := logsvc.Batch{
+				Earliest: c.earliest,
+				Next:     c.earliest + int64(len(c.records)),
+			}
+			for i, r := range c.records {
+				b.Records = append(b.Records, logsvc.Record{
+					Offset: c.earliest + int64(i),
+					Data:   r(t),
+				})
+			}
+			var outcomes []string
+			for _, v := range j.Apply(b) {
+				outcomes = append(outcomes, string(v.Outcome))
+			}
+			is.Equal(strings.Join(outcomes, " "), c.outcomes)
+			is.Equal(j.InForce.Generation, c.inForce)
+		})
+	}
+}
+
+func list(r ...func(testing.TB) []byte) []func(testing.TB) []byte { return r }
+
+// TestJudgesAgree compares the verdicts of a reader from the start with those
+// of a naive replay of the rules, and with readers that start in the middle or
+// take over from a peer: all must end with the same configuration in force, or
+// know that they can't tell.
+func TestJudgesAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 10).Draw(t, "records")
+		var records []logsvc.Record
+		inForce := int64(0)
+		for i := range n {
+			offset := int64(i + 1)
+			replaces := int64(rapid.IntRange(0, i).Draw(t, "replaces"))
+			repeats := int64(0)
+			if inForce > 0 && rapid.Bool().Draw(t, "repeat") {
+				repeats = int64(rapid.IntRange(1, i).Draw(t, "repeats"))
+			}
+			records = append(records, logsvc.Record{
+				Offset: offset,
+				Data: record(t, i, func(r *rolloutpb.Record) {
+					r.Replaces = replaces
+					r.Repeats = repeats
+				}),
+			})
+			// The naive rules, over the whole history.
+			if repeats == 0 && (replaces == 0 || replaces == inForce) {
+				inForce = offset
+			}
+		}
+		whole := &Judge{}
+		whole.Apply(logsvc.Batch{
+			Earliest: 1,
+			Next:     int64(n + 1),
+			Records:  records,
+		})
+		if whole.InForce.Generation != inForce {
+			t.Fatalf("generation %d is in force, the naive rules say %d", whole.InForce.Generation, inForce)
+		}
+		cut := rapid.IntRange(0, n).Draw(t, "cut")
+		first := &Judge{}
+		first.Apply(logsvc.Batch{
+			Earliest: 1,
+			Next:     int64(cut + 1),
+			Records:  records[:cut],
+		})
+		second := &Judge{}
+		second.Skip(first.InForce, first.Next, first.Sure())
+		second.Apply(logsvc.Batch{
+			Earliest: 1,
+			Next:     int64(n + 1),
+			Records:  records,
+		})
+		if second.InForce.Generation != inForce {
+			t.Fatalf("after a peer's state at %d generation %d is in force, want %d", cut, second.InForce.Generation, inForce)
+		}
+	})
+}
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -3,6 +3,7 @@
 package rollout
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"math/rand/v2"
@@ -282,7 +283,7 @@
 	r.mu.Lock()
 	in := &rolloutpb.PullRequest{
 		Generation: r.judge.InForce.Generation,
-		Sha256:     r.sum[:],
+		Sha256:     bytes.Clone(r.sum[:]),
 	}
 	base := r.judge.InForce.Text
 	r.mu.Unlock()
@@ -331,7 +332,7 @@
 	s := &r.judge.InForce
 	out := &rolloutpb.PullReply{
 		Generation: r.Generation(),
-		Sha256:     r.sum[:],
+		Sha256:     bytes.Clone(r.sum[:]),
 		NextOffset: r.judge.Next,
 		WrittenMs:  s.Written.UnixMilli(),
 		Sure:       r.judge.Sure(),
--- /dev/null
+++ b/rollout/rollout_test.go
@@ -0,0 +1,284 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package rollout
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/logsvc"
+	"github.com/linkmast/linkmast/rollout/rolloutpb"
+	"github.com/linkmast/linkmast/standin"
+)
+
+// group is some instances that can be cut off from the log and each other.
+type group struct {
+	log     *standin.Log
+	members []*instance
+}
+
+// instance is one member of a group.
+type instance struct {
+	current atomic.Pointer[Rollout]
+
+	group  *group
+	index  int
+	noLog  atomic.Bool
+	noPeer atomic.Bool
+	reader bool
+}
+
+var errCut = errors.New("cut off")
+
+func (i *instance) Append(ctx context.Context, s string, r [][]byte) (int64, error) {
+	if i.noLog.Load() {
+		return 0, &logsvc.Error{
+			Err: errCut,
+		}
+	}
+	return i.group.log.Append(ctx, s, r)
+}
+
+func (i *instance) Read(ctx context.Context, s string, from int64, wait time.Duration) (logsvc.Batch, error) {
+	if i.noLog.Load() {
+		return logsvc.Batch{}, errCut
+	}
+	return i.group.log.Read(ctx, s, from, wait)
+}
+
+func (i *instance) Addresses() []string {
+	var out []string
+	for k := range i.group.members {
+		if k != i.index {
+			out = append(out, fmt.Sprint(k))
+		}
+	}
+	return out
+}
+
+func (i *instance) Pull(_ context.Context, address string, in *rolloutpb.PullRequest) (*rolloutpb.PullReply, error) {
+	var k int
+	fmt.Sscan(address, &k)
+	other := i.group.members[k]
+	if i.noPeer.Load() || other.noPeer.Load() || other.current.Load() == nil {
+		return nil, errCut
+	}
+	return other.current.Load().Answer(in)
+}
+
+func (i *instance) Reader() bool   { return i.reader }
+func (i *instance) Repeater() bool { return i.index == 0 }
+
+func newGroup(n, readers int, s standin.LogSettings) *group {
+	g := &group{
+		log: standin.NewLog(s),
+	}
+	for k := range n {
+		g.members = append(g.members, &instance{
+			group:  g,
+			index:  k,
+			reader: k < readers,
+		})
+	}
+	return g
+}
+
+func (g *group) start(k int) {
+	i := g.members[k]
+	i.current.Store(New(Settings{
+		RepeatAfter: 4 * time.Minute,
+	}, i, i, logr.Discard()))
+}
+
+func (g *group) startAll() {
+	for k := range g.members {
+		g.start(k)
+	}
+}
+
+func (g *group) stop() {
+	for _, i := range g.members {
+		if r := i.current.Load(); r != nil {
+			r.Close()
+		}
+	}
+}
+
+func (g *group) publish(t *testing.T, version int, replaces int64) Verdict {
+	t.Helper()
+	v, err := Publish(t.Context(), g.log, Publication{
+		ID:       fmt.Sprintf("p%d", version),
+		Replaces: replaces,
+		Text:     file(1, version),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
+// wantAll fails unless a generation is in force on every instance within the
+// time.
+func (g *group) wantAll(t *testing.T, generation int64, within time.Duration) {
+	t.Helper()
+	time.Sleep(within)
+	for _, i := range g.members {
+		if got := i.current.Load().Generation(); got != generation {
+			t.Errorf("generation %d is in force on instance %d, want %d", got, i.index, generation)
+		}
+	}
+}
+
+// TestInForceEverywhere proves that a published file is in force on every
+// instance within seconds, and never reverts, under the faults of the brief.
+func TestInForceEverywhere(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		run  func(t *testing.T, g *group)
+	}{
+		{"published", func(t *testing.T, g *group) {
+			g.publish(t, 2, 1)
+			g.wantAll(t, 2, 8*time.Second)
+		}},
+		{"two operators at one moment", func(t *testing.T, g *group) {
+			outcomes := make(chan Outcome, 2)
+			for k := range 2 {
+				go func() { outcomes <- g.publish(t, 10+k, 1).Outcome }()
+			}
+			is := is.New(t)
+			is.True(<-outcomes != <-outcomes) // one is told that it was overtaken
+			g.wantAll(t, 2, 8*time.Second)
+		}},
+		{"answer of the log lost", func(t *testing.T, g *group) {
+			g.log.SetFaults(standin.Faults{LoseAnswer: 1})
+			is := is.New(t)
+			is.Equal(g.publish(t, 2, 1).Outcome, Accepted)
+			g.wantAll(t, 2, 8*time.Second)
+		}},
+		{"log down right after one has read", func(t *testing.T, g *group) {
+			for _, i := range g.members[1:] {
+				i.noLog.Store(true)
+			}
+			g.publish(t, 2, 1)
+			time.Sleep(100 * time.Millisecond)
+			g.members[0].noLog.Store(true)
+			g.wantAll(t, 2, 18*time.Second)
+		}},
+		{"one cut off, then back", func(t *testing.T, g *group) {
+			last := g.members[5]
+			last.noLog.Store(true)
+			last.noPeer.Store(true)
+			g.publish(t, 2, 1)
+			time.Sleep(time.Hour)
+			is := is.New(t)
+			is.Equal(last.current.Load().Generation(), int64(1))
+			last.noLog.Store(false)
+			last.noPeer.Store(false)
+			g.wantAll(t, 2, 8*time.Second)
+		}},
+		{"a start during an outage", func(t *testing.T, g *group) {
+			g.log.SetFaults(standin.Faults{Outage: true})
+			g.members[5].current.Load().Close()
+			g.start(5)
+			g.wantAll(t, 1, 8*time.Second)
+		}},
+		{"an old one appended again", func(t *testing.T, g *group) {
+			g.publish(t, 2, 1)
+			g.wantAll(t, 2, 8*time.Second)
+			// An instance that was paused before generation 2 repeats what it
+			// holds.
+			data, err := encode(file(1, 1), &rolloutpb.Record{
+				Repeats: 1,
+			})
+			is := is.New(t)
+			is.NoErr(err)
+			_, err = g.log.Append(t.Context(), Stream, [][]byte{data})
+			is.NoErr(err)
+			g.wantAll(t, 2, 8*time.Second)
+			g.members[4].current.Load().Close()
+			g.start(4)
+			g.wantAll(t, 2, 8*time.Second)
+		}},
+		{"retention passing", func(t *testing.T, g *group) {
+			// The record of generation 1 is trimmed after 10 minutes, and all
+			// instances are replaced together later.
+			time.Sleep(45 * time.Minute)
+			g.stop()
+			g.startAll()
+			g.wantAll(t, 1, 8*time.Second)
+			g.wantAll(t, g.publish(t, 2, 1).Offset, 8*time.Second)
+		}},
+		{"an invalid record", func(t *testing.T, g *group) {
+			is := is.New(t)
+			_, err := g.log.Append(t.Context(), Stream, [][]byte{[]byte("no record")})
+			is.NoErr(err)
+			g.wantAll(t, 1, 8*time.Second)
+			g.publish(t, 2, 1)
+			g.wantAll(t, 3, 8*time.Second)
+		}},
+		{"an outage of hours", func(t *testing.T, g *group) {
+			g.log.SetFaults(standin.Faults{Outage: true})
+			time.Sleep(6 * time.Hour)
+			g.wantAll(t, 1, 0)
+			g.log.SetFaults(standin.Faults{})
+			time.Sleep(10 * time.Second)
+			// The record was trimmed meanwhile, and must be back.
+			_, verdicts, err := Replay(t.Context(), g.log)
+			is := is.New(t)
+			is.NoErr(err)
+			is.True(len(verdicts) > 0)
+			g.wantAll(t, g.publish(t, 2, 1).Offset, 8*time.Second)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newGroup(6, 2, standin.LogSettings{
+					Retention: 10 * time.Minute,
+				})
+				g.startAll()
+				defer g.stop()
+				g.publish(t, 1, 0)
+				g.wantAll(t, 1, 8*time.Second)
+				c.run(t, g)
+			})
+		})
+	}
+}
+
+// TestPublishRefuses proves that a file that nodes would refuse is not
+// appended.
+func TestPublishRefuses(t *testing.T) {
+	is := is.New(t)
+	log := standin.NewLog(standin.LogSettings{})
+	_, err := Publish(t.Context(), log, Publication{
+		ID:   "bad",
+		Text: []byte("format = 1\ncolour = 2"),
+	})
+	is.True(err != nil)
+	is.Equal(log.Appends(), 0)
+}
+
+// TestDelta compares what a delta unpacks to with the file itself.
+func TestDelta(t *testing.T) {
+	for _, n := range []int{1, 100, 2_000} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			is := is.New(t)
+			old, text := file(n, 1), file(n, 2)
+			delta, err := pack(text, old)
+			is.NoErr(err)
+			got, err := unpack(delta, old)
+			is.NoErr(err)
+			is.Equal(string(got), string(text))
+			_, err = unpack(delta[:len(delta)/2], old)
+			is.True(err != nil)
+		})
+	}
+}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -393,3 +393,10 @@
 		Detail:  detail,
 	}
 }
+
+// Rename makes the engine another instance at the same address.
+func (e *Engine) Rename(instance string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.settings.Instance = instance
+}
