--- a/cmd/linkmastctl/standin.go
+++ b/cmd/linkmastctl/standin.go
@@ -60,6 +60,7 @@
 
 	Instance     string        `long:"instance" default:"engine-1" description:"name of the endpoint instance"`
 	Model        string        `long:"model" default:"m1" description:"model that is loaded"`
+	Loaded       string        `long:"loaded" default:"1" description:"version that is loaded"`
 	Memory       int64         `long:"memory" description:"KV memory in bytes (default 400000 tokens)"`
 	KV           int64         `long:"kv" description:"KV bytes per token (default 1024)"`
 	Prefill      float64       `long:"prefill" description:"prefill tokens a second (default 40000)"`
@@ -72,6 +73,7 @@
 	e := standin.NewEngine(standin.EngineSettings{
 		Instance:               c.Instance,
 		Model:                  c.Model,
+		Version:                c.Loaded,
 		MemoryBytes:            c.Memory,
 		KVBytesPerToken:        c.KV,
 		PrefillTokensPerSecond: c.Prefill,
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -58,6 +58,9 @@
 	Service = "lots"
 	// Region is the only region.
 	Region = "r1"
+
+	// version is the version that the engines have loaded.
+	version = "1"
 )
 
 const (
@@ -223,6 +226,7 @@
 	es := f.settings.Engine
 	es.Instance = id + "-1"
 	es.Model = Model
+	es.Version = version
 	e := standin.NewEngine(es)
 	server, address, err := Serve("127.0.0.1:0", e.Handler())
 	if err != nil {
@@ -363,8 +367,8 @@
 		sum := sha256.Sum256([]byte(c.Key))
 		fmt.Fprintf(&b, "\n[[customers]]\nid = %q\ntier = %q\nkey_sha256 = [%q]\n", c.ID, c.Tier, hex.EncodeToString(sum[:]))
 	}
-	fmt.Fprintf(&b, "\n[[models]]\nid = %q\nversion = \"1\"\nkv_bytes_per_token = %d\nmax_prompt_tokens = %d\n",
-		Model, f.settings.Engine.KVBytesPerToken, maxPrompt)
+	fmt.Fprintf(&b, "\n[[models]]\nid = %q\nversion = %q\nkv_bytes_per_token = %d\nmax_prompt_tokens = %d\n",
+		Model, version, f.settings.Engine.KVBytesPerToken, maxPrompt)
 	fmt.Fprintf(&b, "\n[[adapters]]\nid = %q\nmodel = %q\n", Adapter, Model)
 	for i, h := range f.Engines {
 		fmt.Fprintf(&b, "\n[[endpoints]]\nid = %q\nkind = \"engine\"\naddress = %q\nfailure_domain = %q\nmodel = %q\n"+
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -43,7 +43,7 @@
 	return name + strings.Repeat("abcdefgh", n/2)[:n*4-len(name)]
 }
 
-func post(t *testing.T, url, key string, header map[string]string, body any) (*http.Response, []byte) {
+func post(t *testing.T, url, key string, body any) (*http.Response, []byte) {
 	t.Helper()
 	data, err := json.Marshal(body)
 	if err != nil {
@@ -54,9 +54,6 @@
 		t.Fatal(err)
 	}
 	req.Header.Set("Authorization", "Bearer "+key)
-	for k, v := range header {
-		req.Header.Set(k, v)
-	}
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
 		t.Fatal(err)
@@ -70,7 +67,7 @@
 }
 
 // textOf returns the text of a whole answer.
-func textOf(t *testing.T, data []byte) string {
+func textOf(t testing.TB, data []byte) string {
 	t.Helper()
 	var a struct {
 		Choices []struct {
@@ -84,7 +81,7 @@
 }
 
 // streamOf returns the text of a streamed answer, and whether it was whole.
-func streamOf(t *testing.T, data []byte) (string, bool) {
+func streamOf(t testing.TB, data []byte) (string, bool) {
 	t.Helper()
 	var text strings.Builder
 	for _, line := range strings.Split(string(data), "\n") {
@@ -106,7 +103,7 @@
 		t.Run("whole "+humanTokens(tokens), func(t *testing.T) {
 			is := is.New(t)
 			p := prompt("whole", tokens)
-			res, data := post(t, "http://"+f.Nodes[0].Listen+"/v1/completions", "key-desk", nil, map[string]any{
+			res, data := post(t, "http://"+f.Nodes[0].Listen+"/v1/completions", "key-desk", map[string]any{
 				"model":      Model,
 				"prompt":     p,
 				"max_tokens": 20,
@@ -117,7 +114,7 @@
 		t.Run("stream "+humanTokens(tokens), func(t *testing.T) {
 			is := is.New(t)
 			p := prompt("stream", tokens)
-			res, data := post(t, "http://"+f.Nodes[1].Listen+"/v1/completions", "key-office", nil, map[string]any{
+			res, data := post(t, "http://"+f.Nodes[1].Listen+"/v1/completions", "key-office", map[string]any{
 				"model":      Model,
 				"prompt":     p,
 				"max_tokens": 20,
@@ -131,7 +128,7 @@
 	}
 	t.Run("plain call", func(t *testing.T) {
 		is := is.New(t)
-		res, data := post(t, "http://"+f.Nodes[2].Listen+"/services/lots/bids?lot=7", "key-desk", nil, map[string]any{
+		res, data := post(t, "http://"+f.Nodes[2].Listen+"/services/lots/bids?lot=7", "key-desk", map[string]any{
 			"bid": 12,
 		})
 		is.Equal(res.StatusCode, http.StatusOK)
--- a/fleet/proofs_test.go
+++ b/fleet/proofs_test.go
@@ -50,7 +50,7 @@
 
 // wholeAnswer states whether the caller got the whole of its own answer, and
 // whether it got something that passes for whole.
-func (a *asked) wholeAnswer(t *testing.T) (own, seemsWhole bool) {
+func (a *asked) wholeAnswer(t testing.TB) (own, seemsWhole bool) {
 	t.Helper()
 	if a.status != http.StatusOK || a.broken {
 		return false, false
@@ -92,7 +92,7 @@
 
 // wantTruth fails unless every answer is whole and its own or an error in time,
 // and no request that was said not to have run did.
-func wantTruth(t *testing.T, v *virtual, answers []*asked, deadline time.Duration) (whole int) {
+func wantTruth(t testing.TB, v *virtual, answers []*asked, deadline time.Duration) (whole int) {
 	t.Helper()
 	for _, a := range answers {
 		own, seems := a.wholeAnswer(t)
@@ -125,7 +125,7 @@
 }
 
 // wantFree fails unless all memory comes back within the bound.
-func wantFree(t *testing.T, v *virtual) {
+func wantFree(t testing.TB, v *virtual) {
 	t.Helper()
 	for range int(memoryBound / time.Second) {
 		if v.held() == 0 {
--- a/fleet/virtual_test.go
+++ b/fleet/virtual_test.go
@@ -23,6 +23,7 @@
 	"github.com/linkmast/linkmast/logsvc"
 	"github.com/linkmast/linkmast/member"
 	"github.com/linkmast/linkmast/member/memberpb"
+	"github.com/linkmast/linkmast/order"
 	"github.com/linkmast/linkmast/owner"
 	"github.com/linkmast/linkmast/plain"
 	"github.com/linkmast/linkmast/policy"
@@ -39,6 +40,8 @@
 	engines  map[string]*standin.Engine
 	services map[string]*standin.Service
 	nodes    map[string]*vnode
+	// text is the configuration.
+	text string
 
 	mu     sync.Mutex
 	cut    map[string]bool
@@ -185,6 +188,13 @@
 	return e.Engine.Status(ctx, list)
 }
 
+func (e *vengine) Order(ctx context.Context, o engine.Order) error {
+	if err := e.node.fleet.gate(ctx, e.node.id, e.id); err != nil {
+		return unreachable(err, true)
+	}
+	return e.Engine.Order(ctx, o)
+}
+
 // vstream is a stream that breaks with the connection.
 type vstream struct {
 	engine.Stream
@@ -440,6 +450,7 @@
 		es := shape.settings.Engine
 		es.Instance = id + "-1"
 		es.Model = Model
+		es.Version = version
 		v.engines[id+":1"] = standin.NewEngine(es)
 		shape.Engines = append(shape.Engines, &Host{
 			ID:      id,
@@ -458,10 +469,10 @@
 		})
 		v.list(id+"-1", id+":1", instances.KindEndpoint, shape.domain(i))
 	}
-	text := shape.Configuration()
+	v.text = shape.Configuration()
 	if _, err := rollout.Publish(t.Context(), v.platform.Log, rollout.Publication{
 		ID:   "first",
-		Text: []byte(text),
+		Text: []byte(v.text),
 	}); err != nil {
 		t.Fatal(err)
 	}
@@ -535,7 +546,7 @@
 	})
 	n.owner = owner.New(owner.Settings{
 		Strategy: strategyNamed(strategy),
-	}, n, n, logr.Discard())
+	}, n, n, order.New(order.Settings{}, log, v.platform.Weights, logr.Discard()), logr.Discard())
 	go n.follow(ctx)
 }
 
@@ -565,6 +576,12 @@
 		t := owner.Target{
 			Endpoint: e,
 		}
+		if e.Model != "" {
+			t.Want = order.State{
+				Model:   e.Model,
+				Version: version,
+			}
+		}
 		if at, ok := m.Endpoint(e.Address); ok {
 			t.Instance = at.ID
 			t.Leaving = at.State != instances.Live
--- a/node/follow.go
+++ b/node/follow.go
@@ -7,8 +7,10 @@
 	"sync"
 	"time"
 
+	"github.com/linkmast/linkmast/config"
 	"github.com/linkmast/linkmast/instances"
 	"github.com/linkmast/linkmast/member"
+	"github.com/linkmast/linkmast/order"
 	"github.com/linkmast/linkmast/owner"
 	"github.com/linkmast/linkmast/owner/ownerpb"
 )
@@ -52,6 +54,13 @@
 			t.Instance = at.ID
 			t.Leaving = at.State != instances.Live
 		}
+		if model, _, ok := v.Model(e.Model); ok && e.Kind == config.KindEngine {
+			t.Want = order.State{
+				Model:    model.ID,
+				Version:  model.Version,
+				Adapters: e.Adapters,
+			}
+		}
 		mine = append(mine, t)
 	}
 	n.owner.Own(mine)
--- a/node/node.go
+++ b/node/node.go
@@ -27,6 +27,7 @@
 	"github.com/linkmast/linkmast/logsvc"
 	"github.com/linkmast/linkmast/member"
 	"github.com/linkmast/linkmast/member/memberpb"
+	"github.com/linkmast/linkmast/order"
 	"github.com/linkmast/linkmast/owner"
 	"github.com/linkmast/linkmast/owner/ownerpb"
 	"github.com/linkmast/linkmast/peer"
@@ -35,6 +36,7 @@
 	"github.com/linkmast/linkmast/rollout"
 	"github.com/linkmast/linkmast/rollout/rolloutpb"
 	"github.com/linkmast/linkmast/settings"
+	"github.com/linkmast/linkmast/weights"
 )
 
 // Node is one instance of the system.
@@ -169,8 +171,8 @@
 // that refer to later parts are not called before those exist.
 func (n *Node) assemble() {
 	f := n.settings
-	http := wirehttp.Client()
-	log := logsvc.NewHTTP(http, f.Platform.Log)
+	client := wirehttp.Client()
+	log := logsvc.NewHTTP(client, f.Platform.Log)
 	strategy := strategyOf(f.Strategy)
 	decisions := n.log
 	if !*f.LogDecisions {
@@ -187,7 +189,7 @@
 		Self:          n.self,
 		Seeds:         f.Peers,
 		ProbeInterval: time.Duration(f.Times.Probe),
-	}, instances.NewHTTP(http, f.Platform.Instances), member.NewRPC(n.pool), n.Generation, n.log.WithName("member"))
+	}, instances.NewHTTP(client, f.Platform.Instances), member.NewRPC(n.pool), n.Generation, n.log.WithName("member"))
 	n.writer = claim.NewWriter(claim.Settings{}, log)
 	n.claimer = claim.NewClaimer(n.peers.route)
 	n.lender = limit.NewLender(0)
@@ -197,7 +199,7 @@
 	}, log, n.peers, n.log.WithName("rollout"))
 	n.generation.Store(n.rollout)
 	adapters := &endpoints{
-		client: http,
+		client: client,
 	}
 	n.entry = entry.New(entry.Settings{
 		Self:     n.self,
@@ -217,7 +219,17 @@
 		Strategy:      strategy,
 		SweepInterval: time.Duration(f.Times.Sweep),
 		ConfirmAfter:  time.Duration(f.Times.Confirm),
-	}, adapters, n.peers, decisions.WithName("owner"))
+	}, adapters, n.peers, n.orders(client, log), decisions.WithName("owner"))
+}
+
+// orders returns what brings endpoints to their desired states, or nil when no
+// weight store is set.
+func (n *Node) orders(client *http.Client, log logsvc.Log) *order.Orders {
+	if n.settings.Platform.Weights == "" {
+		return nil
+	}
+	store := weights.NewHTTP(client, n.settings.Platform.Weights)
+	return order.New(order.Settings{}, log, store, n.log.WithName("order"))
 }
 
 func strategyOf(name string) policy.Strategy {
--- a/owner/bench_test.go
+++ b/owner/bench_test.go
@@ -81,7 +81,7 @@
 		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
 			o := New(Settings{
 				SweepInterval: time.Hour,
-			}, still{}, still{}, logr.Discard())
+			}, still{}, still{}, nil, logr.Discard())
 			<-time.After(time.Millisecond)
 			defer o.Close()
 			e := newEndpoint()
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -11,6 +11,7 @@
 
 	"github.com/linkmast/linkmast/config"
 	"github.com/linkmast/linkmast/engine"
+	"github.com/linkmast/linkmast/order"
 	"github.com/linkmast/linkmast/plain"
 	"github.com/linkmast/linkmast/policy"
 )
@@ -77,6 +78,8 @@
 	Instance string
 	// Leaving is true when the endpoint may get no new work.
 	Leaving bool
+	// Want is what an engine should have loaded.
+	Want order.State
 }
 
 // Owner schedules the endpoints that the instance owns.
@@ -87,6 +90,7 @@
 	settings  Settings
 	endpoints Endpoints
 	holders   Holders
+	orders    *order.Orders
 	log       logr.Logger
 	cancel    context.CancelFunc
 	// kick asks for a sweep at once.
@@ -124,8 +128,9 @@
 	unsure time.Time
 }
 
-// New starts an owner that owns nothing yet. Close ends it.
-func New(s Settings, endpoints Endpoints, holders Holders, log logr.Logger) *Owner {
+// New starts an owner that owns nothing yet. Close ends it. Nil orders mean
+// that endpoints are left as they are.
+func New(s Settings, endpoints Endpoints, holders Holders, orders *order.Orders, log logr.Logger) *Owner {
 	s.setDefaults()
 	ctx, cancel := context.WithCancel(context.Background())
 	o := &Owner{
@@ -133,6 +138,7 @@
 		settings:  s,
 		endpoints: endpoints,
 		holders:   holders,
+		orders:    orders,
 		log:       log,
 		cancel:    cancel,
 		kick:      make(chan struct{}, 1),
@@ -182,6 +188,9 @@
 		if !keep[id] {
 			e.refuseAll(RefusedNotOwner, "the endpoint has another owner")
 			delete(o.owned, id)
+			if o.orders != nil {
+				o.orders.Forget(id)
+			}
 		}
 	}
 }
--- a/owner/sweep.go
+++ b/owner/sweep.go
@@ -11,6 +11,7 @@
 
 	"github.com/linkmast/linkmast/config"
 	"github.com/linkmast/linkmast/engine"
+	"github.com/linkmast/linkmast/order"
 )
 
 // failsAside is how many reports in a row must fail before an endpoint is set
@@ -83,6 +84,36 @@
 		running[h.ID] = h
 	}
 	o.settle(ctx, e, &target, running)
+	o.reconcile(ctx, e, &s, client)
+}
+
+// orderTimeout bounds the calls that an order takes.
+const orderTimeout = 3 * time.Second
+
+// reconcile orders what an engine that reports lacks.
+func (o *Owner) reconcile(ctx context.Context, e *endpoint, s *engine.Status, client engine.Client) {
+	if o.orders == nil {
+		return
+	}
+	o.mu.Lock()
+	t := order.Target{
+		Endpoint: e.target.Endpoint.ID,
+		Want:     e.target.Want,
+		Checks:   e.target.Endpoint.ChecksOrders,
+		Demand:   len(e.queue),
+	}
+	leaving := e.target.Leaving
+	o.mu.Unlock()
+	if leaving || t.Want.Model == "" {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	o.orders.Reconcile(call, t, order.State{
+		Model:    s.Model,
+		Version:  s.Version,
+		Adapters: s.Adapters,
+	}, client)
 }
 
 // inDoubt states whether what runs differs from the leases, or a lease needs to
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -57,7 +57,7 @@
 	Log string `toml:"log"`
 	// Instances is the list of instances.
 	Instances string `toml:"instances"`
-	// Weights is the weight store.
+	// Weights is the weight store. Without it endpoints are left as they are.
 	Weights string `toml:"weights"`
 }
 
