Hold keys and endless streams in random schedules

Cause: with owners that cancel no orphans, and with keys that are never freed, TestSchedules passed (scratch copies): its streams ended by themselves, and no call was sent again.

Change: three streams of 80 s in each schedule, whose memory only a cancel returns, and each call sent again at the end.

--- a/fleet/schedule_test.go
+++ b/fleet/schedule_test.go
@@ -201,9 +201,25 @@
 		})
 		published <- verdict
 	})
+	// Streams that outlast everything, so that only a cancel returns their
+	// memory.
+	longs := make([]*asked, 3)
+	for i := range longs {
+		longs[i] = &asked{
+			prompt: fmt.Sprintf("endless %d", i),
+			tokens: 4_000,
+			stream: true,
+		}
+		all.Go(func() {
+			longs[i].vanswer = v.send(context.Background(), fmt.Sprintf("n%d", i+1), "/v1/completions",
+				completion(longs[i].prompt, 4_000, true), map[string]string{
+					entry.HeaderDeadline: deadline.String(),
+				})
+		})
+	}
 	answers := v.burst(t, 18, 4_000, 50, deadline, func() {})
 	all.Wait()
-	hold(c, v, append(answers, onces...), bids, deadline)
+	hold(c, v, append(append(answers, onces...), longs...), bids, deadline)
 	for _, a := range onces {
 		if n := v.starts(a.prompt); n > 1 {
 			c.Errorf("a completion that must not be repeated was started %d times", n)
@@ -232,6 +248,39 @@
 		}
 	}
 	wantFree(c, v)
+	holdKeys(c, v, bids)
+}
+
+// holdKeys sends each call again when all is well: it must not take effect a
+// second time, and its key must be free when every caller heard that the call
+// had not run.
+func holdKeys(c *collector, v *virtual, bids []vanswer) {
+	living := ""
+	for id := range v.nodes {
+		v.mu.Lock()
+		if !v.dead[id] {
+			living = id
+		}
+		v.mu.Unlock()
+	}
+	if living == "" {
+		return
+	}
+	time.Sleep(10 * time.Second)
+	for i := range 2 {
+		notRun := true
+		for k, b := range bids {
+			notRun = notRun && (k%2 != i || b.ran == "not_run")
+		}
+		body := fmt.Sprintf(`{"bid":%d}`, i)
+		again := v.once(living, fmt.Sprintf("key %d", i), body, nil)
+		if n := v.calls(body); n > 1 {
+			c.Errorf("sent again, a call with a key took effect %d times", n)
+		}
+		if notRun && again.status != http.StatusOK && !v.lost() {
+			c.Errorf("the key of a call that did not run is not free: %d %s", again.status, again.body)
+		}
+	}
 }
 
 // holdConfiguration holds an accepted generation against what is in force on
@@ -247,3 +296,15 @@
 		}
 	}
 }
+
+// lost states whether a node has died; what it gave up is freed by nobody.
+func (v *virtual) lost() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, dead := range v.dead {
+		if dead {
+			return true
+		}
+	}
+	return false
+}
--- a/fleet/virtual_test.go
+++ b/fleet/virtual_test.go
@@ -106,15 +106,19 @@
 
 func (v *virtual) freeze(id string) {
 	v.mu.Lock()
-	v.frozen[id] = make(chan struct{})
-	v.mu.Unlock()
+	defer v.mu.Unlock()
+	if v.frozen[id] == nil {
+		v.frozen[id] = make(chan struct{})
+	}
 }
 
 func (v *virtual) thaw(id string) {
 	v.mu.Lock()
-	close(v.frozen[id])
-	delete(v.frozen, id)
-	v.mu.Unlock()
+	defer v.mu.Unlock()
+	if c := v.frozen[id]; c != nil {
+		close(c)
+		delete(v.frozen, id)
+	}
 }
 
 // separate cuts or heals what is named: a part, or a pair "a|b".
