Prove that a lost holder's endless streams hold no memory

Cause: with owners that cancel no orphans the tests of killed nodes passed, because their streams were over within the bound, and the endless streams of the schedules were refused at admission, as they can't end by their deadline.

--- a/fleet/proofs_test.go
+++ b/fleet/proofs_test.go
@@ -348,6 +348,51 @@
 	}
 }
 
+// TestHolderLost proves that the memory of a stream that would go on for long
+// is back soon after the node that holds it was lost.
+func TestHolderLost(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		strike func(v *virtual)
+	}{
+		{"killed", func(v *virtual) { v.kill("n1") }},
+		{"frozen", func(v *virtual) { v.freeze("n1") }},
+		{"cut from everything", func(v *virtual) { v.separate("n1", true) }},
+		{"killed, and another after it", func(v *virtual) {
+			v.kill("n1")
+			time.Sleep(time.Second)
+			v.kill("n2")
+		}},
+		{"killed, and cancels are lost", func(v *virtual) {
+			for _, e := range v.engines {
+				e.SetFaults(standin.Faults{LoseCancel: 3})
+			}
+			v.kill("n1")
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				v := newVirtual(t, small())
+				defer v.stop()
+				ctx, cancel := context.WithCancel(t.Context())
+				var all sync.WaitGroup
+				for i := range 6 {
+					all.Go(func() {
+						v.send(ctx, "n1", "/v1/completions", completion(fmt.Sprintf("endless %d", i), 4_000, true), nil)
+					})
+				}
+				time.Sleep(2 * time.Second)
+				is.True(v.held() > 0)
+				c.strike(v)
+				wantFree(t, v)
+				cancel()
+				all.Wait()
+			})
+		})
+	}
+}
+
 // TestTooLate proves that a request whose deadline can't be met is answered at
 // once, with a time to come back.
 func TestTooLate(t *testing.T) {
--- a/fleet/schedule_test.go
+++ b/fleet/schedule_test.go
@@ -202,7 +202,9 @@
 		published <- verdict
 	})
 	// Streams that outlast everything, so that only a cancel returns their
-	// memory.
+	// memory. Their callers go away in the end.
+	ctx, cancel := context.WithTimeout(t.Context(), deadline)
+	defer cancel()
 	longs := make([]*asked, 3)
 	for i := range longs {
 		longs[i] = &asked{
@@ -211,9 +213,9 @@
 			stream: true,
 		}
 		all.Go(func() {
-			longs[i].vanswer = v.send(context.Background(), fmt.Sprintf("n%d", i+1), "/v1/completions",
+			longs[i].vanswer = v.send(ctx, fmt.Sprintf("n%d", i+1), "/v1/completions",
 				completion(longs[i].prompt, 4_000, true), map[string]string{
-					entry.HeaderDeadline: deadline.String(),
+					entry.HeaderDeadline: "5m",
 				})
 		})
 	}
