Count a customer's share in the order

Cause: of one tier, a customer with 40 requests in a queue held up another's single one until all that came before it had started (TestFairShare, red).

Ruled out: a queue for each customer, which would give up the order by expected work and age across customers.

Change: the part of an endpoint's leases that a customer has counts as up to two seconds of expected work; ten seconds of waiting make up for that, so nobody starves.

Measured: TestFairShare is green, TestBoundedWait too.

--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/linkmast/linkmast/config"
+	"github.com/linkmast/linkmast/instances"
 	"github.com/linkmast/linkmast/member"
 	"github.com/linkmast/linkmast/policy"
 )
@@ -126,7 +127,7 @@
 // at an address is leaving.
 func leaving(m *member.View, address string) bool {
 	i, ok := m.Endpoint(address)
-	return ok && i.State != "live"
+	return ok && i.State != instances.Live
 }
 
 // hear takes over summaries.
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -139,8 +139,10 @@
 func chooseWeighed(w *Work, hit float64, cs []Candidate, now time.Time) Decision {
 	priority := Priority(w.RankAt(now), w.Class())
 	affine := hit > 0 && w.Prefix != 0
-	best, next := found{index: -1}, found{index: -1}
-	first, second := found{index: -1}, found{index: -1}
+	none := found{
+		index: -1,
+	}
+	best, next, first, second := none, none, none, none
 	for i := range cs {
 		c := &cs[i]
 		if !usable(w, c) {
@@ -150,9 +152,15 @@
 		switch {
 		case best.index < 0 || wait < best.wait || wait == best.wait && tie(w, c) > tie(w, &cs[best.index]):
 			next = best
-			best = found{index: i, wait: wait}
+			best = found{
+				index: i,
+				wait:  wait,
+			}
 		case next.index < 0 || wait < next.wait:
-			next = found{index: i, wait: wait}
+			next = found{
+				index: i,
+				wait:  wait,
+			}
 		}
 		if !affine {
 			continue
@@ -160,9 +168,15 @@
 		switch h := Mix(w.Prefix, c.Hash); {
 		case first.index < 0 || h > first.hash:
 			second = first
-			first = found{index: i, hash: h}
+			first = found{
+				index: i,
+				hash:  h,
+			}
 		case second.index < 0 || h > second.hash:
-			second = found{index: i, hash: h}
+			second = found{
+				index: i,
+				hash:  h,
+			}
 		}
 	}
 	reason := ReasonLeastWait
--- a/policy/ledger.go
+++ b/policy/ledger.go
@@ -30,6 +30,8 @@
 type Entry struct {
 	// ID names the lease.
 	ID string
+	// Customer is who pays.
+	Customer string
 	// Priority is the priority that the engine was given.
 	Priority int
 	// Class is the class of the prompt.
@@ -60,9 +62,11 @@
 	held    int64
 	long    int64
 	entries map[string]*Entry
-	order   [Priorities][]*Entry
-	drained time.Time
-	step    time.Duration
+	// customers counts the leases of each customer.
+	customers map[string]int
+	order     [Priorities][]*Entry
+	drained   time.Time
+	step      time.Duration
 	// turnover is how fast memory comes free, in bytes a second.
 	turnover float64
 }
@@ -74,6 +78,7 @@
 		Rate:       rate,
 		MaxRunning: maxRunning,
 		entries:    make(map[string]*Entry),
+		customers:  make(map[string]int),
 		step:       initialStep,
 	}
 }
@@ -111,6 +116,7 @@
 	l.drain(now)
 	e := &Entry{
 		ID:       id,
+		Customer: w.Customer,
 		Priority: priority,
 		Class:    w.Class(),
 		Bytes:    w.Bytes,
@@ -121,6 +127,7 @@
 		e.floor = longFloor * e.Left
 	}
 	l.entries[id] = e
+	l.customers[e.Customer]++
 	l.order[priority] = append(l.order[priority], e)
 	l.held += e.Bytes
 	if e.Class >= Long {
@@ -137,6 +144,7 @@
 	e.Left = 0
 	l.drain(now)
 	delete(l.entries, id)
+	l.leave(e.Customer)
 	l.held -= e.Bytes
 	if e.Class >= Long {
 		l.long -= e.Bytes
@@ -147,6 +155,22 @@
 	return true
 }
 
+// leave counts one lease less of a customer.
+func (l *Ledger) leave(customer string) {
+	l.customers[customer]--
+	if l.customers[customer] <= 0 {
+		delete(l.customers, customer)
+	}
+}
+
+// Share returns the part of the leases that a customer has, between 0 and 1.
+func (l *Ledger) Share(customer string) float64 {
+	if len(l.entries) == 0 {
+		return 0
+	}
+	return float64(l.customers[customer]) / float64(len(l.entries))
+}
+
 // Observe corrects the time between tokens by what an answer showed.
 func (l *Ledger) Observe(step time.Duration) {
 	l.step += time.Duration(smoothing * float64(step-l.step))
@@ -287,5 +311,6 @@
 		Bytes:   bytes,
 		Granted: now,
 	}
+	l.customers[""]++
 	l.held += bytes
 }
--- a/policy/order.go
+++ b/policy/order.go
@@ -22,13 +22,17 @@
 	ReasonPrefix      Reason = "prefix is likely cached"
 	ReasonRandom      Reason = "random"
 	ReasonArrival     Reason = "arrival"
-	ReasonOrder       Reason = "first by tier, work and age"
+	ReasonOrder       Reason = "first by tier, work, share and age"
 )
 
 // The measures of the order.
 const (
 	// ageing is how much expected work a second of waiting makes up for.
 	ageing = 0.2
+	// fairness is how much expected work a customer's whole share of the leases
+	// counts as, in seconds, so that a large customer does not hold up the
+	// others of its tier.
+	fairness = 2
 	// reserveAfter is the part of MaxWait after which memory that comes free
 	// is kept for the request that waits for it.
 	reserveAfter = 0.5
@@ -138,9 +142,10 @@
 	return a.Arrived.Before(b.Arrived)
 }
 
-// score is the expected work in seconds, less what waiting makes up for.
+// score is the expected work in seconds and the customer's share, less what
+// waiting makes up for.
 func score(w *Work, l *Ledger, now time.Time) float64 {
-	return l.Least(w).Seconds() - ageing*now.Sub(w.Arrived).Seconds()
+	return l.Least(w).Seconds() + fairness*l.Share(w.Customer) - ageing*now.Sub(w.Arrived).Seconds()
 }
 
 // reserved states whether a request that lacks memory and has waited long goes
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -328,3 +328,42 @@
 		panic(err)
 	}
 }
+
+// TestFairShare checks that a customer whose requests fill an endpoint does not
+// hold up another of its tier.
+func TestFairShare(t *testing.T) {
+	for _, tokens := range []int{1_000, 20_000} {
+		t.Run(fmt.Sprint(tokens), func(t *testing.T) {
+			is := is.New(t)
+			l := NewLedger(400_000<<10, 40_000, 64)
+			request := func(customer string, i int, age time.Duration) *Work {
+				return &Work{
+					ID:       fmt.Sprintf("%s%d", customer, i),
+					Customer: customer,
+					MaxWait:  20 * time.Second,
+					Prompt:   tokens,
+					Output:   100,
+					Bytes:    int64(tokens+100) << 10,
+					Arrived:  start.Add(-age),
+					Deadline: start.Add(time.Minute),
+				}
+			}
+			for i := range 5 {
+				w := request("large", i, time.Second)
+				l.Add(w, w.ID, 0, start.Add(-time.Second))
+				l.FirstToken(w.ID, start)
+			}
+			var queue []*Work
+			for i := range 40 {
+				queue = append(queue, request("large", 100+i, time.Second))
+			}
+			queue = append(queue, request("small", 1, 0))
+			v := Next(Weighed{}, queue, l, start)
+			is.Equal(queue[v.Index].Customer, "small")
+			// Yet the large one is not starved: who waited long goes first.
+			queue = append(queue, request("large", 999, 15*time.Second))
+			v = Next(Weighed{}, queue, l, start)
+			is.Equal(queue[v.Index].ID, "large999")
+		})
+	}
+}
