--- /dev/null
+++ b/fleet/memory_test.go
@@ -0,0 +1,143 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/entry"
+	"github.com/linkmast/linkmast/standin"
+)
+
+func TestCallerGone(t *testing.T) {
+	for _, lost := range []int{0, 1, 5} {
+		t.Run(fmt.Sprintf("%d cancels lost", lost), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				v := newVirtual(t, small())
+				defer v.stop()
+				for _, e := range v.engines {
+					e.SetFaults(standin.Faults{LoseCancel: lost})
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan vanswer, 1)
+				go func() {
+					done <- v.send(ctx, "n1", "/v1/completions", completion("gone", 1000, true), nil)
+				}()
+				time.Sleep(time.Second)
+				is.True(v.held() > 0)
+				cancel()
+				<-done
+				wantFree(t, v)
+			})
+		})
+	}
+}
+
+func TestHolderLost(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		strike func(v *virtual)
+	}{
+		{"killed", func(v *virtual) { v.kill("n1") }},
+		{"frozen", func(v *virtual) { v.freeze("n1") }},
+		{"cut from everything", func(v *virtual) { v.separate("n1", true) }},
+		{"killed, and another after it", func(v *virtual) {
+			v.kill("n1")
+			time.Sleep(time.Second)
+			v.kill("n2")
+		}},
+		{"killed, and cancels are lost", func(v *virtual) {
+			for _, e := range v.engines {
+				e.SetFaults(standin.Faults{LoseCancel: 3})
+			}
+			v.kill("n1")
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				v := newVirtual(t, small())
+				defer v.stop()
+				ctx, cancel := context.WithCancel(t.Context())
+				var all sync.WaitGroup
+				for i := range 6 {
+					all.Go(func() {
+						v.send(ctx, "n1", "/v1/completions", completion(fmt.Sprintf("endless %d", i), 4_000, true), nil)
+					})
+				}
+				time.Sleep(2 * time.Second)
+				is.True(v.held() > 0)
+				c.strike(v)
+				wantFree(t, v)
+				cancel()
+				all.Wait()
+			})
+		})
+	}
+}
+
+func TestTeams(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		strike func(v *virtual)
+		least  int
+	}{
+		{"two at once", func(*virtual) {}, 2},
+		{"a member refuses", func(v *virtual) {
+			for _, e := range v.engines {
+				e.SetFaults(standin.Faults{RefuseBefore: 1})
+			}
+		}, 0},
+		{"the answer to a reservation is lost", func(v *virtual) {
+			v.engines["e3:1"].SetFaults(standin.Faults{LoseAnswer: 1})
+		}, 1},
+		{"the entry dies half-way", func(v *virtual) {
+			go func() {
+				time.Sleep(500 * time.Millisecond)
+				v.kill("n1")
+			}()
+		}, 1},
+		{"a member dies", func(v *virtual) {
+			go func() {
+				time.Sleep(4 * time.Second)
+				v.engines["e2:1"].SetFaults(standin.Faults{Dead: true})
+			}()
+		}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				v := newVirtual(t, small())
+				defer v.stop()
+				c.strike(v)
+				var all sync.WaitGroup
+				answers := make([]*asked, 2)
+				for i := range answers {
+					a := &asked{
+						prompt: prompt(fmt.Sprintf("team %d", i), 700_000),
+						tokens: 30,
+					}
+					answers[i] = a
+					all.Go(func() {
+						a.vanswer = v.send(context.Background(), fmt.Sprintf("n%d", i+1), "/v1/completions",
+							completion(a.prompt, a.tokens, false), map[string]string{
+								entry.HeaderDeadline: "2m",
+							})
+					})
+				}
+				all.Wait()
+				if whole := wantTruth(t, v, answers, 2*time.Minute); whole < c.least {
+					t.Errorf("%d answered, want %d: %.200s | %.200s", whole, c.least, answers[0].body, answers[1].body)
+				}
+				wantFree(t, v)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/fleet/once_test.go
@@ -0,0 +1,279 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/entry"
+	"github.com/linkmast/linkmast/standin"
+)
+
+func (v *virtual) once(node, key, body string, header map[string]string) vanswer {
+	h := map[string]string{
+		entry.HeaderKey:      key,
+		entry.HeaderDeadline: "10s",
+	}
+	for k, val := range header {
+		h[k] = val
+	}
+	return v.send(context.Background(), node, "/services/lots/bids", body, h)
+}
+
+func (v *virtual) calls(body string) int {
+	n := 0
+	for _, s := range v.services {
+		n += s.Calls([]byte(body))
+	}
+	return n
+}
+
+func TestAtMostOnce(t *testing.T) {
+	all := func(f standin.Faults) func(*virtual) {
+		return func(v *virtual) {
+			for _, s := range v.services {
+				s.SetFaults(f)
+			}
+		}
+	}
+	log := func(f standin.Faults) func(*virtual) {
+		return func(v *virtual) { v.platform.Log.SetFaults(f) }
+	}
+	for _, c := range []struct {
+		name   string
+		strike func(v *virtual)
+		// answered is how many of the three callers must be answered.
+		answered int
+	}{
+		{"nothing", func(*virtual) {}, 3},
+		{"answer of the service lost", all(standin.Faults{LoseAnswer: 1}), 0},
+		{"refused after the start", all(standin.Faults{RefuseAfter: 1}), 0},
+		{"refused before the start", all(standin.Faults{RefuseBefore: 1}), 1},
+		{"answer of the log lost", log(standin.Faults{LoseAnswer: 1}), 3},
+		{"answers of the log lost for long", log(standin.Faults{LoseAnswer: -1}), 3},
+		{"log down", log(standin.Faults{Outage: true}), 0},
+		{"log down after the first claim", func(v *virtual) {
+			go func() {
+				time.Sleep(20 * time.Millisecond)
+				v.platform.Log.SetFaults(standin.Faults{Outage: true})
+			}()
+		}, 0},
+		{"services frozen", all(standin.Faults{Frozen: true}), 0},
+		{"a node dies at once", func(v *virtual) { v.kill("n1") }, 0},
+		{"a node dies after the claim", func(v *virtual) {
+			go func() {
+				time.Sleep(3 * time.Millisecond)
+				v.kill("n1")
+			}()
+		}, 0},
+		{"a node freezes and wakes after the deadline", func(v *virtual) {
+			go func() {
+				time.Sleep(3 * time.Millisecond)
+				v.freeze("n1")
+				time.Sleep(12 * time.Second)
+				v.thaw("n1")
+			}()
+		}, 0},
+		{"nodes cut from each other", func(v *virtual) {
+			v.separate("n1|n2", true)
+			v.separate("n1|n3", true)
+			v.separate("n2|n3", true)
+		}, 0},
+		{"nodes cut from each other for long", func(v *virtual) {
+			v.separate("n1|n2", true)
+			v.separate("n1|n3", true)
+			v.separate("n2|n3", true)
+			time.Sleep(15 * time.Second)
+		}, 1},
+		{"log's answer lost and a node dies", func(v *virtual) {
+			v.platform.Log.SetFaults(standin.Faults{LoseAnswer: 1})
+			v.kill("n2")
+		}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				v := newVirtual(t, small())
+				defer v.stop()
+				c.strike(v)
+				body := `{"bid":1}`
+				answers := make([]vanswer, 3)
+				var wait sync.WaitGroup
+				for i := range answers {
+					wait.Go(func() { answers[i] = v.once(fmt.Sprintf("n%d", i+1), "k1", body, nil) })
+				}
+				wait.Wait()
+				time.Sleep(15 * time.Second)
+				ok := 0
+				for _, a := range answers {
+					if a.status == http.StatusOK {
+						ok++
+					}
+				}
+				if n := v.calls(body); n > 1 || n == 0 && ok > 0 {
+					t.Errorf("the call took effect %d times", n)
+				}
+				if ok < c.answered {
+					t.Errorf("%d answered, want %d: %+v", ok, c.answered, answers)
+				}
+				for _, a := range answers {
+					if a.ran == "not_run" && ok > 0 && strings.Contains(a.body, "key_used") {
+						t.Errorf("said not to have run, but a request with the key did: %s", a.body)
+					}
+				}
+				// Sent again when all is well, the call must not take effect a
+				// second time.
+				all(standin.Faults{})(v)
+				v.platform.Log.SetFaults(standin.Faults{})
+				again := v.once("n3", "k1", body, nil)
+				if n := v.calls(body); n > 1 {
+					t.Errorf("after it was sent again the call took effect %d times: %+v", n, again)
+				}
+			})
+		})
+	}
+}
+
+func TestKeyFreedAfterRefusal(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		strike, heal func(v *virtual)
+	}{
+		{"log down", func(v *virtual) {
+			v.platform.Log.SetFaults(standin.Faults{Outage: true})
+		}, nil},
+		{"log silent", func(v *virtual) { v.freeze("platform") }, func(v *virtual) { v.thaw("platform") }},
+		{"append took effect, answer lost, then down", func(v *virtual) {
+			v.platform.Log.SetFaults(standin.Faults{LoseAnswer: -1, ReadOutage: true})
+		}, nil},
+		{"append took effect, then down", func(v *virtual) {
+			v.platform.Log.SetFaults(standin.Faults{ReadOutage: true})
+		}, nil},
+		{"claimed, then refused by every endpoint", func(v *virtual) {
+			for _, s := range v.services {
+				s.SetFaults(standin.Faults{RefuseBefore: 2})
+			}
+		}, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				v := newVirtual(t, small())
+				defer v.stop()
+				c.strike(v)
+				first := v.once("n1", "k2", `{"bid":2}`, nil)
+				is.Equal(first.status, http.StatusServiceUnavailable)
+				is.Equal(first.ran, "not_run")
+				is.True(first.took < 4*time.Second)
+				is.True(strings.Contains(first.body, "retry_after_seconds"))
+				v.platform.Log.SetFaults(standin.Faults{})
+				if c.heal != nil {
+					c.heal(v)
+				}
+				time.Sleep(10 * time.Second)
+				again := v.once("n2", "k2", `{"bid":2}`, nil)
+				is.Equal(again.status, http.StatusOK)
+				is.Equal(v.calls(`{"bid":2}`), 1)
+			})
+		})
+	}
+}
+
+func TestOnceCompletion(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faults standin.Faults
+	}{
+		{"refused before the start", standin.Faults{RefuseBefore: 1}},
+		{"refused after the start", standin.Faults{RefuseAfter: -1}},
+		{"answer lost", standin.Faults{LoseAnswer: -1}},
+		{"stream cut", standin.Faults{CutAfter: 3}},
+		{"end missing", standin.Faults{DropEnd: -1}},
+		{"frozen", standin.Faults{Frozen: true}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				v := newVirtual(t, small())
+				defer v.stop()
+				for _, e := range v.engines {
+					e.SetFaults(c.faults)
+				}
+				for i := range 6 {
+					p := fmt.Sprintf("once %d", i)
+					a := v.send(t.Context(), "n1", "/v1/completions", completion(p, 10, i%2 == 0), map[string]string{
+						entry.HeaderOnce:     "true",
+						entry.HeaderDeadline: "10s",
+					})
+					n := v.starts(p)
+					if n > 1 {
+						t.Errorf("started %d times", n)
+					}
+					if n > 0 && a.ran == "not_run" {
+						t.Errorf("started, but said not to have run: %s", a.body)
+					}
+				}
+			})
+		})
+	}
+}
+
+func TestAttach(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		v := newVirtual(t, small())
+		defer v.stop()
+		h := map[string]string{
+			entry.HeaderKey: "k3",
+		}
+		body := completion("attach", 100, true)
+		answers := make([]vanswer, 3)
+		var wait sync.WaitGroup
+		for i := range answers {
+			wait.Go(func() {
+				time.Sleep(time.Duration(i) * 400 * time.Millisecond)
+				answers[i] = v.send(context.Background(), fmt.Sprintf("n%d", i+1), "/v1/completions", body, h)
+			})
+		}
+		wait.Wait()
+		time.Sleep(10 * time.Second)
+		late := v.send(t.Context(), "n2", "/v1/completions", body, h)
+		for _, a := range append(answers, late) {
+			is.Equal(a.status, http.StatusOK)
+			text, whole := streamOf(t, []byte(a.body))
+			is.True(whole)
+			is.Equal(text, standin.Answer("attach", 100))
+		}
+		is.Equal(v.starts("attach"), 1)
+	})
+}
+
+func TestExpiredKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		v := newVirtual(t, small())
+		defer v.stop()
+		for _, c := range []struct {
+			valid  time.Duration
+			status int
+		}{
+			{-time.Minute, http.StatusGone},
+			{time.Second, http.StatusGone},
+			{time.Minute, http.StatusOK},
+			{3 * time.Hour, http.StatusBadRequest},
+		} {
+			a := v.once("n1", "k4"+c.valid.String(), `{"bid":4}`, map[string]string{
+				entry.HeaderKeyValid: time.Now().Add(c.valid).Format(time.RFC3339),
+			})
+			if a.status != c.status {
+				t.Errorf("valid for %s: status %d, want %d: %s", c.valid, a.status, c.status, a.body)
+			}
+		}
+	})
+}
