--- a/engine/http.go
+++ b/engine/http.go
@@ -9,10 +9,8 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
-	"sync/atomic"
 
 	"github.com/go-faster/errors"
 
@@ -117,12 +115,7 @@
 // send sends a request. An error is a *RunError: not_run when no connection
 // came about or the engine said that it did not start, else may_have_run.
 func (h *HTTP) send(ctx context.Context, method, path string, in any) (*http.Response, error) {
-	var touched atomic.Bool
-	trace := &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) {
-			touched.Store(true)
-		},
-	}
+	ctx, connected := wirehttp.Watch(ctx)
 	var body io.Reader
 	size := 0
 	if in != nil {
@@ -133,7 +126,7 @@
 		size = len(data)
 		body = wirehttp.Once(bytes.NewReader(data))
 	}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, h.base+path, body)
+	req, err := http.NewRequestWithContext(ctx, method, h.base+path, body)
 	if err != nil {
 		return nil, notStarted(err)
 	}
@@ -141,7 +134,7 @@
 	res, err := h.client.Do(req)
 	if err != nil {
 		e := notStarted(err)
-		if touched.Load() {
+		if connected.Load() {
 			e.Ran = problem.MayHaveRun
 		}
 		return nil, e
--- a/fleet/faults_test.go
+++ b/fleet/faults_test.go
@@ -18,6 +18,9 @@
 	"github.com/linkmast/linkmast/standin"
 )
 
+// TestFaultsOfTheFleet proves, for each fault, that every request finishes or
+// fails within its time with the whole of its own answer or the truth about
+// what ran, and that all memory comes back.
 func TestFaultsOfTheFleet(t *testing.T) {
 	for _, c := range []struct {
 		name   string
@@ -121,6 +124,9 @@
 	}
 }
 
+// TestStreamsOutliveOwners proves that long streams run to their end whatever
+// happens to the nodes that own their endpoints, as long as the node that
+// dispatched them is there.
 func TestStreamsOutliveOwners(t *testing.T) {
 	for _, c := range []struct {
 		name   string
@@ -171,6 +177,8 @@
 	}
 }
 
+// TestCutOffForLong proves that nodes that reach the endpoints but no other
+// node serve every request, each on its own.
 func TestCutOffForLong(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		v := newVirtual(t, small())
@@ -187,6 +195,8 @@
 	})
 }
 
+// TestTooLate proves that a request whose deadline can't be met is answered at
+// once, with a time to come back.
 func TestTooLate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -203,6 +213,8 @@
 	})
 }
 
+// TestNeverFits proves that a request that no group of engines can ever hold
+// is refused at once.
 func TestNeverFits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -217,6 +229,8 @@
 	})
 }
 
+// TestStall proves that an endpoint that goes silent is noticed between tokens
+// and before the first one, long before the deadline.
 func TestStall(t *testing.T) {
 	for _, tokens := range []int{100, 80_000} {
 		t.Run(fmt.Sprintf("prompt of %d tokens", tokens), func(t *testing.T) {
--- a/fleet/leaving_test.go
+++ b/fleet/leaving_test.go
@@ -17,6 +17,9 @@
 	"github.com/linkmast/linkmast/standin"
 )
 
+// TestLeaving proves that an endpoint that is leaving gets nothing new a few
+// seconds after the list says so, also when the list lags and requests wait
+// for it, and that what runs there is not cut.
 func TestLeaving(t *testing.T) {
 	for _, lag := range []time.Duration{0, 2 * time.Second} {
 		t.Run("lag "+lag.String(), func(t *testing.T) {
@@ -58,6 +61,8 @@
 	}
 }
 
+// TestReplacedEndpoint proves that a lease for an instance that was replaced at
+// the same address does not run on its replacement.
 func TestReplacedEndpoint(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/fleet/memory_test.go
+++ b/fleet/memory_test.go
@@ -16,6 +16,8 @@
 	"github.com/linkmast/linkmast/standin"
 )
 
+// TestCallerGone proves that an attempt whose caller has gone is cancelled at
+// its engine.
 func TestCallerGone(t *testing.T) {
 	for _, lost := range []int{0, 1, 5} {
 		t.Run(fmt.Sprintf("%d cancels lost", lost), func(t *testing.T) {
@@ -41,6 +43,8 @@
 	}
 }
 
+// TestHolderLost proves that the memory of a stream that would go on for long
+// is back soon after the node that holds it was lost.
 func TestHolderLost(t *testing.T) {
 	for _, c := range []struct {
 		name   string
@@ -84,6 +88,9 @@
 	}
 }
 
+// TestTeams proves that prompts larger than one engine get all the engines
+// that they need or none, also when two of them want the same at once and when
+// a member refuses.
 func TestTeams(t *testing.T) {
 	for _, c := range []struct {
 		name   string
--- a/fleet/once_test.go
+++ b/fleet/once_test.go
@@ -18,6 +18,7 @@
 	"github.com/linkmast/linkmast/standin"
 )
 
+// once sends the same call with a key.
 func (v *virtual) once(node, key, body string, header map[string]string) vanswer {
 	h := map[string]string{
 		entry.HeaderKey:      key,
@@ -29,6 +30,7 @@
 	return v.send(context.Background(), node, "/services/lots/bids", body, h)
 }
 
+// calls returns how often a body took effect.
 func (v *virtual) calls(body string) int {
 	n := 0
 	for _, s := range v.services {
@@ -37,6 +39,8 @@
 	return n
 }
 
+// TestAtMostOnce proves that a call with a key takes effect at most once,
+// whatever fails, and that what is said not to have run has not.
 func TestAtMostOnce(t *testing.T) {
 	all := func(f standin.Faults) func(*virtual) {
 		return func(v *virtual) {
@@ -142,6 +146,9 @@
 	}
 }
 
+// TestKeyFreedAfterRefusal proves that a request with a key that can't be
+// decided is refused as not run, at once and not near its deadline, and that
+// its key can be used again when all is well.
 func TestKeyFreedAfterRefusal(t *testing.T) {
 	for _, c := range []struct {
 		name         string
@@ -187,6 +194,8 @@
 	}
 }
 
+// TestOnceCompletion proves that a completion that must not be repeated is
+// started at most once, and that it is told the truth about that.
 func TestOnceCompletion(t *testing.T) {
 	for _, c := range []struct {
 		name   string
@@ -225,6 +234,8 @@
 	}
 }
 
+// TestAttach proves that a completion that is sent again with its key gets the
+// answer of the first, while it runs and after.
 func TestAttach(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -255,6 +266,8 @@
 	})
 }
 
+// TestExpiredKey proves that a key whose validity has ended, or ends within
+// the bound on clocks, is refused as not run.
 func TestExpiredKey(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		v := newVirtual(t, small())
--- a/fleet/proofs_test.go
+++ b/fleet/proofs_test.go
@@ -16,7 +16,6 @@
 )
 
 // The bounds that docs/proofs.md states.
-
 const (
 	// memoryBound is how long the memory of an attempt takes to come back
 	// after its holder died.
@@ -26,7 +25,6 @@
 )
 
 // completion returns the body of a completion.
-
 func completion(prompt string, tokens int, stream bool) string {
 	data, _ := json.Marshal(map[string]any{
 		"model":      Model,
@@ -38,7 +36,6 @@
 }
 
 // asked is one request with its answer.
-
 type asked struct {
 	vanswer
 	prompt string
@@ -47,9 +44,7 @@
 }
 
 // wholeAnswer states whether the caller got the whole of its own answer, and
-
 // whether it got something that passes for whole.
-
 func (a *asked) wholeAnswer(t testing.TB) (own, seemsWhole bool) {
 	t.Helper()
 	if a.status != http.StatusOK || a.broken {
@@ -64,9 +59,7 @@
 }
 
 // burst sends n requests spread over the nodes and a second, and calls strike
-
 // when half of them are out. It returns when all are answered.
-
 func (v *virtual) burst(t *testing.T, n, promptTokens, tokens int, deadline time.Duration, strike func()) []*asked {
 	t.Helper()
 	var all sync.WaitGroup
@@ -93,9 +86,7 @@
 }
 
 // wantTruth fails unless every answer is whole and its own or an error in time,
-
 // and no request that was said not to have run did.
-
 func wantTruth(t testing.TB, v *virtual, answers []*asked, deadline time.Duration) (whole int) {
 	t.Helper()
 	for _, a := range answers {
@@ -120,7 +111,6 @@
 }
 
 // starts returns how often a prompt was started at all engines.
-
 func (v *virtual) starts(prompt string) int {
 	n := 0
 	for _, e := range v.engines {
@@ -130,7 +120,6 @@
 }
 
 // wantFree fails unless all memory comes back within the bound.
-
 func wantFree(t testing.TB, v *virtual) {
 	t.Helper()
 	for range int(memoryBound / time.Second) {
@@ -149,81 +138,3 @@
 		services: 2,
 	}
 }
-
-// TestFaultsOfTheFleet proves, for each fault, that every request finishes or
-
-// fails within its time with the whole of its own answer or the truth about
-
-// what ran, and that all memory comes back.
-
-// TestStreamsOutliveOwners proves that long streams run to their end whatever
-
-// happens to the nodes that own their endpoints, as long as the node that
-
-// dispatched them is there.
-
-// TestCutOffForLong proves that nodes that reach the endpoints but no other
-
-// node serve every request, each on its own.
-
-// TestCallerGone proves that an attempt whose caller has gone is cancelled at
-
-// its engine.
-
-// TestHolderLost proves that the memory of a stream that would go on for long
-
-// is back soon after the node that holds it was lost.
-
-// TestTooLate proves that a request whose deadline can't be met is answered at
-
-// once, with a time to come back.
-
-// TestNeverFits proves that a request that no group of engines can ever hold
-
-// is refused at once.
-
-// TestTeams proves that prompts larger than one engine get all the engines
-
-// that they need or none, also when two of them want the same at once and when
-
-// a member refuses.
-
-// once sends the same call with a key.
-
-// calls returns how often a body took effect.
-
-// TestAtMostOnce proves that a call with a key takes effect at most once,
-
-// whatever fails, and that what is said not to have run has not.
-
-// TestKeyFreedAfterRefusal proves that a request with a key that can't be
-
-// decided is refused as not run, at once and not near its deadline, and that
-
-// its key can be used again when all is well.
-
-// TestOnceCompletion proves that a completion that must not be repeated is
-
-// started at most once, and that it is told the truth about that.
-
-// TestStall proves that an endpoint that goes silent is noticed between tokens
-
-// and before the first one, long before the deadline.
-
-// TestAttach proves that a completion that is sent again with its key gets the
-
-// answer of the first, while it runs and after.
-
-// TestExpiredKey proves that a key whose validity has ended, or ends within
-
-// the bound on clocks, is refused as not run.
-
-// TestLeaving proves that an endpoint that is leaving gets nothing new a few
-
-// seconds after the list says so, also when the list lags and requests wait
-
-// for it, and that what runs there is not cut.
-
-// TestReplacedEndpoint proves that a lease for an instance that was replaced at
-
-// the same address does not run on its replacement.
--- a/fleet/vendpoint_test.go
+++ b/fleet/vendpoint_test.go
@@ -12,6 +12,7 @@
 	"github.com/linkmast/linkmast/standin"
 )
 
+// vengine reaches an engine from a node.
 type vengine struct {
 	node *vnode
 	id   string
@@ -82,6 +83,7 @@
 	return e.Engine.Order(ctx, o)
 }
 
+// vstream is a stream that breaks with the connection.
 type vstream struct {
 	engine.Stream
 
@@ -100,6 +102,7 @@
 	return k, nil
 }
 
+// vservice reaches a plain endpoint from a node.
 type vservice struct {
 	node *vnode
 	id   string
@@ -120,6 +123,7 @@
 	return s.Service.Call(ctx, c)
 }
 
+// Engine implements owner.Endpoints.
 func (n *vnode) Engine(address string) engine.Client {
 	return &vengine{
 		node:   n,
@@ -128,6 +132,7 @@
 	}
 }
 
+// Plain implements owner.Endpoints.
 func (n *vnode) Plain(address string) plain.Client {
 	return &vservice{
 		node:    n,
--- a/fleet/virtual_test.go
+++ b/fleet/virtual_test.go
@@ -23,9 +23,7 @@
 )
 
 // virtual is a small fleet without a network, for testing/synctest. Every call
-
 // between its parts goes through gate, where faults strike.
-
 type virtual struct {
 	platform *standin.Platform
 	engines  map[string]*standin.Engine
@@ -40,20 +38,14 @@
 	dead   map[string]bool
 }
 
-// vnode is one node of a virtual fleet.
-
 var errCutOff = errors.New("no connection")
 
 // frozenWait is how long a call to a frozen part takes to fail without a
-
 // deadline of its own.
-
 const frozenWait = 5 * time.Second
 
 // gate lets a call from a to b through, waits while one of them is frozen, and
-
 // fails when they are cut off or one is dead.
-
 func (v *virtual) gate(ctx context.Context, a, b string) error {
 	for {
 		v.mu.Lock()
@@ -103,55 +95,13 @@
 }
 
 // separate cuts or heals what is named: a part, or a pair "a|b".
-
 func (v *virtual) separate(what string, cut bool) {
 	v.mu.Lock()
 	v.cut[what] = cut
 	v.mu.Unlock()
 }
 
-// vengine reaches an engine from a node.
-
-// vstream is a stream that breaks with the connection.
-
-// vservice reaches a plain endpoint from a node.
-
-// Engine implements owner.Endpoints.
-
-// Plain implements owner.Endpoints.
-
-// vleaser reaches the owner on another node.
-
-// Held implements owner.Holders.
-
-// Probe implements member.Prober.
-
-// List implements instances.Lister.
-
-// vlog reaches the platform's log from a node.
-
-// Append implements logsvc.Log.
-
-// Read implements logsvc.Log.
-
-// Addresses implements rollout.Peers.
-
-// Pull implements rollout.Peers.
-
-// Reader implements rollout.Peers.
-
-// Repeater implements rollout.Peers.
-
-// Borrow implements limit.Keepers.
-
-// Nodes implements limit.Keepers.
-
-// vasker reaches the writer on another node.
-
-// Attach implements entry.Attacher.
-
 // vsettings are the measures of a virtual fleet.
-
 type vsettings struct {
 	nodes, engines, services int
 	engine                   standin.EngineSettings
@@ -160,9 +110,7 @@
 }
 
 // newVirtual starts a virtual fleet and waits until it serves. It must be
-
 // called inside a bubble; stop ends it.
-
 func newVirtual(t *testing.T, s vsettings) *virtual {
 	t.Helper()
 	v := &virtual{
@@ -238,12 +186,7 @@
 	})
 }
 
-// start starts one node.
-
-// follow derives ownership and summaries, as a node does.
-
 // stop ends a virtual fleet.
-
 func (v *virtual) stop() {
 	v.mu.Lock()
 	for id, c := range v.frozen {
@@ -270,7 +213,6 @@
 }
 
 // held returns the memory held at all engines.
-
 func (v *virtual) held() int64 {
 	total := int64(0)
 	for _, e := range v.engines {
@@ -280,7 +222,6 @@
 }
 
 // vanswer is what a caller got.
-
 type vanswer struct {
 	status int
 	body   string
@@ -291,7 +232,6 @@
 }
 
 // send sends a request to a node and waits for the answer.
-
 func (v *virtual) send(ctx context.Context, node, path, body string, header map[string]string) vanswer {
 	req := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body)).WithContext(ctx)
 	req.Header.Set("Authorization", "Bearer key-desk")
--- a/fleet/vnode_test.go
+++ b/fleet/vnode_test.go
@@ -22,6 +22,7 @@
 	"github.com/linkmast/linkmast/standin"
 )
 
+// vnode is one node of a virtual fleet.
 type vnode struct {
 	id      string
 	fleet   *virtual
@@ -37,6 +38,7 @@
 	done    chan struct{}
 }
 
+// vleaser reaches the owner on another node.
 type vleaser struct {
 	from, to *vnode
 }
@@ -69,6 +71,7 @@
 	}, nil
 }
 
+// Held implements owner.Holders.
 func (n *vnode) Held(ctx context.Context, holder string, attempts []string) ([]string, error) {
 	if err := n.fleet.gate(ctx, n.id, holder); err != nil {
 		return nil, err
@@ -76,6 +79,7 @@
 	return n.fleet.nodes[holder].entry.Registry.Which(attempts), nil
 }
 
+// Probe implements member.Prober.
 func (n *vnode) Probe(ctx context.Context, address string, in *memberpb.ProbeRequest) (*memberpb.ProbeReply, error) {
 	if err := n.fleet.gate(ctx, n.id, address); err != nil {
 		return nil, err
@@ -83,6 +87,7 @@
 	return n.fleet.nodes[address].member.Answer(in), nil
 }
 
+// List implements instances.Lister.
 func (n *vnode) List(ctx context.Context, since int64) (instances.List, error) {
 	if err := n.fleet.gate(ctx, n.id, "platform"); err != nil {
 		return instances.List{}, err
@@ -90,11 +95,13 @@
 	return n.fleet.platform.Instances.List(ctx, since)
 }
 
+// vlog reaches the platform's log from a node.
 type vlog struct {
 	node *vnode
 	*standin.Log
 }
 
+// Append implements logsvc.Log.
 func (l *vlog) Append(ctx context.Context, stream string, records [][]byte) (int64, error) {
 	if err := l.node.fleet.gate(ctx, l.node.id, "platform"); err != nil {
 		return 0, &logsvc.Error{
@@ -104,6 +111,7 @@
 	return l.Log.Append(ctx, stream, records)
 }
 
+// Read implements logsvc.Log.
 func (l *vlog) Read(ctx context.Context, stream string, from int64, wait time.Duration) (logsvc.Batch, error) {
 	if err := l.node.fleet.gate(ctx, l.node.id, "platform"); err != nil {
 		return logsvc.Batch{}, &logsvc.Error{
@@ -113,6 +121,7 @@
 	return l.Log.Read(ctx, stream, from, wait)
 }
 
+// Addresses implements rollout.Peers.
 func (n *vnode) Addresses() []string {
 	var out []string
 	for id := range n.fleet.nodes {
@@ -123,6 +132,7 @@
 	return out
 }
 
+// Pull implements rollout.Peers.
 func (n *vnode) Pull(ctx context.Context, address string, in *rolloutpb.PullRequest) (*rolloutpb.PullReply, error) {
 	if err := n.fleet.gate(ctx, n.id, address); err != nil {
 		return nil, err
@@ -130,13 +140,16 @@
 	return n.fleet.nodes[address].rollout.Answer(in)
 }
 
+// Reader implements rollout.Peers.
 func (n *vnode) Reader() bool { return true }
 
+// Repeater implements rollout.Peers.
 func (n *vnode) Repeater() bool {
 	i, _ := n.member.View().Keeper("repeater")
 	return i.ID == n.id
 }
 
+// Borrow implements limit.Keepers.
 func (n *vnode) Borrow(ctx context.Context, a limit.Ask, b limit.Bounds) (limit.Loan, error) {
 	i, _ := n.member.View().Keeper(a.Customer)
 	if err := n.fleet.gate(ctx, n.id, i.ID); err != nil {
@@ -145,8 +158,10 @@
 	return n.fleet.nodes[i.ID].lender.Lend(a, b, time.Now()), nil
 }
 
+// Nodes implements limit.Keepers.
 func (n *vnode) Nodes() int { return len(n.member.View().Nodes) }
 
+// vasker reaches the writer on another node.
 type vasker struct {
 	from, to *vnode
 }
@@ -180,6 +195,7 @@
 	return out
 }
 
+// Attach implements entry.Attacher.
 func (n *vnode) Attach(ctx context.Context, instance, request string, out entry.Writer) error {
 	if err := n.fleet.gate(ctx, n.id, instance); err != nil {
 		return err
@@ -187,6 +203,7 @@
 	return n.fleet.nodes[instance].entry.Answers.CopyTo(ctx, request, out)
 }
 
+// start starts one node.
 func (v *virtual) start(n *vnode, id, strategy string) {
 	ctx, cancel := context.WithCancel(context.Background())
 	n.id = id
@@ -233,6 +250,7 @@
 	go n.follow(ctx)
 }
 
+// follow derives ownership and summaries, as a node does.
 func (n *vnode) follow(ctx context.Context) {
 	defer close(n.done)
 	for ctx.Err() == nil {
--- a/internal/wirehttp/wirehttp.go
+++ b/internal/wirehttp/wirehttp.go
@@ -5,10 +5,13 @@
 package wirehttp
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 )
 
@@ -44,6 +47,18 @@
 	}
 }
 
+// Watch returns a context that notes whether a request made with it got a
+// connection. Without one, nothing of the request can have arrived.
+func Watch(ctx context.Context) (context.Context, *atomic.Bool) {
+	connected := new(atomic.Bool)
+	trace := &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) {
+			connected.Store(true)
+		},
+	}
+	return httptrace.WithClientTrace(ctx, trace), connected
+}
+
 // once hides the type of a reader, and lets go of it at its end.
 type once struct {
 	r io.Reader
--- a/logsvc/logsvc.go
+++ b/logsvc/logsvc.go
@@ -8,10 +8,8 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -110,15 +108,10 @@
 			Err: err,
 		}
 	}
-	var touched atomic.Bool
-	trace := &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) {
-			touched.Store(true)
-		},
-	}
+	ctx, connected := wirehttp.Watch(ctx)
 	path := h.base + "/v1/streams/" + url.PathEscape(stream)
 	body := wirehttp.Once(bytes.NewReader(data))
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, path, body)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, path, body)
 	if err != nil {
 		return 0, &Error{
 			Err: err,
@@ -127,7 +120,7 @@
 	res, err := h.client.Do(req)
 	if err != nil {
 		return 0, &Error{
-			Unknown: touched.Load(),
+			Unknown: connected.Load(),
 			Err:     err,
 		}
 	}
--- a/plain/plain.go
+++ b/plain/plain.go
@@ -14,8 +14,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptrace"
-	"sync/atomic"
 
 	"github.com/go-faster/errors"
 
@@ -104,14 +102,9 @@
 
 // Call implements Client.
 func (h *HTTP) Call(ctx context.Context, c Call) (Answer, error) {
-	var touched atomic.Bool
-	trace := &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) {
-			touched.Store(true)
-		},
-	}
+	ctx, connected := wirehttp.Watch(ctx)
 	body := wirehttp.Once(bytes.NewReader(c.Body))
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), c.Method, h.base+c.Path, body)
+	req, err := http.NewRequestWithContext(ctx, c.Method, h.base+c.Path, body)
 	if err != nil {
 		return Answer{}, &CallError{
 			Ran: problem.NotRun,
@@ -127,7 +120,7 @@
 	res, err := h.client.Do(req)
 	if err != nil {
 		ran := problem.NotRun
-		if touched.Load() {
+		if connected.Load() {
 			ran = problem.MayHaveRun
 		}
 		return Answer{}, &CallError{
