--- /dev/null
+++ b/limit/limit_test.go
@@ -0,0 +1,196 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package limit
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// The seed of the drawn cases is fixed, so that every run has the same verdict;
+// -rapid.seed=0 draws others.
+func init() {
+	if err := flag.Set("rapid.seed", "20261202"); err != nil {
+		panic(err)
+	}
+}
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// TestLenderKeepsBounds checks, for any sequence of asks, that starts stay
+// within burst + rate·t and that what runs stays within the concurrency.
+func TestLenderKeepsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := Bounds{
+			Rate:        float64(rapid.IntRange(1, 20).Draw(t, "rate")) / 2,
+			Concurrency: rapid.IntRange(1, 10).Draw(t, "concurrency"),
+		}
+		l := NewLender(time.Minute)
+		now := start
+		lent := 0
+		running := make(map[string]int)
+		for range rapid.IntRange(1, 30).Draw(t, "asks") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			who := fmt.Sprintf("n%d", rapid.IntRange(0, 3).Draw(t, "who"))
+			loan := l.Lend(Ask{
+				Customer: "club",
+				Borrower: who,
+				Starts:   rapid.IntRange(0, 5).Draw(t, "starts"),
+				Running:  rapid.IntRange(0, 12).Draw(t, "running"),
+			}, b, now)
+			lent += loan.Starts
+			running[who] = loan.Running
+			total := 0
+			for _, n := range running {
+				total += n
+			}
+			if total > b.Concurrency {
+				t.Fatalf("%d run, the limit is %d", total, b.Concurrency)
+			}
+			if most := float64(burst(b.Rate)) + b.Rate*now.Sub(start).Seconds(); float64(lent) > most+1e-6 {
+				t.Fatalf("%d starts lent, at most %.1f are allowed", lent, most)
+			}
+		}
+	})
+}
+
+// keepers joins borrowers with one lender, which can be out of reach.
+type keepers struct {
+	lender *Lender
+	nodes  int
+
+	mu  sync.Mutex
+	cut bool
+}
+
+var errCut = errors.New("cut off")
+
+func (k *keepers) Borrow(_ context.Context, a Ask, b Bounds) (Loan, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.cut {
+		return Loan{}, errCut
+	}
+	return k.lender.Lend(a, b, time.Now()), nil
+}
+
+func (k *keepers) Nodes() int { return k.nodes }
+
+func (k *keepers) setCut(cut bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.cut = cut
+}
+
+// flood asks for a start on each of n nodes every millisecond for a while, and
+// returns how many were allowed.
+func flood(t *testing.T, k *keepers, b Bounds, within time.Duration) int {
+	t.Helper()
+	var borrowers []*Borrower
+	for i := range k.nodes {
+		w := NewBorrower(fmt.Sprintf("n%d", i), k)
+		defer w.Close()
+		borrowers = append(borrowers, w)
+	}
+	allowed := 0
+	for range int(within / (10 * time.Millisecond)) {
+		for _, w := range borrowers {
+			if back, refusal := w.Take(t.Context(), "club", b); refusal == nil {
+				allowed++
+				back()
+			} else if refusal.RetryAfter <= 0 {
+				t.Fatal("a refusal must say when to come back")
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return allowed
+}
+
+// TestRateHoldsAcrossNodes proves that a customer's rate holds however many
+// nodes its requests come in at, and that it can be used up.
+func TestRateHoldsAcrossNodes(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		nodes int
+		cut   bool
+		least int
+		most  int
+	}{
+		{"one node", 1, false, 45, 60},
+		{"eight nodes", 8, false, 45, 60},
+		// Cut off, each node has a burst of one and its share of the rate.
+		{"eight nodes cut off", 8, true, 40, 60},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				k := &keepers{
+					lender: NewLender(0),
+					nodes:  c.nodes,
+				}
+				k.setCut(c.cut)
+				// 5 a second for 10 s, and a burst of 5.
+				got := flood(t, k, Bounds{Rate: 5}, 10*time.Second)
+				if got < c.least || got > c.most {
+					t.Errorf("%d requests were allowed, want %d to %d", got, c.least, c.most)
+				}
+			})
+		})
+	}
+}
+
+// TestConcurrencyHoldsAcrossNodes proves that requests in flight stay within
+// the limit over all nodes, that what a lost node borrowed comes back, and that
+// a node that is cut off goes on with a share.
+func TestConcurrencyHoldsAcrossNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		k := &keepers{
+			lender: NewLender(0),
+			nodes:  3,
+		}
+		a, b := NewBorrower("a", k), NewBorrower("b", k)
+		defer b.Close()
+		bounds := Bounds{
+			Concurrency: 6,
+		}
+		take := func(w *Borrower) (int, []func()) {
+			var back []func()
+			for {
+				f, refusal := w.Take(t.Context(), "club", bounds)
+				if refusal != nil {
+					is.True(refusal.Concurrency)
+					return len(back), back
+				}
+				back = append(back, f)
+			}
+		}
+		n, _ := take(a)
+		is.Equal(n, 6)
+		n, _ = take(b)
+		is.Equal(n, 0)
+		time.Sleep(time.Minute) // a renews what it uses
+		n, _ = take(b)
+		is.Equal(n, 0)
+		a.Close() // a dies with its six
+		time.Sleep(DefaultValid + time.Second)
+		n, backs := take(b)
+		is.Equal(n, 6)
+		for _, f := range backs {
+			f()
+		}
+		k.setCut(true)
+		time.Sleep(DefaultValid + time.Second)
+		n, _ = take(b)
+		is.Equal(n, 2) // a third of six
+	})
+}
