Let a publication carry the change alone

Ruled out: fewer readers (each failure domain needs two to bring a change into force on its own).

Change: a publication that names the generation it replaces carries the delta against that file. It means nothing where that generation is not in force, and is overtaken there by the rule as it was, so acceptance is the same on every node. Forced publications and repeats hold whole files.

TestJudge has rows for it, and TestJudgesAgree draws it; publish, diff and show were tried by hand against a stand-in platform.

--- a/cmd/linkmastctl/configuration.go
+++ b/cmd/linkmastctl/configuration.go
@@ -71,6 +71,7 @@
 
 	Replaces int64  `long:"replaces" value-name:"GENERATION" description:"publish only if this generation is in force"`
 	Force    bool   `long:"force" description:"publish whatever is in force (instead of --replaces)"`
+	Whole    bool   `long:"whole" description:"write the whole file to the log, not just the change"`
 	Operator string `long:"operator" description:"who publishes (default: the user's name)"`
 
 	Args fileArgument `positional-args:"yes"`
@@ -95,6 +96,10 @@
 	}
 	log, ctx, cancel := c.open()
 	defer cancel()
+	base, err := c.base(ctx, log)
+	if err != nil {
+		return err
+	}
 	var id [idBytes]byte
 	// crypto/rand.Read never fails.
 	_, _ = rand.Read(id[:])
@@ -103,6 +108,7 @@
 		Operator: c.Operator,
 		Replaces: c.Replaces,
 		Text:     text,
+		Base:     base,
 	})
 	if err != nil {
 		return err
@@ -114,6 +120,22 @@
 	return nil
 }
 
+// base returns the file that the publication replaces, so that only the change
+// is written; nil when a whole file is to be written.
+func (c *publishCommand) base(ctx context.Context, log logsvc.Log) ([]byte, error) {
+	if c.Force || c.Whole {
+		return nil, nil
+	}
+	j, _, err := rollout.Replay(ctx, log)
+	if err != nil {
+		return nil, err
+	}
+	if j.InForce.Generation != c.Replaces {
+		return nil, errors.Errorf("not published: generation %d is in force, not %d", j.InForce.Generation, c.Replaces)
+	}
+	return j.InForce.Text, nil
+}
+
 // inForce returns the configuration in force as the log tells it.
 func inForce(o *platformOptions) (*rollout.Judge, []rollout.Verdict, error) {
 	log, ctx, cancel := o.open()
--- a/rollout/doc.go
+++ b/rollout/doc.go
@@ -9,6 +9,8 @@
 //   - a publication that replaces no particular generation is accepted;
 //   - one that replaces generation G is accepted when G is in force where the
 //     record stands, so that of two racing operators one is refused;
+//   - one that carries only the delta against the file of G is accepted by the
+//     same rule, and means nothing where G is not in force;
 //   - a repeat of an accepted generation G changes nothing unless G is newer
 //     than what the reader has; it carries the file beyond the log's retention.
 //
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -138,7 +138,17 @@
 		j.unsure = true
 		return v.with(Unjudged, "format is not known to this version")
 	}
-	state, err := open(&rec)
+	var base []byte
+	if rec.Delta {
+		switch {
+		case j.unsure:
+			return v.with(Unjudged, "is a change of a file that is not known for sure")
+		case rec.Replaces != j.InForce.Generation || rec.Repeats > 0:
+			return v.with(Overtaken, "another generation is in force")
+		}
+		base = j.InForce.Text
+	}
+	state, err := open(&rec, base)
 	if err != nil {
 		return v.with(Invalid, err.Error())
 	}
@@ -206,9 +216,9 @@
 	return v.with(Accepted, "")
 }
 
-// open reads the file of a record.
-func open(rec *rolloutpb.Record) (State, error) {
-	text, err := unpack(rec.Body, nil)
+// open reads the file of a record; base is the file that a delta is against.
+func open(rec *rolloutpb.Record, base []byte) (State, error) {
+	text, err := unpack(rec.Body, base)
 	if err != nil {
 		return State{}, errors.Wrap(err, "unpack")
 	}
--- a/rollout/judge_test.go
+++ b/rollout/judge_test.go
@@ -23,7 +23,11 @@
 	}
 	change(rec)
 	replaces, format, sum := rec.Replaces, rec.Format, rec.Sha256
-	data, err := encode(file(1, version), rec)
+	var base []byte
+	if rec.Delta {
+		base = file(1, baseVersion(rec))
+	}
+	data, err := encode(file(1, version), base, rec)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -39,6 +43,12 @@
 	return data
 }
 
+// baseVersion returns the version of the file that a delta is against: tests
+// publish version g as generation g.
+func baseVersion(rec *rolloutpb.Record) int {
+	return int(rec.Replaces)
+}
+
 func publication(version int, replaces int64) func(testing.TB) []byte {
 	return func(t testing.TB) []byte {
 		return record(t, version, func(r *rolloutpb.Record) { r.Replaces = replaces })
@@ -51,6 +61,17 @@
 	}
 }
 
+// delta is a publication that carries the change from the file of version base,
+// published as generation base.
+func delta(version int, base int64) func(testing.TB) []byte {
+	return func(t testing.TB) []byte {
+		return record(t, version, func(r *rolloutpb.Record) {
+			r.Replaces = base
+			r.Delta = true
+		})
+	}
+}
+
 func odd(change func(*rolloutpb.Record)) func(testing.TB) []byte {
 	return func(t testing.TB) []byte {
 		return record(t, 99, change)
@@ -78,6 +99,16 @@
 		{"repeat of what was refused", 1, list(publication(1, 0), publication(2, 5), repeat(2, 2)),
 			"accepted overtaken invalid", 1},
 		{"repeat of what comes later", 1, list(publication(1, 0), repeat(2, 2)), "accepted invalid", 1},
+		{"delta", 1, list(publication(1, 0), delta(2, 1), delta(3, 2)), "accepted accepted accepted", 3},
+		{"deltas race", 1, list(publication(1, 0), delta(2, 1), delta(3, 1)), "accepted accepted overtaken", 2},
+		{"delta of what is not in force", 1, list(publication(1, 0), delta(2, 7)), "accepted overtaken", 1},
+		{"delta with a wrong hash", 1, list(publication(1, 0), odd(func(r *rolloutpb.Record) {
+			r.Replaces = 1
+			r.Delta = true
+			r.Sha256 = make([]byte, 32)
+		})), "accepted invalid", 1},
+		{"delta before its base is known", 10, list(delta(2, 4), repeat(4, 4), delta(5, 4)),
+			"unjudged repeated accepted", 12},
 		{"malformed", 1, list(raw, publication(1, 0)), "invalid accepted", 2},
 		{"wrong hash", 1, list(publication(1, 0), odd(func(r *rolloutpb.Record) { r.Sha256 = make([]byte, 32) })),
 			"accepted invalid", 1},
@@ -129,6 +160,7 @@
 		inForce := int64(0)
 		for i := range n {
 			offset := int64(i + 1)
+			deltas := rapid.Bool().Draw(t, "delta")
 			replaces := int64(rapid.IntRange(0, i).Draw(t, "replaces"))
 			repeats := int64(0)
 			if inForce > 0 && rapid.Bool().Draw(t, "repeat") {
@@ -136,9 +168,10 @@
 			}
 			records = append(records, logsvc.Record{
 				Offset: offset,
-				Data: record(t, i, func(r *rolloutpb.Record) {
+				Data: record(t, i+1, func(r *rolloutpb.Record) {
 					r.Replaces = replaces
 					r.Repeats = repeats
+					r.Delta = repeats == 0 && replaces > 0 && deltas
 				}),
 			})
 			// The naive rules, over the whole history.
--- a/rollout/publish.go
+++ b/rollout/publish.go
@@ -25,6 +25,10 @@
 	Replaces int64
 	// Text is the file.
 	Text []byte
+	// Base is the file of generation Replaces, if it is at hand. The record is
+	// then a delta, so that readers of the log need not receive a whole file
+	// for a small change.
+	Base []byte
 }
 
 // settleWait is how long to wait before reading again when the effect of an
@@ -38,10 +42,11 @@
 	if _, err := config.Parse(p.Text); err != nil {
 		return Verdict{}, err
 	}
-	data, err := encode(p.Text, &rolloutpb.Record{
+	data, err := encode(p.Text, p.Base, &rolloutpb.Record{
 		Id:       p.ID,
 		Operator: p.Operator,
 		Replaces: p.Replaces,
+		Delta:    len(p.Base) > 0,
 	})
 	if err != nil {
 		return Verdict{}, err
@@ -99,9 +104,10 @@
 	}
 }
 
-// encode returns a record that carries text.
-func encode(text []byte, rec *rolloutpb.Record) ([]byte, error) {
-	body, err := pack(text, nil)
+// encode returns a record that carries text, as a delta against base if there
+// is one.
+func encode(text, base []byte, rec *rolloutpb.Record) ([]byte, error) {
+	body, err := pack(text, base)
 	if err != nil {
 		return nil, err
 	}
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -247,7 +247,7 @@
 	if s.Generation == 0 || !sure || time.Since(s.Written) < r.settings.RepeatAfter || !r.peers.Repeater() {
 		return
 	}
-	data, err := encode(s.Text, &rolloutpb.Record{
+	data, err := encode(s.Text, nil, &rolloutpb.Record{
 		Id:       "repeat",
 		Operator: "linkmast",
 		Repeats:  s.Generation,
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -196,7 +196,7 @@
 			g.wantAll(t, 2, 8*time.Second)
 			// An instance that was paused before generation 2 repeats what it
 			// holds.
-			data, err := encode(file(1, 1), &rolloutpb.Record{
+			data, err := encode(file(1, 1), nil, &rolloutpb.Record{
 				Repeats: 1,
 			})
 			is := is.New(t)
