Pass over endpoints that are newer than the request

Cause: read on a review: a request that was under way when a configuration brought a new endpoint was refused if it chose that one, as its own view does not have it.

Measured: the tests pass as before; no test causes this race.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -120,7 +120,10 @@
 	attempt := attemptID(j.id, s.leases)
 	endpoint, ok := j.view.Endpoint(c.endpoint)
 	if !ok {
-		return nil, false
+		// The endpoint came with a configuration that is newer than the
+		// request.
+		s.skip = append(s.skip, c.endpoint)
+		return nil, true
 	}
 	by, ok := e.parts.Members().Owner(c.endpoint, j.view.Region(endpoint.FailureDomain))
 	if !ok {
