Take over a list of instances whose versions start over

Cause: nodes that run never took over the list of a platform that was set up anew, as its versions are lower (TestListStartsOver, red: 4 instances listed where there are 3).

Change: five whole lists in a row with a lower version are taken for those of a new platform; one or two, as of a replica that lags, are not.

--- a/member/member.go
+++ b/member/member.go
@@ -80,9 +80,11 @@
 	cancel   context.CancelFunc
 	view     atomic.Pointer[View]
 
-	mu         sync.Mutex
-	list       instances.List
-	complete   bool
+	mu       sync.Mutex
+	list     instances.List
+	complete bool
+	// lower counts whole lists in a row that have a lower version.
+	lower      int
 	fails      map[string]int
 	reports    map[string]map[string]time.Time
 	heard      map[string]time.Time
@@ -184,6 +186,10 @@
 	m.take(l)
 }
 
+// maxLower is how many whole lists in a row may have a lower version before
+// they are taken for those of a platform that was set up anew.
+const maxLower = 5
+
 // take takes over a list, unless it is older than the one known.
 func (m *Member) take(l instances.List) {
 	m.mu.Lock()
@@ -191,6 +197,12 @@
 	if l.Since > 0 && l.Since != m.list.Version {
 		newer = false
 	}
+	if l.Since == 0 && l.Version < m.list.Version {
+		m.lower++
+		newer = m.lower >= maxLower
+	} else {
+		m.lower = 0
+	}
 	if newer {
 		m.list = m.list.Apply(l)
 		m.complete = true
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -211,3 +211,34 @@
 	}
 	is.Equal(moved, count["node-4"])
 }
+
+// TestListStartsOver proves that a list whose versions start over, as of a
+// platform that was set up anew, is taken over after a while, and that a single
+// older answer is not.
+func TestListStartsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		net := join(4)
+		defer net.close()
+		set := func(version int64, n int) {
+			net.mu.Lock()
+			defer net.mu.Unlock()
+			l := listOf(n)
+			l.Version = version
+			for i := range l.Instances {
+				l.Instances[i].Address = l.Instances[i].ID
+			}
+			net.list = l
+		}
+		set(100, 4)
+		time.Sleep(3 * time.Second)
+		set(7, 3)
+		time.Sleep(1500 * time.Millisecond) // a replica that lags answers once or twice
+		is.Equal(len(net.members["node-0"].View().Listed), 4)
+		set(100, 4)
+		time.Sleep(3 * time.Second)
+		set(7, 3)
+		time.Sleep(10 * time.Second)
+		is.Equal(len(net.members["node-0"].View().Listed), 3)
+	})
+}
