--- /dev/null
+++ b/cmd/linkmast/deploy_test.go
@@ -0,0 +1,287 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/linkmast/linkmast/engine"
+	"github.com/linkmast/linkmast/fleet"
+	"github.com/linkmast/linkmast/instances"
+	"github.com/linkmast/linkmast/internal/wirehttp"
+	"github.com/linkmast/linkmast/logsvc"
+	"github.com/linkmast/linkmast/rollout"
+)
+
+// process is one running program.
+type process struct {
+	t       *testing.T
+	name    string
+	cmd     *exec.Cmd
+	address string
+	peer    string
+	admin   string
+	exited  chan error
+	output  *bytes.Buffer
+	mu      sync.Mutex
+}
+
+// deployment is a whole deployment of separate processes.
+type deployment struct {
+	t        *testing.T
+	bin      string
+	platform *process
+	engines  []*process
+	service  *process
+	nodes    []*process
+}
+
+// build builds both programs once.
+var build = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "linkmast-test")
+	if err != nil {
+		return "", err
+	}
+	for _, name := range []string{"linkmast", "linkmastctl"} {
+		out, err := exec.Command("go", "build", "-o", filepath.Join(dir, name), "../"+name).CombinedOutput()
+		if err != nil {
+			return "", fmt.Errorf("build %s: %w\n%s", name, err, out)
+		}
+	}
+	return dir, nil
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if dir, err := build(); err == nil {
+		os.RemoveAll(dir)
+	}
+	os.Exit(code)
+}
+
+// run starts a program and waits for the line that tells its address.
+func (d *deployment) run(name, program string, args ...string) *process {
+	d.t.Helper()
+	p := &process{
+		t:      d.t,
+		name:   name,
+		cmd:    exec.Command(filepath.Join(d.bin, program), args...),
+		exited: make(chan error, 1),
+		output: &bytes.Buffer{},
+	}
+	out, err := p.cmd.StdoutPipe()
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	p.cmd.Stderr = p.cmd.Stdout
+	if err := p.cmd.Start(); err != nil {
+		d.t.Fatal(err)
+	}
+	started := make(chan struct{})
+	go func() {
+		in := bufio.NewScanner(out)
+		in.Buffer(nil, 1<<20)
+		once := sync.OnceFunc(func() { close(started) })
+		for in.Scan() {
+			p.mu.Lock()
+			p.output.WriteString(in.Text() + "\n")
+			p.mu.Unlock()
+			if p.read(in.Text()) {
+				once()
+			}
+		}
+		once()
+		p.exited <- p.cmd.Wait()
+	}()
+	d.t.Cleanup(func() {
+		p.cmd.Process.Signal(syscall.SIGCONT)
+		p.cmd.Process.Kill()
+	})
+	select {
+	case <-started:
+	case <-time.After(10 * time.Second):
+		d.t.Fatalf("%s does not start: %s", name, p.text())
+	}
+	return p
+}
+
+// read takes the addresses from a line of output.
+func (p *process) read(line string) bool {
+	if a, ok := strings.CutPrefix(line, "listening on "); ok {
+		p.address = a
+		return true
+	}
+	var l struct {
+		Msg, Listen, Peers, Admin string
+	}
+	if json.Unmarshal([]byte(line), &l) != nil || l.Msg != "started" {
+		return false
+	}
+	p.address, p.peer, p.admin = l.Listen, l.Peers, l.Admin
+	return true
+}
+
+func (p *process) text() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.output.String()
+}
+
+func (p *process) signal(s syscall.Signal) {
+	p.t.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// deploy starts a deployment of n nodes.
+func deploy(t *testing.T, n int) *deployment {
+	t.Helper()
+	bin, err := build()
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &deployment{
+		t:   t,
+		bin: bin,
+	}
+	d.platform = d.run("platform", "linkmastctl", "standin", "platform")
+	for i := range 3 {
+		name := fmt.Sprintf("e%d", i+1)
+		d.engines = append(d.engines, d.run(name, "linkmastctl", "standin", "engine", "--instance", name, "--step", "10ms"))
+		d.list(name, d.engines[i].address, instances.KindEndpoint)
+	}
+	d.service = d.run("s1", "linkmastctl", "standin", "service", "--instance", "s1")
+	d.list("s1", d.service.address, instances.KindEndpoint)
+	for i := range n {
+		d.addNode(fmt.Sprintf("n%d", i+1))
+	}
+	d.publish()
+	for _, p := range d.nodes {
+		d.ready(p, n)
+	}
+	return d
+}
+
+func (d *deployment) addNode(name string) {
+	path := filepath.Join(d.t.TempDir(), name+".toml")
+	text := fmt.Sprintf("id = %q\nregion = \"r1\"\nfailure_domain = \"d1\"\nlisten = \"127.0.0.1:0\"\n"+
+		"peer_listen = \"127.0.0.1:0\"\nadmin_listen = \"127.0.0.1:0\"\n[platform]\nlog = %q\ninstances = %q\n"+
+		"[times]\ndrain = \"1s\"\n", name, d.platform.address, d.platform.address)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		d.t.Fatal(err)
+	}
+	p := d.run(name, "linkmast", "--settings", path)
+	d.nodes = append(d.nodes, p)
+	d.list(name, p.peer, instances.KindNode)
+}
+
+// list puts an instance on the platform's list.
+func (d *deployment) list(id, address string, kind instances.Kind) {
+	data, _ := json.Marshal(instances.Instance{
+		ID:            id,
+		Kind:          kind,
+		Address:       address,
+		FailureDomain: "d1",
+		Region:        "r1",
+		State:         instances.Live,
+	})
+	put(d.t, "http://"+d.platform.address+"/v1/instances/"+id, string(data))
+}
+
+func put(t *testing.T, url, body string) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPut, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	res.Body.Close()
+}
+
+func (d *deployment) publish() {
+	d.t.Helper()
+	var engines []*fleet.Host
+	for _, p := range d.engines {
+		engines = append(engines, &fleet.Host{ID: p.name, Address: p.address})
+	}
+	text := fleet.Text(engines, []*fleet.Host{{ID: "s1", Address: d.service.address}})
+	log := logsvc.NewHTTP(wirehttp.Client(), d.platform.address)
+	if _, err := rollout.Publish(context.Background(), log, rollout.Publication{
+		ID:   "test",
+		Text: []byte(text),
+	}); err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+// ready waits until a node serves and knows n nodes.
+func (d *deployment) ready(p *process, n int) {
+	d.t.Helper()
+	for range 200 {
+		var s struct {
+			Ready   bool
+			Members int
+		}
+		res, err := http.Get("http://" + p.admin + "/status")
+		if err == nil {
+			json.NewDecoder(res.Body).Decode(&s)
+			res.Body.Close()
+		}
+		if s.Ready && s.Members == n {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	d.t.Fatalf("%s is not ready: %s", p.name, p.text())
+}
+
+// held returns the memory held at all engines that answer.
+func (d *deployment) held() int64 {
+	total := int64(0)
+	for _, p := range d.engines {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		s, err := engine.NewHTTP(wirehttp.Client(), p.address).Status(ctx, false)
+		cancel()
+		if err == nil {
+			total += s.HeldBytes
+		}
+	}
+	return total
+}
+
+func (d *deployment) wantFree(within time.Duration) {
+	d.t.Helper()
+	until := time.Now().Add(within)
+	for d.held() > 0 {
+		if time.Now().After(until) {
+			d.t.Errorf("%d bytes are still held after %s", d.held(), within)
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+func (d *deployment) addresses() []string {
+	var out []string
+	for _, p := range d.nodes {
+		out = append(out, p.address)
+	}
+	return out
+}
