Send summaries that have not changed once a second

Cause: eight node processes with 20 engines, idle, each read 5.4 and wrote 5.1 KB a second and took 2.6 % of a core (counted by the system over 20 s), against 5 KB and 3.1 %. Seven owners told of endpoints five times a second though nothing had changed.

Ruled out: a longer interval, which short prompts feel (180 instead of 156 ms at the 95th percentile with one second).

Change: a watch sends summaries when they differ from the last, and once a second otherwise.

Measured, same way: 2.7 KB read and 2.3 KB written a second, 1.85 % of a core, 22 MB.

--- a/owner/grpc.go
+++ b/owner/grpc.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/linkmast/linkmast/owner/ownerpb"
 	"github.com/linkmast/linkmast/policy"
@@ -162,14 +163,22 @@
 // maxPiggyback bounds the summaries that go with the answer to a release.
 const maxPiggyback = 32
 
-// Watch implements ownerpb.OwnerServer.
+// Watch implements ownerpb.OwnerServer. Summaries that are as they were are sent
+// again only once in watchRepeat, so that the watcher knows that they hold.
 func (s *Server) Watch(in *ownerpb.WatchRequest, out grpc.ServerStreamingServer[ownerpb.Summaries]) error {
 	interval := max(time.Duration(in.IntervalMs)*time.Millisecond, minWatch)
 	tick := time.NewTicker(interval)
 	defer tick.Stop()
+	var last *ownerpb.Summaries
+	var sent time.Time
 	for {
-		if err := out.Send(Encode(s.owner.Summaries())); err != nil {
-			return err
+		now := time.Now()
+		next := Encode(s.owner.Summaries())
+		if now.Sub(sent) >= watchRepeat || !proto.Equal(next, last) {
+			if err := out.Send(next); err != nil {
+				return err
+			}
+			last, sent = next, now
 		}
 		select {
 		case <-tick.C:
@@ -181,6 +190,10 @@
 	}
 }
 
+// watchRepeat is how often summaries are sent that have not changed. It is
+// well below the age at which an entry no longer believes them.
+const watchRepeat = time.Second
+
 // minWatch bounds how often summaries are sent.
 const minWatch = 20 * time.Millisecond
 
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -3,7 +3,9 @@
 package owner
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -235,7 +237,8 @@
 	return ids
 }
 
-// Summaries returns a summary of each endpoint that the instance owns.
+// Summaries returns a summary of each endpoint that the instance owns, in the
+// order of their ids.
 func (o *Owner) Summaries() []policy.Summary {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -244,6 +247,7 @@
 	for id, e := range o.owned {
 		out = append(out, e.summary(id, now))
 	}
+	slices.SortFunc(out, func(a, b policy.Summary) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
 	return out
 }
 
