--- /dev/null
+++ b/batch/batch.go
@@ -0,0 +1,56 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package batch
+
+import (
+	"time"
+)
+
+// Model holds the measures of an engine.
+type Model struct {
+	// Slots bounds the requests that run at once.
+	Slots int
+	// Capacity is the memory for context, in tokens.
+	Capacity int
+	// Stride is the number of steps in a pass that has writers.
+	Stride int
+	// Step is the time of a step without writers.
+	Step time.Duration
+	// PerSequence is what each writer adds to a step.
+	PerSequence time.Duration
+	// PerThousandContext is what a thousand tokens of context add to a step.
+	PerThousandContext time.Duration
+	// ReadPerSecond is the number of prompt tokens read in a second.
+	ReadPerSecond float64
+	// PerMillionPairs is what a million pairs of tokens add to reading.
+	PerMillionPairs time.Duration
+	// Hop is what a step takes longer when several engines hold its context.
+	Hop time.Duration
+}
+
+// Read returns the time that each of n engines takes to read its part of a
+// prompt.
+func (m *Model) Read(tokens, n int) time.Duration {
+	if tokens <= 0 || n <= 0 {
+		return 0
+	}
+	t := float64(tokens)
+	d := time.Duration(0)
+	if m.ReadPerSecond > 0 {
+		d = time.Duration(t / m.ReadPerSecond * float64(time.Second))
+	}
+	pairs := t * (t - 1) / 2
+	d += time.Duration(pairs / 1e6 * float64(m.PerMillionPairs))
+	return d / time.Duration(n)
+}
+
+// Pass returns the time of a pass without reading: writers requests with
+// context tokens together get Stride tokens each.
+func (m *Model) Pass(writers, context int) time.Duration {
+	if writers == 0 {
+		return m.Step
+	}
+	step := m.Step + time.Duration(writers)*m.PerSequence
+	step += time.Duration(float64(context) / 1000 * float64(m.PerThousandContext))
+	return step * time.Duration(max(m.Stride, 1))
+}
--- /dev/null
+++ b/catalog/catalog.go
@@ -0,0 +1,145 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package catalog
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/linkmast/linkmast/route"
+)
+
+// Settings are the measures of a Catalog. A zero value means the default.
+type Settings struct {
+	// Poll is how long a poll for configurations waits; the default is 1s. The
+	// age of the configuration stays below about twice this.
+	Poll time.Duration
+	// LongPoll is how long a poll of the other feeds waits; the default is 20s.
+	LongPoll time.Duration
+	// Hold is how long endpoints that vanished in an outage of the store are
+	// kept after its return; the default is 2s.
+	Hold time.Duration
+}
+
+// The defaults of Settings.
+const (
+	defaultPoll     = time.Second
+	defaultLongPoll = 20 * time.Second
+	// The platform's pages give about two seconds for entries to return.
+	defaultHold = 2 * time.Second
+)
+
+// Snapshot is what was known at one moment. It never changes.
+type Snapshot struct {
+	// Table is the configuration in force.
+	Table *route.Table
+	// Endpoints are all endpoints by instance, leaving ones included.
+	Endpoints map[string]Endpoint
+	// Peers are the other instances by id, this one included.
+	Peers map[string]Peer
+}
+
+// Catalog follows the store.
+type Catalog struct {
+	settings Settings
+	store    Store
+	log      logr.Logger
+
+	// confirmed is when the last read that confirmed the configuration was
+	// sent; nil before the first.
+	confirmed atomic.Pointer[time.Time]
+	snapshot  atomic.Pointer[Snapshot]
+
+	mu        sync.Mutex
+	table     *route.Table
+	endpoints map[string]Endpoint
+	peers     map[string]Peer
+	// doubt is until when removals of endpoints are not taken for real.
+	doubt time.Time
+	// vanished are endpoints whose entries are gone, with when they count as
+	// gone.
+	vanished map[string]time.Time
+	changed  chan struct{}
+}
+
+// New returns a catalog. Run fills it.
+func New(s Settings, store Store, log logr.Logger) *Catalog {
+	if s.Poll == 0 {
+		s.Poll = defaultPoll
+	}
+	if s.LongPoll == 0 {
+		s.LongPoll = defaultLongPoll
+	}
+	if s.Hold == 0 {
+		s.Hold = defaultHold
+	}
+	return &Catalog{
+		settings:  s,
+		store:     store,
+		log:       log,
+		endpoints: make(map[string]Endpoint),
+		peers:     make(map[string]Peer),
+		vanished:  make(map[string]time.Time),
+		changed:   make(chan struct{}),
+	}
+}
+
+// Snapshot returns what is known, or nil while there is no configuration.
+func (c *Catalog) Snapshot() *Snapshot {
+	return c.snapshot.Load()
+}
+
+// Age returns how old the configuration in force may be: no configuration that
+// was accepted earlier than this is missing. It returns false before the first
+// read.
+func (c *Catalog) Age() (time.Duration, bool) {
+	at := c.confirmed.Load()
+	if at == nil {
+		return 0, false
+	}
+	return time.Since(*at), true
+}
+
+// Changed returns a channel that is closed at the next change.
+func (c *Catalog) Changed() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changed
+}
+
+// confirm notes that a read sent at a moment showed the newest configuration.
+func (c *Catalog) confirm(sent time.Time) {
+	for {
+		old := c.confirmed.Load()
+		if old != nil && !sent.After(*old) {
+			return
+		}
+		if c.confirmed.CompareAndSwap(old, &sent) {
+			return
+		}
+	}
+}
+
+// publish makes what is known visible. The caller holds the lock.
+func (c *Catalog) publish() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+	if c.table == nil {
+		return
+	}
+	s := &Snapshot{
+		Table:     c.table,
+		Endpoints: make(map[string]Endpoint, len(c.endpoints)),
+		Peers:     make(map[string]Peer, len(c.peers)),
+	}
+	for k, e := range c.endpoints {
+		s.Endpoints[k] = e
+	}
+	for k, p := range c.peers {
+		s.Peers[k] = p
+	}
+	c.snapshot.Store(s)
+}
--- /dev/null
+++ b/catalog/follow.go
@@ -0,0 +1,168 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package catalog
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// The waits between tries while the store can't be read, and what a poll may
+// take longer than its wait.
+const (
+	firstBackoff = 100 * time.Millisecond
+	lastBackoff  = 400 * time.Millisecond
+	pollSlack    = 800 * time.Millisecond
+	wholeTimeout = 2 * time.Second
+	expireEvery  = 100 * time.Millisecond
+)
+
+// Run follows the store until ctx ends.
+func (c *Catalog) Run(ctx context.Context) {
+	var parts sync.WaitGroup
+	retry := newKick()
+	for _, f := range []Feed{Configurations, Endpoints, Peers} {
+		parts.Go(func() { c.follow(ctx, f, retry) })
+	}
+	parts.Go(func() { c.expireLoop(ctx) })
+	parts.Wait()
+}
+
+func (c *Catalog) expireLoop(ctx context.Context) {
+	tick := time.NewTicker(expireEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			c.expire(now)
+		}
+	}
+}
+
+// follow keeps one feed up to date.
+func (c *Catalog) follow(ctx context.Context, f Feed, retry *kick) {
+	next := int64(-1)
+	failures := 0
+	for ctx.Err() == nil {
+		var err error
+		if next < 0 {
+			next, err = c.readWhole(ctx, f)
+		} else {
+			next, err = c.poll(ctx, f, next, retry)
+		}
+		if err == nil {
+			if failures > 0 {
+				c.log.Info("store is back", "feed", f.String(), "failures", failures)
+				if f == Configurations {
+					// The other feeds may hang on connections that died.
+					retry.fire()
+				}
+			}
+			failures = 0
+			continue
+		}
+		failures++
+		c.failed(ctx, f, failures, err)
+	}
+}
+
+// failed notes a failed read and waits before the next.
+func (c *Catalog) failed(ctx context.Context, f Feed, failures int, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	c.troubled(time.Now())
+	if failures == 1 {
+		c.log.Info("store can't be read", "feed", f.String(), "cause", err.Error())
+	}
+	wait := min(firstBackoff*time.Duration(failures), lastBackoff)
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+}
+
+// readWhole reads a feed from nothing.
+func (c *Catalog) readWhole(ctx context.Context, f Feed) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, wholeTimeout)
+	defer cancel()
+	sent := time.Now()
+	changes, next, err := c.store.Whole(ctx, f)
+	if err != nil {
+		return -1, err
+	}
+	c.apply(f, changes, true)
+	if f == Configurations && len(changes) > 0 {
+		c.confirm(sent)
+	}
+	return next, nil
+}
+
+// poll waits for the next records of a feed.
+func (c *Catalog) poll(ctx context.Context, f Feed, from int64, retry *kick) (int64, error) {
+	wait := c.settings.LongPoll
+	if f == Configurations {
+		wait = c.settings.Poll
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+pollSlack)
+	defer cancel()
+	if f != Configurations {
+		stop := retry.watch(cancel)
+		defer stop()
+	}
+	sent := time.Now()
+	changes, next, err := c.store.Follow(ctx, f, from, wait)
+	if errors.Is(err, ErrCompacted) {
+		c.log.Info("feed is read whole again", "feed", f.String(), "from", from)
+		return -1, nil
+	}
+	if err != nil {
+		return from, err
+	}
+	c.apply(f, changes, false)
+	if f == Configurations {
+		c.confirm(sent)
+	}
+	return next, nil
+}
+
+// kick ends what watches it.
+type kick struct {
+	mu sync.Mutex
+	ch chan struct{}
+}
+
+func newKick() *kick {
+	return &kick{
+		ch: make(chan struct{}),
+	}
+}
+
+// fire ends all that watch now.
+func (k *kick) fire() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	close(k.ch)
+	k.ch = make(chan struct{})
+}
+
+// watch calls f at the next fire, until it is stopped.
+func (k *kick) watch(f func()) (stop func()) {
+	k.mu.Lock()
+	ch := k.ch
+	k.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		select {
+		case <-ch:
+			f()
+		case <-done:
+		}
+	}()
+	return func() { close(done) }
+}
--- /dev/null
+++ b/catalog/types.go
@@ -0,0 +1,134 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package catalog
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/linkmast/linkmast/route"
+)
+
+// Endpoint is one start of an endpoint.
+type Endpoint struct {
+	// Instance names this start; a restart has another name.
+	Instance string
+	// Service names what the endpoint answers for.
+	Service string
+	// Address is the host and port.
+	Address string
+	// FailureDomain is where the endpoint runs.
+	FailureDomain string
+	// Slots is how many requests it works on at once.
+	Slots int
+	// Leaving endpoints get no new request.
+	Leaving bool
+}
+
+// Peer is another instance of the system.
+type Peer struct {
+	// ID names the instance.
+	ID string
+	// Address is where instances connect to it.
+	Address string
+	// FailureDomain is where it runs.
+	FailureDomain string
+	// Capacity weighs what it can carry, in thousandths of a processor core.
+	Capacity int
+}
+
+// Feed is a part of the store.
+type Feed int
+
+// The feeds.
+const (
+	// Configurations has the whole configuration.
+	Configurations Feed = iota
+	// Endpoints has an entry for each endpoint.
+	Endpoints
+	// Peers has an entry for each instance.
+	Peers
+)
+
+// String returns the feed's name.
+func (f Feed) String() string {
+	switch f {
+	case Configurations:
+		return "configurations"
+	case Endpoints:
+		return "endpoints"
+	}
+	return "peers"
+}
+
+// Change is a record of a feed: *TableChange, *EndpointChange, *EndpointGone,
+// *PeerChange, *PeerGone or *Malformed.
+type Change interface {
+	change()
+}
+
+// TableChange is a new version of the configuration.
+type TableChange struct {
+	// Table is the version.
+	Table *route.Table
+}
+
+// EndpointChange is a new or changed endpoint.
+type EndpointChange struct {
+	// Endpoint is the entry.
+	Endpoint Endpoint
+}
+
+// EndpointGone is the end of an endpoint's entry.
+type EndpointGone struct {
+	// Instance names the endpoint.
+	Instance string
+}
+
+// PeerChange is a new or changed instance.
+type PeerChange struct {
+	// Peer is the entry.
+	Peer Peer
+}
+
+// PeerGone is the end of an instance's entry.
+type PeerGone struct {
+	// ID names the instance.
+	ID string
+}
+
+// Malformed is a record that can't be read. It changes nothing.
+type Malformed struct {
+	// Key is the record's key.
+	Key string
+	// Err says what is wrong.
+	Err error
+}
+
+func (*TableChange) change()    {}
+func (*EndpointChange) change() {}
+func (*EndpointGone) change()   {}
+func (*PeerChange) change()     {}
+func (*PeerGone) change()       {}
+func (*Malformed) change()      {}
+
+// ErrCompacted means that the records asked for are no longer kept; the feed
+// must be read whole again.
+var ErrCompacted = errors.New("records are no longer kept")
+
+// Store is the platform's store.
+type Store interface {
+	// Whole returns the newest record of each key of a feed, and the offset to
+	// follow from.
+	Whole(ctx context.Context, f Feed) (changes []Change, next int64, err error)
+	// Follow returns the records from an offset on. It waits for the first one
+	// for the given time; without one it returns none and the same offset. The
+	// error is ErrCompacted when the records are gone.
+	Follow(ctx context.Context, f Feed, from int64, wait time.Duration) (changes []Change, next int64, err error)
+	// Announce writes an instance's entry.
+	Announce(ctx context.Context, p Peer) error
+	// Withdraw removes an instance's entry.
+	Withdraw(ctx context.Context, id string) error
+}
--- a/cmd/linkmast/main.go
+++ b/cmd/linkmast/main.go
@@ -9,12 +9,15 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"reflect"
 	"syscall"
 
 	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
 	"github.com/jessevdk/go-flags"
 
+	"github.com/linkmast/linkmast/gateway"
+	"github.com/linkmast/linkmast/internal/jsonlog"
 	"github.com/linkmast/linkmast/internal/version"
 	"github.com/linkmast/linkmast/node"
 	"github.com/linkmast/linkmast/settings"
@@ -31,7 +34,7 @@
 
 // options are the command line.
 type options struct {
-	Settings string `short:"s" long:"settings" value-name:"FILE" description:"settings of this instance (TOML)"`
+	Settings string `short:"s" long:"settings" env:"LINKMAST_NODE_FILE" value-name:"FILE" description:"settings of this instance (TOML)"`
 	Check    bool   `long:"check" description:"check the settings and exit"`
 	Verbose  bool   `short:"v" long:"verbose" description:"also write a line for each lease given"`
 	Version  bool   `long:"version" description:"print the version and exit"`
@@ -45,7 +48,8 @@
 	var o options
 	parser := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = "Runs one instance of linkmast. SIGTERM and SIGINT are a planned stop: the instance hands\n" +
-		"over what it owns and serves requests in flight to their end. A second signal stops it at once.\n" +
+		"over what it owns and serves requests in flight to their end. A second SIGINT stops it at once.\n" +
+		"SIGHUP checks the settings anew.\n" +
 		"Exit codes: 0 stopped as planned, 1 could not start, 2 wrong command line or settings."
 	if _, err := parser.ParseArgs(args); err != nil {
 		return usage(err)
@@ -65,7 +69,7 @@
 		fmt.Println("settings are fine")
 		return exitOK
 	}
-	return serve(s, o.Verbose)
+	return serve(s, o)
 }
 
 // usage prints what is wrong with the command line, or the help asked for.
@@ -79,31 +83,78 @@
 	return exitUsage
 }
 
+// instance is a node or a gateway.
+type instance interface {
+	// Stop ends the instance as planned; with the end of ctx at once.
+	Stop(ctx context.Context)
+}
+
+// start starts the instance that the settings ask for.
+func start(s *settings.File, log logr.Logger) (instance, error) {
+	if s.Platform.Store != "" {
+		g, err := gateway.New(s, log)
+		if err != nil {
+			return nil, err
+		}
+		log.Info("started", "version", version.String(), "listen", g.Listen, "ready", g.ReadyListen, "admin", g.AdminListen)
+		return g, nil
+	}
+	n, err := node.New(s, log)
+	if err != nil {
+		return nil, err
+	}
+	log.Info("started", "version", version.String(), "listen", n.Listen, "peers", n.PeerListen, "admin", n.AdminListen)
+	return n, nil
+}
+
 // serve runs the instance until it is stopped.
-func serve(s *settings.File, verbose bool) int {
+func serve(s *settings.File, o options) int {
 	level := slog.LevelInfo
-	if verbose {
+	if o.Verbose {
 		level = slog.LevelDebug
 	}
-	handler := slog.NewJSONHandler(os.Stdout, &slog.HandlerOptions{
+	lines := jsonlog.New(os.Stdout)
+	defer lines.Close()
+	handler := slog.NewJSONHandler(lines, &slog.HandlerOptions{
 		Level: level,
 	})
 	log := logr.FromSlogHandler(handler).WithValues("instance", s.ID)
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	n, err := node.New(s, log)
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	n, err := start(s, log)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	log.Info("started", "version", version.String(), "listen", n.Listen, "peers", n.PeerListen, "admin", n.AdminListen)
-	<-signals
+	for one := range signals {
+		if one != syscall.SIGHUP {
+			break
+		}
+		reload(o.Settings, s, log)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() {
-		<-signals
-		cancel()
+		for one := range signals {
+			if one == os.Interrupt {
+				cancel()
+			}
+		}
 	}()
 	n.Stop(ctx)
 	return exitOK
 }
+
+// reload checks the settings file anew. What it holds is fixed for the life of
+// a process, so a change is told and takes effect with the next start.
+func reload(path string, s *settings.File, log logr.Logger) {
+	fresh, err := settings.Read(path)
+	switch {
+	case err != nil:
+		log.Error(err, "reload: settings are wrong and take no effect")
+	case reflect.DeepEqual(fresh, s):
+		log.Info("reload: settings are unchanged")
+	default:
+		log.Info("reload: settings have changed; they take effect with the next start")
+	}
+}
--- /dev/null
+++ b/gateway/admin.go
@@ -0,0 +1,67 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package gateway
+
+import (
+	"expvar"
+	"fmt"
+	"net/http"
+	"runtime"
+)
+
+// adminHandler serves the metrics.
+func (g *Gateway) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", g.metrics)
+	return mux
+}
+
+// metrics writes all counters as one JSON object.
+func (g *Gateway) metrics(w http.ResponseWriter, _ *http.Request) {
+	all := new(expvar.Map).Init()
+	all.Set("relay", g.relay.Metrics.Vars)
+	all.Set("pools", expvar.Func(func() any { return g.pools.Figures() }))
+	all.Set("store", expvar.Func(func() any { return g.storeFigures() }))
+	all.Set("process", expvar.Func(func() any { return g.processFigures() }))
+	w.Header().Set("Content-Type", "application/json")
+	// The reader may have gone; there is nobody left to tell.
+	_, _ = fmt.Fprintln(w, all.String())
+}
+
+// storeFigures are what is known from the store.
+type storeFigures struct {
+	Version   int64 `json:"version"`
+	AgeMS     int64 `json:"age_ms"`
+	Endpoints int   `json:"endpoints"`
+	Peers     int   `json:"peers"`
+}
+
+func (g *Gateway) storeFigures() storeFigures {
+	var f storeFigures
+	if s := g.catalog.Snapshot(); s != nil {
+		f.Version = s.Table.Version
+		f.Endpoints = len(s.Endpoints)
+		f.Peers = len(s.Peers)
+	}
+	if age, ok := g.catalog.Age(); ok {
+		f.AgeMS = age.Milliseconds()
+	}
+	return f
+}
+
+// processFigures are those of the process.
+type processFigures struct {
+	Goroutines  int   `json:"goroutines"`
+	InFlight    int64 `json:"in_flight"`
+	Connections int   `json:"connections"`
+	Dials       int64 `json:"dials"`
+}
+
+func (g *Gateway) processFigures() processFigures {
+	return processFigures{
+		Goroutines:  runtime.NumGoroutine(),
+		InFlight:    g.relay.InFlight(),
+		Connections: g.open.count(),
+		Dials:       g.upstream.Dials(),
+	}
+}
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,148 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package upstream
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
+)
+
+// The times of connections.
+const (
+	// defaultDial bounds the time in which a connection comes up.
+	defaultDial = 400 * time.Millisecond
+	// defaultKeep is how long an idle connection is used again when the
+	// endpoint does not say how long it keeps one.
+	defaultKeep = 3 * time.Second
+	// keepMargin is how much earlier a connection is given up than the
+	// endpoint says, for the time that the request is on its way.
+	keepMargin = 700 * time.Millisecond
+	// unackedTimeout is how long sent bytes may stay unacknowledged before the
+	// kernel gives a connection up.
+	unackedTimeout = 4 * time.Second
+)
+
+// maxIdle bounds the idle connections to one endpoint.
+const maxIdle = 16
+
+// Settings are the measures of a Pool. A zero value means the default.
+type Settings struct {
+	// Dial bounds the time in which a connection comes up; the default is
+	// 400ms.
+	Dial time.Duration
+}
+
+// Pool holds idle connections to endpoints.
+type Pool struct {
+	dialer net.Dialer
+	dials  atomic.Int64
+
+	mu   sync.Mutex
+	idle map[string][]*Conn
+}
+
+// New returns a pool.
+func New(s Settings) *Pool {
+	if s.Dial == 0 {
+		s.Dial = defaultDial
+	}
+	return &Pool{
+		dialer: net.Dialer{
+			Timeout:   s.Dial,
+			KeepAlive: -1,
+			Control:   control,
+		},
+		idle: make(map[string][]*Conn),
+	}
+}
+
+// control bounds how long sent bytes may stay unacknowledged.
+func control(_, _ string, c syscall.RawConn) error {
+	// Where the option is missing, the time-outs of requests hold all the same.
+	return c.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+	})
+}
+
+// Dials returns how many connections were opened.
+func (p *Pool) Dials() int64 {
+	return p.dials.Load()
+}
+
+// get returns a connection that has rested for less than fresh, or a new one.
+func (p *Pool) get(ctx context.Context, address string, fresh time.Duration) (*Conn, error) {
+	for {
+		c := p.take(address)
+		if c == nil {
+			break
+		}
+		if rest := time.Since(c.rested); rest < fresh && rest < c.keep && c.quiet() {
+			return c, nil
+		}
+		c.close()
+	}
+	p.dials.Add(1)
+	n, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "connect to endpoint")
+	}
+	return newConn(n, address), nil
+}
+
+// take returns the connection that became idle last.
+func (p *Pool) take(address string) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
+	return c
+}
+
+// put keeps a connection for later.
+func (p *Pool) put(c *Conn) {
+	if c.keep <= 0 || c.reader.Buffered() > 0 {
+		c.close()
+		return
+	}
+	c.rested = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[c.address]) >= maxIdle {
+		c.close()
+		return
+	}
+	p.idle[c.address] = append(p.idle[c.address], c)
+}
+
+// Sweep closes the connections that have rested for too long.
+func (p *Pool) Sweep() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	for address, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.Sub(c.rested) >= c.keep {
+				c.close()
+				continue
+			}
+			kept = append(kept, c)
+		}
+		if len(kept) == 0 {
+			delete(p.idle, address)
+			continue
+		}
+		p.idle[address] = kept
+	}
+}
--- /dev/null
+++ b/placement/plan.go
@@ -0,0 +1,356 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Request is what a plan is made for.
+type Request struct {
+	// ID names the attempt.
+	ID string
+	// Prompt is the length of the prompt in tokens.
+	Prompt int
+	// Output is the likely length of the answer in tokens.
+	Output int
+	// Gap is the longest pause between events in time; zero means none counts.
+	Gap time.Duration
+	// TargetAt is when the first event would be late.
+	TargetAt time.Time
+	// Worth is what an answer in time is worth.
+	Worth float64
+	// Exclude are engines that must not be used.
+	Exclude []string
+	// Domain is where the request came in; engines there are preferred when
+	// nothing else tells them apart.
+	Domain string
+}
+
+// Share is the part of a plan on an engine that helps.
+type Share struct {
+	// Engine is the engine that helps.
+	Engine *Engine
+	// Hold is the memory that it holds for the request, in tokens.
+	Hold int
+}
+
+// Plan is where a request would run.
+type Plan struct {
+	// Engine gets the request.
+	Engine *Engine
+	// Others read the prompt with it.
+	Others []Share
+	// Read is the time of reading on each engine.
+	Read time.Duration
+	// Hold is the memory that Engine holds, in tokens.
+	Hold int
+	// First is the predicted time to the first event.
+	First time.Duration
+	// Spoils is what others lose.
+	Spoils float64
+	// Loses is what the request itself loses.
+	Loses float64
+}
+
+// Cost returns what the plan costs in all.
+func (p *Plan) Cost() float64 {
+	return p.Spoils + p.Loses
+}
+
+// MaxReaders bounds the engines that read a prompt together: one and sixteen
+// that help it.
+const MaxReaders = 17
+
+// widths are the numbers of engines that are tried.
+var widths = [...]int{1, 2, 3, 4, 6, 8, 12, MaxReaders}
+
+// lateShare is the part of a request's worth that is lost when it is late. The
+// sheets of both sites keep a quarter.
+const lateShare = 0.75
+
+// The part of a bound at which a prediction begins to count as late, and that
+// at which it surely is.
+const (
+	lateFrom = 0.85
+	lateTo   = 1.05
+)
+
+// lateness returns how likely something predicted to take d is late.
+func lateness(d, bound time.Duration) float64 {
+	if bound <= 0 {
+		return 1
+	}
+	r := float64(d) / float64(bound)
+	return min(max((r-lateFrom)/(lateTo-lateFrom), 0), 1)
+}
+
+// memoryReserve is the part of an engine's memory that plans leave free, for
+// answers that get longer than expected.
+const memoryReserve = 0.04
+
+// joinCost is what each further engine costs a plan: one more that may fail
+// under the request, and a disturbance for what comes next.
+const joinCost = 0.01
+
+// candidate is an engine with what reading on it would do.
+type candidate struct {
+	engine *Engine
+	spoils float64
+	first  time.Duration
+	free   int
+	slots  bool
+}
+
+// Make returns the cheapest plan, or false when no engine can take the request.
+func Make(engines []*Engine, r Request, now time.Time) (Plan, bool) {
+	usable := make([]*Engine, 0, len(engines))
+	for _, e := range engines {
+		if e.Closed || slices.Contains(r.Exclude, e.Instance) {
+			continue
+		}
+		e.Advance(now)
+		usable = append(usable, e)
+	}
+	best, found := Plan{}, false
+	cands := make([]candidate, 0, len(usable))
+	for _, n := range widths {
+		if n > len(usable) {
+			break
+		}
+		p, ok := plan(usable, r, n, now, cands)
+		if ok && (!found || p.Cost()+p.joining() < best.Cost()+best.joining()) {
+			best, found = p, true
+		}
+		if r.Prompt <= shortPrompt && found {
+			// Splitting what is read in a fraction of a pass gains nothing.
+			break
+		}
+	}
+	return best, found
+}
+
+// shortPrompt is up to where a prompt is read by one engine, in tokens: with
+// both sites' engines reading it takes half of a pass without reading.
+const shortPrompt = 6_000
+
+func (p *Plan) joining() float64 {
+	return joinCost * float64(len(p.Others))
+}
+
+// plan returns the cheapest plan in which n engines read the prompt.
+func plan(usable []*Engine, r Request, n int, now time.Time, cands []candidate) (Plan, bool) {
+	read := usable[0].Model.Read(r.Prompt, n)
+	cands = cands[:0]
+	for _, e := range usable {
+		cands = append(cands, e.judge(read, now))
+	}
+	slices.SortFunc(cands, func(a, b candidate) int {
+		return compare(a, b, r.Domain)
+	})
+	chosen := cands[:n]
+	need := r.Prompt + r.Output
+	head := headOf(chosen, need, n)
+	if head < 0 {
+		head, chosen = withSlot(cands, n)
+		if head < 0 {
+			return Plan{}, false
+		}
+	}
+	p := Plan{
+		Engine: chosen[head].engine,
+		Read:   read,
+	}
+	for i, c := range chosen {
+		p.Spoils += c.spoils
+		p.First = max(p.First, c.first)
+		if i != head {
+			p.Others = append(p.Others, Share{
+				Engine: c.engine,
+			})
+		}
+	}
+	if !p.hold(need) {
+		return Plan{}, false
+	}
+	p.Loses = lateShare * r.Worth * lateness(p.First, r.TargetAt.Sub(now))
+	return p, true
+}
+
+// compare orders candidates: least harm, then the earliest first event, then
+// the request's own failure domain.
+func compare(a, b candidate, domain string) int {
+	if d := a.spoils - b.spoils; d < -spoilsEqual || d > spoilsEqual {
+		return cmp.Compare(a.spoils, b.spoils)
+	}
+	if d := a.first - b.first; d < -firstEqual || d > firstEqual {
+		return cmp.Compare(a.first, b.first)
+	}
+	return cmp.Compare(foreign(a.engine, domain), foreign(b.engine, domain))
+}
+
+// The differences below which candidates count as equal.
+const (
+	spoilsEqual = 0.02
+	firstEqual  = 2 * time.Millisecond
+)
+
+func foreign(e *Engine, domain string) int {
+	if e.FailureDomain == domain {
+		return 0
+	}
+	return 1
+}
+
+// headOf returns the index of the engine that gets the request: one with a free
+// slot, with room for all if there is any, else with the most room.
+func headOf(chosen []candidate, need, n int) int {
+	head := -1
+	for i, c := range chosen {
+		if !c.slots {
+			continue
+		}
+		if c.free >= need {
+			return i
+		}
+		if n > 1 && (head < 0 || c.free > chosen[head].free) {
+			head = i
+		}
+	}
+	return head
+}
+
+// withSlot returns the cheapest choice whose first engine has a slot.
+func withSlot(cands []candidate, n int) (int, []candidate) {
+	for i, c := range cands {
+		if !c.slots {
+			continue
+		}
+		chosen := make([]candidate, 0, n)
+		chosen = append(chosen, c)
+		for j := range cands {
+			if j != i && len(chosen) < n {
+				chosen = append(chosen, cands[j])
+			}
+		}
+		return 0, chosen
+	}
+	return -1, nil
+}
+
+// hold spreads the memory over the plan's engines. It returns false when they
+// have too little.
+func (p *Plan) hold(need int) bool {
+	room := p.Engine.room()
+	if room >= need {
+		p.Hold = need
+		return true
+	}
+	if len(p.Others) == 0 {
+		return false
+	}
+	p.Hold = room
+	left := need - room
+	slices.SortFunc(p.Others, func(a, b Share) int {
+		return cmp.Compare(b.Engine.room(), a.Engine.room())
+	})
+	for i := range p.Others {
+		if left <= 0 {
+			break
+		}
+		n := min(max(p.Others[i].Engine.room(), 0), left)
+		p.Others[i].Hold = n
+		left -= n
+	}
+	return left <= 0
+}
+
+// room returns the memory that a plan may use.
+func (e *Engine) room() int {
+	return e.Free() - int(memoryReserve*float64(e.Model.Capacity))
+}
+
+// judge returns what reading for a time in the engine's next pass would do.
+func (e *Engine) judge(read time.Duration, now time.Time) candidate {
+	writers, context := 0, 0
+	before := time.Duration(0)
+	running := 0
+	for _, j := range e.Jobs {
+		if !j.Part {
+			running++
+		}
+		switch j.Phase {
+		case Waiting:
+			before += j.Read
+		case Reading, Writing:
+			context += j.Context
+			if !j.Part {
+				writers++
+			}
+		}
+	}
+	pass := time.Duration(0)
+	if writers > 0 {
+		pass = e.Model.Pass(writers, context)
+	}
+	before = e.paced(pass + before)
+	after := before + e.paced(read)
+	wait := time.Duration(0)
+	if !e.passEnd.IsZero() {
+		wait = max(e.passEnd.Sub(now), 0)
+	}
+	c := candidate{
+		engine: e,
+		first:  wait + after,
+		free:   e.room(),
+		slots:  running < e.Slots,
+	}
+	for _, j := range e.Jobs {
+		c.spoils += j.harm(before, after, wait, now)
+	}
+	return c
+}
+
+// harm returns what a job loses when the next pass takes after rather than
+// before.
+func (j *Job) harm(before, after, wait time.Duration, now time.Time) float64 {
+	if j.Part || j.Stake == 0 {
+		return 0
+	}
+	if j.Phase == Waiting {
+		left := j.TargetAt.Sub(now)
+		return j.Stake * (lateness(wait+after, left) - lateness(wait+before, left))
+	}
+	if j.Gap == 0 {
+		return 0
+	}
+	return j.Stake * (lateness(after, j.Gap) - lateness(before, j.Gap))
+}
+
+// Apply gives a plan's jobs to its engines.
+func (p *Plan) Apply(r Request, now time.Time) {
+	context := r.Prompt
+	if len(p.Others) > 0 {
+		context = r.Prompt / (len(p.Others) + 1)
+	}
+	p.Engine.Add(&Job{
+		ID:       r.ID,
+		Read:     p.Read,
+		Memory:   p.Hold,
+		Context:  context,
+		Gap:      r.Gap,
+		Stake:    lateShare * r.Worth,
+		TargetAt: r.TargetAt,
+	}, now)
+	for _, o := range p.Others {
+		o.Engine.Add(&Job{
+			ID:      r.ID,
+			Read:    p.Read,
+			Memory:  o.Hold,
+			Context: o.Hold,
+			Part:    true,
+		}, now)
+	}
+}
--- /dev/null
+++ b/pool/decide.go
@@ -0,0 +1,191 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"github.com/linkmast/linkmast/placement"
+)
+
+// The measures of waiting.
+const (
+	// spoilsTolerated is what a request may cost others at any time.
+	spoilsTolerated = 0.25
+	// waitShare is the part of a request's target that it may wait for a
+	// better moment.
+	waitShare = 0.7
+	// forceShare is the part of its deadline after which a request is placed
+	// whatever it costs others.
+	forceShare = 0.45
+	// lateWorth is the part of a request's worth that is left when it is late.
+	lateWorth = 0.25
+)
+
+// try places a request if this is a good moment. The caller holds the lock.
+func (s *Scheduler) try(p *state, w *waiter, now time.Time) (Grant, bool) {
+	list := p.usable(w.ask.Exclude, now)
+	if len(list) == 0 {
+		return Grant{}, false
+	}
+	if p.plain {
+		return s.tryPlain(p, w, list, now)
+	}
+	plan, ok := placement.Make(list, w.request, now)
+	if !ok || !w.worthIt(&plan, now) {
+		return Grant{}, false
+	}
+	plan.Apply(w.request, now)
+	return s.grant(p, w, &plan, now), true
+}
+
+// worthIt states whether a plan should be carried out now rather than later.
+func (w *waiter) worthIt(plan *placement.Plan, now time.Time) bool {
+	if plan.Spoils <= spoilsTolerated {
+		return true
+	}
+	waited := now.Sub(w.arrived)
+	left := w.request.TargetAt.Sub(now)
+	if plan.First < time.Duration(float64(left)*waitShare) {
+		// There is time for a better moment.
+		return false
+	}
+	keeps := w.request.Worth - plan.Loses
+	if plan.Spoils < keeps {
+		return true
+	}
+	return waited > time.Duration(float64(w.ask.Deadline)*forceShare)
+}
+
+// grant notes a place and returns it.
+func (s *Scheduler) grant(p *state, w *waiter, plan *placement.Plan, now time.Time) Grant {
+	at := &placed{
+		instance: plan.Engine.Instance,
+		at:       now,
+		first:    plan.First,
+	}
+	g := Grant{
+		Instance: plan.Engine.Instance,
+		Address:  plan.Engine.Address,
+		First:    plan.First,
+		Waited:   now.Sub(w.arrived),
+		By:       s.settings.Self,
+	}
+	for _, o := range plan.Others {
+		at.readers = append(at.readers, o.Engine.Instance)
+		g.Readers = append(g.Readers, Reader{
+			Instance: o.Engine.Instance,
+			Address:  o.Engine.Address,
+			Reserved: o.Hold,
+		})
+	}
+	p.probe(at)
+	p.placed[w.ask.ID] = at
+	s.log.Info("place", "attempt", w.ask.ID, "service", w.ask.Service, "prompt", w.ask.Prompt, "endpoint", g.Instance,
+		"readers", len(g.Readers), "first_ms", g.First.Milliseconds(), "read_ms", plan.Read.Milliseconds(),
+		"spoils", plan.Spoils, "loses", plan.Loses, "waited_ms", g.Waited.Milliseconds(), "queue", len(p.queue))
+	return g
+}
+
+// probe notes that an attempt tries endpoints that had failed.
+func (p *state) probe(at *placed) {
+	for _, name := range append(at.readers, at.instance) {
+		if h := p.health[name]; h != nil && h.failures > failuresTolerated {
+			h.probing = true
+		}
+	}
+}
+
+// tryPlain places a request on the plain endpoint with the least work for its
+// slots, counting recent failures as work.
+func (s *Scheduler) tryPlain(p *state, w *waiter, list []*placement.Engine, now time.Time) (Grant, bool) {
+	best := slices.MinFunc(list, func(a, b *placement.Engine) int {
+		return compareFloat(p.load(a), p.load(b))
+	})
+	best.Jobs = append(best.Jobs, &placement.Job{
+		ID: w.ask.ID,
+	})
+	return s.grant(p, w, &placement.Plan{
+		Engine: best,
+	}, now), true
+}
+
+// failureLoad is what a failure rate of one adds to the load of an endpoint.
+const failureLoad = 4
+
+func (p *state) load(e *placement.Engine) float64 {
+	return float64(len(e.Jobs))/float64(e.Slots) + failureLoad*p.health[e.Instance].rate
+}
+
+func compareFloat(a, b float64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// review looks at all waiting requests. It returns whether any still wait.
+func (s *Scheduler) review(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	waiting := false
+	for _, p := range s.pools {
+		s.reviewPool(p, now)
+		waiting = waiting || len(p.queue) > 0
+	}
+	return waiting
+}
+
+func (s *Scheduler) reviewPool(p *state, now time.Time) {
+	if len(p.queue) == 0 {
+		return
+	}
+	slices.SortStableFunc(p.queue, func(a, b *waiter) int {
+		return compareFloat(a.urgency(now), b.urgency(now))
+	})
+	kept := p.queue[:0]
+	for _, w := range p.queue {
+		if g, ok := s.try(p, w, now); ok {
+			w.reply <- g
+			continue
+		}
+		if r := w.hopeless(now); r != nil {
+			s.log.Info("refuse", "attempt", w.ask.ID, "service", w.ask.Service, "prompt", w.ask.Prompt,
+				"reason", r.Reason, "waited_ms", now.Sub(w.arrived).Milliseconds())
+			w.refuse <- r
+			continue
+		}
+		kept = append(kept, w)
+	}
+	clear(p.queue[len(kept):])
+	p.queue = kept
+}
+
+// urgency orders waiting requests: the one with the least time until it is late
+// goes first, less urgent customers after.
+func (w *waiter) urgency(now time.Time) float64 {
+	left := w.request.TargetAt.Sub(now)
+	return left.Seconds() + rankSeconds*float64(w.ask.Rank)
+}
+
+// rankSeconds is how much later a request counts for each rank of its customer.
+const rankSeconds = 0.3
+
+// refuseShare is the part of its deadline after which a request that found no
+// place is refused, so that its caller can come back in time.
+const refuseShare = 0.6
+
+// hopeless returns a refusal for a request that waited too long.
+func (w *waiter) hopeless(now time.Time) *Refusal {
+	if now.Sub(w.arrived) < time.Duration(float64(w.ask.Deadline)*refuseShare) {
+		return nil
+	}
+	return &Refusal{
+		Reason: "no endpoint can take the request now",
+		After:  retryAfter,
+	}
+}
--- /dev/null
+++ b/pool/figures.go
@@ -0,0 +1,34 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package pool
+
+// Figures are the state of one pool.
+type Figures struct {
+	// Endpoints is how many are known.
+	Endpoints int `json:"endpoints"`
+	// Placed is how many attempts have a place.
+	Placed int `json:"placed"`
+	// Queued is how many requests wait.
+	Queued int `json:"queued"`
+	// Predicted counts the first events that were predicted.
+	Predicted int `json:"predicted"`
+	// Within counts those that came within a fifth of the prediction.
+	Within int `json:"within"`
+}
+
+// Figures returns the state of all pools by service.
+func (s *Scheduler) Figures() map[string]Figures {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]Figures, len(s.pools))
+	for name, p := range s.pools {
+		out[name] = Figures{
+			Endpoints: len(p.list),
+			Placed:    len(p.placed),
+			Queued:    len(p.queue),
+			Predicted: p.errors.count,
+			Within:    p.errors.within,
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/pool/scheduler.go
@@ -0,0 +1,270 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package pool
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/linkmast/linkmast/catalog"
+	"github.com/linkmast/linkmast/placement"
+)
+
+// Settings are the measures of a Scheduler. A zero value means the default.
+type Settings struct {
+	// Self names the instance.
+	Self string
+	// Retries bounds how many requests are sent again.
+	Retries Budget
+	// WorthBase and WorthPerToken are what an answer in time is worth: a base
+	// and an amount for each token of the prompt.
+	WorthBase float64
+	// WorthPerToken is what each token of the prompt adds.
+	WorthPerToken float64
+}
+
+// The defaults of Settings. Both sites' sheets are met within a tenth by
+// 0.8 + 1.1e-4 for each prompt token.
+const (
+	defaultWorthBase     = 0.8
+	defaultWorthPerToken = 1.1e-4
+)
+
+// Scheduler places requests by what was placed through it. It implements
+// Placer. Run must be running.
+type Scheduler struct {
+	settings Settings
+	log      logr.Logger
+
+	mu    sync.Mutex
+	pools map[string]*state
+	wake  chan struct{}
+}
+
+// state is what a scheduler knows of one service.
+type state struct {
+	engines map[string]*placement.Engine
+	// list is the engines in a fixed order.
+	list   []*placement.Engine
+	health map[string]*health
+	placed map[string]*placed
+	queue  []*waiter
+	retry  spender
+	errors errorStats
+	// plain states that the service's endpoints are no engines.
+	plain bool
+}
+
+// placed is an attempt that has a place.
+type placed struct {
+	instance string
+	readers  []string
+	at       time.Time
+	first    time.Duration
+	begun    bool
+}
+
+// waiter is a request that waits for a better moment.
+type waiter struct {
+	ask     Ask
+	request placement.Request
+	arrived time.Time
+	reply   chan Grant
+	refuse  chan *Refusal
+}
+
+// NewScheduler returns a scheduler without endpoints.
+func NewScheduler(s Settings, log logr.Logger) *Scheduler {
+	if s.WorthBase == 0 {
+		s.WorthBase = defaultWorthBase
+	}
+	if s.WorthPerToken == 0 {
+		s.WorthPerToken = defaultWorthPerToken
+	}
+	return &Scheduler{
+		settings: s,
+		log:      log,
+		pools:    make(map[string]*state),
+		wake:     make(chan struct{}, 1),
+	}
+}
+
+// queueTick is how often waiting requests are looked at anew: a fraction of a
+// pass.
+const queueTick = 15 * time.Millisecond
+
+// Run looks at waiting requests until ctx ends.
+func (s *Scheduler) Run(ctx context.Context) {
+	tick := time.NewTicker(queueTick)
+	defer tick.Stop()
+	for {
+		if s.review(time.Now()) {
+			select {
+			case <-ctx.Done():
+				return
+			case <-tick.C:
+			}
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.wake:
+		}
+	}
+}
+
+// Update takes over the endpoints that are known.
+func (s *Scheduler) Update(snap *catalog.Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range snap.Endpoints {
+		svc := snap.Table.Services[e.Service]
+		if svc == nil {
+			continue
+		}
+		s.pool(e.Service).upsert(e, svc)
+	}
+	for name, p := range s.pools {
+		p.prune(name, snap)
+	}
+}
+
+// pool returns the state of a service. The caller holds the lock.
+func (s *Scheduler) pool(service string) *state {
+	p, ok := s.pools[service]
+	if !ok {
+		p = &state{
+			engines: make(map[string]*placement.Engine),
+			health:  make(map[string]*health),
+			placed:  make(map[string]*placed),
+			retry: spender{
+				budget: s.settings.Retries,
+			},
+		}
+		s.pools[service] = p
+	}
+	return p
+}
+
+// Place implements Placer.
+func (s *Scheduler) Place(ctx context.Context, a Ask) (Grant, error) {
+	s.mu.Lock()
+	now := time.Now()
+	p := s.pool(a.Service)
+	if r := p.admit(a, now); r != nil {
+		s.mu.Unlock()
+		return Grant{}, r
+	}
+	w := s.waiter(a, now)
+	if g, ok := s.try(p, w, now); ok {
+		s.mu.Unlock()
+		return g, nil
+	}
+	p.queue = append(p.queue, w)
+	s.mu.Unlock()
+	s.poke()
+	select {
+	case g := <-w.reply:
+		return g, nil
+	case r := <-w.refuse:
+		return Grant{}, r
+	case <-ctx.Done():
+		s.withdraw(p, w)
+		return Grant{}, ctx.Err()
+	}
+}
+
+func (s *Scheduler) poke() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// waiter makes the state of an ask.
+func (s *Scheduler) waiter(a Ask, now time.Time) *waiter {
+	return &waiter{
+		ask: a,
+		request: placement.Request{
+			ID:       a.ID,
+			Prompt:   a.Prompt,
+			Output:   a.Output,
+			Gap:      a.Gap,
+			TargetAt: now.Add(a.Target),
+			Worth:    s.settings.WorthBase + s.settings.WorthPerToken*float64(a.Prompt),
+			Exclude:  a.Exclude,
+		},
+		arrived: now,
+		reply:   make(chan Grant, 1),
+		refuse:  make(chan *Refusal, 1),
+	}
+}
+
+// withdraw takes back a request that no longer waits for its place.
+func (s *Scheduler) withdraw(p *state, w *waiter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, q := range p.queue {
+		if q == w {
+			p.queue = append(p.queue[:i], p.queue[i+1:]...)
+			return
+		}
+	}
+	select {
+	case <-w.reply:
+		p.end(w.ask.ID)
+	default:
+	}
+}
+
+// First implements Placer.
+func (s *Scheduler) First(id, service string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.pool(service)
+	at, ok := p.placed[id]
+	if !ok || at.begun {
+		return
+	}
+	now := time.Now()
+	at.begun = true
+	p.errors.add(at.first, now.Sub(at.at))
+	if e := p.engines[at.instance]; e != nil && !p.plain {
+		e.Observe(id, now)
+	}
+	for _, name := range at.readers {
+		if e := p.engines[name]; e != nil {
+			e.FinishPart(id, now)
+		}
+	}
+}
+
+// End implements Placer.
+func (s *Scheduler) End(id, service string, o Outcome, culprit string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.pool(service)
+	at, ok := p.placed[id]
+	if !ok {
+		return
+	}
+	p.end(id)
+	instance := at.instance
+	if culprit != "" {
+		instance = p.named(culprit)
+	}
+	h := p.health[instance]
+	if h == nil {
+		return
+	}
+	now := time.Now()
+	if h.note(o, now) {
+		s.log.Info("endpoint set aside", "service", service, "endpoint", instance, "outcome", o.String(),
+			"failures", h.failures, "for_ms", h.until.Sub(now).Milliseconds(), "attempt", id)
+	}
+	s.poke()
+}
--- /dev/null
+++ b/pool/types.go
@@ -0,0 +1,122 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package pool
+
+import (
+	"context"
+	"time"
+)
+
+// Ask is a request for a place. Durations count from when it is made, so that
+// clocks need not agree.
+type Ask struct {
+	// ID names one attempt of a request. No other attempt has it.
+	ID string
+	// Service names the service.
+	Service string
+	// Customer is who pays.
+	Customer string
+	// Rank is the priority; 0 goes first.
+	Rank int
+	// Prompt is the length of the prompt in tokens.
+	Prompt int
+	// Output is the likely length of the answer in tokens.
+	Output int
+	// Target is the time that is left until the first event would be late. It
+	// may be negative.
+	Target time.Duration
+	// Gap is the longest pause between events of a stream in time; zero means
+	// none counts.
+	Gap time.Duration
+	// Deadline is the time that is left in all.
+	Deadline time.Duration
+	// Exclude are endpoints that failed the request.
+	Exclude []string
+	// Again states that the request was sent to an endpoint before.
+	Again bool
+}
+
+// Reader is an endpoint that helps to read a prompt.
+type Reader struct {
+	// Instance names the endpoint.
+	Instance string
+	// Address is its host and port.
+	Address string
+	// Reserved is the memory to set aside there, in tokens; zero means none.
+	Reserved int
+	// Reservation names the memory once it is set aside.
+	Reservation string
+}
+
+// Grant is a place for a request.
+type Grant struct {
+	// Instance names the endpoint.
+	Instance string
+	// Address is its host and port.
+	Address string
+	// Reserved is the memory to set aside at the endpoint itself, in tokens;
+	// zero means that it takes what it needs.
+	Reserved int
+	// Readers are the endpoints that read the prompt together with it.
+	Readers []Reader
+	// First is the predicted time to the first event.
+	First time.Duration
+	// Waited is how long the request was held for a better moment.
+	Waited time.Duration
+	// By names the instance that decided.
+	By string
+}
+
+// Refusal is the error of a request that gets no place.
+type Refusal struct {
+	// Reason says why, in a few words.
+	Reason string
+	// After is when coming back makes sense.
+	After time.Duration
+}
+
+// Error returns the reason.
+func (r *Refusal) Error() string {
+	return "no place: " + r.Reason
+}
+
+// Outcome is how an attempt ended.
+type Outcome int
+
+// The outcomes.
+const (
+	// Served attempts have a whole answer.
+	Served Outcome = iota
+	// Failed attempts ran, or may have, and have no whole answer.
+	Failed
+	// Rejected attempts were turned away by the endpoint and did not run.
+	Rejected
+	// Unreachable endpoints did not take a connection.
+	Unreachable
+	// Silent endpoints stopped answering.
+	Silent
+	// Abandoned attempts were ended by the caller.
+	Abandoned
+	// Misplaced attempts came to another endpoint at the same address.
+	Misplaced
+)
+
+// String returns the name of the outcome.
+func (o Outcome) String() string {
+	names := [...]string{"served", "failed", "rejected", "unreachable", "silent", "abandoned", "misplaced"}
+	if o < 0 || int(o) >= len(names) {
+		return "unknown"
+	}
+	return names[o]
+}
+
+// Placer finds places for requests and hears what becomes of them.
+type Placer interface {
+	// Place returns a place. The error is a *Refusal, or that of ctx.
+	Place(ctx context.Context, a Ask) (Grant, error)
+	// First notes the first event of an attempt.
+	First(id, service string)
+	// End notes the end of an attempt. Culprit names the endpoint at fault by
+	// instance or address; empty means the one of the grant.
+	End(id, service string, o Outcome, culprit string)
+}
--- /dev/null
+++ b/relay/answer.go
@@ -0,0 +1,88 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package relay
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/go-faster/errors"
+)
+
+// errCallerGone ends an attempt whose caller takes no more.
+var errCallerGone = errors.New("caller takes no more")
+
+// answer is the caller's side of a request.
+type answer struct {
+	w      http.ResponseWriter
+	flush  *http.ResponseController
+	begun  bool
+	events events
+	err    error
+}
+
+func newAnswer(w http.ResponseWriter, j *job) *answer {
+	return &answer{
+		w:     w,
+		flush: http.NewResponseController(w),
+		events: events{
+			last: j.head.LastEvent,
+		},
+	}
+}
+
+// head sends the head of an endpoint's answer. A negative length means that the
+// body's end is told by the transfer.
+func (a *answer) head(res *http.Response, length int64) {
+	h := a.w.Header()
+	for name, values := range passed(res.Header) {
+		h[name] = values
+	}
+	if length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	if _, ok := h["Date"]; !ok {
+		h["Date"] = nil
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil
+	}
+	a.w.WriteHeader(res.StatusCode)
+	a.begun = true
+}
+
+func (a *answer) write(data []byte) {
+	if a.err != nil {
+		return
+	}
+	_, a.err = a.w.Write(data)
+}
+
+// send sends a whole answer.
+func (a *answer) send(res *http.Response, data []byte) {
+	length := int64(len(data))
+	if res.StatusCode == http.StatusNoContent || res.StatusCode == http.StatusNotModified {
+		length = -1
+	}
+	a.head(res, length)
+	a.write(data)
+}
+
+// stream sends events, the first time with the head.
+func (a *answer) stream(res *http.Response, data []byte) {
+	if !a.begun {
+		a.head(res, -1)
+	}
+	if len(data) > 0 {
+		a.write(data)
+		a.events.note(data)
+	}
+	if a.err == nil {
+		a.err = a.flush.Flush()
+	}
+}
+
+// gone states that the caller takes no more.
+func (a *answer) gone() bool {
+	return a.err != nil
+}
--- /dev/null
+++ b/relay/metrics.go
@@ -0,0 +1,64 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package relay
+
+import (
+	"expvar"
+	"strconv"
+	"time"
+)
+
+// Metrics are the relay's counters and histograms.
+type Metrics struct {
+	// Vars has them all by name.
+	Vars *expvar.Map
+
+	first *histogram
+	whole *histogram
+}
+
+func newMetrics() *Metrics {
+	m := &Metrics{
+		Vars:  new(expvar.Map).Init(),
+		first: newHistogram(),
+		whole: newHistogram(),
+	}
+	m.Vars.Set("first_event_ms", m.first.vars)
+	m.Vars.Set("answer_ms", m.whole.vars)
+	return m
+}
+
+func (m *Metrics) add(name string) {
+	m.Vars.Add(name, 1)
+}
+
+func (m *Metrics) refused(status int) {
+	m.Vars.Add("refused_"+strconv.Itoa(status), 1)
+}
+
+// bounds are the upper bounds of a histogram's buckets, in ms. They double, so
+// that a latency is known within a factor of two.
+var bounds = [...]int64{1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10000, 20000}
+
+// histogram counts durations by bucket; each counter has the durations up to
+// the bound that it is named for.
+type histogram struct {
+	vars *expvar.Map
+}
+
+func newHistogram() *histogram {
+	return &histogram{
+		vars: new(expvar.Map).Init(),
+	}
+}
+
+func (h *histogram) observe(d time.Duration) {
+	ms := d.Milliseconds()
+	for _, b := range bounds {
+		if ms <= b {
+			h.vars.Add("le_"+strconv.FormatInt(b, 10), 1)
+			return
+		}
+	}
+	h.vars.Add("more", 1)
+}
--- /dev/null
+++ b/relay/refusal.go
@@ -0,0 +1,53 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package relay
+
+import (
+	"net/http"
+	"time"
+)
+
+// refusal is a final answer of the relay's own.
+type refusal struct {
+	status int
+	reason string
+	after  time.Duration
+}
+
+// unavailable returns a refusal of a request that did not run.
+func unavailable(reason string, after time.Duration) *refusal {
+	return &refusal{
+		status: http.StatusServiceUnavailable,
+		reason: reason,
+		after:  after,
+	}
+}
+
+// refuse sends a final answer of the relay's own.
+func (l *Relay) refuse(w http.ResponseWriter, h Head, r *refusal) {
+	l.Metrics.refused(r.status)
+	l.parts.Log.Info("refused", "request", h.ID, "status", r.status, "reason", r.reason,
+		"after_ms", r.after.Milliseconds())
+	l.parts.Wire.Refusal(w.Header(), h.ID, r.after)
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(r.status)
+	// The caller may have gone; there is nobody left to tell.
+	_, _ = w.Write([]byte(r.reason + "\n"))
+}
+
+// giveUp is the final answer to a request that has no endpoint's answer.
+func (j *job) giveUp(reason string, after time.Duration) *refusal {
+	switch {
+	case !j.ran:
+		return unavailable(reason, after)
+	case j.left() <= 0:
+		return &refusal{
+			status: http.StatusGatewayTimeout,
+			reason: reason,
+		}
+	}
+	return &refusal{
+		status: http.StatusBadGateway,
+		reason: reason,
+	}
+}
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,266 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/linkmast/linkmast/catalog"
+	"github.com/linkmast/linkmast/internal/upstream"
+	"github.com/linkmast/linkmast/pool"
+	"github.com/linkmast/linkmast/route"
+)
+
+// Settings are the measures of a Relay. A zero value means the default.
+type Settings struct {
+	// Self names the instance; it becomes part of the names of attempts.
+	Self string
+	// MaxAge is how old the configuration may be for requests with a key; zero
+	// means any age.
+	MaxAge time.Duration
+}
+
+// Parts are what a Relay works with.
+type Parts struct {
+	// Known returns what is known from the store; nil while nothing is.
+	Known func() *catalog.Snapshot
+	// Age returns how old the configuration in force may be.
+	Age func() (time.Duration, bool)
+	// Placer finds places.
+	Placer pool.Placer
+	// Wire reads and writes headers.
+	Wire Wire
+	// Memory reserves memory.
+	Memory Memory
+	// Upstream is the connections to endpoints.
+	Upstream *upstream.Pool
+	// Log gets a line for each decision.
+	Log logr.Logger
+}
+
+// Relay serves callers. It is an http.Handler.
+type Relay struct {
+	// Metrics counts what the relay does.
+	Metrics *Metrics
+
+	settings Settings
+	parts    Parts
+	counter  atomic.Uint64
+	stopping atomic.Bool
+	inFlight atomic.Int64
+}
+
+// New returns a relay.
+func New(s Settings, p Parts) *Relay {
+	return &Relay{
+		Metrics:  newMetrics(),
+		settings: s,
+		parts:    p,
+	}
+}
+
+// Stop makes the relay ask callers to use another connection for their next
+// request.
+func (l *Relay) Stop() {
+	l.stopping.Store(true)
+}
+
+// InFlight returns how many requests are being served.
+func (l *Relay) InFlight() int64 {
+	return l.inFlight.Load()
+}
+
+// The bounds of requests where the configuration has none.
+const (
+	defaultWait    = 30 * time.Second
+	defaultMaxBody = 16 << 20
+)
+
+// ServeHTTP implements http.Handler.
+func (l *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	l.inFlight.Add(1)
+	defer l.inFlight.Add(-1)
+	if l.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	head := l.parts.Wire.Head(r)
+	j, refusal := l.admit(head, r, arrived)
+	if refusal != nil {
+		l.refuse(w, head, refusal)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
+	defer cancel()
+	l.serve(ctx, j, w)
+}
+
+// job is one request on its way.
+type job struct {
+	head     Head
+	route    *route.Route
+	table    *route.Table
+	customer string
+	rank     int
+	service  string
+	method   string
+	target   string
+	host     string
+	header   http.Header
+	body     []byte
+	arrived  time.Time
+	deadline time.Time
+	keyed    bool
+
+	// sends counts the endpoints that the request was sent to, and ran those
+	// that may have run it.
+	sends int
+	ran   bool
+	// exclude are the endpoints that failed the request.
+	exclude []string
+	// out is the caller's side of the answer.
+	out *answer
+}
+
+// admit checks a request against the configuration in force and reads it.
+func (l *Relay) admit(h Head, r *http.Request, arrived time.Time) (*job, *refusal) {
+	known := l.parts.Known()
+	if known == nil {
+		return nil, unavailable("no configuration yet", comeBack)
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	rt := known.Table.Match(r.Host, path)
+	if rt == nil {
+		return l.unknown("no route", http.StatusNotFound, h, known.Table)
+	}
+	j := &job{
+		head:    h,
+		route:   rt,
+		table:   known.Table,
+		rank:    rt.Rank,
+		service: rt.Service(h.ID),
+		method:  r.Method,
+		target:  r.RequestURI,
+		host:    r.Host,
+		arrived: arrived,
+		keyed:   known.Table.Keyed && !rt.Public,
+	}
+	if j.keyed {
+		if late := l.tooOld(); late != nil {
+			return nil, late
+		}
+		c, ok := known.Table.Customer(h.Key)
+		if !ok {
+			return l.unknown("unknown key", http.StatusUnauthorized, h, known.Table)
+		}
+		j.customer, j.rank = c.ID, c.Rank
+	}
+	j.header = passed(r.Header)
+	wait := h.Wait
+	if wait == 0 {
+		wait = defaultWait
+	}
+	if rt.Timeout > 0 {
+		wait = min(wait, rt.Timeout)
+	}
+	j.deadline = arrived.Add(wait)
+	if ref := j.read(r); ref != nil {
+		return nil, ref
+	}
+	return j, nil
+}
+
+// unknown refuses a request that the configuration in force does not allow,
+// unless that configuration is too old to say so.
+func (l *Relay) unknown(reason string, status int, h Head, t *route.Table) (*job, *refusal) {
+	if late := l.tooOld(); late != nil {
+		return nil, late
+	}
+	l.parts.Log.Info("not allowed", "request", h.ID, "reason", reason, "version", t.Version, "status", status)
+	return nil, &refusal{
+		status: status,
+		reason: reason,
+	}
+}
+
+// tooOld returns a refusal when keys that were taken away may not be known.
+func (l *Relay) tooOld() *refusal {
+	if l.settings.MaxAge == 0 {
+		return nil
+	}
+	age, known := l.parts.Age()
+	if known && age < l.settings.MaxAge {
+		return nil
+	}
+	return unavailable("configuration is too old", comeBack)
+}
+
+// comeBack is when a caller may come back to an instance that knows too little:
+// by then it has asked the store again, and other instances may know more.
+const comeBack = 300 * time.Millisecond
+
+// read reads the body.
+func (j *job) read(r *http.Request) *refusal {
+	limit := j.table.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultMaxBody
+	}
+	if r.ContentLength > limit {
+		return &refusal{
+			status: http.StatusRequestEntityTooLarge,
+			reason: "body is too large",
+		}
+	}
+	data, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		return &refusal{
+			status: http.StatusBadRequest,
+			reason: "body is cut short",
+		}
+	}
+	if int64(len(data)) > limit {
+		return &refusal{
+			status: http.StatusRequestEntityTooLarge,
+			reason: "body is too large",
+		}
+	}
+	j.body = data
+	return nil
+}
+
+// hopHeaders concern a single connection (RFC 9110, section 7.6.1).
+var hopHeaders = [...]string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
+
+// passed returns the header that is passed on.
+func passed(h http.Header) http.Header {
+	out := h.Clone()
+	for _, line := range h["Connection"] {
+		for _, name := range strings.Split(line, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	return out
+}
+
+// sent returns how many endpoints the request may still be sent to.
+func (j *job) attemptsLeft() int {
+	return j.route.MaxAttempts - j.sends
+}
+
+// left returns the time until the deadline.
+func (j *job) left() time.Duration {
+	return time.Until(j.deadline)
+}
--- /dev/null
+++ b/relay/serve.go
@@ -0,0 +1,151 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package relay
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/linkmast/linkmast/pool"
+	"github.com/linkmast/linkmast/route"
+)
+
+// serve sends the request to endpoints until it is answered or given up.
+func (l *Relay) serve(ctx context.Context, j *job, w http.ResponseWriter) {
+	j.out = newAnswer(w, j)
+	for {
+		again, final := l.attempt(ctx, j)
+		if again {
+			continue
+		}
+		l.finish(ctx, j, w, final)
+		return
+	}
+}
+
+// finish ends the answer to the caller.
+func (l *Relay) finish(ctx context.Context, j *job, w http.ResponseWriter, final *refusal) {
+	took := time.Since(j.arrived)
+	switch {
+	case final == nil:
+		l.Metrics.add("answered")
+		l.Metrics.whole.observe(took)
+	case errors.Is(ctx.Err(), context.Canceled):
+		l.Metrics.add("caller_gone")
+		l.parts.Log.Info("caller gone", "request", j.head.ID, "route", j.route.Name, "ms", took.Milliseconds(),
+			"sends", j.sends, "begun", j.out.begun)
+		panic(http.ErrAbortHandler)
+	case j.out.begun:
+		// The answer must not look whole.
+		l.Metrics.add("cut_off")
+		l.parts.Log.Info("answer cut off", "request", j.head.ID, "route", j.route.Name, "reason", final.reason,
+			"ms", took.Milliseconds(), "sends", j.sends, "events", j.out.events.count)
+		panic(http.ErrAbortHandler)
+	default:
+		l.refuse(w, j.head, final)
+	}
+}
+
+// attempt finds a place and sends the request there once. It returns true when
+// another attempt makes sense, else the final answer, nil once it was sent.
+func (l *Relay) attempt(ctx context.Context, j *job) (again bool, final *refusal) {
+	a := l.ask(j)
+	g, err := l.parts.Placer.Place(ctx, a)
+	if err != nil {
+		return false, j.unplaced(ctx, err)
+	}
+	if j.keyed && !j.ran {
+		if late := l.tooOld(); late != nil {
+			l.parts.Placer.End(a.ID, a.Service, pool.Abandoned, "")
+			return false, late
+		}
+	}
+	t := &try{
+		relay: l,
+		job:   j,
+		ask:   a,
+		grant: g,
+	}
+	res := t.run(ctx)
+	l.parts.Placer.End(a.ID, a.Service, res.outcome, res.culprit)
+	l.logTry(j, t, res)
+	if res.final {
+		return false, nil
+	}
+	return l.next(ctx, j, t, res)
+}
+
+// ask describes the request to the pool.
+func (l *Relay) ask(j *job) pool.Ask {
+	a := pool.Ask{
+		ID:       j.head.ID + "." + l.settings.Self + "." + strconv.FormatUint(l.counter.Add(1), 36),
+		Service:  j.service,
+		Customer: j.customer,
+		Rank:     j.rank,
+		Prompt:   j.head.PromptTokens,
+		Output:   j.head.OutputTokens,
+		Target:   j.route.Target - time.Since(j.arrived),
+		Deadline: j.left(),
+		Exclude:  j.exclude,
+		Again:    j.sends > 0,
+	}
+	if j.route.Kind == route.Streaming {
+		a.Gap = j.route.GapTarget
+	}
+	return a
+}
+
+// unplaced is the final answer to a request without a place.
+func (j *job) unplaced(ctx context.Context, err error) *refusal {
+	var r *pool.Refusal
+	if errors.As(err, &r) {
+		return j.giveUp(r.Reason, r.After)
+	}
+	if ctx.Err() != nil {
+		return j.giveUp("no place in time", comeBack)
+	}
+	return j.giveUp(err.Error(), comeBack)
+}
+
+// next decides what follows an attempt without a whole answer.
+func (l *Relay) next(ctx context.Context, j *job, t *try, res result) (bool, *refusal) {
+	j.exclude = append(j.exclude, t.excluded(res)...)
+	switch {
+	case ctx.Err() != nil:
+		return false, j.giveUp("out of time", 0)
+	case j.ran && !j.route.Idempotent():
+		return false, j.giveUp(res.reason, 0)
+	case res.outcome == pool.Unreachable && len(j.exclude) <= maxUnreachable:
+		return true, nil
+	case j.out.begun && len(j.exclude) <= maxResumes:
+		return true, nil
+	case j.attemptsLeft() > 0:
+		return true, nil
+	}
+	return false, j.giveUp(res.reason, comeBack)
+}
+
+// The bounds of attempts that the route's bound does not count: those that
+// reached no endpoint, and those that continue a stream whose endpoint is gone.
+const (
+	maxUnreachable = 4
+	maxResumes     = 3
+)
+
+// logTry writes the line of an attempt.
+func (l *Relay) logTry(j *job, t *try, res result) {
+	l.Metrics.add("attempts_" + res.outcome.String())
+	_, version := l.parts.Age()
+	_ = version
+	l.parts.Log.Info("attempt", "request", j.head.ID, "attempt", t.ask.ID, "route", j.route.Name,
+		"version", j.table.Version, "service", j.service, "customer", j.customer, "prompt", j.head.PromptTokens,
+		"endpoint", t.grant.Instance, "by", t.grant.By, "readers", len(t.grant.Readers),
+		"waited_ms", t.grant.Waited.Milliseconds(), "first_predicted_ms", t.grant.First.Milliseconds(),
+		"first_ms", t.firstAfter.Milliseconds(), "ms", time.Since(t.began).Milliseconds(),
+		"outcome", res.outcome.String(), "reason", res.reason, "status", res.status, "events", j.out.events.count,
+		"longest_gap_ms", t.longestGap.Milliseconds())
+}
--- /dev/null
+++ b/relay/stream.go
@@ -0,0 +1,103 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package relay
+
+import (
+	"bytes"
+	"io"
+	"time"
+
+	"github.com/linkmast/linkmast/internal/upstream"
+	"github.com/linkmast/linkmast/pool"
+)
+
+// streamBuffer is how much of a stream is read at once.
+const streamBuffer = 4 << 10
+
+// stream passes the events of a stream on as they come. Only whole events are
+// passed on, so that another endpoint can continue after any of them.
+func (t *try) stream(x *upstream.Exchange, w *watch) result {
+	out := t.job.out
+	buf := make([]byte, streamBuffer)
+	var rest []byte
+	last := time.Time{}
+	for {
+		n, err := x.Response.Body.Read(buf)
+		if n > 0 {
+			rest = append(rest, buf[:n]...)
+			whole := wholeEvents(rest)
+			if whole > 0 {
+				t.noteGap(&last)
+				t.first()
+				w.touch()
+				out.stream(x.Response, rest[:whole])
+				rest = rest[whole:]
+			}
+		}
+		if err == io.EOF {
+			return t.streamEnd(x, rest)
+		}
+		if err != nil {
+			return t.broken(err, w)
+		}
+		if out.gone() {
+			return t.broken(errCallerGone, w)
+		}
+	}
+}
+
+// noteGap keeps the longest pause between events.
+func (t *try) noteGap(last *time.Time) {
+	now := time.Now()
+	if !last.IsZero() {
+		t.longestGap = max(t.longestGap, now.Sub(*last))
+	}
+	*last = now
+}
+
+// streamEnd ends a stream that its endpoint ended.
+func (t *try) streamEnd(x *upstream.Exchange, rest []byte) result {
+	x.Whole()
+	out := t.job.out
+	if !out.begun || len(rest) > 0 {
+		out.stream(x.Response, rest)
+	}
+	t.first()
+	return result{
+		outcome: pool.Served,
+		final:   true,
+		status:  x.Response.StatusCode,
+	}
+}
+
+// wholeEvents returns the length of the whole events at the start of data.
+func wholeEvents(data []byte) int {
+	end := bytes.LastIndex(data, []byte("\n\n"))
+	if end < 0 {
+		return 0
+	}
+	return end + 2
+}
+
+// events is what a caller has of a stream.
+type events struct {
+	// last is the id of the last event; it begins as what the caller had
+	// before.
+	last  string
+	count int
+}
+
+// idField begins the line with an event's id (HTML Standard, 9.2).
+var idField = []byte("id:")
+
+// note takes over events that the caller got.
+func (e *events) note(data []byte) {
+	for _, line := range bytes.Split(data, []byte("\n")) {
+		value, ok := bytes.CutPrefix(line, idField)
+		if !ok {
+			continue
+		}
+		e.last = string(bytes.TrimSpace(value))
+		e.count++
+	}
+}
--- /dev/null
+++ b/relay/try.go
@@ -0,0 +1,270 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/linkmast/linkmast/internal/upstream"
+	"github.com/linkmast/linkmast/pool"
+	"github.com/linkmast/linkmast/route"
+)
+
+// try is one attempt at an endpoint.
+type try struct {
+	relay *Relay
+	job   *job
+	ask   pool.Ask
+	grant pool.Grant
+
+	began      time.Time
+	firstAfter time.Duration
+	longestGap time.Duration
+}
+
+// result is how an attempt ended.
+type result struct {
+	outcome pool.Outcome
+	// culprit is the endpoint at fault, if it is not that of the grant.
+	culprit string
+	// final states that the caller has a whole answer.
+	final  bool
+	status int
+	reason string
+}
+
+// The ages up to which a connection is used again. A request that must not run
+// twice is lost when its endpoint closes the connection at that moment.
+const (
+	freshIdempotent = time.Minute
+	freshOnce       = time.Second
+)
+
+// run sends the request and passes the answer on.
+func (t *try) run(ctx context.Context) result {
+	t.began = time.Now()
+	hold, err := t.reserve(ctx)
+	if err != nil {
+		return result{
+			outcome: pool.Rejected,
+			reason:  err.Error(),
+		}
+	}
+	defer hold.free()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watch := t.watch(cancel)
+	defer watch.stop()
+	x, err := t.relay.parts.Upstream.Do(ctx, t.request())
+	if err != nil {
+		return t.unanswered(err, watch)
+	}
+	defer x.Close()
+	return t.answered(x, watch)
+}
+
+// request builds what is sent.
+func (t *try) request() upstream.Request {
+	j := t.job
+	h := j.header.Clone()
+	call := Call{
+		Instance:  t.grant.Instance,
+		Customer:  j.customer,
+		Wait:      j.left(),
+		LastEvent: j.out.events.last,
+		Rank:      j.rank,
+		Readers:   t.grant.Readers,
+	}
+	t.relay.parts.Wire.Outgoing(h, call)
+	fresh := freshOnce
+	if j.route.Idempotent() {
+		fresh = freshIdempotent
+	}
+	j.sends++
+	return upstream.Request{
+		Address: t.grant.Address,
+		Method:  j.method,
+		Target:  j.target,
+		Host:    j.host,
+		Header:  h,
+		Body:    j.body,
+		Fresh:   fresh,
+		Own: func(res *http.Response) bool {
+			id := t.relay.parts.Wire.Answer(res).ID
+			return id == j.head.ID || id == "" && res.StatusCode >= http.StatusBadRequest
+		},
+	}
+}
+
+// unanswered judges an attempt without the head of an answer.
+func (t *try) unanswered(err error, w *watch) result {
+	var e *upstream.Error
+	if errors.As(err, &e) && !e.Sent {
+		t.job.sends--
+		return result{
+			outcome: pool.Unreachable,
+			reason:  "endpoint can't be reached: " + e.Err.Error(),
+		}
+	}
+	t.job.ran = true
+	return t.broken(err, w)
+}
+
+// broken judges an attempt whose answer broke off.
+func (t *try) broken(err error, w *watch) result {
+	res := result{
+		outcome: pool.Failed,
+		reason:  "answer broke off: " + err.Error(),
+	}
+	switch {
+	case w.expired():
+		res.outcome = pool.Silent
+		res.reason = "endpoint is silent"
+	case t.job.left() <= 0:
+		res.reason = "out of time"
+		res.outcome = pool.Abandoned
+	case t.job.out.gone():
+		res.outcome = pool.Abandoned
+		res.reason = "caller gone"
+	}
+	return res
+}
+
+// answered passes an answer on, or judges one that is no use to the caller.
+func (t *try) answered(x *upstream.Exchange, w *watch) result {
+	j := t.job
+	res := x.Response
+	head := t.relay.parts.Wire.Answer(res)
+	if head.NotRun {
+		return t.rejected(x, head)
+	}
+	j.ran = true
+	success := res.StatusCode >= 200 && res.StatusCode < 300
+	if success && j.route.Kind == route.Streaming {
+		return t.stream(x, w)
+	}
+	return t.whole(x, w, success)
+}
+
+// rejected judges an answer that says that the request did not run.
+func (t *try) rejected(x *upstream.Exchange, head AnswerHead) result {
+	// What is left of the answer decides only whether the connection is kept.
+	if _, err := io.Copy(io.Discard, io.LimitReader(x.Response.Body, maxRejection)); err == nil {
+		x.Whole()
+	}
+	r := result{
+		outcome: pool.Rejected,
+		culprit: head.Culprit,
+		status:  x.Response.StatusCode,
+		reason:  "endpoint did not run it",
+	}
+	if x.Response.StatusCode == http.StatusMisdirectedRequest {
+		r.outcome = pool.Misplaced
+		r.reason = "another endpoint has the address"
+	}
+	return r
+}
+
+// maxRejection bounds how much of a rejection is read.
+const maxRejection = 64 << 10
+
+// maxWhole is up to which size an answer is read whole before it is passed on,
+// so that one that breaks off can be replaced.
+const maxWhole = 1 << 20
+
+// whole passes on an answer that is no stream.
+func (t *try) whole(x *upstream.Exchange, w *watch, success bool) result {
+	j := t.job
+	data, err := io.ReadAll(io.LimitReader(x.Response.Body, maxWhole+1))
+	if err != nil {
+		return t.broken(err, w)
+	}
+	if j.out.begun {
+		// A stream is continued only by a stream.
+		return result{
+			outcome: pool.Failed,
+			status:  x.Response.StatusCode,
+			reason:  "no stream to continue with",
+		}
+	}
+	retry := !success && x.Response.StatusCode >= http.StatusInternalServerError && j.route.Idempotent()
+	if retry && j.attemptsLeft() > 0 && j.left() > retryLeft {
+		x.Whole()
+		return result{
+			outcome: pool.Failed,
+			status:  x.Response.StatusCode,
+			reason:  "endpoint failed the request",
+		}
+	}
+	r := result{
+		outcome: pool.Served,
+		final:   true,
+		status:  x.Response.StatusCode,
+	}
+	if !success {
+		r.outcome = pool.Failed
+		r.reason = "endpoint's own failure"
+	}
+	t.first()
+	if len(data) <= maxWhole {
+		x.Whole()
+		j.out.send(x.Response, data)
+		return r
+	}
+	return t.large(x, data, r)
+}
+
+// retryLeft is the time that a further attempt needs to make sense.
+const retryLeft = 100 * time.Millisecond
+
+// large passes on an answer that is too large to be held.
+func (t *try) large(x *upstream.Exchange, begin []byte, r result) result {
+	out := t.job.out
+	out.head(x.Response, x.Response.ContentLength)
+	out.write(begin)
+	if _, err := io.Copy(out.w, x.Response.Body); err != nil {
+		r.final = false
+		r.outcome = pool.Failed
+		r.reason = "large answer broke off: " + err.Error()
+		t.job.exhaust()
+		return r
+	}
+	x.Whole()
+	return r
+}
+
+// exhaust makes the request end with this attempt.
+func (j *job) exhaust() {
+	j.sends = max(j.sends, j.route.MaxAttempts)
+	j.exclude = append(j.exclude, make([]string, maxResumes+1)...)
+}
+
+// first notes the first sign of an answer.
+func (t *try) first() {
+	if t.firstAfter > 0 {
+		return
+	}
+	t.firstAfter = time.Since(t.began)
+	t.relay.parts.Placer.First(t.ask.ID, t.ask.Service)
+	if t.job.route.Kind == route.Streaming {
+		t.relay.Metrics.first.observe(time.Since(t.job.arrived))
+	}
+}
+
+// excluded returns the endpoints that the request must not be sent to again.
+func (t *try) excluded(res result) []string {
+	if res.culprit == "" || res.culprit == t.grant.Address {
+		return []string{t.grant.Instance}
+	}
+	for _, r := range t.grant.Readers {
+		if r.Address == res.culprit || r.Instance == res.culprit {
+			return []string{r.Instance}
+		}
+	}
+	return []string{t.grant.Instance}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -34,6 +34,14 @@
 	PeerListen string `toml:"peer_listen"`
 	// AdminListen is where operators connect; the default is "127.0.0.1:8082".
 	AdminListen string `toml:"admin_listen"`
+	// ReadyListen is where a balancer asks whether an instance on a platform
+	// with a store is ready; the default is "127.0.0.1:8083".
+	ReadyListen string `toml:"ready_listen"`
+	// ProcessorShare is the part of a processor core that the instance has; the
+	// default is 1. Instances with more of it carry more.
+	ProcessorShare float64 `toml:"processor_share"`
+	// Retries bounds how many requests are sent to endpoints again.
+	Retries Retries `toml:"retries"`
 	// Peers are peer addresses of other instances, asked at a start while the
 	// platform does not answer. None is needed.
 	Peers []string `toml:"peers"`
@@ -59,6 +67,20 @@
 	Instances string `toml:"instances"`
 	// Weights is the weight store. Without it endpoints are left as they are.
 	Weights string `toml:"weights"`
+	// Store is the platform's store of configurations and endpoints. With it
+	// the instance takes both from there, and none of the others is used.
+	Store string `toml:"store"`
+}
+
+// Retries bounds how many requests are sent to endpoints again, for each service
+// and over all instances: in any window at most Ratio of the requests plus Extra.
+type Retries struct {
+	// Ratio is the part of the requests; the default is 0.1.
+	Ratio float64 `toml:"ratio"`
+	// Extra is how many more; the default is 10.
+	Extra float64 `toml:"extra"`
+	// Window is the length of the window; the default is 10s.
+	Window config.Duration `toml:"window"`
 }
 
 // TLS are the files for mutual authentication between instances.
@@ -79,6 +101,10 @@
 	Drain config.Duration `toml:"drain"`
 	// StopWithin bounds a planned stop; the default is 15m.
 	StopWithin config.Duration `toml:"stop_within"`
+	// Revoke is how soon keys that were taken away must be refused everywhere.
+	// An instance that can't tell for that long whether a key still holds
+	// refuses requests with keys. Zero means that it serves on.
+	Revoke config.Duration `toml:"revoke"`
 	// Watch is how often owners tell of their endpoints; the default is 200ms.
 	Watch config.Duration `toml:"watch"`
 	// WatchBytesPerSecond bounds what the instance hears of others' endpoints,
@@ -103,11 +129,17 @@
 	defaultListen = "127.0.0.1:8080"
 	defaultPeer   = "127.0.0.1:8081"
 	defaultAdmin  = "127.0.0.1:8082"
+	defaultReady  = "127.0.0.1:8083"
 	defaultDrain  = 5 * time.Second
 	defaultStop   = 15 * time.Minute
 	defaultWatch  = 200 * time.Millisecond
 
 	defaultWatchBytes = 4000
+
+	defaultProcessorShare = 1
+	defaultRetryRatio     = 0.1
+	defaultRetryExtra     = 10
+	defaultRetryWindow    = 10 * time.Second
 )
 
 // The strategies.
@@ -162,6 +194,7 @@
 	orText(&f.Listen, defaultListen)
 	orText(&f.PeerListen, defaultPeer)
 	orText(&f.AdminListen, defaultAdmin)
+	orText(&f.ReadyListen, defaultReady)
 	orText(&f.Strategy, Weighed)
 	if f.LogDecisions == nil {
 		yes := true
@@ -170,6 +203,10 @@
 	orTime(&f.Times.Drain, defaultDrain)
 	orTime(&f.Times.StopWithin, defaultStop)
 	orTime(&f.Times.Watch, defaultWatch)
+	orTime(&f.Retries.Window, defaultRetryWindow)
+	orFloat(&f.Retries.Ratio, defaultRetryRatio)
+	orFloat(&f.Retries.Extra, defaultRetryExtra)
+	orFloat(&f.ProcessorShare, defaultProcessorShare)
 	if f.Times.WatchBytesPerSecond == 0 {
 		f.Times.WatchBytesPerSecond = defaultWatchBytes
 	}
@@ -181,6 +218,12 @@
 	}
 }
 
+func orFloat(v *float64, def float64) {
+	if *v == 0 {
+		*v = def
+	}
+}
+
 func orTime(v *config.Duration, def time.Duration) {
 	if *v == 0 {
 		*v = config.Duration(def)
@@ -198,13 +241,19 @@
 	need("id", f.ID)
 	need("region", f.Region)
 	need("failure_domain", f.FailureDomain)
-	for name, v := range map[string]string{
-		"listen":             f.Listen,
-		"peer_listen":        f.PeerListen,
-		"admin_listen":       f.AdminListen,
-		"platform.log":       f.Platform.Log,
-		"platform.instances": f.Platform.Instances,
-	} {
+	addresses := map[string]string{
+		"listen":       f.Listen,
+		"peer_listen":  f.PeerListen,
+		"admin_listen": f.AdminListen,
+		"ready_listen": f.ReadyListen,
+	}
+	if f.Platform.Store != "" {
+		addresses["platform.store"] = f.Platform.Store
+	} else {
+		addresses["platform.log"] = f.Platform.Log
+		addresses["platform.instances"] = f.Platform.Instances
+	}
+	for name, v := range addresses {
 		if _, _, err := net.SplitHostPort(v); err != nil {
 			wrong = append(wrong, name+" must be a host and port, is "+`"`+v+`"`)
 		}
@@ -218,7 +267,18 @@
 	if f.Times.WatchBytesPerSecond < 0 {
 		wrong = append(wrong, "times.watch_bytes_per_second must not be below zero")
 	}
+	for name, v := range map[string]float64{
+		"processor_share": f.ProcessorShare,
+		"retries.ratio":   f.Retries.Ratio,
+		"retries.extra":   f.Retries.Extra,
+	} {
+		if v < 0 {
+			wrong = append(wrong, name+" must not be below zero")
+		}
+	}
 	for name, d := range map[string]config.Duration{
+		"retries.window":             f.Retries.Window,
+		"times.revoke":               f.Times.Revoke,
 		"times.drain":                f.Times.Drain,
 		"times.stop_within":          f.Times.StopWithin,
 		"times.watch":                f.Times.Watch,
