Let one instance place all requests of a pool

Change: pool.Client asks the first instance in touch by weighted rendezvous over gRPC; the second hears of everything and can take over; what no owner answers is placed by what the instance knows itself.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -3,6 +3,7 @@
 package catalog
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -143,3 +144,8 @@
 	}
 	c.snapshot.Store(s)
 }
+
+// Announce writes an instance's entry to the store.
+func (c *Catalog) Announce(ctx context.Context, p Peer) error {
+	return c.store.Announce(ctx, p)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,12 +11,15 @@
 
 	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
+	"google.golang.org/grpc"
 
 	"github.com/linkmast/linkmast/catalog"
 	"github.com/linkmast/linkmast/internal/upstream"
 	"github.com/linkmast/linkmast/internal/wirehttp"
+	"github.com/linkmast/linkmast/peer"
 	"github.com/linkmast/linkmast/platform"
 	"github.com/linkmast/linkmast/pool"
+	"github.com/linkmast/linkmast/pool/poolpb"
 	"github.com/linkmast/linkmast/relay"
 	"github.com/linkmast/linkmast/settings"
 )
@@ -25,10 +28,12 @@
 type Gateway struct {
 	// Done is closed when the instance has stopped.
 	Done chan struct{}
-	// Listen, ReadyListen and AdminListen are the addresses in use.
+	// Listen is where callers connect.
 	Listen string
 	// ReadyListen is where the balancer asks whether the instance is ready.
 	ReadyListen string
+	// PeerListen is where other instances connect.
+	PeerListen string
 	// AdminListen is where the metrics are.
 	AdminListen string
 
@@ -36,6 +41,10 @@
 	log      logr.Logger
 	catalog  *catalog.Catalog
 	pools    *pool.Scheduler
+	placer   *pool.Client
+	peers    *peer.Pool
+	rpc      *grpc.Server
+	self     catalog.Peer
 	relay    *relay.Relay
 	upstream *upstream.Pool
 	servers  []*http.Server
@@ -57,12 +66,21 @@
 		open:     newConnections(),
 		stopping: make(chan struct{}),
 	}
+	l, err := net.Listen("tcp", f.PeerListen)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	g.PeerListen = l.Addr().String()
 	g.assemble()
 	if err := g.serve(); err != nil {
+		_ = l.Close()
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
+	g.parts.Go(func() { g.ended("peers", g.rpc.Serve(l)) })
+	g.parts.Go(func() { g.placer.Run(ctx) })
+	g.parts.Go(func() { g.announce(ctx) })
 	g.parts.Go(func() { g.catalog.Run(ctx) })
 	g.parts.Go(func() { g.pools.Run(ctx) })
 	g.parts.Go(func() { g.follow(ctx) })
@@ -75,6 +93,13 @@
 	f := g.settings
 	client := wirehttp.Client()
 	g.catalog = catalog.New(catalog.Settings{}, platform.NewStore(client, f.Platform.Store), g.log.WithName("catalog"))
+	g.self = catalog.Peer{
+		ID:            f.ID,
+		Address:       g.PeerListen,
+		FailureDomain: f.FailureDomain,
+		Capacity:      int(f.ProcessorShare * thousandths),
+	}
+	g.peers = peer.New(nil)
 	g.pools = pool.NewScheduler(pool.Settings{
 		Self: f.ID,
 		Retries: pool.Budget{
@@ -83,13 +108,16 @@
 			Window: time.Duration(f.Retries.Window),
 		},
 	}, g.log.WithName("pool"))
+	g.placer = pool.NewClient(g.self, g.pools, g.peers, g.log.WithName("pool"))
+	g.rpc = grpc.NewServer(grpc.ReadBufferSize(rpcBuffer), grpc.WriteBufferSize(rpcBuffer))
+	poolpb.RegisterPoolServer(g.rpc, pool.NewServer(g.pools, g.owns, g.stopping))
 	g.relay = relay.New(relay.Settings{
 		Self:   f.ID,
 		MaxAge: time.Duration(float64(f.Times.Revoke) * maxAgeShare),
 	}, relay.Parts{
 		Known:    g.catalog.Snapshot,
 		Age:      g.catalog.Age,
-		Placer:   g.pools,
+		Placer:   g.placer,
 		Wire:     platform.Wire{},
 		Memory:   platform.NewOrders(client),
 		Upstream: g.upstream,
@@ -97,6 +125,17 @@
 	})
 }
 
+// thousandths of a processor core are the unit of an instance's capacity.
+const thousandths = 1000
+
+// rpcBuffer is the buffer of each direction of a connection between instances.
+const rpcBuffer = 16 << 10
+
+// owns states whether the instance can own pools.
+func (g *Gateway) owns() bool {
+	return g.catalog.Snapshot() != nil
+}
+
 // maxAgeShare is the part of the time in which a key must be refused after it
 // was taken away, up to which a configuration's age is trusted. The rest is for
 // the time between the check and the endpoint.
@@ -158,6 +197,7 @@
 		changed := g.catalog.Changed()
 		if s := g.catalog.Snapshot(); s != nil {
 			g.pools.Update(s)
+			g.placer.Update(s)
 			if !known {
 				known = true
 				g.log.Info("ready", "version", s.Table.Version, "endpoints", len(s.Endpoints))
@@ -201,3 +241,42 @@
 	}
 	w.WriteHeader(http.StatusOK)
 }
+
+// The times of announcing the instance.
+const (
+	announceTimeout = time.Second
+	announceRetry   = 500 * time.Millisecond
+	// announceCheck is how long an entry may take to show.
+	announceCheck = 3 * time.Second
+)
+
+// announce keeps the instance's entry in the store.
+func (g *Gateway) announce(ctx context.Context) {
+	for {
+		changed := g.catalog.Changed()
+		pause := announceCheck
+		if s := g.catalog.Snapshot(); s == nil || s.Peers[g.self.ID] != g.self {
+			if err := g.announceOnce(ctx); err != nil {
+				g.log.V(1).Info("instance can't be announced", "cause", err.Error())
+				pause = announceRetry
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-time.After(announceCheck):
+		}
+	}
+}
+
+func (g *Gateway) announceOnce(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	return g.catalog.Announce(ctx, g.self)
+}
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -98,7 +98,10 @@
 
 // Close ends the instance at once.
 func (g *Gateway) Close() {
-	g.stop.Do(g.shut)
+	g.stop.Do(func() {
+		close(g.stopping)
+		g.shut()
+	})
 	<-g.Done
 }
 
@@ -114,6 +117,8 @@
 	defer close(g.Done)
 	g.cancel()
 	g.closeServers()
+	g.rpc.Stop()
 	g.parts.Wait()
+	g.peers.Close()
 	g.log.Info("stopped")
 }
--- /dev/null
+++ b/pool/adopt.go
@@ -0,0 +1,87 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package pool
+
+import (
+	"time"
+
+	"github.com/linkmast/linkmast/placement"
+)
+
+// Adopt takes over an attempt that another instance placed. It changes nothing
+// when the attempt is known.
+func (s *Scheduler) Adopt(a Ask, g Grant, begun bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.pool(a.Service)
+	if at, ok := p.placed[a.ID]; ok {
+		at.orphan = 0
+		return
+	}
+	if !a.Again {
+		p.retry.first(time.Now())
+	}
+	e := p.engines[g.Instance]
+	if e == nil {
+		return
+	}
+	now := time.Now()
+	at := &placed{
+		instance: g.Instance,
+		at:       now,
+		first:    g.First,
+		begun:    begun,
+	}
+	if p.plain {
+		e.Jobs = append(e.Jobs, &placement.Job{
+			ID: a.ID,
+		})
+		p.placed[a.ID] = at
+		return
+	}
+	plan := placement.Plan{
+		Engine: e,
+		Read:   e.Model.Read(a.Prompt, len(g.Readers)+1),
+		Hold:   a.Prompt + a.Output,
+	}
+	for _, r := range g.Readers {
+		if o := p.engines[r.Instance]; o != nil {
+			at.readers = append(at.readers, r.Instance)
+			plan.Hold -= r.Reserved
+			plan.Others = append(plan.Others, placement.Share{
+				Engine: o,
+				Hold:   r.Reserved,
+			})
+		}
+	}
+	plan.Apply(s.waiter(a, now).request, now)
+	p.placed[a.ID] = at
+	if begun {
+		p.begin(a.ID, at, now)
+	}
+}
+
+// orphan marks attempts whose entry is out of touch, and returns the mark.
+func (s *Scheduler) orphan(attempts map[string]string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.marks++
+	for id, service := range attempts {
+		if at := s.pool(service).placed[id]; at != nil {
+			at.orphan = s.marks
+		}
+	}
+	return s.marks
+}
+
+// forget ends the attempts that still have a mark.
+func (s *Scheduler) forget(attempts map[string]string, mark int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, service := range attempts {
+		p := s.pool(service)
+		if at := p.placed[id]; at != nil && at.orphan == mark {
+			p.end(id)
+		}
+	}
+}
--- /dev/null
+++ b/pool/messages.go
@@ -0,0 +1,128 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package pool
+
+import (
+	"time"
+
+	"github.com/linkmast/linkmast/pool/poolpb"
+)
+
+func encodeAsk(a *Ask) *poolpb.Ask {
+	return &poolpb.Ask{
+		Id:         a.ID,
+		Service:    a.Service,
+		Customer:   a.Customer,
+		Rank:       int32(a.Rank),
+		Prompt:     int32(a.Prompt),
+		Output:     int32(a.Output),
+		TargetUs:   a.Target.Microseconds(),
+		GapUs:      a.Gap.Microseconds(),
+		DeadlineUs: a.Deadline.Microseconds(),
+		Exclude:    a.Exclude,
+		Again:      a.Again,
+	}
+}
+
+func decodeAsk(m *poolpb.Ask) Ask {
+	return Ask{
+		ID:       m.GetId(),
+		Service:  m.GetService(),
+		Customer: m.GetCustomer(),
+		Rank:     int(m.GetRank()),
+		Prompt:   int(m.GetPrompt()),
+		Output:   int(m.GetOutput()),
+		Target:   microseconds(m.GetTargetUs()),
+		Gap:      microseconds(m.GetGapUs()),
+		Deadline: microseconds(m.GetDeadlineUs()),
+		Exclude:  m.GetExclude(),
+		Again:    m.GetAgain(),
+	}
+}
+
+func microseconds(n int64) time.Duration {
+	return time.Duration(n) * time.Microsecond
+}
+
+func encodeGrant(id string, g *Grant) *poolpb.Grant {
+	m := &poolpb.Grant{
+		Id:       id,
+		Instance: g.Instance,
+		Address:  g.Address,
+		FirstUs:  g.First.Microseconds(),
+		WaitedUs: g.Waited.Microseconds(),
+		By:       g.By,
+	}
+	for _, r := range g.Readers {
+		m.Readers = append(m.Readers, &poolpb.Reader{
+			Instance: r.Instance,
+			Address:  r.Address,
+			Reserved: int32(r.Reserved),
+		})
+	}
+	return m
+}
+
+func decodeGrant(m *poolpb.Grant) Grant {
+	g := Grant{
+		Instance: m.GetInstance(),
+		Address:  m.GetAddress(),
+		First:    microseconds(m.GetFirstUs()),
+		Waited:   microseconds(m.GetWaitedUs()),
+		By:       m.GetBy(),
+	}
+	for _, r := range m.GetReaders() {
+		g.Readers = append(g.Readers, Reader{
+			Instance: r.GetInstance(),
+			Address:  r.GetAddress(),
+			Reserved: int(r.GetReserved()),
+		})
+	}
+	return g
+}
+
+func runningMessage(r *running) *poolpb.FromEntry {
+	return &poolpb.FromEntry{
+		Kind: &poolpb.FromEntry_Running{
+			Running: &poolpb.Running{
+				Ask:   encodeAsk(&r.ask),
+				Grant: encodeGrant(r.ask.ID, &r.grant),
+				Begun: r.begun,
+			},
+		},
+	}
+}
+
+func firstMessage(id, service string) *poolpb.FromEntry {
+	return &poolpb.FromEntry{
+		Kind: &poolpb.FromEntry_First{
+			First: &poolpb.First{
+				Id:      id,
+				Service: service,
+			},
+		},
+	}
+}
+
+func endMessage(id, service string, o Outcome, culprit string) *poolpb.FromEntry {
+	return &poolpb.FromEntry{
+		Kind: &poolpb.FromEntry_End{
+			End: &poolpb.End{
+				Id:      id,
+				Service: service,
+				Outcome: int32(o),
+				Culprit: culprit,
+			},
+		},
+	}
+}
+
+func pingMessage(seq int64) *poolpb.FromEntry {
+	return &poolpb.FromEntry{
+		Kind: &poolpb.FromEntry_Ping{
+			Ping: &poolpb.Ping{
+				Seq: seq,
+			},
+		},
+	}
+}
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -42,6 +42,8 @@
 	mu    sync.Mutex
 	pools map[string]*state
 	wake  chan struct{}
+	// marks counts the sessions that ended.
+	marks int64
 }
 
 // state is what a scheduler knows of one service.
@@ -65,6 +67,9 @@
 	at       time.Time
 	first    time.Duration
 	begun    bool
+	// orphan is the mark of the ended session that the attempt came through;
+	// zero while its entry is in touch.
+	orphan int64
 }
 
 // waiter is a request that waits for a better moment.
@@ -130,6 +135,7 @@
 	}
 	for name, p := range s.pools {
 		p.prune(name, snap)
+		p.share(s.settings.Retries, len(snap.Peers))
 	}
 }
 
@@ -197,6 +203,7 @@
 			TargetAt: now.Add(a.Target),
 			Worth:    s.settings.WorthBase + s.settings.WorthPerToken*float64(a.Prompt),
 			Exclude:  a.Exclude,
+			Domain:   a.Domain,
 		},
 		arrived: now,
 		reply:   make(chan Grant, 1),
@@ -233,14 +240,7 @@
 	now := time.Now()
 	at.begun = true
 	p.errors.add(at.first, now.Sub(at.at))
-	if e := p.engines[at.instance]; e != nil && !p.plain {
-		e.Observe(id, now)
-	}
-	for _, name := range at.readers {
-		if e := p.engines[name]; e != nil {
-			e.FinishPart(id, now)
-		}
-	}
+	p.begin(id, at, now)
 }
 
 // End implements Placer.
--- /dev/null
+++ b/pool/server.go
@@ -0,0 +1,218 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package pool
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/linkmast/linkmast/pool/poolpb"
+)
+
+// forgetAfter is how long the attempts of an entry whose session broke off are
+// counted as running: an entry that lives is back by then.
+const forgetAfter = 2 * time.Second
+
+// Server serves a Scheduler to other instances.
+type Server struct {
+	poolpb.UnimplementedPoolServer
+
+	scheduler *Scheduler
+	// ready states whether the endpoints are known.
+	ready func() bool
+	// closing ends all sessions.
+	closing <-chan struct{}
+}
+
+// NewServer returns a server. Sessions end when closing is closed.
+func NewServer(s *Scheduler, ready func() bool, closing <-chan struct{}) *Server {
+	return &Server{
+		scheduler: s,
+		ready:     ready,
+		closing:   closing,
+	}
+}
+
+// session is one entry's session at the owner.
+type session struct {
+	server *Server
+	stream grpc.BidiStreamingServer[poolpb.FromEntry, poolpb.FromOwner]
+	entry  string
+	domain string
+
+	// sending guards the stream, which takes one message at a time.
+	sending sync.Mutex
+
+	mu    sync.Mutex
+	asked map[string]context.CancelFunc
+	// attempts are what the entry has running, by id with their service.
+	attempts map[string]string
+	wait     sync.WaitGroup
+}
+
+// Session implements poolpb.PoolServer.
+func (s *Server) Session(stream grpc.BidiStreamingServer[poolpb.FromEntry, poolpb.FromOwner]) error {
+	if !s.ready() {
+		return status.Error(codes.Unavailable, "endpoints are not known yet")
+	}
+	x := &session{
+		server:   s,
+		stream:   stream,
+		asked:    make(map[string]context.CancelFunc),
+		attempts: make(map[string]string),
+	}
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer x.end()
+	defer cancel()
+	received := make(chan error, 1)
+	go func() { received <- x.receive(ctx) }()
+	select {
+	case err := <-received:
+		return err
+	case <-s.closing:
+		return status.Error(codes.Unavailable, "stopping")
+	}
+}
+
+// end waits for what was asked, and forgets what runs unless the entry is back
+// in time.
+func (x *session) end() {
+	x.mu.Lock()
+	for _, cancel := range x.asked {
+		cancel()
+	}
+	left := x.attempts
+	x.attempts = nil
+	x.mu.Unlock()
+	x.wait.Wait()
+	if len(left) == 0 {
+		return
+	}
+	s := x.server.scheduler
+	s.log.Info("session of an entry ended", "entry", x.entry, "running", len(left))
+	mark := s.orphan(left)
+	time.AfterFunc(forgetAfter, func() { s.forget(left, mark) })
+}
+
+// receive takes the entry's messages.
+func (x *session) receive(ctx context.Context) error {
+	for {
+		m, err := x.stream.Recv()
+		if err != nil {
+			return err
+		}
+		if err := x.take(ctx, m); err != nil {
+			return err
+		}
+	}
+}
+
+func (x *session) take(ctx context.Context, m *poolpb.FromEntry) error {
+	s := x.server.scheduler
+	switch k := m.GetKind().(type) {
+	case *poolpb.FromEntry_Hello:
+		x.entry, x.domain = k.Hello.GetEntry(), k.Hello.GetDomain()
+	case *poolpb.FromEntry_Ask:
+		x.place(ctx, decodeAsk(k.Ask))
+	case *poolpb.FromEntry_Withdraw:
+		x.withdraw(k.Withdraw.GetId())
+	case *poolpb.FromEntry_Running:
+		a := decodeAsk(k.Running.GetAsk())
+		x.note(a.ID, a.Service)
+		s.Adopt(a, decodeGrant(k.Running.GetGrant()), k.Running.GetBegun())
+	case *poolpb.FromEntry_First:
+		s.First(k.First.GetId(), k.First.GetService())
+	case *poolpb.FromEntry_End:
+		x.drop(k.End.GetId())
+		s.End(k.End.GetId(), k.End.GetService(), Outcome(k.End.GetOutcome()), k.End.GetCulprit())
+	case *poolpb.FromEntry_Ping:
+		return x.send(&poolpb.FromOwner{
+			Kind: &poolpb.FromOwner_Pong{
+				Pong: &poolpb.Pong{
+					Seq: k.Ping.GetSeq(),
+				},
+			},
+		})
+	}
+	return nil
+}
+
+func (x *session) send(m *poolpb.FromOwner) error {
+	x.sending.Lock()
+	defer x.sending.Unlock()
+	return x.stream.Send(m)
+}
+
+func (x *session) note(id, service string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.attempts != nil {
+		x.attempts[id] = service
+	}
+}
+
+func (x *session) drop(id string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	delete(x.attempts, id)
+}
+
+func (x *session) withdraw(id string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if cancel := x.asked[id]; cancel != nil {
+		cancel()
+	}
+}
+
+// place answers an ask as soon as there is a place or a refusal.
+func (x *session) place(ctx context.Context, a Ask) {
+	a.Domain = x.domain
+	ctx, cancel := context.WithCancel(ctx)
+	x.mu.Lock()
+	x.asked[a.ID] = cancel
+	x.mu.Unlock()
+	x.wait.Go(func() {
+		defer cancel()
+		g, err := x.server.scheduler.Place(ctx, a)
+		x.mu.Lock()
+		delete(x.asked, a.ID)
+		x.mu.Unlock()
+		x.reply(a, g, err)
+	})
+}
+
+func (x *session) reply(a Ask, g Grant, err error) {
+	var r *Refusal
+	switch {
+	case err == nil:
+		x.note(a.ID, a.Service)
+		err = x.send(&poolpb.FromOwner{
+			Kind: &poolpb.FromOwner_Grant{
+				Grant: encodeGrant(a.ID, &g),
+			},
+		})
+	case errors.As(err, &r):
+		err = x.send(&poolpb.FromOwner{
+			Kind: &poolpb.FromOwner_Refusal{
+				Refusal: &poolpb.Refusal{
+					Id:      a.ID,
+					Reason:  r.Reason,
+					AfterUs: r.After.Microseconds(),
+				},
+			},
+		})
+	default:
+		// The ask was withdrawn.
+		return
+	}
+	if err != nil {
+		x.server.scheduler.log.V(1).Info("answer to an entry lost", "entry", x.entry, "attempt", a.ID, "cause", err.Error())
+	}
+}
--- a/pool/state.go
+++ b/pool/state.go
@@ -55,6 +55,24 @@
 	})
 }
 
+// share sets the part of the retry budget that this instance may spend. Pools
+// with engines have one owner, which may change; the others are placed by each
+// instance alone.
+func (p *state) share(whole Budget, instances int) {
+	p.retry.budget = Budget{
+		Ratio:  whole.Ratio * budgetShare,
+		Extra:  whole.Extra * budgetShare / 2,
+		Window: whole.Window,
+	}
+	if p.plain {
+		p.retry.budget.Extra = whole.Extra * budgetShare / float64(max(instances, 1))
+	}
+}
+
+// budgetShare leaves a part of the budget for what is counted twice or not at
+// all when owners change.
+const budgetShare = 0.75
+
 // named returns the endpoint with a name or an address.
 func (p *state) named(name string) string {
 	if _, ok := p.engines[name]; ok {
@@ -130,3 +148,18 @@
 		s.within++
 	}
 }
+
+// begin corrects the model by an attempt's first event.
+func (p *state) begin(id string, at *placed, now time.Time) {
+	if p.plain {
+		return
+	}
+	if e := p.engines[at.instance]; e != nil {
+		e.Observe(id, now)
+	}
+	for _, name := range at.readers {
+		if e := p.engines[name]; e != nil {
+			e.FinishPart(id, now)
+		}
+	}
+}
--- a/pool/types.go
+++ b/pool/types.go
@@ -32,6 +32,8 @@
 	Deadline time.Duration
 	// Exclude are endpoints that failed the request.
 	Exclude []string
+	// Domain is the failure domain of the entry.
+	Domain string
 	// Again states that the request was sent to an endpoint before.
 	Again bool
 }
--- a/relay/reserve.go
+++ b/relay/reserve.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -47,6 +48,8 @@
 		memory: t.relay.parts.Memory,
 		cancel: func() {},
 	}
+	// The grant is shared with those who keep account of it.
+	t.grant.Readers = slices.Clone(t.grant.Readers)
 	for i, r := range t.grant.Readers {
 		if r.Reserved == 0 {
 			continue
@@ -103,9 +106,11 @@
 			return
 		case <-tick.C:
 		}
-		// A renewal that fails is tried again at the next tick; the engine ends
-		// the request if all fail.
-		_ = h.all(ctx)
+		for _, r := range h.items {
+			// A renewal that fails is tried again at the next tick; the engine
+			// ends the request if all fail.
+			h.done.Go(func() { _ = h.one(ctx, r) })
+		}
 	}
 }
 
@@ -115,7 +120,11 @@
 	if len(h.items) == 0 {
 		return
 	}
-	h.done.Go(h.release)
+	go func() {
+		// No renewal may come after the order that ends the reservation.
+		h.done.Wait()
+		h.release()
+	}()
 }
 
 // release gives the orders that end the reservations. One that gets lost costs
--- a/relay/try.go
+++ b/relay/try.go
@@ -58,9 +58,10 @@
 	defer hold.free()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	request := t.request()
 	watch := t.watch(cancel)
 	defer watch.stop()
-	x, err := t.relay.parts.Upstream.Do(ctx, t.request())
+	x, err := t.relay.parts.Upstream.Do(ctx, request)
 	if err != nil {
 		return t.unanswered(err, watch)
 	}
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -28,12 +28,12 @@
 	silent atomic.Bool
 }
 
-// watch starts the watch of an attempt. Only streams that can be continued
-// elsewhere are watched: nothing is won by ending another one early.
+// watch starts the watch of an attempt. Only streams that can be continued at
+// one more endpoint are watched: nothing is won by ending another one early.
 func (t *try) watch(cancel func()) *watch {
 	w := &watch{}
 	r := t.job.route
-	if r.Kind != route.Streaming || !r.Resumable {
+	if r.Kind != route.Streaming || !r.Resumable || t.job.attemptsLeft() <= 0 {
 		return w
 	}
 	w.limit = max(minSilence, time.Duration(gapSilence*float64(r.GapTarget)))
