Fill engines in a fixed order with short prompts

Change: among engines where a request does no harm, short prompts take the first of a fixed order while its passes stay below 150 ms and two slots are free; long ones take the last.

--- a/placement/plan.go
+++ b/placement/plan.go
@@ -24,9 +24,6 @@
 	Worth float64
 	// Exclude are engines that must not be used.
 	Exclude []string
-	// Domain is where the request came in; engines there are preferred when
-	// nothing else tells them apart.
-	Domain string
 }
 
 // Share is the part of a plan on an engine that helps.
@@ -102,6 +99,12 @@
 	first  time.Duration
 	free   int
 	slots  bool
+	// left is how many slots are free.
+	left int
+	// pass is how long the engine's next pass would take.
+	pass time.Duration
+	// order is the engine's place in the fixed order of engines.
+	order int
 }
 
 // Make returns the cheapest plan, or false when no engine can take the request.
@@ -144,12 +147,12 @@
 func plan(usable []*Engine, r Request, n int, now time.Time, cands []candidate) (Plan, bool) {
 	read := usable[0].Model.Read(r.Prompt, n)
 	cands = cands[:0]
-	for _, e := range usable {
-		cands = append(cands, e.judge(read, now))
+	for i, e := range usable {
+		c := e.judge(read, now)
+		c.order = i
+		cands = append(cands, c)
 	}
-	slices.SortFunc(cands, func(a, b candidate) int {
-		return compare(a, b, r.Domain)
-	})
+	slices.SortFunc(cands, r.compare)
 	chosen := cands[:n]
 	need := r.Prompt + r.Output
 	head := headOf(chosen, need, n)
@@ -179,31 +182,57 @@
 	return p, true
 }
 
-// compare orders candidates: least harm, then the earliest first event, then
-// the request's own failure domain.
-func compare(a, b candidate, domain string) int {
+// compare orders candidates: least harm first. Among equals, short prompts fill
+// the engines from the front of the fixed order as long as passes stay short,
+// and long ones take them from the back: so the long ones find engines where
+// they make nobody wait.
+func (r *Request) compare(a, b candidate) int {
 	if d := a.spoils - b.spoils; d < -spoilsEqual || d > spoilsEqual {
 		return cmp.Compare(a.spoils, b.spoils)
 	}
-	if d := a.first - b.first; d < -firstEqual || d > firstEqual {
-		return cmp.Compare(a.first, b.first)
+	if r.Prompt > packedPrompt {
+		if d := a.first - b.first; d < -firstEqual || d > firstEqual {
+			return cmp.Compare(a.first, b.first)
+		}
+		return cmp.Compare(b.order, a.order)
+	}
+	if c := cmp.Compare(a.crowded(), b.crowded()); c != 0 {
+		return c
+	}
+	if a.crowded() == 0 {
+		return cmp.Compare(a.order, b.order)
+	}
+	return cmp.Compare(a.first, b.first)
+}
+
+// crowded returns 1 for an engine that should not be filled further: with a long
+// pass, or none but the last slots free.
+func (c *candidate) crowded() int {
+	if c.pass > packedPass || c.left <= packedLeft {
+		return 1
 	}
-	return cmp.Compare(foreign(a.engine, domain), foreign(b.engine, domain))
+	return 0
 }
 
+// The measures of filling engines in order.
+const (
+	// packedPrompt is the longest prompt that engines are filled with, in
+	// tokens; reading it takes less than half of the shortest pause that counts.
+	packedPrompt = 24_000
+	// packedPass is the longest pass that filling may lead to: well below the
+	// shortest pause that counts on the sheets, 250 ms, as several prompts may
+	// arrive in one pass.
+	packedPass = 150 * time.Millisecond
+	// packedLeft is how many slots filling leaves free.
+	packedLeft = 2
+)
+
 // The differences below which candidates count as equal.
 const (
 	spoilsEqual = 0.02
 	firstEqual  = 2 * time.Millisecond
 )
 
-func foreign(e *Engine, domain string) int {
-	if e.FailureDomain == domain {
-		return 0
-	}
-	return 1
-}
-
 // headOf returns the index of the engine that gets the request: one with a free
 // slot, with room for all if there is any, else with the most room.
 func headOf(chosen []candidate, need, n int) int {
@@ -306,6 +335,8 @@
 		first:  wait + after,
 		free:   e.room(),
 		slots:  running < e.Slots,
+		pass:   after,
+		left:   e.Slots - running,
 	}
 	for _, j := range e.Jobs {
 		c.spoils += j.harm(before, after, wait, now)
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -203,7 +203,6 @@
 			TargetAt: now.Add(a.Target),
 			Worth:    s.settings.WorthBase + s.settings.WorthPerToken*float64(a.Prompt),
 			Exclude:  a.Exclude,
-			Domain:   a.Domain,
 		},
 		arrived: now,
 		reply:   make(chan Grant, 1),
