Take engines out of use only when two instances agree

One instance that was cut off did the same to all.

Change: a failure counts for all when another instance saw one just before; an instance leaves out for its own requests what failed it. Silence counts after 1.3 s. A caller that went is not the endpoint's failure. Prompts are split only into parts of 40 ms or more. A front engine without memory no longer blocks plans.

--- a/placement/plan.go
+++ b/placement/plan.go
@@ -120,24 +120,20 @@
 	best, found := Plan{}, false
 	cands := make([]candidate, 0, len(usable))
 	for _, n := range widths {
-		if n > len(usable) {
+		if n > len(usable) || n > 1 && usable[0].Model.Read(r.Prompt, n) < leastPart {
 			break
 		}
 		p, ok := plan(usable, r, n, now, cands)
 		if ok && (!found || p.Cost()+p.joining() < best.Cost()+best.joining()) {
 			best, found = p, true
 		}
-		if r.Prompt <= shortPrompt && found {
-			// Splitting what is read in a fraction of a pass gains nothing.
-			break
-		}
 	}
 	return best, found
 }
 
-// shortPrompt is up to where a prompt is read by one engine, in tokens: with
-// both sites' engines reading it takes half of a pass without reading.
-const shortPrompt = 6_000
+// leastPart is the least time of reading that is split off: with less, one more
+// engine that may fail is not worth the shorter pause.
+const leastPart = 40 * time.Millisecond
 
 func (p *Plan) joining() float64 {
 	return joinCost * float64(len(p.Others))
@@ -157,7 +153,7 @@
 	need := r.Prompt + r.Output
 	head := headOf(chosen, need, n)
 	if head < 0 {
-		head, chosen = withSlot(cands, n)
+		head, chosen = withSlot(cands, need, n)
 		if head < 0 {
 			return Plan{}, false
 		}
@@ -251,10 +247,11 @@
 	return head
 }
 
-// withSlot returns the cheapest choice whose first engine has a slot.
-func withSlot(cands []candidate, n int) (int, []candidate) {
+// withSlot returns the cheapest choice whose first engine has a slot and, when
+// it is alone, room for all.
+func withSlot(cands []candidate, need, n int) (int, []candidate) {
 	for i, c := range cands {
-		if !c.slots {
+		if !c.slots || n == 1 && c.free < need {
 			continue
 		}
 		chosen := make([]candidate, 0, n)
--- a/pool/aside.go
+++ b/pool/aside.go
@@ -9,8 +9,8 @@
 // The measures of setting endpoints aside.
 const (
 	// firstAside is how long an endpoint rests after it failed; it doubles
-	// with each further failure up to lastAside. A second is what a restarted
-	// engine needs at the least.
+	// with each further failure up to lastAside. Restarted engines are back
+	// after some seconds.
 	firstAside = 700 * time.Millisecond
 	lastAside  = 3 * time.Second
 	// rejectAside is how long a full endpoint rests.
@@ -20,54 +20,102 @@
 	misplacedAside = 5 * time.Second
 	// failuresTolerated is how many failures in a row are put down to requests.
 	failuresTolerated = 2
+	// agreeWithin is how close together reports of two instances must be to
+	// count as agreement.
+	agreeWithin = 1500 * time.Millisecond
 )
 
-// health is what requests showed of an endpoint.
-type health struct {
+// record is what the requests of one or several instances showed of an
+// endpoint.
+type record struct {
 	failures int
 	until    time.Time
 	// probing states that one request tries an endpoint that was set aside.
 	probing bool
+}
+
+// health is what is known of an endpoint.
+type health struct {
+	// own is what this instance's requests showed. A link of its own may be at
+	// fault, so it counts only for them.
+	own record
+	// all is what two instances or more agree on.
+	all record
 	// rate is the recent part of failed requests.
 	rate float64
+	// reporter is who reported the last failure, at a moment.
+	reporter string
+	reported time.Time
 }
 
 // rateWeight is the weight of one more outcome in an endpoint's failure rate.
 const rateWeight = 0.1
 
-// note takes over an outcome. It returns true when the endpoint was set aside.
-func (h *health) note(o Outcome, now time.Time) bool {
-	h.probing = false
+// note takes over an outcome that an instance reports. It returns true when the
+// endpoint was set aside for all.
+func (h *health) note(o Outcome, reporter string, own bool, now time.Time) bool {
+	if o == Abandoned {
+		h.own.probing, h.all.probing = false, false
+		return false
+	}
 	failed := 1.0
-	if o == Served || o == Abandoned {
+	if o == Served {
 		failed = 0
 	}
-	if o != Abandoned {
-		h.rate += rateWeight * (failed - h.rate)
+	h.rate += rateWeight * (failed - h.rate)
+	if own {
+		h.own.note(o, now)
+	}
+	if !h.agreed(o, reporter, now) {
+		return false
+	}
+	return h.all.note(o, now)
+}
+
+// agreed states whether a report counts for all: good ones do, bad ones when
+// another instance had one just before. What the endpoint itself says needs no
+// second instance.
+func (h *health) agreed(o Outcome, reporter string, now time.Time) bool {
+	if o == Served || o == Rejected || o == Misplaced {
+		return true
+	}
+	other := h.reporter != "" && h.reporter != reporter && now.Sub(h.reported) < agreeWithin
+	h.reporter, h.reported = reporter, now
+	return other
+}
+
+// alive notes a sign of life.
+func (h *health) alive(own bool) {
+	h.all = record{}
+	h.reporter = ""
+	if own {
+		h.own = record{}
 	}
+}
+
+func (r *record) note(o Outcome, now time.Time) bool {
+	r.probing = false
 	switch o {
 	case Served:
-		h.failures = 0
-		h.until = time.Time{}
-		return false
-	case Abandoned:
+		*r = record{}
 		return false
 	case Rejected:
-		h.until = later(h.until, now.Add(rejectAside))
+		r.until = later(r.until, now.Add(rejectAside))
 		return false
 	case Misplaced:
-		h.until = later(h.until, now.Add(misplacedAside))
+		r.until = later(r.until, now.Add(misplacedAside))
 		return true
-	case Unreachable, Silent:
-		h.failures = max(h.failures+1, failuresTolerated+1)
-	case Failed:
-		h.failures++
+	case Unreachable:
+		r.failures = max(r.failures+1, failuresTolerated+1)
+	case Failed, Silent:
+		r.failures++
+	case Abandoned:
 	}
-	if h.failures <= failuresTolerated {
+	if r.failures <= failuresTolerated {
 		return false
 	}
-	rest := min(firstAside<<min(h.failures-failuresTolerated-1, 4), lastAside)
-	h.until = later(h.until, now.Add(rest))
+	rest := min(firstAside<<min(r.failures-failuresTolerated-1, 4), lastAside)
+	r.until = later(r.until, now.Add(rest))
 	return true
 }
 
@@ -79,9 +127,9 @@
 }
 
 // usable states whether the endpoint may get a request.
-func (h *health) usable(now time.Time) bool {
-	if now.Before(h.until) {
+func (r *record) usable(now time.Time) bool {
+	if now.Before(r.until) {
 		return false
 	}
-	return h.failures <= failuresTolerated || !h.probing
+	return r.failures <= failuresTolerated || !r.probing
 }
--- a/pool/client.go
+++ b/pool/client.go
@@ -204,6 +204,7 @@
 // Place implements Placer.
 func (c *Client) Place(ctx context.Context, a Ask) (Grant, error) {
 	a.Domain = c.self.FailureDomain
+	a.Exclude = append(slices.Clone(a.Exclude), c.local.Shunned(a.Service)...)
 	owners := c.owners(a.Service)
 	for _, l := range owners {
 		if l == nil {
--- a/pool/decide.go
+++ b/pool/decide.go
@@ -91,8 +91,8 @@
 // probe notes that an attempt tries endpoints that had failed.
 func (p *state) probe(at *placed) {
 	for _, name := range append(at.readers, at.instance) {
-		if h := p.health[name]; h != nil && h.failures > failuresTolerated {
-			h.probing = true
+		if h := p.health[name]; h != nil {
+			h.all.probing = h.all.failures > failuresTolerated
 		}
 	}
 }
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -229,6 +229,10 @@
 
 // First implements Placer.
 func (s *Scheduler) First(id, service string) {
+	s.first(id, service, s.settings.Self)
+}
+
+func (s *Scheduler) first(id, service, reporter string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.pool(service)
@@ -240,10 +244,20 @@
 	at.begun = true
 	p.errors.add(at.first, now.Sub(at.at))
 	p.begin(id, at, now)
+	for _, name := range append(at.readers, at.instance) {
+		if h := p.health[name]; h != nil {
+			h.alive(reporter == s.settings.Self)
+		}
+	}
 }
 
 // End implements Placer.
 func (s *Scheduler) End(id, service string, o Outcome, culprit string) {
+	s.end(id, service, o, culprit, s.settings.Self)
+}
+
+// end takes over how an attempt ended, as an instance reports it.
+func (s *Scheduler) end(id, service string, o Outcome, culprit, reporter string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.pool(service)
@@ -261,9 +275,26 @@
 		return
 	}
 	now := time.Now()
-	if h.note(o, now) {
+	if h.note(o, reporter, reporter == s.settings.Self, now) {
 		s.log.Info("endpoint set aside", "service", service, "endpoint", instance, "outcome", o.String(),
-			"failures", h.failures, "for_ms", h.until.Sub(now).Milliseconds(), "attempt", id)
+			"failures", h.all.failures, "for_ms", h.all.until.Sub(now).Milliseconds(), "attempt", id,
+			"reporter", reporter)
 	}
 	s.poke()
 }
+
+// Shunned returns the endpoints that this instance's own requests can't use
+// now.
+func (s *Scheduler) Shunned(service string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.pool(service)
+	now := time.Now()
+	var out []string
+	for name, h := range p.health {
+		if !h.own.usable(now) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
--- a/pool/server.go
+++ b/pool/server.go
@@ -127,10 +127,10 @@
 		x.note(a.ID, a.Service)
 		s.Adopt(a, decodeGrant(k.Running.GetGrant()), k.Running.GetBegun())
 	case *poolpb.FromEntry_First:
-		s.First(k.First.GetId(), k.First.GetService())
+		s.first(k.First.GetId(), k.First.GetService(), x.entry)
 	case *poolpb.FromEntry_End:
 		x.drop(k.End.GetId())
-		s.End(k.End.GetId(), k.End.GetService(), Outcome(k.End.GetOutcome()), k.End.GetCulprit())
+		s.end(k.End.GetId(), k.End.GetService(), Outcome(k.End.GetOutcome()), k.End.GetCulprit(), x.entry)
 	case *poolpb.FromEntry_Ping:
 		return x.send(&poolpb.FromOwner{
 			Kind: &poolpb.FromOwner_Pong{
--- a/pool/state.go
+++ b/pool/state.go
@@ -104,7 +104,7 @@
 func (p *state) usable(exclude []string, now time.Time) []*placement.Engine {
 	out := make([]*placement.Engine, 0, len(p.list))
 	for _, e := range p.list {
-		if e.Closed || slices.Contains(exclude, e.Instance) || !p.health[e.Instance].usable(now) {
+		if e.Closed || slices.Contains(exclude, e.Instance) || !p.health[e.Instance].all.usable(now) {
 			continue
 		}
 		out = append(out, e)
--- a/relay/try.go
+++ b/relay/try.go
@@ -22,6 +22,8 @@
 	ask   pool.Ask
 	grant pool.Grant
 
+	// caller ends when the caller goes or its time is over.
+	caller     context.Context
 	began      time.Time
 	firstAfter time.Duration
 	longestGap time.Duration
@@ -48,6 +50,7 @@
 // run sends the request and passes the answer on.
 func (t *try) run(ctx context.Context) result {
 	t.began = time.Now()
+	t.caller = ctx
 	hold, err := t.reserve(ctx)
 	if err != nil {
 		return result{
@@ -123,6 +126,9 @@
 		reason:  "answer broke off: " + err.Error(),
 	}
 	switch {
+	case t.caller.Err() != nil && t.job.left() > 0:
+		res.outcome = pool.Abandoned
+		res.reason = "caller gone"
 	case w.expired():
 		res.outcome = pool.Silent
 		res.reason = "endpoint is silent"
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -11,12 +11,13 @@
 
 // The measures of noticing a silent endpoint.
 const (
-	// minSilence is the shortest silence that counts: several passes of an
-	// engine that also reads.
-	minSilence = 800 * time.Millisecond
+	// minSilence is the shortest silence that counts: longer than passes that
+	// read a long prompt usually take, and early enough for another endpoint to
+	// go on before callers give up, after two seconds.
+	minSilence = 1300 * time.Millisecond
 	// gapSilence is how many of the longest pauses in time a silence lasts
 	// before it counts. Callers give up after eight.
-	gapSilence = 2.5
+	gapSilence = 4
 	// firstSilence is how much longer than predicted the first event may take.
 	firstSilence = 700 * time.Millisecond
 )
@@ -36,7 +37,7 @@
 	if r.Kind != route.Streaming || !r.Resumable || t.job.attemptsLeft() <= 0 {
 		return w
 	}
-	w.limit = max(minSilence, time.Duration(gapSilence*float64(r.GapTarget)))
+	w.limit = max(minSilence, gapSilence*r.GapTarget)
 	begin := max(w.limit, 2*t.grant.First+firstSilence)
 	w.timer = time.AfterFunc(begin, func() {
 		w.silent.Store(true)
