Refuse at once what would be late in a crowded pool

Change: requests that can still be in time go first; a short first try that would be late while four fifths of the slots are in use is refused at once, with a time to come back.

--- a/pool/decide.go
+++ b/pool/decide.go
@@ -3,6 +3,7 @@
 package pool
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -33,13 +34,61 @@
 		return s.tryPlain(p, w, list, now)
 	}
 	plan, ok := placement.Make(list, w.request, now)
+	w.late = !ok || plan.Loses > lateFrom*w.request.Worth
 	if !ok || !w.worthIt(&plan, now) {
 		return Grant{}, false
 	}
+	if w.late && w.sheddable() && crowded(list) {
+		return Grant{}, false
+	}
 	plan.Apply(w.request, now)
 	return s.grant(p, w, &plan, now), true
 }
 
+// The measures of refusing at once.
+const (
+	// lateFrom is the part of its worth that a request must lose to count as
+	// late.
+	lateFrom = 0.4
+	// crowdedShare is the part of the slots in use from which on a request that
+	// would be late is refused: its caller is better off with another try when
+	// there is room, and those who come now are in time.
+	crowdedShare = 0.8
+	// shedTarget is the longest target of requests that are refused at once.
+	// Longer ones can wait for their place.
+	shedTarget = time.Second
+	// shedAfter and shedSpread are when a refused caller may come back: slots
+	// become free within a second, and not all should return at once.
+	shedAfter  = 600 * time.Millisecond
+	shedSpread = 800 * time.Millisecond
+)
+
+// sheddable states whether a request may be refused because it would be late.
+func (w *waiter) sheddable() bool {
+	return !w.ask.Returning && !w.ask.Again && w.ask.Target > 0 && w.ask.Target <= shedTarget
+}
+
+// crowded states whether most slots are in use.
+func crowded(list []*placement.Engine) bool {
+	used, all := 0, 0
+	for _, e := range list {
+		used += e.Running()
+		all += e.Slots
+	}
+	return float64(used) >= crowdedShare*float64(all)
+}
+
+// shed returns the refusal of a request that would be late in a crowded pool.
+func (s *Scheduler) shed(p *state, w *waiter, now time.Time) *Refusal {
+	if p.plain || !w.late || !w.sheddable() || !crowded(p.usable(w.ask.Exclude, now)) {
+		return nil
+	}
+	return &Refusal{
+		Reason: "no endpoint can answer in time now",
+		After:  shedAfter + rand.N(shedSpread),
+	}
+}
+
 // worthIt states whether a plan should be carried out now rather than later.
 func (w *waiter) worthIt(plan *placement.Plan, now time.Time) bool {
 	if plan.Spoils <= spoilsTolerated {
@@ -153,7 +202,11 @@
 			w.reply <- g
 			continue
 		}
-		if r := w.hopeless(now); r != nil {
+		r := s.shed(p, w, now)
+		if r == nil {
+			r = w.hopeless(now)
+		}
+		if r != nil {
 			s.log.Info("refuse", "attempt", w.ask.ID, "service", w.ask.Service, "prompt", w.ask.Prompt,
 				"reason", r.Reason, "waited_ms", now.Sub(w.arrived).Milliseconds())
 			w.refuse <- r
@@ -166,12 +219,18 @@
 }
 
 // urgency orders waiting requests: the one with the least time until it is late
-// goes first, less urgent customers after.
+// goes first, less urgent customers after, and what is late already last.
 func (w *waiter) urgency(now time.Time) float64 {
 	left := w.request.TargetAt.Sub(now)
+	if left <= 0 {
+		left += lateSeconds * time.Second
+	}
 	return left.Seconds() + rankSeconds*float64(w.ask.Rank)
 }
 
+// lateSeconds puts late requests behind all others.
+const lateSeconds = 100
+
 // rankSeconds is how much later a request counts for each rank of its customer.
 const rankSeconds = 0.3
 
--- a/pool/messages.go
+++ b/pool/messages.go
@@ -21,22 +21,24 @@
 		DeadlineUs: a.Deadline.Microseconds(),
 		Exclude:    a.Exclude,
 		Again:      a.Again,
+		Returning:  a.Returning,
 	}
 }
 
 func decodeAsk(m *poolpb.Ask) Ask {
 	return Ask{
-		ID:       m.GetId(),
-		Service:  m.GetService(),
-		Customer: m.GetCustomer(),
-		Rank:     int(m.GetRank()),
-		Prompt:   int(m.GetPrompt()),
-		Output:   int(m.GetOutput()),
-		Target:   microseconds(m.GetTargetUs()),
-		Gap:      microseconds(m.GetGapUs()),
-		Deadline: microseconds(m.GetDeadlineUs()),
-		Exclude:  m.GetExclude(),
-		Again:    m.GetAgain(),
+		ID:        m.GetId(),
+		Service:   m.GetService(),
+		Customer:  m.GetCustomer(),
+		Rank:      int(m.GetRank()),
+		Prompt:    int(m.GetPrompt()),
+		Output:    int(m.GetOutput()),
+		Target:    microseconds(m.GetTargetUs()),
+		Gap:       microseconds(m.GetGapUs()),
+		Deadline:  microseconds(m.GetDeadlineUs()),
+		Exclude:   m.GetExclude(),
+		Again:     m.GetAgain(),
+		Returning: m.GetReturning(),
 	}
 }
 
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -79,6 +79,8 @@
 	arrived time.Time
 	reply   chan Grant
 	refuse  chan *Refusal
+	// late states that the last plan made the request late.
+	late bool
 }
 
 // NewScheduler returns a scheduler without endpoints.
@@ -170,6 +172,12 @@
 		s.mu.Unlock()
 		return g, nil
 	}
+	if r := s.shed(p, w, now); r != nil {
+		s.log.Info("refuse", "attempt", a.ID, "service", a.Service, "prompt", a.Prompt, "reason", r.Reason,
+			"after_ms", r.After.Milliseconds())
+		s.mu.Unlock()
+		return Grant{}, r
+	}
 	p.queue = append(p.queue, w)
 	s.mu.Unlock()
 	s.poke()
--- a/pool/types.go
+++ b/pool/types.go
@@ -34,6 +34,9 @@
 	Exclude []string
 	// Domain is the failure domain of the entry.
 	Domain string
+	// Returning states that the caller has come back after a refusal, or tries
+	// again.
+	Returning bool
 	// Again states that the request was sent to an endpoint before.
 	Again bool
 }
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -79,6 +79,10 @@
 	return l.next(ctx, j, t, res)
 }
 
+// returnSlack is how much less than the route's time a caller may name at its
+// first try.
+const returnSlack = 100 * time.Millisecond
+
 // ask describes the request to the pool.
 func (l *Relay) ask(j *job) pool.Ask {
 	a := pool.Ask{
@@ -92,6 +96,8 @@
 		Deadline: j.left(),
 		Exclude:  j.exclude,
 		Again:    j.sends > 0,
+		// A first try has all of the route's time.
+		Returning: j.head.Wait > 0 && j.head.Wait < j.route.Timeout-returnSlack,
 	}
 	if j.route.Kind == route.Streaming {
 		a.Gap = j.route.GapTarget
