Bound what a request that waited may cost others

Change: a request that waited may cost others at most twice what it keeps, and a plan that can't be in time for the deadline is none.

--- a/pool/decide.go
+++ b/pool/decide.go
@@ -17,11 +17,10 @@
 	// waitShare is the part of a request's target that it may wait for a
 	// better moment.
 	waitShare = 0.7
-	// forceShare is the part of its deadline after which a request is placed
-	// whatever it costs others.
-	forceShare = 0.45
-	// lateWorth is the part of a request's worth that is left when it is late.
-	lateWorth = 0.25
+	// forceShare is the part of its deadline after which a request may cost
+	// others forceFactor of what it keeps, so that it is not put off for ever.
+	forceShare  = 0.3
+	forceFactor = 2
 )
 
 // try places a request if this is a good moment. The caller holds the lock.
@@ -91,20 +90,23 @@
 
 // worthIt states whether a plan should be carried out now rather than later.
 func (w *waiter) worthIt(plan *placement.Plan, now time.Time) bool {
+	waited := now.Sub(w.arrived)
+	if plan.First > w.ask.Deadline-waited {
+		return false
+	}
 	if plan.Spoils <= spoilsTolerated {
 		return true
 	}
-	waited := now.Sub(w.arrived)
 	left := w.request.TargetAt.Sub(now)
 	if plan.First < time.Duration(float64(left)*waitShare) {
 		// There is time for a better moment.
 		return false
 	}
 	keeps := w.request.Worth - plan.Loses
-	if plan.Spoils < keeps {
-		return true
+	if waited > time.Duration(float64(w.ask.Deadline)*forceShare) {
+		keeps *= forceFactor
 	}
-	return waited > time.Duration(float64(w.ask.Deadline)*forceShare)
+	return plan.Spoils < keeps
 }
 
 // grant notes a place and returns it.
