Keep the retry budget and leaving endpoints when owners stop or know less

Change: links go down the order until two instances are in touch; an instance without an owner has its part of half the budget. Entries leave out endpoints that they know to leave or be gone, and decline such a place.

--- a/catalog/apply.go
+++ b/catalog/apply.go
@@ -71,6 +71,19 @@
 		c.log.Info("endpoint known", "endpoint", e.Instance, "service", e.Service, "address", e.Address, "leaving", e.Leaving)
 	}
 	c.endpoints[e.Instance] = e
+	if e.Leaving {
+		c.depart(e.Instance)
+	} else {
+		// An entry that had lapsed is back.
+		delete(c.departed, e.Instance)
+	}
+}
+
+// depart notes that an endpoint leaves or is gone.
+func (c *Catalog) depart(instance string) {
+	if _, known := c.departed[instance]; !known {
+		c.departed[instance] = time.Now()
+	}
 }
 
 // remove ends an endpoint, at once or, in doubt, after a while.
@@ -88,6 +101,7 @@
 	}
 	delete(c.endpoints, instance)
 	delete(c.vanished, instance)
+	c.depart(instance)
 	c.log.Info("endpoint gone", "endpoint", instance)
 }
 
@@ -121,6 +135,7 @@
 		}
 		delete(c.vanished, id)
 		delete(c.endpoints, id)
+		c.depart(id)
 		any = true
 		c.log.Info("endpoint gone", "endpoint", id, "reason", "its entry did not return")
 	}
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -39,10 +39,32 @@
 	Table *route.Table
 	// Endpoints are all endpoints by instance, leaving ones included.
 	Endpoints map[string]Endpoint
+	// Departed are the endpoints that leave or are gone, for departedFor after
+	// this became known. Another instance may not know of it yet.
+	Departed map[string]time.Time
 	// Peers are the other instances by id, this one included.
 	Peers map[string]Peer
 }
 
+// departedFor is how long endpoints that are gone are remembered: longer than
+// outages of the store usually last.
+const departedFor = 2 * time.Minute
+
+// Leaving returns the endpoints that must get nothing new.
+func (s *Snapshot) Leaving() []string {
+	out := make([]string, 0, len(s.Departed))
+	for instance := range s.Departed {
+		out = append(out, instance)
+	}
+	return out
+}
+
+// Gone states whether an endpoint must get nothing new.
+func (s *Snapshot) Gone(instance string) bool {
+	_, gone := s.Departed[instance]
+	return gone
+}
+
 // Catalog follows the store.
 type Catalog struct {
 	settings Settings
@@ -63,6 +85,9 @@
 	// vanished are endpoints whose entries are gone, with when they count as
 	// gone.
 	vanished map[string]time.Time
+	// departed are the endpoints that leave or are gone, with when this became
+	// known.
+	departed map[string]time.Time
 	changed  chan struct{}
 }
 
@@ -84,6 +109,7 @@
 		endpoints: make(map[string]Endpoint),
 		peers:     make(map[string]Peer),
 		vanished:  make(map[string]time.Time),
+		departed:  make(map[string]time.Time),
 		changed:   make(chan struct{}),
 	}
 }
@@ -134,8 +160,16 @@
 	s := &Snapshot{
 		Table:     c.table,
 		Endpoints: make(map[string]Endpoint, len(c.endpoints)),
+		Departed:  make(map[string]time.Time, len(c.departed)),
 		Peers:     make(map[string]Peer, len(c.peers)),
 	}
+	for k, at := range c.departed {
+		if time.Since(at) > departedFor {
+			delete(c.departed, k)
+			continue
+		}
+		s.Departed[k] = at
+	}
 	for k, e := range c.endpoints {
 		s.Endpoints[k] = e
 	}
--- a/pool/client.go
+++ b/pool/client.go
@@ -7,6 +7,7 @@
 	"math"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
@@ -16,8 +17,14 @@
 	"github.com/linkmast/linkmast/pool/poolpb"
 )
 
-// standbys is how many instances besides the first know what runs in a pool.
-const standbys = 1
+// The measures of following owners.
+const (
+	// wantedOwners is how many instances in touch know what runs in a pool: the
+	// owner, and one that can take over.
+	wantedOwners = 2
+	// lookEvery is how often the links are compared with what is wanted.
+	lookEvery = 200 * time.Millisecond
+)
 
 // Client finds the owner of each pool and asks it. It implements Placer. The
 // owner is the first instance in the order of rendezvous hashing that is in
@@ -32,8 +39,12 @@
 	known *catalog.Snapshot
 	// order is the instances of each pool with engines, the owner first.
 	order map[string][]string
-	links map[string]*linked
-	book  map[string]*running
+	// chosen is the part of the order that is asked.
+	chosen map[string][]string
+	links  map[string]*linked
+	book   map[string]*running
+	// lost gets a value when a link breaks off or comes about.
+	lost  chan struct{}
 	ctx   context.Context
 	parts sync.WaitGroup
 }
@@ -60,6 +71,8 @@
 		dialer: d,
 		log:    log,
 		order:  make(map[string][]string),
+		chosen: make(map[string][]string),
+		lost:   make(chan struct{}, 1),
 		links:  make(map[string]*linked),
 		book:   make(map[string]*running),
 	}
@@ -67,12 +80,21 @@
 
 // Run keeps the links until ctx ends.
 func (c *Client) Run(ctx context.Context) {
-	c.mu.Lock()
-	c.ctx = ctx
-	c.relink()
-	c.mu.Unlock()
-	<-ctx.Done()
-	c.parts.Wait()
+	tick := time.NewTicker(lookEvery)
+	defer tick.Stop()
+	for {
+		c.mu.Lock()
+		c.ctx = ctx
+		c.relink()
+		c.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			c.parts.Wait()
+			return
+		case <-tick.C:
+		case <-c.lost:
+		}
+	}
 }
 
 // Update takes over the instances and services that are known.
@@ -108,8 +130,8 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b scored) int { return compareFloat(b.score, a.score) })
-	ids := make([]string, 0, standbys+1)
-	for _, s := range list[:min(len(list), standbys+1)] {
+	ids := make([]string, 0, len(list))
+	for _, s := range list {
 		ids = append(ids, s.id)
 	}
 	return ids
@@ -125,19 +147,16 @@
 	return -weight * weight / math.Log(unit)
 }
 
-// relink opens the links that are wanted and closes the others. The caller
-// holds the lock.
+// relink opens the links that are wanted and closes the others: in the order of
+// each pool, up to the instances in touch that are wanted. Those before them
+// that are out of touch are tried again and again. The caller holds the lock.
 func (c *Client) relink() {
 	if c.ctx == nil || c.known == nil {
 		return
 	}
 	wanted := make(map[string]string)
-	for _, ids := range c.order {
-		for _, id := range ids {
-			if id != c.self.ID {
-				wanted[id] = c.known.Peers[id].Address
-			}
-		}
+	for service, ids := range c.order {
+		c.chosen[service] = c.choose(ids, wanted)
 	}
 	for id, l := range c.links {
 		if wanted[id] != l.address {
@@ -152,6 +171,26 @@
 	}
 }
 
+// choose returns the instances of a pool's order that are asked, and adds those
+// that need a link to wanted.
+func (c *Client) choose(ids []string, wanted map[string]string) []string {
+	usable := 0
+	for i, id := range ids {
+		if usable == wantedOwners {
+			return ids[:i]
+		}
+		if id == c.self.ID {
+			usable++
+			continue
+		}
+		wanted[id] = c.known.Peers[id].Address
+		if l := c.links[id]; l != nil && l.usable() {
+			usable++
+		}
+	}
+	return ids
+}
+
 func (c *Client) openLink(id, address string) *linked {
 	ctx, cancel := context.WithCancel(c.ctx)
 	l := &link{
@@ -163,6 +202,7 @@
 		},
 		dialer: c.dialer,
 		book:   c.running,
+		turn:   c.turned,
 		log:    c.log,
 	}
 	c.parts.Go(func() { l.run(ctx) })
@@ -172,6 +212,14 @@
 	}
 }
 
+// turned makes the links be looked at anew.
+func (c *Client) turned() {
+	select {
+	case c.lost <- struct{}{}:
+	default:
+	}
+}
+
 // running returns the messages that tell an owner what this instance has
 // running.
 func (c *Client) running() []*poolpb.FromEntry {
@@ -189,7 +237,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out []*linked
-	for _, id := range c.order[service] {
+	for _, id := range c.chosen[service] {
 		if id == c.self.ID {
 			out = append(out, nil)
 			continue
@@ -205,9 +253,12 @@
 func (c *Client) Place(ctx context.Context, a Ask) (Grant, error) {
 	a.Domain = c.self.FailureDomain
 	a.Exclude = append(slices.Clone(a.Exclude), c.local.Shunned(a.Service)...)
+	a.Exclude = append(a.Exclude, c.leaving()...)
 	owners := c.owners(a.Service)
+	alone := len(owners) > 0
 	for _, l := range owners {
 		if l == nil {
+			alone = false
 			break
 		}
 		if !l.usable() {
@@ -223,13 +274,24 @@
 		}
 		return g, err
 	}
-	g, err := c.local.Place(ctx, a)
+	g, err := c.local.place(ctx, a, alone)
 	if err == nil {
 		c.note(a, g, nil)
 	}
 	return g, err
 }
 
+// leaving returns the endpoints that must get nothing new, as this instance
+// knows: the owner may be cut off from the store.
+func (c *Client) leaving() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.known == nil {
+		return nil
+	}
+	return c.known.Leaving()
+}
+
 // note remembers an attempt and tells all but the one who placed it.
 func (c *Client) note(a Ask, g Grant, by *linked) {
 	r := &running{
--- a/pool/link.go
+++ b/pool/link.go
@@ -53,6 +53,8 @@
 	dialer  Dialer
 	// book returns what the entry has running.
 	book func() []*poolpb.FromEntry
+	// turn is called when the session opens or breaks off.
+	turn func()
 	log  logr.Logger
 
 	mu     sync.Mutex
@@ -146,6 +148,7 @@
 	l.out = make(chan *poolpb.FromEntry, sendQueue)
 	l.asked = make(map[string]chan reply)
 	l.log.Info("owner in touch", "owner", l.peer)
+	l.turn()
 	return l.out
 }
 
@@ -168,6 +171,7 @@
 	}
 	l.log.Info("owner out of touch", "owner", l.peer, "asked", len(l.asked), "cause", cause)
 	l.asked = nil
+	l.turn()
 }
 
 // usable states whether the owner can be asked.
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -54,7 +54,10 @@
 	health map[string]*health
 	placed map[string]*placed
 	queue  []*waiter
+	// retry is the budget of the pool's owner, and alone what an instance may
+	// spend that has no owner to ask.
 	retry  spender
+	alone  spender
 	errors errorStats
 	// plain states that the service's endpoints are no engines.
 	plain bool
@@ -149,9 +152,6 @@
 			engines: make(map[string]*placement.Engine),
 			health:  make(map[string]*health),
 			placed:  make(map[string]*placed),
-			retry: spender{
-				budget: s.settings.Retries,
-			},
 		}
 		s.pools[service] = p
 	}
@@ -160,10 +160,16 @@
 
 // Place implements Placer.
 func (s *Scheduler) Place(ctx context.Context, a Ask) (Grant, error) {
+	return s.place(ctx, a, false)
+}
+
+// place returns a place. An instance that is alone because no owner of the pool
+// is in touch has only its part of the retry budget.
+func (s *Scheduler) place(ctx context.Context, a Ask, alone bool) (Grant, error) {
 	s.mu.Lock()
 	now := time.Now()
 	p := s.pool(a.Service)
-	if r := p.admit(a, now); r != nil {
+	if r := p.admit(a, alone, now); r != nil {
 		s.mu.Unlock()
 		return Grant{}, r
 	}
--- a/pool/state.go
+++ b/pool/state.go
@@ -55,17 +55,20 @@
 	})
 }
 
-// share sets the part of the retry budget that this instance may spend. Pools
-// with engines have one owner, which may change; the others are placed by each
-// instance alone.
+// share sets the parts of the retry budget: half for the pool's owner, which may
+// change, and half for all instances that place alone. Pools without engines are
+// always placed by each instance alone.
 func (p *state) share(whole Budget, instances int) {
 	p.retry.budget = Budget{
 		Ratio:  whole.Ratio * budgetShare,
 		Extra:  whole.Extra * budgetShare / 2,
 		Window: whole.Window,
 	}
+	p.alone.budget = p.retry.budget
+	p.alone.budget.Extra /= float64(max(instances, 1))
 	if p.plain {
-		p.retry.budget.Extra = whole.Extra * budgetShare / float64(max(instances, 1))
+		p.alone.budget.Extra *= 2
+		p.retry.budget = p.alone.budget
 	}
 }
 
@@ -114,12 +117,17 @@
 
 // admit counts a request against the retry budget. It returns a refusal when
 // the budget is spent.
-func (p *state) admit(a Ask, now time.Time) *Refusal {
+func (p *state) admit(a Ask, alone bool, now time.Time) *Refusal {
 	if !a.Again {
 		p.retry.first(now)
+		p.alone.first(now)
 		return nil
 	}
-	if p.retry.again(now) {
+	spender := &p.retry
+	if alone {
+		spender = &p.alone
+	}
+	if spender.again(now) {
 		return nil
 	}
 	return &Refusal{
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -58,6 +58,13 @@
 	if err != nil {
 		return false, j.unplaced(ctx, err)
 	}
+	if gone := l.departed(&g); gone != "" {
+		l.parts.Placer.End(a.ID, a.Service, pool.Abandoned, "")
+		l.parts.Log.Info("place declined", "request", j.head.ID, "attempt", a.ID, "endpoint", gone,
+			"reason", "it is leaving", "by", g.By)
+		j.exclude = append(j.exclude, gone)
+		return true, nil
+	}
 	if j.keyed && !j.ran {
 		if late := l.tooOld(); late != nil {
 			l.parts.Placer.End(a.ID, a.Service, pool.Abandoned, "")
@@ -79,6 +86,22 @@
 	return l.next(ctx, j, t, res)
 }
 
+// departed returns an endpoint of a grant that must get nothing new, or nothing:
+// it may have begun to leave while the request waited, or the one who placed it
+// may know less.
+func (l *Relay) departed(g *pool.Grant) string {
+	known := l.parts.Known()
+	if known.Gone(g.Instance) {
+		return g.Instance
+	}
+	for _, r := range g.Readers {
+		if known.Gone(r.Instance) {
+			return r.Instance
+		}
+	}
+	return ""
+}
+
 // returnSlack is how much less than the route's time a caller may name at its
 // first try.
 const returnSlack = 100 * time.Millisecond
