--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -92,7 +92,9 @@
 func (g *Gateway) assemble() {
 	f := g.settings
 	client := wirehttp.Client()
-	g.catalog = catalog.New(catalog.Settings{}, platform.NewStore(client, f.Platform.Store), g.log.WithName("catalog"))
+	g.catalog = catalog.New(catalog.Settings{
+		Poll: time.Duration(f.Times.Revoke) / pollsPerRevoke,
+	}, platform.NewStore(client, f.Platform.Store), g.log.WithName("catalog"))
 	g.self = catalog.Peer{
 		ID:            f.ID,
 		Address:       g.PeerListen,
@@ -136,6 +138,10 @@
 	return g.catalog.Snapshot() != nil
 }
 
+// pollsPerRevoke is how many polls for configurations fit into the time in which
+// keys must be refused: two may get lost before requests are refused.
+const pollsPerRevoke = 5
+
 // maxAgeShare is the part of the time in which a key must be refused after it
 // was taken away, up to which a configuration's age is trusted. The rest is for
 // the time between the check and the endpoint.
--- /dev/null
+++ b/gateway/harness_test.go
@@ -0,0 +1,294 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package gateway_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/batch"
+	"github.com/linkmast/linkmast/config"
+	"github.com/linkmast/linkmast/gateway"
+	"github.com/linkmast/linkmast/platform/platformtest"
+	"github.com/linkmast/linkmast/settings"
+)
+
+// world is a platform with instances of the system on it.
+type world struct {
+	t         *testing.T
+	store     *platformtest.Store
+	storeAddr string
+	endpoints map[string]*platformtest.Endpoint
+	addresses map[string]string
+	gateways  []*gateway.Gateway
+	version   int
+}
+
+// revoke is how soon keys must be refused in the tests.
+const revoke = 1500 * time.Millisecond
+
+// fastEngine is a model with passes of 10 ms and reading of 1 ms per 1000 tokens.
+func fastEngine() *batch.Model {
+	return &batch.Model{
+		Slots:         8,
+		Capacity:      200_000,
+		Stride:        10,
+		Step:          time.Millisecond,
+		ReadPerSecond: 1e6,
+	}
+}
+
+// newWorld starts a store with a configuration, two engines, two plain endpoints
+// and some instances.
+func newWorld(t *testing.T, instances int) *world {
+	t.Helper()
+	w := &world{
+		t:         t,
+		store:     platformtest.NewStore(),
+		endpoints: make(map[string]*platformtest.Endpoint),
+		addresses: make(map[string]string),
+	}
+	w.storeAddr = serve(t, w.store)
+	w.configure("k1", "k2")
+	for _, name := range []string{"e1", "e2"} {
+		w.addEndpoint(name, "engines", fastEngine())
+	}
+	for _, name := range []string{"p1", "p2"} {
+		w.addEndpoint(name, "plain", nil)
+	}
+	for i := range instances {
+		w.start(i)
+	}
+	for _, g := range w.gateways {
+		w.await("ready", func() bool { return w.ready(g) })
+	}
+	return w
+}
+
+func serve(t *testing.T, h http.Handler) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &http.Server{
+		Handler: h,
+	}
+	go s.Serve(l)
+	t.Cleanup(func() { s.Close() })
+	return l.Addr().String()
+}
+
+func (w *world) addEndpoint(name, service string, m *batch.Model) *platformtest.Endpoint {
+	e := &platformtest.Endpoint{
+		Instance: name,
+		Engine:   m,
+		Events:   10,
+		Work:     5 * time.Millisecond,
+	}
+	w.endpoints[name] = e
+	w.addresses[name] = serve(w.t, e)
+	w.entry(name, service, "ready")
+	return e
+}
+
+// entry writes the entry of an endpoint.
+func (w *world) entry(name, service, state string) {
+	w.store.Put(platformtest.TopicEndpoints, name, map[string]any{
+		"service": service,
+		"address": w.addresses[name],
+		"zone":    "d1",
+		"slots":   8,
+		"state":   state,
+	})
+}
+
+// configure publishes the next version, with one customer that has the keys.
+func (w *world) configure(keys ...string) {
+	w.version++
+	route := func(prefix, kind, service string, resumable bool) map[string]any {
+		return map[string]any{
+			"name": prefix, "host": "api.example", "path_prefix": prefix, "kind": kind, "service": service,
+			"timeout_ms": 4000, "target_latency_ms": 300, "gap_aim_ms": 250, "max_attempts": 2,
+			"resumable": resumable, "priority": 1,
+		}
+	}
+	w.store.Put(platformtest.TopicOperator, "config", map[string]any{
+		"version": w.version,
+		"routes": []any{
+			route("/stream/", "streaming", "engines", true),
+			route("/once/", "streaming", "engines", false),
+			route("/safe/", "safe", "plain", false),
+			route("/unsafe/", "unsafe", "plain", false),
+		},
+		"services": []any{
+			map[string]any{"name": "engines", "engine": map[string]any{
+				"slots": 8, "kv_capacity": 200000, "stride": 10, "step_ms": 1, "read_per_s": 1e6,
+			}},
+			map[string]any{"name": "plain"},
+		},
+		"limits":  map[string]any{"max_body_bytes": 1 << 20},
+		"tenants": []any{map[string]any{"name": "c1", "api_keys": keys}},
+	})
+}
+
+func (w *world) start(i int) *gateway.Gateway {
+	f := &settings.File{
+		ID:            "node-" + strconv.Itoa(i),
+		Region:        "r1",
+		FailureDomain: "d1",
+		Listen:        "127.0.0.1:0",
+		ReadyListen:   "127.0.0.1:0",
+		PeerListen:    "127.0.0.1:0",
+		AdminListen:   "127.0.0.1:0",
+		Platform: settings.Platform{
+			Store: w.storeAddr,
+		},
+		Retries: settings.Retries{
+			Ratio:  1,
+			Extra:  100,
+			Window: config.Duration(10 * time.Second),
+		},
+		Times: settings.Times{
+			Revoke:     config.Duration(revoke),
+			StopWithin: config.Duration(5 * time.Second),
+		},
+	}
+	f.SetDefaults()
+	g, err := gateway.New(f, logr.Discard())
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(g.Close)
+	w.gateways = append(w.gateways, g)
+	return g
+}
+
+func (w *world) ready(g *gateway.Gateway) bool {
+	res, err := http.Get("http://" + g.ReadyListen + "/ready")
+	if err != nil {
+		return false
+	}
+	defer res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+// await waits until something holds.
+func (w *world) await(what string, ok func() bool) {
+	w.t.Helper()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	w.t.Fatalf("not in time: %s", what)
+}
+
+// call is a request of a caller.
+type call struct {
+	id     string
+	method string
+	path   string
+	key    string
+	body   string
+	tokens int
+	wait   int
+}
+
+// got is an answer as the caller sees it.
+type got struct {
+	status int
+	body   string
+	header http.Header
+	// err is an answer that is not whole.
+	err error
+}
+
+// ask sends a request to an instance on a connection of its own.
+func (w *world) ask(i int, c call) got {
+	if c.method == "" {
+		c.method = http.MethodPost
+	}
+	if c.key == "" {
+		c.key = "k1"
+	}
+	if c.wait == 0 {
+		c.wait = 4000
+	}
+	req, err := http.NewRequest(c.method, "http://"+w.gateways[i].Listen+c.path, strings.NewReader(c.body))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	req.Host = "api.example"
+	req.Close = true
+	req.Header.Set("Request-Id", c.id)
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	req.Header.Set("Deadline-Ms", strconv.Itoa(c.wait))
+	req.Header.Set("Token-Usage", strconv.Itoa(c.tokens)+",100")
+	res, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return got{
+			err: err,
+		}
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	return got{
+		status: res.StatusCode,
+		body:   string(data),
+		header: res.Header,
+		err:    err,
+	}
+}
+
+// events is the body of a whole stream.
+func events(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		n := strconv.Itoa(i)
+		b.WriteString("id: " + n + "\ndata: piece " + n + "\n\n")
+	}
+	return b.String()
+}
+
+// runs returns how often the endpoints ran a request.
+func (w *world) runs(id string) int {
+	n := 0
+	for _, e := range w.endpoints {
+		for _, r := range e.Runs() {
+			if r.ID == id {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// assertWhole checks a whole answer with a proof of origin.
+func assertWhole(t *testing.T, g got) {
+	t.Helper()
+	is := is.New(t)
+	is.NoErr(g.err)
+	if g.status != http.StatusOK {
+		t.Log(g.body)
+	}
+	is.Equal(g.status, http.StatusOK)
+	is.True(g.header.Get("Response-Stamp") != "")
+}
+
+// assertRefused checks a refusal that says when to come back.
+func assertRefused(t *testing.T, g got) {
+	t.Helper()
+	is := is.New(t)
+	is.NoErr(g.err)
+	is.Equal(g.status, http.StatusServiceUnavailable)
+	is.True(g.header.Get("Retry-After") != "")
+}
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,253 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package upstream_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/internal/upstream"
+)
+
+// endpoint is a raw server: it reads requests and writes what a test says.
+type endpoint struct {
+	address string
+	// requests counts the requests that were read, and conns the connections.
+	requests atomic.Int64
+	conns    atomic.Int64
+}
+
+// newEndpoint serves each request of a connection by answer, which gets its
+// number on the connection. It returns false to close the connection.
+func newEndpoint(t *testing.T, answer func(c net.Conn, r *http.Request, n int) bool) *endpoint {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	e := &endpoint{
+		address: l.Addr().String(),
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			e.conns.Add(1)
+			go e.serve(c, answer)
+		}
+	}()
+	return e
+}
+
+func (e *endpoint) serve(c net.Conn, answer func(c net.Conn, r *http.Request, n int) bool) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for n := 0; ; n++ {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		e.requests.Add(1)
+		if !answer(c, r, n) {
+			return
+		}
+		io.Copy(io.Discard, r.Body)
+	}
+}
+
+func (e *endpoint) request(id string) upstream.Request {
+	return upstream.Request{
+		Address: e.address,
+		Method:  http.MethodPost,
+		Target:  "/x",
+		Host:    "h",
+		Header:  http.Header{"Id": {id}},
+		Body:    []byte("body"),
+		Fresh:   time.Minute,
+		Own:     func(res *http.Response) bool { return res.Header.Get("Id") == id },
+	}
+}
+
+func ok(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// do sends a request and reads the whole answer.
+func do(t *testing.T, p *upstream.Pool, r upstream.Request) (string, error) {
+	t.Helper()
+	x, err := p.Do(t.Context(), r)
+	if err != nil {
+		return "", err
+	}
+	defer x.Close()
+	data, err := io.ReadAll(x.Response.Body)
+	if err == nil {
+		x.Whole()
+	}
+	return string(data), err
+}
+
+func TestConnections(t *testing.T) {
+	for _, row := range []struct {
+		name   string
+		answer func(c net.Conn, r *http.Request, n int) bool
+		fresh  time.Duration
+		pause  time.Duration
+		conns  int64
+	}{
+		{"kept", func(c net.Conn, r *http.Request, _ int) bool {
+			io.WriteString(c, ok(r.Header.Get("Id"), "hi"))
+			return true
+		}, time.Minute, 0, 1},
+		{"closed by the endpoint after the answer", func(c net.Conn, r *http.Request, _ int) bool {
+			io.WriteString(c, ok(r.Header.Get("Id"), "hi"))
+			return false
+		}, time.Minute, 20 * time.Millisecond, 3},
+		{"asked to close", func(c net.Conn, r *http.Request, _ int) bool {
+			io.WriteString(c, strings.Replace(ok(r.Header.Get("Id"), "hi"), "\r\n", "\r\nConnection: close\r\n", 1))
+			return true
+		}, time.Minute, 0, 3},
+		{"keeps none", func(c net.Conn, r *http.Request, _ int) bool {
+			io.WriteString(c, strings.Replace(ok(r.Header.Get("Id"), "hi"), "\r\n", "\r\nKeep-Alive: timeout=0\r\n", 1))
+			return true
+		}, time.Minute, 0, 3},
+		{"more bytes after the answer", func(c net.Conn, r *http.Request, _ int) bool {
+			io.WriteString(c, ok(r.Header.Get("Id"), "hi")+"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra")
+			return true
+		}, time.Minute, 20 * time.Millisecond, 3},
+		{"none fresh enough", func(c net.Conn, r *http.Request, _ int) bool {
+			io.WriteString(c, ok(r.Header.Get("Id"), "hi"))
+			return true
+		}, 10 * time.Millisecond, 30 * time.Millisecond, 3},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			e := newEndpoint(t, row.answer)
+			p := upstream.New(upstream.Settings{})
+			for i := range 3 {
+				r := e.request(fmt.Sprint(i))
+				r.Fresh = row.fresh
+				body, err := do(t, p, r)
+				is.NoErr(err)
+				is.Equal(body, "hi")
+				time.Sleep(row.pause)
+			}
+			is.Equal(e.conns.Load(), row.conns)
+			is.Equal(e.requests.Load(), int64(3)) // none is sent twice
+		})
+	}
+}
+
+// TestLateExtraAnswer lets the answer to an earlier request come where the next
+// one is due.
+func TestLateExtraAnswer(t *testing.T) {
+	is := is.New(t)
+	e := newEndpoint(t, func(c net.Conn, r *http.Request, n int) bool {
+		if n == 1 {
+			io.WriteString(c, ok("0", "wrong"))
+		}
+		io.WriteString(c, ok(r.Header.Get("Id"), "right"))
+		return true
+	})
+	p := upstream.New(upstream.Settings{})
+	for i := range 2 {
+		body, err := do(t, p, e.request(fmt.Sprint(i)))
+		is.NoErr(err)
+		is.Equal(body, "right")
+	}
+	is.Equal(e.conns.Load(), int64(1))
+}
+
+// TestNoAnswer is a table of exchanges without a whole answer. None is repeated.
+func TestNoAnswer(t *testing.T) {
+	for _, row := range []struct {
+		name   string
+		answer func(c net.Conn, r *http.Request, n int) bool
+	}{
+		{"closed", func(net.Conn, *http.Request, int) bool { return false }},
+		{"not an answer", func(c net.Conn, _ *http.Request, _ int) bool {
+			io.WriteString(c, "garbage\r\n\r\n")
+			return false
+		}},
+		{"foreign answers only", func(c net.Conn, _ *http.Request, _ int) bool {
+			for range 6 {
+				io.WriteString(c, ok("other", "x"))
+			}
+			return false
+		}},
+		{"body cut short", func(c net.Conn, r *http.Request, _ int) bool {
+			io.WriteString(c, strings.Replace(ok(r.Header.Get("Id"), "hello"), "hello", "hel", 1))
+			return false
+		}},
+		{"reset without a length", func(c net.Conn, r *http.Request, _ int) bool {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\nConnection: close\r\n\r\npart")
+			time.Sleep(20 * time.Millisecond)
+			c.(*net.TCPConn).SetLinger(0)
+			return false
+		}},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			e := newEndpoint(t, row.answer)
+			p := upstream.New(upstream.Settings{})
+			_, err := do(t, p, e.request("0"))
+			is.True(err != nil)
+			var u *upstream.Error
+			if errors.As(err, &u) {
+				is.True(u.Sent)
+			}
+			is.Equal(e.requests.Load(), int64(1))
+		})
+	}
+}
+
+func TestUnreachable(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := l.Addr().String()
+	l.Close()
+	_, err = upstream.New(upstream.Settings{}).Do(t.Context(), upstream.Request{Address: address})
+	var u *upstream.Error
+	is.True(errors.As(err, &u))
+	is.True(!u.Sent)
+}
+
+// TestEarlyAnswer answers before the body has been read. The rest of the body is
+// the only thing that may come after on the connection.
+func TestEarlyAnswer(t *testing.T) {
+	is := is.New(t)
+	big := strings.Repeat("b", 4<<20)
+	seen := make(chan string, 2)
+	e := newEndpoint(t, func(c net.Conn, r *http.Request, _ int) bool {
+		io.WriteString(c, ok(r.Header.Get("Id"), "early"))
+		time.Sleep(50 * time.Millisecond)
+		data, _ := io.ReadAll(r.Body)
+		seen <- strings.Trim(string(data), "b")
+		return true
+	})
+	p := upstream.New(upstream.Settings{})
+	for i := range 2 {
+		r := e.request(fmt.Sprint(i))
+		r.Body = []byte(big)
+		body, err := do(t, p, r)
+		is.NoErr(err)
+		is.Equal(body, "early")
+	}
+	is.Equal(<-seen, "")
+	is.Equal(<-seen, "")
+	is.Equal(e.conns.Load(), int64(2)) // a connection with a rest is not used again
+}
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,222 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/batch"
+	"github.com/linkmast/linkmast/placement"
+)
+
+// model is an engine of both sites of today.
+func model() *batch.Model {
+	return &batch.Model{
+		Slots:              16,
+		Capacity:           232_000,
+		Stride:             43,
+		Step:               1020 * time.Microsecond,
+		PerSequence:        2260 * time.Nanosecond,
+		PerThousandContext: 4310 * time.Nanosecond,
+		ReadPerSecond:      206_000,
+		PerMillionPairs:    138 * time.Microsecond,
+		Hop:                75 * time.Microsecond,
+	}
+}
+
+func engines(n int) []*placement.Engine {
+	var out []*placement.Engine
+	for i := range n {
+		out = append(out, &placement.Engine{
+			Instance: fmt.Sprintf("e%02d", i),
+			Model:    model(),
+			Slots:    16,
+		})
+	}
+	return out
+}
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// short and long are typical requests.
+func short(id string, now time.Time) placement.Request {
+	return placement.Request{
+		ID:       id,
+		Prompt:   5_000,
+		Output:   1_300,
+		Gap:      250 * time.Millisecond,
+		TargetAt: now.Add(300 * time.Millisecond),
+		Worth:    1.3,
+	}
+}
+
+func long(id string, prompt int, now time.Time) placement.Request {
+	return placement.Request{
+		ID:       id,
+		Prompt:   prompt,
+		Output:   700,
+		Gap:      time.Second,
+		TargetAt: now.Add(2500 * time.Millisecond),
+		Worth:    0.8 + 1.1e-4*float64(prompt),
+	}
+}
+
+// fill lets n short requests write on an engine.
+func fill(e *placement.Engine, n int, now time.Time) {
+	for i := range n {
+		r := short(fmt.Sprintf("%s-%d", e.Instance, i), now)
+		p, ok := placement.Make([]*placement.Engine{e}, r, now)
+		if !ok {
+			panic("no room")
+		}
+		p.Apply(r, now)
+	}
+	e.Advance(now.Add(time.Second))
+}
+
+func mustMake(t *testing.T, list []*placement.Engine, r placement.Request, now time.Time) placement.Plan {
+	t.Helper()
+	p, ok := placement.Make(list, r, now)
+	if !ok {
+		t.Fatal("no plan")
+	}
+	return p
+}
+
+func TestShortPromptsShareEngines(t *testing.T) {
+	is := is.New(t)
+	list := engines(6)
+	now := start
+	used := make(map[string]int)
+	for i := range 10 {
+		now = now.Add(100 * time.Millisecond)
+		r := short(fmt.Sprint(i), now)
+		p := mustMake(t, list, r, now)
+		is.Equal(p.Spoils, 0.0)
+		is.Equal(p.Loses, 0.0)
+		p.Apply(r, now)
+		used[p.Engine.Instance]++
+	}
+	is.Equal(len(used), 1) // the others stay free for long prompts
+}
+
+func TestLongPromptAvoidsStreams(t *testing.T) {
+	is := is.New(t)
+	list := engines(6)
+	fill(list[0], 10, start)
+	fill(list[1], 10, start)
+	now := start.Add(time.Second)
+	p := mustMake(t, list, long("l", 133_000, now), now)
+	is.Equal(p.Spoils, 0.0)
+	is.True(p.Engine.Instance >= "e02")
+	for _, o := range p.Others {
+		is.True(o.Engine.Instance >= "e02")
+	}
+}
+
+func TestPartsWhereStreamsAreEverywhere(t *testing.T) {
+	is := is.New(t)
+	list := engines(18)
+	for _, e := range list {
+		fill(e, 6, start)
+	}
+	now := start.Add(time.Second)
+	p := mustMake(t, list, long("l", 100_000, now), now)
+	is.True(len(p.Others) >= 7) // whole it would take 1.2 s on one engine
+	is.True(p.Spoils < 1)
+}
+
+func TestMemory(t *testing.T) {
+	t.Run("spread over engines", func(t *testing.T) {
+		is := is.New(t)
+		p := mustMake(t, engines(4), long("l", 400_000, start), start)
+		sum := p.Hold
+		is.True(p.Hold <= 232_000)
+		for _, o := range p.Others {
+			is.True(o.Hold <= 232_000)
+			sum += o.Hold
+		}
+		is.Equal(sum, 400_700)
+	})
+	t.Run("too large for all", func(t *testing.T) {
+		is := is.New(t)
+		_, ok := placement.Make(engines(2), long("l", 500_000, start), start)
+		is.True(!ok)
+	})
+	t.Run("full front engine", func(t *testing.T) {
+		is := is.New(t)
+		list := engines(3)
+		r := long("l", 220_000, start)
+		p := mustMake(t, list[:1], r, start)
+		p.Apply(r, start)
+		q := mustMake(t, list, short("s", start), start)
+		is.True(q.Engine != list[0])
+	})
+}
+
+func TestSlots(t *testing.T) {
+	is := is.New(t)
+	list := engines(2)
+	list[0].Slots, list[1].Slots = 1, 1
+	fill(list[0], 1, start)
+	now := start.Add(time.Second)
+	p := mustMake(t, list, short("a", now), now)
+	is.Equal(p.Engine, list[1])
+	p.Apply(short("a", now), now)
+	_, ok := placement.Make(list, short("b", now), now)
+	is.True(!ok)
+	list[0].Remove("e00-0")
+	is.Equal(mustMake(t, list, short("b", now), now).Engine, list[0])
+}
+
+func TestExcluded(t *testing.T) {
+	is := is.New(t)
+	list := engines(3)
+	list[0].Closed = true
+	r := short("a", start)
+	r.Exclude = []string{"e01"}
+	is.Equal(mustMake(t, list, r, start).Engine, list[2])
+}
+
+// TestPredictedFirst holds the model against its own worked example: a prompt
+// that comes while a pass runs is read in the next one.
+func TestPredictedFirst(t *testing.T) {
+	is := is.New(t)
+	list := engines(1)
+	a := short("a", start)
+	p := mustMake(t, list, a, start)
+	read := model().Read(5_000, 1)
+	is.Equal(p.First, read)
+	p.Apply(a, start)
+	now := start.Add(5 * time.Millisecond)
+	q := mustMake(t, list, short("b", now), now)
+	// The rest of the first pass, then a pass with one writer and the reading.
+	is.Equal(q.First, read-5*time.Millisecond+model().Pass(1, 5_000)+read)
+}
+
+func TestObserve(t *testing.T) {
+	is := is.New(t)
+	e := engines(1)[0]
+	r := short("a", start)
+	p := mustMake(t, []*placement.Engine{e}, r, start)
+	p.Apply(r, start)
+	late := e.Observe("a", start.Add(p.First+30*time.Millisecond))
+	is.Equal(late, 30*time.Millisecond)
+}
+
+func BenchmarkMake(b *testing.B) {
+	list := engines(64)
+	for _, e := range list {
+		fill(e, 12, start)
+	}
+	now := start.Add(time.Second)
+	r := long("l", 133_000, now)
+	b.ReportAllocs()
+	for b.Loop() {
+		placement.Make(list, r, now)
+	}
+}
--- a/pool/client.go
+++ b/pool/client.go
@@ -252,8 +252,8 @@
 // Place implements Placer.
 func (c *Client) Place(ctx context.Context, a Ask) (Grant, error) {
 	a.Domain = c.self.FailureDomain
-	a.Exclude = append(slices.Clone(a.Exclude), c.local.Shunned(a.Service)...)
-	a.Exclude = append(a.Exclude, c.leaving()...)
+	a.Avoid = c.local.Shunned(a.Service)
+	a.Exclude = append(slices.Clone(a.Exclude), c.leaving()...)
 	owners := c.owners(a.Service)
 	alone := len(owners) > 0
 	for _, l := range owners {
--- a/pool/decide.go
+++ b/pool/decide.go
@@ -25,7 +25,7 @@
 
 // try places a request if this is a good moment. The caller holds the lock.
 func (s *Scheduler) try(p *state, w *waiter, now time.Time) (Grant, bool) {
-	list := p.usable(w.ask.Exclude, now)
+	list := p.usable(&w.ask, now)
 	if len(list) == 0 {
 		return Grant{}, false
 	}
@@ -79,7 +79,7 @@
 
 // shed returns the refusal of a request that would be late in a crowded pool.
 func (s *Scheduler) shed(p *state, w *waiter, now time.Time) *Refusal {
-	if p.plain || !w.late || !w.sheddable() || !crowded(p.usable(w.ask.Exclude, now)) {
+	if p.plain || !w.late || !w.sheddable() || !crowded(p.usable(&w.ask, now)) {
 		return nil
 	}
 	return &Refusal{
--- a/pool/messages.go
+++ b/pool/messages.go
@@ -22,6 +22,7 @@
 		Exclude:    a.Exclude,
 		Again:      a.Again,
 		Returning:  a.Returning,
+		Avoid:      a.Avoid,
 	}
 }
 
@@ -39,6 +40,7 @@
 		Exclude:   m.GetExclude(),
 		Again:     m.GetAgain(),
 		Returning: m.GetReturning(),
+		Avoid:     m.GetAvoid(),
 	}
 }
 
--- a/pool/state.go
+++ b/pool/state.go
@@ -103,14 +103,22 @@
 	}
 }
 
-// usable returns the endpoints that a request may be placed on.
-func (p *state) usable(exclude []string, now time.Time) []*placement.Engine {
+// usable returns the endpoints that a request may be placed on. When all of them
+// failed of late, it returns them all the same: the reports may be wrong.
+func (p *state) usable(a *Ask, now time.Time) []*placement.Engine {
 	out := make([]*placement.Engine, 0, len(p.list))
+	var rest []*placement.Engine
 	for _, e := range p.list {
-		if e.Closed || slices.Contains(exclude, e.Instance) || !p.health[e.Instance].all.usable(now) {
-			continue
+		switch {
+		case e.Closed || slices.Contains(a.Exclude, e.Instance):
+		case slices.Contains(a.Avoid, e.Instance) || !p.health[e.Instance].all.usable(now):
+			rest = append(rest, e)
+		default:
+			out = append(out, e)
 		}
-		out = append(out, e)
+	}
+	if len(out) == 0 {
+		return rest
 	}
 	return out
 }
--- a/pool/types.go
+++ b/pool/types.go
@@ -32,6 +32,9 @@
 	Deadline time.Duration
 	// Exclude are endpoints that failed the request.
 	Exclude []string
+	// Avoid are endpoints that failed the entry's requests of late. They are
+	// used when there is no other.
+	Avoid []string
 	// Domain is the failure domain of the entry.
 	Domain string
 	// Returning states that the caller has come back after a refusal, or tries
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -127,6 +127,8 @@
 	exclude []string
 	// out is the caller's side of the answer.
 	out *answer
+	// failure is an endpoint's own failure, for when no other can be had.
+	failure *failure
 }
 
 // admit checks a request against the configuration in force and reads it.
@@ -206,6 +208,9 @@
 // by then it has asked the store again, and other instances may know more.
 const comeBack = 300 * time.Millisecond
 
+// maxDiscard bounds how much of a body that is too large is read.
+const maxDiscard = 8 << 20
+
 // read reads the body.
 func (j *job) read(r *http.Request) *refusal {
 	limit := j.table.Limits.BodyBytes
@@ -213,6 +218,8 @@
 		limit = defaultMaxBody
 	}
 	if r.ContentLength > limit {
+		// A caller that still sends would not hear the answer.
+		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxDiscard))
 		return &refusal{
 			status: http.StatusRequestEntityTooLarge,
 			reason: "body is too large",
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -45,6 +45,11 @@
 		l.parts.Log.Info("answer cut off", "request", j.head.ID, "route", j.route.Name, "reason", final.reason,
 			"ms", took.Milliseconds(), "sends", j.sends, "events", j.out.events.count)
 		panic(http.ErrAbortHandler)
+	case j.failure != nil:
+		l.Metrics.add("failed_by_endpoint")
+		l.parts.Log.Info("endpoint's failure passed on", "request", j.head.ID, "route", j.route.Name,
+			"reason", final.reason, "status", j.failure.response.StatusCode)
+		j.out.send(j.failure.response, j.failure.body)
 	default:
 		l.refuse(w, j.head, final)
 	}
--- a/relay/try.go
+++ b/relay/try.go
@@ -202,6 +202,10 @@
 	retry := !success && x.Response.StatusCode >= http.StatusInternalServerError && j.route.Idempotent()
 	if retry && j.attemptsLeft() > 0 && j.left() > retryLeft {
 		x.Whole()
+		j.failure = &failure{
+			response: x.Response,
+			body:     data,
+		}
 		return result{
 			outcome: pool.Failed,
 			status:  x.Response.StatusCode,
@@ -226,6 +230,12 @@
 	return t.large(x, data, r)
 }
 
+// failure is an endpoint's answer that says that it failed.
+type failure struct {
+	response *http.Response
+	body     []byte
+}
+
 // retryLeft is the time that a further attempt needs to make sense.
 const retryLeft = 100 * time.Millisecond
 
