Probe connections, and learn at once that the store is back

Change: idle connections to endpoints are probed by the kernel each second; the poll after a failure does not wait; a poll that was kicked is no failure.

--- /dev/null
+++ b/catalog/catalog_test.go
@@ -0,0 +1,244 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package catalog_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/catalog"
+	"github.com/linkmast/linkmast/route"
+)
+
+// fakeStore keeps changes in memory.
+type fakeStore struct {
+	mu      sync.Mutex
+	feeds   map[catalog.Feed][]catalog.Change
+	first   map[catalog.Feed]int64
+	down    bool
+	changed chan struct{}
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{
+		feeds:   make(map[catalog.Feed][]catalog.Change),
+		first:   make(map[catalog.Feed]int64),
+		changed: make(chan struct{}),
+	}
+}
+
+var errDown = errors.New("down")
+
+func (s *fakeStore) put(f catalog.Feed, c catalog.Change) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.feeds[f] = append(s.feeds[f], c)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// forget drops a feed's records and leaves the given ones as the newest.
+func (s *fakeStore) forget(f catalog.Feed, left ...catalog.Change) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.first[f] += int64(len(s.feeds[f]))
+	s.feeds[f] = left
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) Whole(_ context.Context, f catalog.Feed) ([]catalog.Change, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, 0, errDown
+	}
+	return s.feeds[f], s.first[f] + int64(len(s.feeds[f])), nil
+}
+
+func (s *fakeStore) Follow(ctx context.Context, f catalog.Feed, from int64, wait time.Duration) ([]catalog.Change, int64, error) {
+	timeout := time.After(wait)
+	for {
+		s.mu.Lock()
+		changed, down, first, list := s.changed, s.down, s.first[f], s.feeds[f]
+		s.mu.Unlock()
+		switch {
+		case down:
+			return nil, 0, errDown
+		case from < first:
+			return nil, 0, catalog.ErrCompacted
+		case from < first+int64(len(list)):
+			return list[from-first:], first + int64(len(list)), nil
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return nil, from, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+func (s *fakeStore) Announce(context.Context, catalog.Peer) error { return nil }
+func (s *fakeStore) Withdraw(context.Context, string) error       { return nil }
+
+func version(n int64) catalog.Change {
+	return &catalog.TableChange{
+		Table: route.New(n, nil, nil, nil, false, route.Limits{}),
+	}
+}
+
+func endpoint(name string, leaving bool) catalog.Change {
+	return &catalog.EndpointChange{
+		Endpoint: catalog.Endpoint{
+			Instance: name,
+			Leaving:  leaving,
+		},
+	}
+}
+
+// run runs a test with a catalog in virtual time.
+func run(t *testing.T, f func(is *is.I, s *fakeStore, c *catalog.Catalog)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.put(catalog.Configurations, version(1))
+		s.put(catalog.Endpoints, endpoint("e1", false))
+		s.put(catalog.Endpoints, endpoint("e2", false))
+		c := catalog.New(catalog.Settings{}, s, logr.Discard())
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			c.Run(ctx)
+			close(done)
+		}()
+		time.Sleep(10 * time.Millisecond)
+		f(is.New(t), s, c)
+		cancel()
+		<-done
+	})
+}
+
+func TestNewestWins(t *testing.T) {
+	run(t, func(is *is.I, s *fakeStore, c *catalog.Catalog) {
+		is.Equal(c.Snapshot().Table.Version, int64(1))
+		s.put(catalog.Configurations, version(7))
+		s.put(catalog.Configurations, version(5)) // an older one that comes late
+		time.Sleep(10 * time.Millisecond)
+		is.Equal(c.Snapshot().Table.Version, int64(7))
+		s.forget(catalog.Configurations, version(6))
+		time.Sleep(time.Second)
+		is.Equal(c.Snapshot().Table.Version, int64(7))
+	})
+}
+
+// TestAge looks that the age is never less than the time since the store could
+// be read, and small while it can.
+func TestAge(t *testing.T) {
+	run(t, func(is *is.I, s *fakeStore, c *catalog.Catalog) {
+		for range 30 {
+			time.Sleep(200 * time.Millisecond)
+			age, ok := c.Age()
+			is.True(ok)
+			is.True(age <= 2100*time.Millisecond)
+		}
+		s.setDown(true)
+		down := time.Now()
+		time.Sleep(4 * time.Second)
+		age, _ := c.Age()
+		is.True(age >= time.Since(down))
+		s.setDown(false)
+		time.Sleep(time.Second)
+		age, _ = c.Age()
+		is.True(age <= 1100*time.Millisecond)
+	})
+}
+
+func TestLapsedEntries(t *testing.T) {
+	gone := &catalog.EndpointGone{
+		Instance: "e1",
+	}
+	t.Run("removed in calm", func(t *testing.T) {
+		run(t, func(is *is.I, s *fakeStore, c *catalog.Catalog) {
+			s.put(catalog.Endpoints, gone)
+			time.Sleep(10 * time.Millisecond)
+			is.Equal(len(c.Snapshot().Endpoints), 1)
+			is.True(c.Snapshot().Gone("e1"))
+		})
+	})
+	t.Run("kept after an outage and back", func(t *testing.T) {
+		run(t, func(is *is.I, s *fakeStore, c *catalog.Catalog) {
+			s.setDown(true)
+			time.Sleep(3 * time.Second)
+			s.put(catalog.Endpoints, gone)
+			s.setDown(false)
+			time.Sleep(time.Second)
+			is.Equal(len(c.Snapshot().Endpoints), 2)
+			s.put(catalog.Endpoints, endpoint("e1", false))
+			time.Sleep(3 * time.Second)
+			is.Equal(len(c.Snapshot().Endpoints), 2)
+			is.True(!c.Snapshot().Gone("e1"))
+		})
+	})
+	t.Run("kept after an outage and gone", func(t *testing.T) {
+		run(t, func(is *is.I, s *fakeStore, c *catalog.Catalog) {
+			s.setDown(true)
+			time.Sleep(3 * time.Second)
+			s.put(catalog.Endpoints, gone)
+			s.setDown(false)
+			time.Sleep(3 * time.Second)
+			is.Equal(len(c.Snapshot().Endpoints), 1)
+			is.True(c.Snapshot().Gone("e1"))
+		})
+	})
+	t.Run("gone with the history", func(t *testing.T) {
+		run(t, func(is *is.I, s *fakeStore, c *catalog.Catalog) {
+			s.setDown(true)
+			time.Sleep(time.Second)
+			s.put(catalog.Endpoints, gone)
+			s.forget(catalog.Endpoints, endpoint("e2", false))
+			s.setDown(false)
+			time.Sleep(3 * time.Second)
+			is.Equal(len(c.Snapshot().Endpoints), 1)
+		})
+	})
+}
+
+// TestLeavingStays looks that an endpoint that said that it leaves does not come
+// back by a record that is late.
+func TestLeavingStays(t *testing.T) {
+	run(t, func(is *is.I, s *fakeStore, c *catalog.Catalog) {
+		s.put(catalog.Endpoints, endpoint("e1", true))
+		s.put(catalog.Endpoints, endpoint("e1", false))
+		time.Sleep(10 * time.Millisecond)
+		is.True(c.Snapshot().Endpoints["e1"].Leaving)
+		is.True(c.Snapshot().Gone("e1"))
+	})
+}
+
+func TestMalformed(t *testing.T) {
+	run(t, func(is *is.I, s *fakeStore, c *catalog.Catalog) {
+		s.put(catalog.Endpoints, &catalog.Malformed{
+			Key: "e1",
+			Err: errDown,
+		})
+		time.Sleep(10 * time.Millisecond)
+		is.Equal(len(c.Snapshot().Endpoints), 2)
+	})
+}
--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -53,7 +54,7 @@
 		if next < 0 {
 			next, err = c.readWhole(ctx, f)
 		} else {
-			next, err = c.poll(ctx, f, next, retry)
+			next, err = c.poll(ctx, f, next, failures > 0, retry)
 		}
 		if err == nil {
 			if failures > 0 {
@@ -103,16 +104,22 @@
 	return next, nil
 }
 
-// poll waits for the next records of a feed.
-func (c *Catalog) poll(ctx context.Context, f Feed, from int64, retry *kick) (int64, error) {
+// poll waits for the next records of a feed. After a failure it does not wait,
+// so that it is known at once that the store is back.
+func (c *Catalog) poll(ctx context.Context, f Feed, from int64, failed bool, retry *kick) (int64, error) {
 	wait := c.settings.LongPoll
 	if f == Configurations {
 		wait = c.settings.Poll
 	}
+	if failed {
+		wait = 0
+	}
 	ctx, cancel := context.WithTimeout(ctx, wait+pollSlack)
 	defer cancel()
+	kicked := func() bool { return false }
 	if f != Configurations {
-		stop := retry.watch(cancel)
+		var stop func()
+		kicked, stop = retry.watch(cancel)
 		defer stop()
 	}
 	sent := time.Now()
@@ -121,6 +128,9 @@
 		c.log.Info("feed is read whole again", "feed", f.String(), "from", from)
 		return -1, nil
 	}
+	if err != nil && kicked() {
+		return from, nil
+	}
 	if err != nil {
 		return from, err
 	}
@@ -151,18 +161,21 @@
 	k.ch = make(chan struct{})
 }
 
-// watch calls f at the next fire, until it is stopped.
-func (k *kick) watch(f func()) (stop func()) {
+// watch calls f at the next fire, until it is stopped. Fired states whether it
+// was called.
+func (k *kick) watch(f func()) (fired func() bool, stop func()) {
 	k.mu.Lock()
 	ch := k.ch
 	k.mu.Unlock()
 	done := make(chan struct{})
+	var called atomic.Bool
 	go func() {
 		select {
 		case <-ch:
+			called.Store(true)
 			f()
 		case <-done:
 		}
 	}()
-	return func() { close(done) }
+	return called.Load, func() { close(done) }
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -24,9 +24,16 @@
 	// keepMargin is how much earlier a connection is given up than the
 	// endpoint says, for the time that the request is on its way.
 	keepMargin = 700 * time.Millisecond
-	// unackedTimeout is how long sent bytes may stay unacknowledged before the
-	// kernel gives a connection up.
-	unackedTimeout = 4 * time.Second
+	// unackedTimeout is how long sent bytes and probes may stay unacknowledged
+	// before the kernel gives a connection up.
+	unackedTimeout = 2500 * time.Millisecond
+	// probeIdle and probeEvery are how soon a connection on which nothing comes
+	// is probed, and how often: an endpoint without power is noticed within
+	// three seconds, while one that is just busy answers. The kernel counts in
+	// seconds.
+	probeIdle  = time.Second
+	probeEvery = time.Second
+	probeCount = 2
 )
 
 // maxIdle bounds the idle connections to one endpoint.
@@ -55,9 +62,14 @@
 	}
 	return &Pool{
 		dialer: net.Dialer{
-			Timeout:   s.Dial,
-			KeepAlive: -1,
-			Control:   control,
+			Timeout: s.Dial,
+			KeepAliveConfig: net.KeepAliveConfig{
+				Enable:   true,
+				Idle:     probeIdle,
+				Interval: probeEvery,
+				Count:    probeCount,
+			},
+			Control: control,
 		},
 		idle: make(map[string][]*Conn),
 	}
--- a/pool/client.go
+++ b/pool/client.go
@@ -255,10 +255,11 @@
 	a.Avoid = c.local.Shunned(a.Service)
 	a.Exclude = append(slices.Clone(a.Exclude), c.leaving()...)
 	owners := c.owners(a.Service)
-	alone := len(owners) > 0
-	for _, l := range owners {
+	alone := false
+	for i, l := range owners {
 		if l == nil {
-			alone = false
+			// Those before are out of touch; others may still ask them.
+			alone = i > 0
 			break
 		}
 		if !l.usable() {
--- /dev/null
+++ b/pool/pool_test.go
@@ -0,0 +1,359 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package pool_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+	"google.golang.org/grpc"
+
+	"github.com/linkmast/linkmast/batch"
+	"github.com/linkmast/linkmast/catalog"
+	"github.com/linkmast/linkmast/peer"
+	"github.com/linkmast/linkmast/pool"
+	"github.com/linkmast/linkmast/pool/poolpb"
+	"github.com/linkmast/linkmast/route"
+)
+
+// node is one instance with its part of the pools.
+type node struct {
+	self      catalog.Peer
+	scheduler *pool.Scheduler
+	client    *pool.Client
+	rpc       *grpc.Server
+	closing   chan struct{}
+}
+
+// fleet is some instances that know each other.
+type fleet struct {
+	t     *testing.T
+	nodes []*node
+	snap  *catalog.Snapshot
+}
+
+func newFleet(t *testing.T, n int) *fleet {
+	t.Helper()
+	f := &fleet{
+		t: t,
+		snap: &catalog.Snapshot{
+			Table: route.New(1, nil, []route.Service{
+				{Name: "engines", Engine: model()},
+				{Name: "plain"},
+			}, nil, false, route.Limits{}),
+			Endpoints: make(map[string]catalog.Endpoint),
+			Peers:     make(map[string]catalog.Peer),
+		},
+	}
+	for i := range 4 {
+		f.endpoint(fmt.Sprintf("e%d", i), "engines")
+	}
+	for i := range 2 {
+		f.endpoint(fmt.Sprintf("p%d", i), "plain")
+	}
+	for i := range n {
+		f.add(i)
+	}
+	for _, n := range f.nodes {
+		n.scheduler.Update(f.snap)
+		n.client.Update(f.snap)
+	}
+	return f
+}
+
+func model() *batch.Model {
+	return &batch.Model{
+		Slots:         4,
+		Capacity:      100_000,
+		Stride:        10,
+		Step:          time.Millisecond,
+		ReadPerSecond: 1e6,
+	}
+}
+
+func (f *fleet) endpoint(name, service string) {
+	f.snap.Endpoints[name] = catalog.Endpoint{
+		Instance: name,
+		Service:  service,
+		Address:  name + ":1",
+		Slots:    4,
+	}
+}
+
+func (f *fleet) add(i int) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	n := &node{
+		self: catalog.Peer{
+			ID:       fmt.Sprintf("n%d", i),
+			Address:  l.Addr().String(),
+			Capacity: 400,
+		},
+		rpc:     grpc.NewServer(),
+		closing: make(chan struct{}),
+	}
+	n.scheduler = pool.NewScheduler(pool.Settings{
+		Self: n.self.ID,
+		Retries: pool.Budget{
+			Ratio:  0.2,
+			Extra:  16,
+			Window: 10 * time.Second,
+		},
+	}, logr.Discard())
+	conns := peer.New(nil)
+	n.client = pool.NewClient(n.self, n.scheduler, conns, logr.Discard())
+	poolpb.RegisterPoolServer(n.rpc, pool.NewServer(n.scheduler, func() bool { return true }, n.closing))
+	ctx, cancel := context.WithCancel(context.Background())
+	go n.rpc.Serve(l)
+	go n.scheduler.Run(ctx)
+	go n.client.Run(ctx)
+	f.t.Cleanup(func() {
+		cancel()
+		n.rpc.Stop()
+		conns.Close()
+	})
+	f.snap.Peers[n.self.ID] = n.self
+	f.nodes = append(f.nodes, n)
+}
+
+func ask(id string) pool.Ask {
+	return pool.Ask{
+		ID:       id,
+		Service:  "engines",
+		Prompt:   1000,
+		Output:   100,
+		Target:   300 * time.Millisecond,
+		Gap:      250 * time.Millisecond,
+		Deadline: 5 * time.Second,
+	}
+}
+
+// owner places requests by all instances until they agree on who decides, and
+// returns it.
+func (f *fleet) owner(skip string) *node {
+	f.t.Helper()
+	for round := range 200 {
+		by := make(map[string]int)
+		for i, n := range f.nodes {
+			if n.self.ID == skip {
+				continue
+			}
+			id := fmt.Sprintf("probe-%s-%d-%d", skip, round, i)
+			g, err := n.client.Place(f.t.Context(), ask(id))
+			if err != nil {
+				f.t.Fatal(err)
+			}
+			by[g.By]++
+			n.client.End(id, "engines", pool.Served, "")
+		}
+		for _, n := range f.nodes {
+			if len(by) == 1 && by[n.self.ID] > 0 && n.self.ID != skip {
+				return n
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.t.Fatal("instances don't agree on an owner")
+	return nil
+}
+
+func (n *node) place(t *testing.T, a pool.Ask) pool.Grant {
+	t.Helper()
+	g, err := n.client.Place(t.Context(), a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return g
+}
+
+// TestOwnerChanges looks that a pool has one owner, and another soon after that
+// one stops, is killed, or hangs.
+func TestOwnerChanges(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		end  func(n *node)
+	}{
+		{"stops", func(n *node) { close(n.closing) }},
+		{"killed", func(n *node) { n.rpc.Stop() }},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, 4)
+			first := f.owner("")
+			row.end(first)
+			ended := time.Now()
+			second := f.owner(first.self.ID)
+			is.True(second != first)
+			is.True(time.Since(ended) < 300*time.Millisecond)
+		})
+	}
+}
+
+// TestTwoOwnersStop stops the owner and the one after it: a third takes over.
+func TestTwoOwnersStop(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 5)
+	first := f.owner("")
+	close(first.closing)
+	second := f.owner(first.self.ID)
+	close(second.closing)
+	time.Sleep(50 * time.Millisecond)
+	by := make(map[string]int)
+	for round := range 100 {
+		clear(by)
+		for i, n := range f.nodes {
+			if n == first || n == second {
+				continue
+			}
+			id := fmt.Sprintf("third-%d-%d", round, i)
+			by[n.place(t, ask(id)).By]++
+			n.client.End(id, "engines", pool.Served, "")
+		}
+		if len(by) == 1 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Equal(len(by), 1)
+	is.Equal(by[first.self.ID]+by[second.self.ID], 0)
+}
+
+// TestStandbyKnows fills the engines by one owner and looks that the next one
+// knows it at once.
+func TestStandbyKnows(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 3)
+	first := f.owner("")
+	var entry *node
+	for _, n := range f.nodes {
+		if n != first {
+			entry = n
+		}
+	}
+	// Four engines with four slots, but one.
+	for i := range 15 {
+		entry.place(t, ask(fmt.Sprint("r", i)))
+	}
+	close(first.closing)
+	time.Sleep(20 * time.Millisecond)
+	entry.place(t, ask("last"))
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	_, err := entry.client.Place(ctx, pool.Ask{ID: "over", Service: "engines", Prompt: 1000, Target: time.Second * 3, Deadline: 5 * time.Second})
+	is.True(err != nil) // all slots are taken
+}
+
+// TestRetryBudget sends requests again without end, with an owner and without.
+func TestRetryBudget(t *testing.T) {
+	again := func(n *node, id string) bool {
+		a := ask(id)
+		a.Again = true
+		_, err := n.client.Place(t.Context(), a)
+		var r *pool.Refusal
+		if err != nil && !errors.As(err, &r) {
+			t.Fatal(err)
+		}
+		if err == nil {
+			n.client.End(id, "engines", pool.Served, "")
+		}
+		return err == nil
+	}
+	count := func(f *fleet) int {
+		granted := 0
+		for i, n := range f.nodes {
+			for k := range 30 {
+				if again(n, fmt.Sprintf("again-%d-%d", i, k)) {
+					granted++
+				}
+			}
+		}
+		return granted
+	}
+	t.Run("one owner", func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 4)
+		f.owner("")
+		got := count(f)
+		is.True(got > 0)
+		is.True(got <= 16)
+	})
+	t.Run("no owner", func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 4)
+		for _, n := range f.nodes {
+			n.rpc.Stop()
+		}
+		time.Sleep(20 * time.Millisecond)
+		is.True(count(f) <= 16)
+	})
+}
+
+// TestSetAside looks that an endpoint is left out for all only when two
+// instances agree, and for one instance's requests at once.
+func TestSetAside(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 3)
+	f.owner("")
+	fail := func(n *node, i int) {
+		// Each attempt fails at e0, wherever it was placed.
+		id := fmt.Sprintf("%s-%d", n.self.ID, i)
+		n.place(t, ask(id))
+		n.client.End(id, "engines", pool.Unreachable, "e0")
+	}
+	uses := func(n *node, prefix string) bool {
+		used := false
+		for i := range 8 {
+			id := fmt.Sprintf("%s-%s-%d", prefix, n.self.ID, i)
+			used = n.place(t, ask(id)).Instance == "e0" || used
+			defer n.client.End(id, "engines", pool.Abandoned, "")
+		}
+		return used
+	}
+	is.True(uses(f.nodes[1], "before"))
+	fail(f.nodes[0], 0)
+	fail(f.nodes[0], 1)
+	is.True(!uses(f.nodes[0], "own"))
+	is.True(uses(f.nodes[1], "other"))
+	fail(f.nodes[2], 0)
+	time.Sleep(20 * time.Millisecond)
+	is.True(!uses(f.nodes[1], "all"))
+}
+
+// TestLeavingKnownToEntry lets only the entry know that an endpoint leaves.
+func TestLeavingKnownToEntry(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 3)
+	owner := f.owner("")
+	for _, n := range f.nodes {
+		if n == owner {
+			continue
+		}
+		told := *f.snap
+		told.Departed = map[string]time.Time{"e0": time.Now()}
+		n.client.Update(&told)
+		for i := range 12 {
+			g := n.place(t, ask(fmt.Sprintf("%s-%d", n.self.ID, i)))
+			is.True(g.Instance != "e0")
+			n.client.End(fmt.Sprintf("%s-%d", n.self.ID, i), "engines", pool.Served, "")
+		}
+	}
+}
+
+// TestPlainIsLocal looks that services without engines need no owner.
+func TestPlainIsLocal(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 3)
+	for _, n := range f.nodes {
+		a := ask("plain-" + n.self.ID)
+		a.Service = "plain"
+		is.Equal(n.place(t, a).By, n.self.ID)
+	}
+}
