End a planned stop with the last request

Change: 2.2 s after the signal the instance takes nothing new and ends with its last request; the next process is there the sooner.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -277,6 +277,40 @@
 	<-done
 }
 
+// TestLateDuringStop sends streams to an instance while it stops. Each is
+// answered whole or not taken, and the instance ends with the last of them.
+func TestLateDuringStop(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1)
+	for _, name := range []string{"e1", "e2"} {
+		w.endpoints[name].Events = 100
+	}
+	go w.gateways[0].Stop(t.Context())
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	taken, last := 0, time.Now()
+	for i := range 12 {
+		time.Sleep(250 * time.Millisecond)
+		wait.Go(func() {
+			id := "late" + strconv.Itoa(i)
+			g := w.ask(0, call{id: id, path: "/once/", tokens: 500})
+			if g.err != nil {
+				is.Equal(w.runs(id), 0)
+				return
+			}
+			assertWhole(t, g)
+			mu.Lock()
+			defer mu.Unlock()
+			taken++
+			last = time.Now()
+		})
+	}
+	wait.Wait()
+	is.True(taken >= 6 && taken < 12)
+	<-w.gateways[0].Done
+	is.True(time.Since(last) < time.Second)
+}
+
 // TestCallerGone gives a stream up in the middle.
 func TestCallerGone(t *testing.T) {
 	is := is.New(t)
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -35,6 +35,9 @@
 // revoke is how soon keys must be refused in the tests.
 const revoke = 1500 * time.Millisecond
 
+// stopWithin is how long an instance may take to stop.
+const stopWithin = 6500 * time.Millisecond
+
 // fastEngine is a model with passes of 10 ms and reading of 1 ms per 1000 tokens.
 func fastEngine() *batch.Model {
 	return &batch.Model{
@@ -159,7 +162,7 @@
 		},
 		Times: settings.Times{
 			Revoke:     config.Duration(revoke),
-			StopWithin: config.Duration(5 * time.Second),
+			StopWithin: config.Duration(stopWithin),
 		},
 	}
 	f.SetDefaults()
@@ -200,6 +203,7 @@
 	key    string
 	body   string
 	tokens int
+	output int
 	wait   int
 }
 
@@ -232,7 +236,7 @@
 	req.Header.Set("Request-Id", c.id)
 	req.Header.Set("Authorization", "Bearer "+c.key)
 	req.Header.Set("Deadline-Ms", strconv.Itoa(c.wait))
-	req.Header.Set("Token-Usage", strconv.Itoa(c.tokens)+",100")
+	req.Header.Set("Token-Usage", strconv.Itoa(c.tokens)+","+strconv.Itoa(max(c.output, 100)))
 	res, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
 		return got{
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -14,14 +14,10 @@
 const (
 	// settle is how long the balancer may go on sending new connections: it
 	// asks every second and takes an instance out after two answers.
-	settle = 2500 * time.Millisecond
+	settle = 2200 * time.Millisecond
 	// stopMargin is how long before the platform ends the process the instance
 	// ends by itself.
 	stopMargin = 700 * time.Millisecond
-	// closeMargin is how much earlier it stops taking requests.
-	closeMargin = 600 * time.Millisecond
-	// stopLook is how often a stopping instance looks whether it is done.
-	stopLook = 50 * time.Millisecond
 )
 
 // connections counts the open connections of callers.
@@ -55,19 +51,22 @@
 	return len(c.open)
 }
 
-// Stop ends the instance as planned. It is not ready from now on but serves on,
-// and asks callers to use other connections. It ends when no connection is left,
-// or shortly before the time of the settings is over.
+// Stop ends the instance as planned. It is not ready from now on but serves what
+// the balancer still sends, and asks callers to use other connections. Then it
+// takes nothing new and ends with the last request, so that the next process is
+// there as soon as can be.
 func (g *Gateway) Stop(ctx context.Context) {
 	g.stop.Do(func() {
-		began := time.Now()
 		g.log.Info("stopping", "in_flight", g.relay.InFlight(), "connections", g.open.count())
 		close(g.stopping)
 		g.relay.Stop()
 		within := time.Duration(g.settings.Times.StopWithin) - stopMargin
-		ctx, cancel := context.WithDeadline(ctx, began.Add(within))
+		ctx, cancel := context.WithTimeout(ctx, within)
 		defer cancel()
-		g.awaitCallers(ctx, began)
+		select {
+		case <-ctx.Done():
+		case <-time.After(settle):
+		}
 		if err := g.callers.Shutdown(ctx); err != nil {
 			g.log.Info("requests cut off by the end of the stop", "in_flight", g.relay.InFlight())
 		}
@@ -76,26 +75,6 @@
 	<-g.Done
 }
 
-// awaitCallers waits until no connection is left, or there is just time to
-// finish what runs.
-func (g *Gateway) awaitCallers(ctx context.Context, began time.Time) {
-	tick := time.NewTicker(stopLook)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-		if time.Since(began) > settle && g.open.count() == 0 {
-			return
-		}
-		if end, ok := ctx.Deadline(); ok && time.Until(end) < closeMargin {
-			return
-		}
-	}
-}
-
 // Close ends the instance at once.
 func (g *Gateway) Close() {
 	g.stop.Do(func() {
