Don't put short prompts behind a long pass that is under way

Change: an engine whose first event would take more than three quarters of the target counts as crowded.

--- a/placement/plan.go
+++ b/placement/plan.go
@@ -103,6 +103,8 @@
 	left int
 	// pass is how long the engine's next pass would take.
 	pass time.Duration
+	// crowded is 1 for an engine that should not be filled further, else 0.
+	crowded int
 	// order is the engine's place in the fixed order of engines.
 	order int
 }
@@ -146,6 +148,7 @@
 	for i, e := range usable {
 		c := e.judge(read, now)
 		c.order = i
+		c.crowded = c.isCrowded(r.TargetAt.Sub(now))
 		cands = append(cands, c)
 	}
 	slices.SortFunc(cands, r.compare)
@@ -192,19 +195,19 @@
 		}
 		return cmp.Compare(b.order, a.order)
 	}
-	if c := cmp.Compare(a.crowded(), b.crowded()); c != 0 {
+	if c := cmp.Compare(a.crowded, b.crowded); c != 0 {
 		return c
 	}
-	if a.crowded() == 0 {
+	if a.crowded == 0 {
 		return cmp.Compare(a.order, b.order)
 	}
 	return cmp.Compare(a.first, b.first)
 }
 
-// crowded returns 1 for an engine that should not be filled further: with a long
-// pass, or none but the last slots free.
-func (c *candidate) crowded() int {
-	if c.pass > packedPass || c.left <= packedLeft {
+// isCrowded returns 1 for an engine that should not be filled further: with a
+// long pass now or next, or none but the last slots free.
+func (c *candidate) isCrowded(target time.Duration) int {
+	if c.pass > packedPass || c.left <= packedLeft || c.first > time.Duration(packedFirst*float64(target)) {
 		return 1
 	}
 	return 0
@@ -219,6 +222,9 @@
 	// shortest pause that counts on the sheets, 250 ms, as several prompts may
 	// arrive in one pass.
 	packedPass = 150 * time.Millisecond
+	// packedFirst is the part of the target up to which the first event may take
+	// on an engine that is filled.
+	packedFirst = 0.75
 	// packedLeft is how many slots filling leaves free.
 	packedLeft = 2
 )
