Model what engines read first, and don't interrupt joint reads

Traced: a part of a joint read goes before all other reads, also before parts that came earlier, and a pass reads a bounded number of tokens.

Change: placement models the order and the bound, counts what a part delays, and gives no part to an engine that still reads one.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -3,6 +3,7 @@
 package batch
 
 import (
+	"math"
 	"time"
 )
 
@@ -14,6 +15,9 @@
 	Capacity int
 	// Stride is the number of steps in a pass that has writers.
 	Stride int
+	// Chunk bounds the prompt tokens that are read in a step; zero means no
+	// bound.
+	Chunk int
 	// Step is the time of a step without writers.
 	Step time.Duration
 	// PerSequence is what each writer adds to a step.
@@ -54,3 +58,14 @@
 	step += time.Duration(float64(context) / 1000 * float64(m.PerThousandContext))
 	return step * time.Duration(max(m.Stride, 1))
 }
+
+// Budget returns how many prompt tokens a pass reads at the most.
+func (m *Model) Budget(writers int) int {
+	if m.Chunk <= 0 {
+		return math.MaxInt
+	}
+	if writers == 0 {
+		return m.Chunk
+	}
+	return m.Chunk * max(m.Stride, 1)
+}
--- a/batch/doc.go
+++ b/batch/doc.go
@@ -14,5 +14,6 @@
 //
 // for t tokens with p pairs of a token and one before it; the writers stand
 // still meanwhile. When k engines read a prompt together, each has t/k tokens
-// and p/k pairs.
+// and p/k pairs; such parts go before other prompts. A pass reads at most Chunk
+// tokens a step, so that a long prompt takes several passes.
 package batch
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -9,25 +9,19 @@
 	"github.com/linkmast/linkmast/batch"
 )
 
-// Phase is how far a job has come.
-type Phase int
-
-// The phases.
-const (
-	// Waiting jobs are read in the engine's next pass.
-	Waiting Phase = iota
-	// Reading jobs are read in the engine's present pass.
-	Reading
-	// Writing jobs get tokens in every pass.
-	Writing
-)
-
 // Job is a request, or a part of its prompt, on one engine.
 type Job struct {
 	// ID names the attempt.
 	ID string
-	// Read is the time that reading takes here.
-	Read time.Duration
+	// Tokens are what is left to read here.
+	Tokens int
+	// PerToken is the time that reading one of them takes.
+	PerToken time.Duration
+	// Joint states that several engines read the prompt. Such parts go before
+	// other prompts, the latest first.
+	Joint bool
+	// Part states that the job only helps with another engine's request.
+	Part bool
 	// Memory is what the job holds here, in tokens.
 	Memory int
 	// Context is what each step has to look at here, in tokens.
@@ -36,17 +30,30 @@
 	Gap time.Duration
 	// Stake is what is lost when the request is late.
 	Stake float64
+	// AskedAt is when the request was placed, TargetAt when its first event
+	// would be late, and FirstAt when it is expected.
+	AskedAt time.Time
 	// TargetAt is when the first event would be late.
 	TargetAt time.Time
-	// Part states that the job only helps with another engine's request.
-	Part bool
-	// Phase is how far the job has come.
-	Phase Phase
+	// FirstAt is when the first event is expected.
+	FirstAt time.Time
 
+	// inPass are the tokens that the present pass reads.
+	inPass int
 	// wroteAt is when the model let the job begin to write.
 	wroteAt time.Time
 }
 
+// read returns the time of reading n tokens of the job.
+func (j *Job) read(n int) time.Duration {
+	return time.Duration(n) * j.PerToken
+}
+
+// writes states whether the job gets tokens in every pass.
+func (j *Job) writes() bool {
+	return !j.Part && j.Tokens == 0
+}
+
 // Engine is the modelled state of an engine.
 type Engine struct {
 	// Instance names the engine.
@@ -61,15 +68,17 @@
 	Slots int
 	// Closed engines get nothing new.
 	Closed bool
-	// Pace is how much longer passes take than the model says; zero means 1.
-	Pace float64
-	// Jobs are what the engine works on.
+	// Jobs are what the engine works on, in the order in which they came.
 	Jobs []*Job
 
 	// passEnd is when the present pass ends; zero when the engine rests.
 	passEnd time.Time
 }
 
+// idleSteps is how many steps without writers are taken for one pass of the
+// model, so that it need not follow each of them.
+const idleSteps = 4
+
 // Advance lets the engine work until a moment.
 func (e *Engine) Advance(now time.Time) {
 	for !e.passEnd.IsZero() && !e.passEnd.After(now) {
@@ -82,18 +91,21 @@
 	}
 }
 
-// finishPass ends the present pass: what was read writes from now on.
+// finishPass ends the present pass: what has been read writes from now on, and
+// parts that have been read are done unless they hold memory.
 func (e *Engine) finishPass(at time.Time) {
+	e.passEnd = time.Time{}
 	e.Jobs = slices.DeleteFunc(e.Jobs, func(j *Job) bool {
-		return j.Part && j.Phase == Reading && j.Memory == 0
-	})
-	for _, j := range e.Jobs {
-		if j.Phase == Reading {
-			j.Phase = Writing
+		if j.inPass == 0 {
+			return false
+		}
+		j.Tokens -= j.inPass
+		j.inPass = 0
+		if j.Tokens == 0 {
 			j.wroteAt = at
 		}
-	}
-	e.passEnd = time.Time{}
+		return j.Tokens == 0 && j.Part && j.Memory == 0
+	})
 }
 
 // startPass begins a pass if there is anything to do.
@@ -103,33 +115,51 @@
 	}
 	writers, context := e.writers()
 	length := time.Duration(0)
+	budget := e.budget(writers)
 	if writers > 0 {
 		length = e.Model.Pass(writers, context)
 	}
-	for _, j := range e.Jobs {
-		if j.Phase == Waiting {
-			j.Phase = Reading
-			length += j.Read
+	for _, j := range e.readingOrder() {
+		j.inPass = min(j.Tokens, budget)
+		budget -= j.inPass
+		length += j.read(j.inPass)
+	}
+	if length > 0 {
+		e.passEnd = at.Add(length)
+	}
+}
+
+// readingOrder returns what is to be read: joint parts first, the latest before
+// the others, then the prompts in the order in which they came.
+func (e *Engine) readingOrder() []*Job {
+	out := make([]*Job, 0, len(e.Jobs))
+	for _, j := range slices.Backward(e.Jobs) {
+		if j.Joint && j.Tokens > 0 {
+			out = append(out, j)
 		}
 	}
-	if length == 0 {
-		return
+	for _, j := range e.Jobs {
+		if !j.Joint && j.Tokens > 0 {
+			out = append(out, j)
+		}
 	}
-	e.passEnd = at.Add(e.paced(length))
+	return out
 }
 
-func (e *Engine) paced(d time.Duration) time.Duration {
-	if e.Pace <= 0 {
-		return d
+// budget returns how many tokens a pass of the model reads.
+func (e *Engine) budget(writers int) int {
+	b := e.Model.Budget(writers)
+	if writers == 0 && b < b*idleSteps {
+		return b * idleSteps
 	}
-	return time.Duration(float64(d) * e.Pace)
+	return b
 }
 
-// writers returns how many jobs write, and their context.
+// writers returns how many jobs write, and the context of a step.
 func (e *Engine) writers() (int, int) {
 	n, context := 0, 0
 	for _, j := range e.Jobs {
-		if j.Phase != Writing {
+		if j.Tokens > 0 {
 			continue
 		}
 		context += j.Context
@@ -163,7 +193,6 @@
 // Add gives the engine a job at a moment.
 func (e *Engine) Add(j *Job, now time.Time) {
 	e.Advance(now)
-	j.Phase = Waiting
 	e.Jobs = append(e.Jobs, j)
 	if e.passEnd.IsZero() {
 		e.startPass(now)
@@ -177,6 +206,10 @@
 	})
 }
 
+// maxShift bounds how far one observation moves the model, so that a delay on
+// the way of the event is not taken for one of the engine.
+const maxShift = 100 * time.Millisecond
+
 // Observe corrects the model by the first event of a job: a pass of the engine
 // ended just now. It returns how much later that was than the model said.
 func (e *Engine) Observe(id string, now time.Time) time.Duration {
@@ -185,7 +218,7 @@
 		if j.ID != id || j.Part {
 			continue
 		}
-		if j.Phase == Writing {
+		if j.Tokens == 0 {
 			late := now.Sub(j.wroteAt)
 			if !e.passEnd.IsZero() {
 				e.passEnd = e.passEnd.Add(min(late, maxShift))
@@ -193,23 +226,22 @@
 			return late
 		}
 		early := e.passEnd.Sub(now)
+		j.inPass = j.Tokens
 		e.finishPass(now)
-		j.Phase = Writing
-		j.wroteAt = now
 		e.startPass(now)
 		return -early
 	}
 	return 0
 }
 
-// maxShift bounds how far one observation moves the model, so that a delay on
-// the way of the event is not taken for one of the engine.
-const maxShift = 100 * time.Millisecond
-
 // FinishPart notes that a helping engine has read its part of a prompt.
 func (e *Engine) FinishPart(id string, now time.Time) {
 	e.Advance(now)
 	e.Jobs = slices.DeleteFunc(e.Jobs, func(j *Job) bool {
-		return j.ID == id && j.Part && j.Memory == 0
+		if j.ID != id || !j.Part {
+			return false
+		}
+		j.Tokens, j.inPass = 0, 0
+		return j.Memory == 0
 	})
 }
--- /dev/null
+++ b/placement/judge.go
@@ -0,0 +1,192 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package placement
+
+import (
+	"time"
+)
+
+// candidate is an engine with what reading a part there would do.
+type candidate struct {
+	engine *Engine
+	// spoils is what others lose.
+	spoils float64
+	// first is the time to the first event, as far as this engine goes.
+	first time.Duration
+	// delay is what the reads that wait there take longer.
+	delay time.Duration
+	// free is the memory that may be used, in tokens.
+	free int
+	// slots states whether a request may run there.
+	slots bool
+	// left is how many slots are free.
+	left int
+	// pass is how long the engine's next pass would take.
+	pass time.Duration
+	// reading states that the engine has parts of prompts to read that it shares
+	// with others.
+	reading bool
+	// crowded is 1 for an engine that should not be filled further, else 0.
+	crowded int
+	// order is the engine's place in the fixed order of engines.
+	order int
+}
+
+// part is what an engine would have to read.
+type part struct {
+	tokens int
+	time   time.Duration
+	joint  bool
+}
+
+// load is what an engine has before it after its present pass.
+type load struct {
+	wait    time.Duration
+	running int
+	writers int
+	context int
+	joint   reads
+	own     reads
+	// reading states that some of a joint part is left, in this pass or later.
+	reading bool
+}
+
+// reads are prompts that wait to be read.
+type reads struct {
+	tokens int
+	time   time.Duration
+}
+
+func (r *reads) add(j *Job) {
+	n := j.Tokens - j.inPass
+	r.tokens += n
+	r.time += j.read(n)
+}
+
+// load returns what the engine has before it.
+func (e *Engine) load(now time.Time) load {
+	var l load
+	if !e.passEnd.IsZero() {
+		l.wait = max(e.passEnd.Sub(now), 0)
+	}
+	for _, j := range e.Jobs {
+		if !j.Part {
+			l.running++
+		}
+		l.reading = l.reading || j.Joint && j.Tokens > 0
+		switch left := j.Tokens - j.inPass; {
+		case left == 0:
+			l.context += j.Context
+			if !j.Part {
+				l.writers++
+			}
+		case j.Joint:
+			l.joint.add(j)
+		default:
+			l.own.add(j)
+		}
+	}
+	return l
+}
+
+// judge returns what reading a part on an engine would do.
+func (e *Engine) judge(p part, now time.Time) candidate {
+	l := e.load(now)
+	pass := time.Duration(0)
+	if l.writers > 0 {
+		pass = e.Model.Pass(l.writers, l.context)
+	}
+	budget := e.budget(l.writers)
+	waiting := reads{
+		tokens: l.joint.tokens + l.own.tokens,
+		time:   l.joint.time + l.own.time,
+	}
+	before := pass + waiting.within(budget)
+	with := reads{
+		tokens: waiting.tokens + p.tokens,
+		time:   waiting.time + p.time,
+	}
+	after := pass + with.within(budget)
+	c := candidate{
+		engine: e,
+		first:  l.wait + l.first(p, pass, budget),
+		free:   e.room(),
+		slots:  l.running < e.Slots,
+		left:   e.Slots - l.running,
+		pass:   after,
+
+		reading: l.reading,
+	}
+	if p.joint || l.writers > 0 && with.tokens <= budget {
+		c.delay = p.time
+	}
+	for _, j := range e.Jobs {
+		c.spoils += j.harm(before, after, c.delay)
+	}
+	return c
+}
+
+// within returns the time of what a pass with a budget of tokens reads.
+func (r *reads) within(budget int) time.Duration {
+	if r.tokens <= budget || r.tokens == 0 {
+		return r.time
+	}
+	return time.Duration(float64(r.time) * float64(budget) / float64(r.tokens))
+}
+
+// first returns when the first event of a part would come, from the end of the
+// present pass.
+func (l *load) first(p part, pass time.Duration, budget int) time.Duration {
+	ahead := reads{
+		tokens: p.tokens,
+		time:   p.time,
+	}
+	behind := reads{
+		tokens: l.joint.tokens + l.own.tokens,
+		time:   l.joint.time + l.own.time,
+	}
+	if !p.joint {
+		ahead.tokens += behind.tokens
+		ahead.time += behind.time
+	}
+	if l.writers == 0 {
+		return ahead.time
+	}
+	passes := max((ahead.tokens-1)/budget+1, 1)
+	d := time.Duration(passes)*pass + ahead.time
+	if p.joint {
+		// What waits behind it is read in the same passes as far as there is
+		// room.
+		d += behind.within(max(passes*budget-ahead.tokens, 0))
+	}
+	return d
+}
+
+// harm returns what a job loses when the next pass takes after rather than
+// before, and reads that wait are delayed.
+func (j *Job) harm(before, after, delay time.Duration) float64 {
+	if j.Part || j.Stake == 0 {
+		return 0
+	}
+	if j.Tokens > j.inPass {
+		if delay == 0 {
+			return 0
+		}
+		bound := j.TargetAt.Sub(j.AskedAt)
+		due := j.FirstAt.Sub(j.AskedAt)
+		return j.Stake * (lateness(due+delay, bound) - lateness(due, bound))
+	}
+	if j.Gap == 0 {
+		return 0
+	}
+	return j.Stake * (lateness(after, j.Gap) - lateness(before, j.Gap))
+}
+
+// put off notes that the reads that wait on the engine are delayed.
+func (e *Engine) putOff(delay time.Duration) {
+	for _, j := range e.Jobs {
+		if j.Tokens > j.inPass && !j.Part {
+			j.FirstAt = j.FirstAt.Add(delay)
+		}
+	}
+}
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -92,23 +92,6 @@
 // under the request, and a disturbance for what comes next.
 const joinCost = 0.01
 
-// candidate is an engine with what reading on it would do.
-type candidate struct {
-	engine *Engine
-	spoils float64
-	first  time.Duration
-	free   int
-	slots  bool
-	// left is how many slots are free.
-	left int
-	// pass is how long the engine's next pass would take.
-	pass time.Duration
-	// crowded is 1 for an engine that should not be filled further, else 0.
-	crowded int
-	// order is the engine's place in the fixed order of engines.
-	order int
-}
-
 // Make returns the cheapest plan, or false when no engine can take the request.
 func Make(engines []*Engine, r Request, now time.Time) (Plan, bool) {
 	usable := make([]*Engine, 0, len(engines))
@@ -143,14 +126,25 @@
 
 // plan returns the cheapest plan in which n engines read the prompt.
 func plan(usable []*Engine, r Request, n int, now time.Time, cands []candidate) (Plan, bool) {
-	read := usable[0].Model.Read(r.Prompt, n)
+	share := part{
+		tokens: r.Prompt / n,
+		time:   usable[0].Model.Read(r.Prompt, n),
+		joint:  n > 1,
+	}
 	cands = cands[:0]
 	for i, e := range usable {
-		c := e.judge(read, now)
+		c := e.judge(share, now)
+		if n > 1 && c.reading {
+			// The new part would go before the one that is being read.
+			continue
+		}
 		c.order = i
 		c.crowded = c.isCrowded(r.TargetAt.Sub(now))
 		cands = append(cands, c)
 	}
+	if len(cands) < n {
+		return Plan{}, false
+	}
 	slices.SortFunc(cands, r.compare)
 	chosen := cands[:n]
 	need := r.Prompt + r.Output
@@ -163,7 +157,7 @@
 	}
 	p := Plan{
 		Engine: chosen[head].engine,
-		Read:   read,
+		Read:   share.time,
 	}
 	for i, c := range chosen {
 		p.Spoils += c.spoils
@@ -304,87 +298,39 @@
 	return e.Free() - int(memoryReserve*float64(e.Model.Capacity))
 }
 
-// judge returns what reading for a time in the engine's next pass would do.
-func (e *Engine) judge(read time.Duration, now time.Time) candidate {
-	writers, context := 0, 0
-	before := time.Duration(0)
-	running := 0
-	for _, j := range e.Jobs {
-		if !j.Part {
-			running++
-		}
-		switch j.Phase {
-		case Waiting:
-			before += j.Read
-		case Reading, Writing:
-			context += j.Context
-			if !j.Part {
-				writers++
-			}
-		}
-	}
-	pass := time.Duration(0)
-	if writers > 0 {
-		pass = e.Model.Pass(writers, context)
-	}
-	before = e.paced(pass + before)
-	after := before + e.paced(read)
-	wait := time.Duration(0)
-	if !e.passEnd.IsZero() {
-		wait = max(e.passEnd.Sub(now), 0)
-	}
-	c := candidate{
-		engine: e,
-		first:  wait + after,
-		free:   e.room(),
-		slots:  running < e.Slots,
-		pass:   after,
-		left:   e.Slots - running,
-	}
-	for _, j := range e.Jobs {
-		c.spoils += j.harm(before, after, wait, now)
-	}
-	return c
-}
-
-// harm returns what a job loses when the next pass takes after rather than
-// before.
-func (j *Job) harm(before, after, wait time.Duration, now time.Time) float64 {
-	if j.Part || j.Stake == 0 {
-		return 0
-	}
-	if j.Phase == Waiting {
-		left := j.TargetAt.Sub(now)
-		return j.Stake * (lateness(wait+after, left) - lateness(wait+before, left))
-	}
-	if j.Gap == 0 {
-		return 0
-	}
-	return j.Stake * (lateness(after, j.Gap) - lateness(before, j.Gap))
-}
-
 // Apply gives a plan's jobs to its engines.
 func (p *Plan) Apply(r Request, now time.Time) {
-	context := r.Prompt
-	if len(p.Others) > 0 {
-		context = r.Prompt / (len(p.Others) + 1)
-	}
-	p.Engine.Add(&Job{
+	n := len(p.Others) + 1
+	job := Job{
 		ID:       r.ID,
-		Read:     p.Read,
+		Tokens:   max(r.Prompt/n, 1),
+		Joint:    n > 1,
 		Memory:   p.Hold,
-		Context:  context,
+		Context:  r.Prompt / n,
 		Gap:      r.Gap,
 		Stake:    lateShare * r.Worth,
+		AskedAt:  now,
 		TargetAt: r.TargetAt,
-	}, now)
+		FirstAt:  now.Add(p.First),
+	}
+	job.PerToken = p.Read / time.Duration(job.Tokens)
+	delay := time.Duration(0)
+	if job.Joint {
+		delay = p.Read
+	}
+	p.Engine.give(job, delay, now)
 	for _, o := range p.Others {
-		o.Engine.Add(&Job{
-			ID:      r.ID,
-			Read:    p.Read,
-			Memory:  o.Hold,
-			Context: o.Hold,
-			Part:    true,
-		}, now)
+		helper := job
+		helper.Part = true
+		helper.Memory = o.Hold
+		helper.Context = o.Hold
+		o.Engine.give(helper, delay, now)
 	}
 }
+
+// give adds a job that delays the reads that wait.
+func (e *Engine) give(j Job, delay time.Duration, now time.Time) {
+	e.Advance(now)
+	e.putOff(delay)
+	e.Add(&j, now)
+}
