Count a request's own lateness in the choice of its engine

Change: candidates are compared by what others and the request itself lose; what comes after its caller gives up loses all.

--- a/placement/judge.go
+++ b/placement/judge.go
@@ -11,6 +11,8 @@
 	engine *Engine
 	// spoils is what others lose.
 	spoils float64
+	// cost is what others lose and what the request itself loses here.
+	cost float64
 	// first is the time to the first event, as far as this engine goes.
 	first time.Duration
 	// delay is what the reads that wait there take longer.
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -20,6 +20,9 @@
 	Gap time.Duration
 	// TargetAt is when the first event would be late.
 	TargetAt time.Time
+	// GiveUpAt is when the caller goes if there is no event; zero when that is
+	// not known.
+	GiveUpAt time.Time
 	// Worth is what an answer in time is worth.
 	Worth float64
 	// Exclude are engines that must not be used.
@@ -139,6 +142,7 @@
 			continue
 		}
 		c.order = i
+		c.cost = c.spoils + r.loses(c.first, now)
 		c.crowded = c.isCrowded(r.TargetAt.Sub(now))
 		cands = append(cands, c)
 	}
@@ -171,17 +175,25 @@
 	if !p.hold(need) {
 		return Plan{}, false
 	}
-	p.Loses = lateShare * r.Worth * lateness(p.First, r.TargetAt.Sub(now))
+	p.Loses = r.loses(p.First, now)
 	return p, true
 }
 
-// compare orders candidates: least harm first. Among equals, short prompts fill
+// loses returns what the request itself loses when its first event takes a time.
+func (r *Request) loses(first time.Duration, now time.Time) float64 {
+	if !r.GiveUpAt.IsZero() && now.Add(first).After(r.GiveUpAt) {
+		return r.Worth
+	}
+	return lateShare * r.Worth * lateness(first, r.TargetAt.Sub(now))
+}
+
+// compare orders candidates: those with the least cost first. Among equals, short prompts fill
 // the engines from the front of the fixed order as long as passes stay short,
 // and long ones take them from the back: so the long ones find engines where
 // they make nobody wait.
 func (r *Request) compare(a, b candidate) int {
-	if d := a.spoils - b.spoils; d < -spoilsEqual || d > spoilsEqual {
-		return cmp.Compare(a.spoils, b.spoils)
+	if d := a.cost - b.cost; d < -costEqual || d > costEqual {
+		return cmp.Compare(a.cost, b.cost)
 	}
 	if r.Prompt > packedPrompt {
 		if d := a.first - b.first; d < -firstEqual || d > firstEqual {
@@ -225,8 +237,8 @@
 
 // The differences below which candidates count as equal.
 const (
-	spoilsEqual = 0.02
-	firstEqual  = 2 * time.Millisecond
+	costEqual  = 0.02
+	firstEqual = 2 * time.Millisecond
 )
 
 // headOf returns the index of the engine that gets the request: one with a free
--- a/pool/decide.go
+++ b/pool/decide.go
@@ -97,12 +97,16 @@
 	if plan.Spoils <= spoilsTolerated {
 		return true
 	}
+	keeps := w.request.Worth - plan.Loses
+	if w.ask.Target <= shedTarget {
+		// It would be late before a better moment comes.
+		return plan.Spoils < keeps
+	}
 	left := w.request.TargetAt.Sub(now)
 	if plan.First < time.Duration(float64(left)*waitShare) {
 		// There is time for a better moment.
 		return false
 	}
-	keeps := w.request.Worth - plan.Loses
 	if waited > time.Duration(float64(w.ask.Deadline)*forceShare) {
 		keeps *= forceFactor
 	}
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -205,6 +205,14 @@
 	}
 }
 
+// Callers give a stream up after a silence of the longest of these: a time, so
+// many targets, or so many of the longest pauses in time.
+const (
+	giveUpLeast   = 2 * time.Second
+	giveUpTargets = 4
+	giveUpGaps    = 8
+)
+
 // waiter makes the state of an ask.
 func (s *Scheduler) waiter(a Ask, now time.Time) *waiter {
 	return &waiter{
@@ -215,6 +223,7 @@
 			Output:   a.Output,
 			Gap:      a.Gap,
 			TargetAt: now.Add(a.Target),
+			GiveUpAt: now.Add(max(giveUpLeast, giveUpTargets*a.Target, giveUpGaps*a.Gap)),
 			Worth:    s.settings.WorthBase + s.settings.WorthPerToken*float64(a.Prompt),
 			Exclude:  a.Exclude,
 		},
