--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -23,8 +23,8 @@
 		r := w.find("a1")
 		is.Equal(r.Target, "/unsafe/x?q=%2F")
 		is.Equal(r.Body, "hello")
-		is.Equal(r.Header.Get("Tenant"), "c1")
-		is.Equal(r.Header.Get("Authorization"), "")
+		is.Equal(r.Customer(), "c1")
+		is.Equal(r.Key(), "")
 		is.Equal(w.runs("a1"), 1)
 	})
 	t.Run("stream", func(t *testing.T) {
@@ -206,10 +206,10 @@
 		name  string
 		leave func(w *world)
 	}{
-		{"says so", func(w *world) { w.entry("p1", "plain", "draining") }},
-		{"entry removed", func(w *world) { w.store.Put(platformtest.TopicEndpoints, "p1", nil) }},
+		{"says so", func(w *world) { w.entry("p1", "plain", true) }},
+		{"entry removed", func(w *world) { w.store.Remove("p1") }},
 		{"entry removed and forgotten", func(w *world) {
-			w.store.Put(platformtest.TopicEndpoints, "p1", nil)
+			w.store.Remove("p1")
 			w.store.Forget(platformtest.TopicEndpoints)
 		}},
 	} {
@@ -321,9 +321,13 @@
 	req, err := http.NewRequest(http.MethodPost, "http://"+w.gateways[0].Listen+"/stream/", nil)
 	is.NoErr(err)
 	req.Host = "api.example"
-	req.Header.Set("Request-Id", "gone")
-	req.Header.Set("Authorization", "Bearer k1")
-	req.Header.Set("Token-Usage", "500,100")
+	platformtest.Caller{
+		ID:     "gone",
+		Key:    "k1",
+		Wait:   4 * time.Second,
+		Prompt: 500,
+		Output: 100,
+	}.Set(req.Header)
 	res, err := http.DefaultTransport.RoundTrip(req)
 	is.NoErr(err)
 	res.Body.Close()
@@ -343,7 +347,7 @@
 	assertWhole(t, g)
 	is.Equal(g.body, events(1, 10))
 	r := w.find("big")
-	is.True(r.Header.Get("Helpers") != "")
+	is.True(r.Readers() != "")
 	w.await("memory given back", func() bool {
 		return w.endpoints["e1"].Held()+w.endpoints["e2"].Held() == 0
 	})
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -18,6 +18,7 @@
 	"github.com/linkmast/linkmast/config"
 	"github.com/linkmast/linkmast/gateway"
 	"github.com/linkmast/linkmast/platform/platformtest"
+	"github.com/linkmast/linkmast/route"
 	"github.com/linkmast/linkmast/settings"
 )
 
@@ -99,48 +100,42 @@
 	}
 	w.endpoints[name] = e
 	w.addresses[name] = serve(w.t, e)
-	w.entry(name, service, "ready")
+	w.entry(name, service, false)
 	return e
 }
 
 // entry writes the entry of an endpoint.
-func (w *world) entry(name, service, state string) {
-	w.store.Put(platformtest.TopicEndpoints, name, map[string]any{
-		"service": service,
-		"address": w.addresses[name],
-		"zone":    "d1",
-		"slots":   8,
-		"state":   state,
-	})
+func (w *world) entry(name, service string, leaving bool) {
+	w.store.Enter(name, service, w.addresses[name], "d1", 8, leaving)
 }
 
 // configure publishes the next version, with one customer that has the keys.
 func (w *world) configure(keys ...string) {
 	w.version++
-	route := func(prefix, kind, service string, resumable bool) map[string]any {
-		return map[string]any{
-			"name": prefix, "host": "api.example", "path_prefix": prefix, "kind": kind, "service": service,
-			"timeout_ms": 4000, "target_latency_ms": 300, "gap_aim_ms": 250, "max_attempts": 2,
-			"resumable": resumable, "priority": 1,
+	one := func(prefix string, kind route.Kind, service string, resumable bool) route.Route {
+		return route.Route{
+			Name:        prefix,
+			Host:        "api.example",
+			Prefix:      prefix,
+			Kind:        kind,
+			Shares:      []route.Share{{Service: service, Weight: 1}},
+			Timeout:     4 * time.Second,
+			Target:      300 * time.Millisecond,
+			GapTarget:   250 * time.Millisecond,
+			MaxAttempts: 2,
+			Resumable:   resumable,
+			Rank:        1,
 		}
 	}
-	w.store.Put(platformtest.TopicOperator, "config", map[string]any{
-		"version": w.version,
-		"routes": []any{
-			route("/stream/", "streaming", "engines", true),
-			route("/once/", "streaming", "engines", false),
-			route("/safe/", "safe", "plain", false),
-			route("/unsafe/", "unsafe", "plain", false),
-		},
-		"services": []any{
-			map[string]any{"name": "engines", "engine": map[string]any{
-				"slots": 8, "kv_capacity": 200000, "stride": 10, "step_ms": 1, "read_per_s": 1e6,
-			}},
-			map[string]any{"name": "plain"},
-		},
-		"limits":  map[string]any{"max_body_bytes": 1 << 20},
-		"tenants": []any{map[string]any{"name": "c1", "api_keys": keys}},
-	})
+	w.store.Publish(w.version, []route.Route{
+		one("/stream/", route.Streaming, "engines", true),
+		one("/once/", route.Streaming, "engines", false),
+		one("/safe/", route.Safe, "plain", false),
+		one("/unsafe/", route.Unsafe, "plain", false),
+	}, map[string]*batch.Model{
+		"engines": fastEngine(),
+		"plain":   nil,
+	}, 1<<20, []route.Customer{{ID: "c1", Keys: keys}})
 }
 
 func (w *world) start(i int) *gateway.Gateway {
@@ -233,10 +228,13 @@
 	}
 	req.Host = "api.example"
 	req.Close = true
-	req.Header.Set("Request-Id", c.id)
-	req.Header.Set("Authorization", "Bearer "+c.key)
-	req.Header.Set("Deadline-Ms", strconv.Itoa(c.wait))
-	req.Header.Set("Token-Usage", strconv.Itoa(c.tokens)+","+strconv.Itoa(max(c.output, 100)))
+	platformtest.Caller{
+		ID:     c.id,
+		Key:    c.key,
+		Wait:   time.Duration(c.wait) * time.Millisecond,
+		Prompt: c.tokens,
+		Output: max(c.output, 100),
+	}.Set(req.Header)
 	res, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
 		return got{
@@ -285,7 +283,7 @@
 		t.Log(g.body)
 	}
 	is.Equal(g.status, http.StatusOK)
-	is.True(g.header.Get("Response-Stamp") != "")
+	is.True(platformtest.Signed(g.header))
 }
 
 // assertRefused checks a refusal that says when to come back.
@@ -294,5 +292,5 @@
 	is := is.New(t)
 	is.NoErr(g.err)
 	is.Equal(g.status, http.StatusServiceUnavailable)
-	is.True(g.header.Get("Retry-After") != "")
+	is.True(platformtest.ComesBack(g.header))
 }
