Let two instances read the store, and the others follow them

Change: the first two instances by weighted rendezvous read; the others follow one of them over gRPC and get records with their offsets, and the age of the configuration counted from when they asked. Whoever finds nobody that knows enough reads itself; a reader that the store turns away follows others.

--- a/catalog/apply.go
+++ b/catalog/apply.go
@@ -6,35 +6,43 @@
 	"time"
 )
 
-// apply takes over changes of a feed. With whole set they are all there is of
-// the feed, so that what is missing has gone.
-func (c *Catalog) apply(f Feed, changes []Change, whole bool) {
+// apply takes over records of a feed. With whole set they are all there is of
+// the feed before next, so that what is missing has gone.
+func (c *Catalog) apply(f Feed, records []Record, next int64, whole bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(changes) == 0 && !whole {
-		return
-	}
-	seen := make(map[string]bool, len(changes))
-	for _, one := range changes {
-		c.applyOne(one, seen)
+	c.next[f] = max(c.next[f], next)
+	any := false
+	seen := make(map[string]bool, len(records))
+	for _, r := range records {
+		seen[r.Key] = true
+		any = c.applyRecord(f, r) || any
 	}
 	if whole {
-		c.dropMissing(f, seen)
+		any = c.dropMissing(f, seen, next) || any
+	}
+	if any {
+		c.publish()
 	}
-	c.publish()
 }
 
-func (c *Catalog) applyOne(one Change, seen map[string]bool) {
-	switch v := one.(type) {
+// applyRecord takes over a record if it is newer than what is known. It returns
+// whether that changed anything.
+func (c *Catalog) applyRecord(f Feed, r Record) bool {
+	if old, known := c.records[f][r.Key]; known && r.Offset <= old.Offset {
+		return false
+	}
+	if w, waits := c.vanished[r.Key]; f == Endpoints && waits && r.Offset <= w.record.Offset {
+		return false
+	}
+	switch v := c.store.Decode(f, r).(type) {
 	case *TableChange:
 		c.applyTable(v)
 	case *EndpointChange:
-		seen[v.Endpoint.Instance] = true
 		c.applyEndpoint(v.Endpoint)
 	case *EndpointGone:
-		c.remove(v.Instance)
+		return c.remove(r)
 	case *PeerChange:
-		seen[v.Peer.ID] = true
 		if c.peers[v.Peer.ID] != v.Peer {
 			c.log.Info("peer known", "peer", v.Peer.ID, "address", v.Peer.Address)
 		}
@@ -44,7 +52,16 @@
 		delete(c.peers, v.ID)
 	case *Malformed:
 		c.log.Error(v.Err, "record ignored", "key", v.Key)
+		return false
 	}
+	c.note(f, r)
+	return true
+}
+
+// note keeps a record that took effect, and hands it on to followers.
+func (c *Catalog) note(f Feed, r Record) {
+	c.records[f][r.Key] = r
+	c.journal.add(f, r)
 }
 
 // applyTable brings a configuration into force if it is newer.
@@ -86,42 +103,50 @@
 	}
 }
 
-// remove ends an endpoint, at once or, in doubt, after a while.
-func (c *Catalog) remove(instance string) {
-	if _, known := c.endpoints[instance]; !known {
-		return
+// remove ends an endpoint, at once or, in doubt, after a while. It returns
+// whether it did.
+func (c *Catalog) remove(r Record) bool {
+	if _, known := c.endpoints[r.Key]; !known {
+		c.note(Endpoints, r)
+		return false
 	}
 	now := time.Now()
-	if now.Before(c.doubt) {
-		if _, waits := c.vanished[instance]; !waits {
-			c.vanished[instance] = c.doubt
-			c.log.Info("endpoint's entry lapsed", "endpoint", instance, "kept_ms", c.doubt.Sub(now).Milliseconds())
-		}
-		return
+	if !now.Before(c.doubt) {
+		c.removeNow(r, "its entry was removed")
+		return true
+	}
+	if _, waits := c.vanished[r.Key]; !waits {
+		c.log.Info("endpoint's entry lapsed", "endpoint", r.Key, "kept_ms", c.doubt.Sub(now).Milliseconds())
+	}
+	c.vanished[r.Key] = removal{
+		record: r,
+		due:    c.doubt,
 	}
-	delete(c.endpoints, instance)
-	delete(c.vanished, instance)
-	c.depart(instance)
-	c.log.Info("endpoint gone", "endpoint", instance)
+	return false
 }
 
-// dropMissing removes what a whole read of a feed did not show.
-func (c *Catalog) dropMissing(f Feed, seen map[string]bool) {
-	switch f {
-	case Endpoints:
-		for id := range c.endpoints {
-			if !seen[id] {
-				c.remove(id)
-			}
-		}
-	case Peers:
-		for id := range c.peers {
-			if !seen[id] {
-				delete(c.peers, id)
-			}
+func (c *Catalog) removeNow(r Record, reason string) {
+	delete(c.endpoints, r.Key)
+	delete(c.vanished, r.Key)
+	c.depart(r.Key)
+	c.note(Endpoints, r)
+	c.log.Info("endpoint gone", "endpoint", r.Key, "reason", reason)
+}
+
+// dropMissing removes what a whole read of a feed up to an offset did not show.
+func (c *Catalog) dropMissing(f Feed, seen map[string]bool, next int64) bool {
+	any := false
+	for key, old := range c.records[f] {
+		if seen[key] || len(old.Value) == 0 || old.Offset >= next || f == Configurations {
+			continue
 		}
-	case Configurations:
+		// The record that ended the key is gone too; it lay before next.
+		any = c.applyRecord(f, Record{
+			Key:    key,
+			Offset: next - 1,
+		}) || any
 	}
+	return any
 }
 
 // expire removes the endpoints whose time after an outage is over.
@@ -129,15 +154,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	any := false
-	for id, until := range c.vanished {
-		if now.Before(until) {
+	for _, w := range c.vanished {
+		if now.Before(w.due) {
 			continue
 		}
-		delete(c.vanished, id)
-		delete(c.endpoints, id)
-		c.depart(id)
+		c.removeNow(w.record, "its entry did not return")
 		any = true
-		c.log.Info("endpoint gone", "endpoint", id, "reason", "its entry did not return")
 	}
 	if any {
 		c.publish()
@@ -149,7 +171,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.doubt = now.Add(c.settings.Hold)
-	for id := range c.vanished {
-		c.vanished[id] = c.doubt
+	for id, w := range c.vanished {
+		w.due = c.doubt
+		c.vanished[id] = w
 	}
 }
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -9,12 +9,20 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"google.golang.org/grpc"
 
 	"github.com/linkmast/linkmast/route"
 )
 
 // Settings are the measures of a Catalog. A zero value means the default.
 type Settings struct {
+	// Self is this instance.
+	Self Peer
+	// Readers is how many instances read the store; the default is 2.
+	Readers int
+	// FirstStart states that all instances start now, so that it takes a moment
+	// until they are all announced.
+	FirstStart bool
 	// Poll is how long a poll for configurations waits; the default is 1s. The
 	// age of the configuration stays below about twice this.
 	Poll time.Duration
@@ -27,12 +35,19 @@
 
 // The defaults of Settings.
 const (
+	defaultReaders  = 2
 	defaultPoll     = time.Second
 	defaultLongPoll = 20 * time.Second
 	// The platform's pages give about two seconds for entries to return.
 	defaultHold = 2 * time.Second
 )
 
+// Dialer opens connections to instances.
+type Dialer interface {
+	// Conn returns the connection to an address.
+	Conn(address string) (*grpc.ClientConn, error)
+}
+
 // Snapshot is what was known at one moment. It never changes.
 type Snapshot struct {
 	// Table is the configuration in force.
@@ -69,30 +84,50 @@
 type Catalog struct {
 	settings Settings
 	store    Store
+	dialer   Dialer
 	log      logr.Logger
 
 	// confirmed is when the last read that confirmed the configuration was
 	// sent; nil before the first.
 	confirmed atomic.Pointer[time.Time]
 	snapshot  atomic.Pointer[Snapshot]
+	// read is when the store last answered this instance, and heard when an
+	// instance that it follows last confirmed the configuration.
+	read  clock
+	heard clock
+	// followers counts the instances that follow this one.
+	followers atomic.Int64
 
 	mu        sync.Mutex
 	table     *route.Table
 	endpoints map[string]Endpoint
 	peers     map[string]Peer
+	// records are the newest records by feed and key, as far as they took
+	// effect, and next the offsets after the last ones.
+	records map[Feed]map[string]Record
+	next    map[Feed]int64
+	journal journal
 	// doubt is until when removals of endpoints are not taken for real.
 	doubt time.Time
-	// vanished are endpoints whose entries are gone, with when they count as
-	// gone.
-	vanished map[string]time.Time
+	// vanished are removals that wait for their time, by endpoint.
+	vanished map[string]removal
 	// departed are the endpoints that leave or are gone, with when this became
 	// known.
 	departed map[string]time.Time
 	changed  chan struct{}
 }
 
+// removal is the end of an endpoint's entry that has not taken effect.
+type removal struct {
+	record Record
+	due    time.Time
+}
+
 // New returns a catalog. Run fills it.
-func New(s Settings, store Store, log logr.Logger) *Catalog {
+func New(s Settings, store Store, d Dialer, log logr.Logger) *Catalog {
+	if s.Readers == 0 {
+		s.Readers = defaultReaders
+	}
 	if s.Poll == 0 {
 		s.Poll = defaultPoll
 	}
@@ -102,18 +137,28 @@
 	if s.Hold == 0 {
 		s.Hold = defaultHold
 	}
-	return &Catalog{
+	c := &Catalog{
 		settings:  s,
 		store:     store,
+		dialer:    d,
 		log:       log,
 		endpoints: make(map[string]Endpoint),
 		peers:     make(map[string]Peer),
-		vanished:  make(map[string]time.Time),
+		records:   make(map[Feed]map[string]Record),
+		next:      make(map[Feed]int64),
+		vanished:  make(map[string]removal),
 		departed:  make(map[string]time.Time),
 		changed:   make(chan struct{}),
 	}
+	for _, f := range feeds {
+		c.records[f] = make(map[string]Record)
+	}
+	return c
 }
 
+// feeds are all feeds.
+var feeds = [...]Feed{Configurations, Endpoints, Peers}
+
 // Snapshot returns what is known, or nil while there is no configuration.
 func (c *Catalog) Snapshot() *Snapshot {
 	return c.snapshot.Load()
@@ -137,6 +182,11 @@
 	return c.changed
 }
 
+// Announce writes an instance's entry to the store.
+func (c *Catalog) Announce(ctx context.Context, p Peer) error {
+	return c.store.Announce(ctx, p)
+}
+
 // confirm notes that a read sent at a moment showed the newest configuration.
 func (c *Catalog) confirm(sent time.Time) {
 	for {
@@ -179,7 +229,20 @@
 	c.snapshot.Store(s)
 }
 
-// Announce writes an instance's entry to the store.
-func (c *Catalog) Announce(ctx context.Context, p Peer) error {
-	return c.store.Announce(ctx, p)
+// clock is a moment that is only moved forward.
+type clock struct {
+	at atomic.Int64
+}
+
+// begin is what moments of a clock count from.
+var begin = time.Now()
+
+func (k *clock) mark(now time.Time) {
+	k.at.Store(int64(now.Sub(begin)) + 1)
+}
+
+// within states whether the clock was marked at most so long ago.
+func (k *clock) within(d time.Duration) bool {
+	at := k.at.Load()
+	return at > 0 && time.Since(begin)-time.Duration(at) <= d
 }
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -19,16 +20,20 @@
 
 // fakeStore keeps changes in memory.
 type fakeStore struct {
-	mu      sync.Mutex
-	feeds   map[catalog.Feed][]catalog.Change
+	mu    sync.Mutex
+	feeds map[catalog.Feed][]catalog.Record
+	// changes are what records decode to, by their value.
+	changes map[string]catalog.Change
 	first   map[catalog.Feed]int64
 	down    bool
+	calls   int
 	changed chan struct{}
 }
 
 func newFakeStore() *fakeStore {
 	return &fakeStore{
-		feeds:   make(map[catalog.Feed][]catalog.Change),
+		feeds:   make(map[catalog.Feed][]catalog.Record),
+		changes: make(map[string]catalog.Change),
 		first:   make(map[catalog.Feed]int64),
 		changed: make(chan struct{}),
 	}
@@ -39,11 +44,46 @@
 func (s *fakeStore) put(f catalog.Feed, c catalog.Change) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.feeds[f] = append(s.feeds[f], c)
+	s.feeds[f] = append(s.feeds[f], s.record(f, c, s.first[f]+int64(len(s.feeds[f]))))
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// record makes the record of a change. The caller holds the lock.
+func (s *fakeStore) record(f catalog.Feed, c catalog.Change, offset int64) catalog.Record {
+	r := catalog.Record{
+		Offset: offset,
+	}
+	switch v := c.(type) {
+	case *catalog.TableChange:
+		r.Key = "config"
+	case *catalog.EndpointChange:
+		r.Key = v.Endpoint.Instance
+	case *catalog.EndpointGone:
+		r.Key = v.Instance
+		return r
+	case *catalog.PeerChange:
+		r.Key = v.Peer.ID
+	case *catalog.Malformed:
+		r.Key = v.Key
+	}
+	r.Value = fmt.Appendf(nil, "%s/%d", f, len(s.changes))
+	s.changes[string(r.Value)] = c
+	return r
+}
+
+// Decode implements catalog.Store.
+func (s *fakeStore) Decode(_ catalog.Feed, r catalog.Record) catalog.Change {
+	if len(r.Value) == 0 {
+		return &catalog.EndpointGone{
+			Instance: r.Key,
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changes[string(r.Value)]
+}
+
 func (s *fakeStore) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -57,22 +97,29 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.first[f] += int64(len(s.feeds[f]))
-	s.feeds[f] = left
+	s.feeds[f] = nil
+	for i, c := range left {
+		s.feeds[f] = append(s.feeds[f], s.record(f, c, s.first[f]+int64(i)))
+	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
-func (s *fakeStore) Whole(_ context.Context, f catalog.Feed) ([]catalog.Change, int64, error) {
+func (s *fakeStore) Whole(_ context.Context, f catalog.Feed) ([]catalog.Record, int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.calls++
 	if s.down {
 		return nil, 0, errDown
 	}
-	return s.feeds[f], s.first[f] + int64(len(s.feeds[f])), nil
+	return newest(s.feeds[f]), s.first[f] + int64(len(s.feeds[f])), nil
 }
 
-func (s *fakeStore) Follow(ctx context.Context, f catalog.Feed, from int64, wait time.Duration) ([]catalog.Change, int64, error) {
+func (s *fakeStore) Follow(ctx context.Context, f catalog.Feed, from int64, wait time.Duration) ([]catalog.Record, int64, error) {
 	timeout := time.After(wait)
+	s.mu.Lock()
+	s.calls++
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		changed, down, first, list := s.changed, s.down, s.first[f], s.feeds[f]
@@ -95,6 +142,21 @@
 	}
 }
 
+// newest returns the newest record of each key that has a value.
+func newest(records []catalog.Record) []catalog.Record {
+	last := make(map[string]catalog.Record)
+	for _, r := range records {
+		last[r.Key] = r
+	}
+	var out []catalog.Record
+	for _, r := range last {
+		if len(r.Value) > 0 {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 func (s *fakeStore) Announce(context.Context, catalog.Peer) error { return nil }
 func (s *fakeStore) Withdraw(context.Context, string) error       { return nil }
 
@@ -121,7 +183,7 @@
 		s.put(catalog.Configurations, version(1))
 		s.put(catalog.Endpoints, endpoint("e1", false))
 		s.put(catalog.Endpoints, endpoint("e2", false))
-		c := catalog.New(catalog.Settings{}, s, logr.Discard())
+		c := catalog.New(catalog.Settings{}, s, nil, logr.Discard())
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -19,19 +19,56 @@
 	pollSlack    = 800 * time.Millisecond
 	wholeTimeout = 2 * time.Second
 	expireEvery  = 100 * time.Millisecond
+	// firstStartWait is how long an instance waits at the first start of all
+	// until the others are announced; they start within 0.3 s.
+	firstStartWait = 700 * time.Millisecond
 )
 
 // Run follows the store until ctx ends.
 func (c *Catalog) Run(ctx context.Context) {
+	var parts sync.WaitGroup
+	parts.Go(func() { c.expireLoop(ctx) })
+	parts.Go(func() {
+		if c.learnPeers(ctx) {
+			c.follow(ctx)
+		}
+	})
+	parts.Wait()
+}
+
+// follow reads the store and follows other instances as either is needed.
+func (c *Catalog) follow(ctx context.Context) {
 	var parts sync.WaitGroup
 	retry := newKick()
-	for _, f := range []Feed{Configurations, Endpoints, Peers} {
-		parts.Go(func() { c.follow(ctx, f, retry) })
+	for _, f := range feeds {
+		parts.Go(func() { c.readLoop(ctx, f, retry) })
 	}
-	parts.Go(func() { c.expireLoop(ctx) })
+	parts.Go(func() { c.followLoop(ctx) })
 	parts.Wait()
 }
 
+// learnPeers reads who is there. It returns false when ctx ends before.
+func (c *Catalog) learnPeers(ctx context.Context) bool {
+	if c.settings.FirstStart {
+		sleep(ctx, firstStartWait)
+	}
+	for failures := 1; ctx.Err() == nil; failures++ {
+		_, err := c.readWhole(ctx, Peers)
+		if err == nil {
+			return true
+		}
+		c.failed(ctx, Peers, failures, err)
+	}
+	return false
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 func (c *Catalog) expireLoop(ctx context.Context) {
 	tick := time.NewTicker(expireEvery)
 	defer tick.Stop()
@@ -45,33 +82,53 @@
 	}
 }
 
-// follow keeps one feed up to date.
-func (c *Catalog) follow(ctx context.Context, f Feed, retry *kick) {
+// readLoop keeps one feed up to date from the store while this instance should
+// read it.
+func (c *Catalog) readLoop(ctx context.Context, f Feed, retry *kick) {
 	next := int64(-1)
 	failures := 0
 	for ctx.Err() == nil {
+		if !c.shouldRead() {
+			sleep(ctx, lookEvery)
+			next, failures = -1, 0
+			continue
+		}
+		if next < 0 {
+			next = c.resume(f)
+		}
 		var err error
 		if next < 0 {
 			next, err = c.readWhole(ctx, f)
 		} else {
 			next, err = c.poll(ctx, f, next, failures > 0, retry)
 		}
-		if err == nil {
-			if failures > 0 {
-				c.log.Info("store is back", "feed", f.String(), "failures", failures)
-				if f == Configurations {
-					// The other feeds may hang on connections that died.
-					retry.fire()
-				}
-			}
-			failures = 0
+		if err != nil {
+			failures++
+			c.failed(ctx, f, failures, err)
 			continue
 		}
-		failures++
-		c.failed(ctx, f, failures, err)
+		if failures > 0 {
+			c.log.Info("store is back", "feed", f.String(), "failures", failures)
+			if f == Configurations {
+				// The other feeds may hang on connections that died.
+				retry.fire()
+			}
+		}
+		failures = 0
 	}
 }
 
+// resume returns the offset from which a feed can be followed, or -1 when
+// nothing is known of it.
+func (c *Catalog) resume(f Feed) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if next, known := c.next[f]; known && len(c.records[f]) > 0 {
+		return next
+	}
+	return -1
+}
+
 // failed notes a failed read and waits before the next.
 func (c *Catalog) failed(ctx context.Context, f Feed, failures int, err error) {
 	if ctx.Err() != nil {
@@ -81,11 +138,7 @@
 	if failures == 1 {
 		c.log.Info("store can't be read", "feed", f.String(), "cause", err.Error())
 	}
-	wait := min(firstBackoff*time.Duration(failures), lastBackoff)
-	select {
-	case <-ctx.Done():
-	case <-time.After(wait):
-	}
+	sleep(ctx, min(firstBackoff*time.Duration(failures), lastBackoff))
 }
 
 // readWhole reads a feed from nothing.
@@ -93,13 +146,14 @@
 	ctx, cancel := context.WithTimeout(ctx, wholeTimeout)
 	defer cancel()
 	sent := time.Now()
-	changes, next, err := c.store.Whole(ctx, f)
+	records, next, err := c.store.Whole(ctx, f)
 	if err != nil {
 		return -1, err
 	}
-	c.apply(f, changes, true)
-	if f == Configurations && len(changes) > 0 {
+	c.apply(f, records, next, true)
+	if f == Configurations && len(records) > 0 {
 		c.confirm(sent)
+		c.read.mark(time.Now())
 	}
 	return next, nil
 }
@@ -123,10 +177,10 @@
 		defer stop()
 	}
 	sent := time.Now()
-	changes, next, err := c.store.Follow(ctx, f, from, wait)
+	records, next, err := c.store.Follow(ctx, f, from, wait)
 	if errors.Is(err, ErrCompacted) {
 		c.log.Info("feed is read whole again", "feed", f.String(), "from", from)
-		return -1, nil
+		return c.readWhole(ctx, f)
 	}
 	if err != nil && kicked() {
 		return from, nil
@@ -134,9 +188,10 @@
 	if err != nil {
 		return from, err
 	}
-	c.apply(f, changes, false)
+	c.apply(f, records, next, false)
 	if f == Configurations {
 		c.confirm(sent)
+		c.read.mark(time.Now())
 	}
 	return next, nil
 }
--- /dev/null
+++ b/catalog/readers.go
@@ -0,0 +1,239 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package catalog
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/grpc"
+
+	"github.com/linkmast/linkmast/catalog/catalogpb"
+	"github.com/linkmast/linkmast/internal/rendezvous"
+)
+
+// The times of following other instances.
+const (
+	// lookEvery is how often an instance looks whether it should read the
+	// store, or follow another one.
+	lookEvery = 100 * time.Millisecond
+	// pingEvery is how often a follower asks for the age, and pingSilence how
+	// long it waits for an answer before it goes to another instance.
+	pingEvery   = 400 * time.Millisecond
+	pingSilence = 900 * time.Millisecond
+	// openWithin bounds the time until the first answer.
+	openWithin = 700 * time.Millisecond
+)
+
+// maxUpdate bounds a message between instances: a whole configuration.
+const maxUpdate = 32 << 20
+
+// readersKey is what the order of readers is made from.
+const readersKey = "catalog"
+
+// fresh is how long ago a reader's last answer of the store, or a follower's
+// last confirmation, may be: two polls and a little.
+func (c *Catalog) fresh() time.Duration {
+	return 2*c.settings.Poll + c.settings.Poll/2
+}
+
+// order returns the other instances in the order in which they are followed, and
+// whether this one is among the first readers.
+func (c *Catalog) order() ([]Peer, bool) {
+	c.mu.Lock()
+	all := make([]Peer, 0, len(c.peers)+1)
+	for _, p := range c.peers {
+		if p.ID != c.settings.Self.ID {
+			all = append(all, p)
+		}
+	}
+	c.mu.Unlock()
+	all = append(all, c.settings.Self)
+	rendezvous.Sort(readersKey, all, func(p Peer) (string, int) { return p.ID, p.Capacity })
+	at := slices.IndexFunc(all, func(p Peer) bool { return p.ID == c.settings.Self.ID })
+	return slices.Delete(all, at, at+1), at < c.settings.Readers
+}
+
+// shouldRead states whether this instance reads the store: as one of the first,
+// for those that follow it, or because nobody else told it enough.
+func (c *Catalog) shouldRead() bool {
+	if c.followers.Load() > 0 || !c.heard.within(c.fresh()) {
+		return true
+	}
+	_, first := c.order()
+	return first
+}
+
+// shouldFollow states whether this instance follows another one.
+func (c *Catalog) shouldFollow() bool {
+	if !c.read.within(c.fresh()) {
+		return true
+	}
+	_, first := c.order()
+	return !first && c.followers.Load() == 0
+}
+
+// followLoop follows one instance after the other while that is needed. The
+// first is one of the readers, chosen by this instance's name so that they share
+// the work.
+func (c *Catalog) followLoop(ctx context.Context) {
+	for try := 0; ctx.Err() == nil; try++ {
+		if !c.shouldFollow() {
+			try = -1
+			sleep(ctx, lookEvery)
+			continue
+		}
+		others, _ := c.order()
+		if len(others) == 0 {
+			sleep(ctx, lookEvery)
+			continue
+		}
+		p := others[try%len(others)]
+		if try < c.settings.Readers {
+			readers := others[:min(c.settings.Readers, len(others))]
+			p = readers[(rendezvous.Index(c.settings.Self.ID, len(readers))+try)%len(readers)]
+		}
+		began := time.Now()
+		err := c.followOne(ctx, p)
+		if ctx.Err() != nil {
+			return
+		}
+		c.log.Info("no longer follows", "peer", p.ID, "cause", err.Error(), "ms", time.Since(began).Milliseconds())
+		if time.Since(began) > openWithin {
+			// It worked for a while: the order is tried from its start.
+			try = -1
+		}
+		sleep(ctx, lookEvery)
+	}
+}
+
+// errEnough ends following when this instance reads the store.
+var errEnough = errors.New("reads the store itself")
+
+// errStale ends following an instance that knows too little.
+var errStale = errors.New("knows too little")
+
+// errSilent ends following an instance that does not answer.
+var errSilent = errors.New("does not answer")
+
+// followOne follows an instance until that fails or is no longer needed.
+func (c *Catalog) followOne(ctx context.Context, p Peer) error {
+	conn, err := c.dialer.Conn(p.Address)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := catalogpb.NewCatalogClient(conn).Follow(ctx, grpc.MaxCallRecvMsgSize(maxUpdate))
+	if err != nil {
+		return err
+	}
+	f := &following{
+		catalog: c,
+		stream:  stream,
+		sent:    make(map[int64]time.Time),
+		updates: make(chan *catalogpb.Update),
+		failed:  make(chan error, 1),
+	}
+	go f.receive(ctx)
+	return f.run(ctx, p)
+}
+
+// following is a follower's side of a stream.
+type following struct {
+	catalog *Catalog
+	stream  grpc.BidiStreamingClient[catalogpb.Ping, catalogpb.Update]
+	seq     int64
+	sent    map[int64]time.Time
+	updates chan *catalogpb.Update
+	failed  chan error
+}
+
+func (f *following) receive(ctx context.Context) {
+	for {
+		u, err := f.stream.Recv()
+		if err != nil {
+			f.failed <- err
+			return
+		}
+		select {
+		case f.updates <- u:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (f *following) run(ctx context.Context, p Peer) error {
+	tick := time.NewTicker(pingEvery)
+	defer tick.Stop()
+	silent := time.NewTimer(openWithin)
+	defer silent.Stop()
+	if err := f.ping(); err != nil {
+		return err
+	}
+	f.catalog.log.Info("follows", "peer", p.ID)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case err := <-f.failed:
+			return err
+		case <-silent.C:
+			return errSilent
+		case <-tick.C:
+			if !f.catalog.shouldFollow() {
+				return errEnough
+			}
+			if err := f.ping(); err != nil {
+				return err
+			}
+		case u := <-f.updates:
+			silent.Reset(pingSilence)
+			if err := f.take(u); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (f *following) ping() error {
+	f.seq++
+	f.sent[f.seq] = time.Now()
+	return f.stream.Send(&catalogpb.Ping{
+		Seq: f.seq,
+	})
+}
+
+// take takes over an update. An age counts from when its ping was sent.
+func (f *following) take(u *catalogpb.Update) error {
+	c := f.catalog
+	switch k := u.GetKind().(type) {
+	case *catalogpb.Update_Records:
+		records := make([]Record, 0, len(k.Records.GetRecords()))
+		for _, r := range k.Records.GetRecords() {
+			records = append(records, Record{
+				Key:    r.GetKey(),
+				Value:  r.GetValue(),
+				Offset: r.GetOffset(),
+			})
+		}
+		c.apply(Feed(k.Records.GetFeed()), records, k.Records.GetNext(), k.Records.GetWhole())
+	case *catalogpb.Update_Age:
+		sent := f.sent[k.Age.GetSeq()]
+		for seq := range f.sent {
+			if seq <= k.Age.GetSeq() {
+				delete(f.sent, seq)
+			}
+		}
+		age := time.Duration(k.Age.GetAgeUs()) * time.Microsecond
+		if !k.Age.GetKnown() || age > c.fresh() {
+			return errStale
+		}
+		c.confirm(sent.Add(-age))
+		c.heard.mark(time.Now())
+	}
+	return nil
+}
--- a/catalog/types.go
+++ b/catalog/types.go
@@ -118,15 +118,27 @@
 // must be read whole again.
 var ErrCompacted = errors.New("records are no longer kept")
 
+// Record is the newest record of a key. Without a value it ends the key.
+type Record struct {
+	// Key names what the record is about.
+	Key string
+	// Value is as the platform wrote it.
+	Value []byte
+	// Offset orders the records of a feed.
+	Offset int64
+}
+
 // Store is the platform's store.
 type Store interface {
 	// Whole returns the newest record of each key of a feed, and the offset to
 	// follow from.
-	Whole(ctx context.Context, f Feed) (changes []Change, next int64, err error)
+	Whole(ctx context.Context, f Feed) (records []Record, next int64, err error)
 	// Follow returns the records from an offset on. It waits for the first one
 	// for the given time; without one it returns none and the same offset. The
 	// error is ErrCompacted when the records are gone.
-	Follow(ctx context.Context, f Feed, from int64, wait time.Duration) (changes []Change, next int64, err error)
+	Follow(ctx context.Context, f Feed, from int64, wait time.Duration) (records []Record, next int64, err error)
+	// Decode returns what a record says; nil when it is of no concern.
+	Decode(f Feed, r Record) Change
 	// Announce writes an instance's entry.
 	Announce(ctx context.Context, p Peer) error
 	// Withdraw removes an instance's entry.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/linkmast/linkmast/catalog"
+	"github.com/linkmast/linkmast/catalog/catalogpb"
 	"github.com/linkmast/linkmast/internal/upstream"
 	"github.com/linkmast/linkmast/internal/wirehttp"
 	"github.com/linkmast/linkmast/peer"
@@ -92,9 +93,6 @@
 func (g *Gateway) assemble() {
 	f := g.settings
 	client := wirehttp.Client()
-	g.catalog = catalog.New(catalog.Settings{
-		Poll: time.Duration(f.Times.Revoke) / pollsPerRevoke,
-	}, platform.NewStore(client, f.Platform.Store), g.log.WithName("catalog"))
 	g.self = catalog.Peer{
 		ID:            f.ID,
 		Address:       g.PeerListen,
@@ -102,6 +100,11 @@
 		Capacity:      int(f.ProcessorShare * thousandths),
 	}
 	g.peers = peer.New(nil)
+	g.catalog = catalog.New(catalog.Settings{
+		Self:       g.self,
+		FirstStart: f.FirstStart,
+		Poll:       time.Duration(f.Times.Revoke) / pollsPerRevoke,
+	}, platform.NewStore(client, f.Platform.Store), g.peers, g.log.WithName("catalog"))
 	g.pools = pool.NewScheduler(pool.Settings{
 		Self: f.ID,
 		Retries: pool.Budget{
@@ -113,6 +116,7 @@
 	g.placer = pool.NewClient(g.self, g.pools, g.peers, g.log.WithName("pool"))
 	g.rpc = grpc.NewServer(grpc.ReadBufferSize(rpcBuffer), grpc.WriteBufferSize(rpcBuffer))
 	poolpb.RegisterPoolServer(g.rpc, pool.NewServer(g.pools, g.owns, g.stopping))
+	catalogpb.RegisterCatalogServer(g.rpc, catalog.NewServer(g.catalog, g.stopping))
 	g.relay = relay.New(relay.Settings{
 		Self:   f.ID,
 		MaxAge: time.Duration(float64(f.Times.Revoke) * maxAgeShare),
@@ -258,8 +262,7 @@
 
 // announce keeps the instance's entry in the store.
 func (g *Gateway) announce(ctx context.Context) {
-	for {
-		changed := g.catalog.Changed()
+	for ctx.Err() == nil {
 		pause := announceCheck
 		if s := g.catalog.Snapshot(); s == nil || s.Peers[g.self.ID] != g.self {
 			if err := g.announceOnce(ctx); err != nil {
@@ -269,15 +272,8 @@
 		}
 		select {
 		case <-ctx.Done():
-			return
 		case <-time.After(pause):
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		case <-time.After(announceCheck):
-		}
 	}
 }
 
--- a/pool/client.go
+++ b/pool/client.go
@@ -4,16 +4,15 @@
 
 import (
 	"context"
-	"math"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
 
 	"github.com/linkmast/linkmast/catalog"
+	"github.com/linkmast/linkmast/internal/rendezvous"
 	"github.com/linkmast/linkmast/pool/poolpb"
 )
 
@@ -113,40 +112,20 @@
 
 // rank returns the instances in the order in which they own a pool.
 func (c *Client) rank(service string, snap *catalog.Snapshot) []string {
-	type scored struct {
-		id    string
-		score float64
-	}
-	list := []scored{{
-		id:    c.self.ID,
-		score: score(service, c.self),
-	}}
+	list := []catalog.Peer{c.self}
 	for id, p := range snap.Peers {
 		if id != c.self.ID {
-			list = append(list, scored{
-				id:    id,
-				score: score(service, p),
-			})
+			list = append(list, p)
 		}
 	}
-	slices.SortFunc(list, func(a, b scored) int { return compareFloat(b.score, a.score) })
+	rendezvous.Sort(service, list, func(p catalog.Peer) (string, int) { return p.ID, p.Capacity })
 	ids := make([]string, 0, len(list))
-	for _, s := range list {
-		ids = append(ids, s.id)
+	for _, p := range list {
+		ids = append(ids, p.ID)
 	}
 	return ids
 }
 
-// score is weighted rendezvous hashing: the highest score of a pool owns it, and
-// instances own pools in proportion to their weights.
-func score(service string, p catalog.Peer) float64 {
-	const mantissa = 1 << 53
-	h := xxhash.Sum64String(service + "\x00" + p.ID)
-	unit := (float64(h>>11) + 0.5) / mantissa
-	weight := float64(max(p.Capacity, 1))
-	return -weight * weight / math.Log(unit)
-}
-
 // relink opens the links that are wanted and closes the others: in the order of
 // each pool, up to the instances in touch that are wanted. Those before them
 // that are out of touch are tried again and again. The caller holds the lock.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -37,6 +37,9 @@
 	// ReadyListen is where a balancer asks whether an instance on a platform
 	// with a store is ready; the default is "127.0.0.1:8083".
 	ReadyListen string `toml:"ready_listen"`
+	// FirstStart states that all instances start for the first time, so that it
+	// takes a moment until they know each other.
+	FirstStart bool `toml:"first_start"`
 	// ProcessorShare is the part of a processor core that the instance has; the
 	// default is 1. Instances with more of it carry more.
 	ProcessorShare float64 `toml:"processor_share"`
