Leave readers that the store does not answer before changes are due

Change: with each answer a follower hears how long ago the store answered, through whomever; past a poll and 0.35 s it leaves, and reads the store at once if there is nobody.

Ruled out: a flag that the sender heard of late: two instances that follow each other keep each other fresh without the store (TestTurnedAway).

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -229,7 +229,7 @@
 	c.snapshot.Store(s)
 }
 
-// clock is a moment that is only moved forward.
+// clock is a moment; zero while there was none.
 type clock struct {
 	at atomic.Int64
 }
@@ -241,8 +241,18 @@
 	k.at.Store(int64(now.Sub(begin)) + 1)
 }
 
+func (k *clock) reset() {
+	k.at.Store(0)
+}
+
+// since returns how long ago the clock was marked; false when it never was.
+func (k *clock) since() (time.Duration, bool) {
+	at := k.at.Load()
+	return time.Since(begin) - time.Duration(at), at > 0
+}
+
 // within states whether the clock was marked at most so long ago.
 func (k *clock) within(d time.Duration) bool {
-	at := k.at.Load()
-	return at > 0 && time.Since(begin)-time.Duration(at) <= d
+	ago, ok := k.since()
+	return ok && ago <= d
 }
--- a/catalog/readers.go
+++ b/catalog/readers.go
@@ -19,12 +19,14 @@
 	// lookEvery is how often an instance looks whether it should read the
 	// store, or follow another one.
 	lookEvery = 100 * time.Millisecond
-	// pingEvery is how often a follower asks for the age, and pingSilence how
-	// long it waits for an answer before it goes to another instance.
-	pingEvery   = 400 * time.Millisecond
-	pingSilence = 900 * time.Millisecond
+	// pingSilence is how long a follower waits for an answer before it goes to
+	// another instance.
+	pingSilence = 600 * time.Millisecond
 	// openWithin bounds the time until the first answer.
-	openWithin = 700 * time.Millisecond
+	openWithin = 600 * time.Millisecond
+	// answerSlack is how much longer than its wait a poll may take before the
+	// store counts as out of reach for followers.
+	answerSlack = 350 * time.Millisecond
 )
 
 // maxUpdate bounds a message between instances: a whole configuration.
@@ -39,6 +41,29 @@
 	return 2*c.settings.Poll + c.settings.Poll/2
 }
 
+// answered returns how long ago the store answered this instance or one that it
+// follows; false when it never did.
+func (c *Catalog) answered() (time.Duration, bool) {
+	read, ok := c.read.since()
+	heard, also := c.heard.since()
+	switch {
+	case ok && also:
+		return min(read, heard), true
+	case ok:
+		return read, true
+	}
+	return heard, also
+}
+
+// pingsPerPoll2 is how often a follower asks for the age in two polls: often
+// enough that the age stays below that of fresh when an answer is late.
+const pingsPerPoll2 = 5
+
+// pingEvery is how often a follower asks for the age.
+func (c *Catalog) pingEvery() time.Duration {
+	return 2 * c.settings.Poll / pingsPerPoll2
+}
+
 // order returns the other instances in the order in which they are followed, and
 // whether this one is among the first readers.
 func (c *Catalog) order() ([]Peer, bool) {
@@ -100,6 +125,8 @@
 		if ctx.Err() != nil {
 			return
 		}
+		// Without anybody to follow the store is read at once.
+		c.heard.reset()
 		c.log.Info("no longer follows", "peer", p.ID, "cause", err.Error(), "ms", time.Since(began).Milliseconds())
 		if time.Since(began) > openWithin {
 			// It worked for a while: the order is tried from its start.
@@ -167,7 +194,7 @@
 }
 
 func (f *following) run(ctx context.Context, p Peer) error {
-	tick := time.NewTicker(pingEvery)
+	tick := time.NewTicker(f.catalog.pingEvery())
 	defer tick.Stop()
 	silent := time.NewTimer(openWithin)
 	defer silent.Stop()
@@ -229,11 +256,14 @@
 			}
 		}
 		age := time.Duration(k.Age.GetAgeUs()) * time.Microsecond
-		if !k.Age.GetKnown() || age > c.fresh() {
+		answered := time.Duration(k.Age.GetAnsweredUs()) * time.Microsecond
+		if !k.Age.GetKnown() || answered > c.settings.Poll+answerSlack {
+			// Followers must know changes soon, so they leave long before the
+			// age becomes a matter of safety.
 			return errStale
 		}
 		c.confirm(sent.Add(-age))
-		c.heard.mark(time.Now())
+		c.heard.mark(sent.Add(-answered))
 	}
 	return nil
 }
--- /dev/null
+++ b/catalog/readers_test.go
@@ -0,0 +1,272 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package catalog_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+	"google.golang.org/grpc"
+
+	"github.com/linkmast/linkmast/catalog"
+	"github.com/linkmast/linkmast/catalog/catalogpb"
+	"github.com/linkmast/linkmast/peer"
+)
+
+// seen is the store as one instance sees it.
+type seen struct {
+	*fakeStore
+
+	// refused states that the store turns this instance away.
+	refused atomic.Bool
+	// silent states that the store does not answer this instance.
+	silent atomic.Bool
+	// calls counts the calls of this instance.
+	calls atomic.Int64
+}
+
+func (s *seen) Whole(ctx context.Context, f catalog.Feed) ([]catalog.Record, int64, error) {
+	s.calls.Add(1)
+	if s.refused.Load() {
+		return nil, 0, errDown
+	}
+	return s.fakeStore.Whole(ctx, f)
+}
+
+func (s *seen) Follow(ctx context.Context, f catalog.Feed, from int64, wait time.Duration) ([]catalog.Record, int64, error) {
+	s.calls.Add(1)
+	if s.refused.Load() {
+		return nil, 0, errDown
+	}
+	records, next, err := s.fakeStore.Follow(ctx, f, from, wait)
+	if s.silent.Load() {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	if s.refused.Load() {
+		return nil, 0, errDown
+	}
+	return records, next, err
+}
+
+// instance is one catalog with its server.
+type instance struct {
+	*catalog.Catalog
+
+	store *seen
+	rpc   *grpc.Server
+}
+
+// poll is short, so that the tests are.
+const poll = 100 * time.Millisecond
+
+// group starts instances that know each other.
+func group(t *testing.T, n int) (*fakeStore, []*instance) {
+	t.Helper()
+	fake := newFakeStore()
+	fake.put(catalog.Configurations, version(1))
+	fake.put(catalog.Endpoints, endpoint("e1", false))
+	listeners := make([]net.Listener, n)
+	selves := make([]catalog.Peer, n)
+	for i := range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners[i] = l
+		selves[i] = catalog.Peer{
+			ID:       fmt.Sprint("n", i),
+			Address:  l.Addr().String(),
+			Capacity: 400,
+		}
+		fake.put(catalog.Peers, &catalog.PeerChange{
+			Peer: selves[i],
+		})
+	}
+	all := make([]*instance, n)
+	for i := range n {
+		all[i] = startInstance(t, fake, selves[i], listeners[i])
+	}
+	for _, x := range all {
+		await(t, "snapshot", func() bool { return x.Snapshot() != nil })
+	}
+	return fake, all
+}
+
+func startInstance(t *testing.T, fake *fakeStore, self catalog.Peer, l net.Listener) *instance {
+	conns := peer.New(nil)
+	x := &instance{
+		store: &seen{
+			fakeStore: fake,
+		},
+		rpc: grpc.NewServer(),
+	}
+	x.Catalog = catalog.New(catalog.Settings{
+		Self: self,
+		Poll: poll,
+	}, x.store, conns, logr.Discard())
+	catalogpb.RegisterCatalogServer(x.rpc, catalog.NewServer(x.Catalog, nil))
+	ctx, cancel := context.WithCancel(context.Background())
+	go x.rpc.Serve(l)
+	done := make(chan struct{})
+	go func() {
+		x.Run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		x.rpc.Stop()
+		conns.Close()
+		<-done
+	})
+	return x
+}
+
+func await(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("not in time: %s", what)
+}
+
+// readers returns the instances that called the store during a while.
+func readers(all []*instance) []*instance {
+	before := make([]int64, len(all))
+	for i, x := range all {
+		before[i] = x.store.calls.Load()
+	}
+	time.Sleep(8 * poll)
+	var out []*instance
+	for i, x := range all {
+		if x.store.calls.Load() > before[i] {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+// awaitReaders waits until just so many instances read the store.
+func awaitReaders(t *testing.T, all []*instance, n int) []*instance {
+	t.Helper()
+	var got []*instance
+	await(t, "number of readers", func() bool {
+		got = readers(all)
+		return len(got) == n
+	})
+	return got
+}
+
+// assertInForce checks that a version is in force on all and confirmed of late.
+func assertInForce(t *testing.T, all []*instance, n int64) {
+	t.Helper()
+	for _, x := range all {
+		await(t, fmt.Sprint("version ", n), func() bool { return x.Snapshot().Table.Version == n })
+		await(t, "confirmed", func() bool {
+			age, ok := x.Age()
+			return ok && age < time.Second
+		})
+	}
+}
+
+func TestTwoRead(t *testing.T) {
+	fake, all := group(t, 6)
+	awaitReaders(t, all, 2)
+	fake.put(catalog.Configurations, version(2))
+	assertInForce(t, all, 2)
+	fake.put(catalog.Endpoints, endpoint("e1", true))
+	for _, x := range all {
+		await(t, "leaving", func() bool { return x.Snapshot().Gone("e1") })
+	}
+}
+
+// TestReadersFail takes the readers away in several ways. The others know a
+// change soon after all the same, and are not many that read.
+func TestReadersFail(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		fail func(x *instance)
+	}{
+		{"turned away by the store", func(x *instance) { x.store.refused.Store(true) }},
+		{"killed", func(x *instance) { x.rpc.Stop() }},
+		{"not answered by the store", func(x *instance) { x.store.silent.Store(true) }},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			fake, all := group(t, 6)
+			var left []*instance
+			failed := awaitReaders(t, all, 2)
+			for _, x := range failed {
+				row.fail(x)
+			}
+			for _, x := range all {
+				if x != failed[0] && x != failed[1] {
+					left = append(left, x)
+				}
+			}
+			// Followers leave readers that the store does not answer before a
+			// change is due.
+			fake.put(catalog.Configurations, version(2))
+			changed := time.Now()
+			assertInForce(t, left, 2)
+			is.True(time.Since(changed) < 1200*time.Millisecond)
+			is.True(len(readers(left)) >= 1)
+		})
+	}
+}
+
+// TestTurnedAway looks that an instance that the store turns away learns from
+// others.
+func TestTurnedAway(t *testing.T) {
+	fake, all := group(t, 4)
+	for _, x := range all[:3] {
+		x.store.refused.Store(true)
+	}
+	time.Sleep(500 * time.Millisecond)
+	fake.put(catalog.Configurations, version(2))
+	assertInForce(t, all, 2)
+}
+
+// TestAgeOfFollowers looks that no instance takes what it knows for fresher than
+// the store's last answer to anybody.
+func TestAgeOfFollowers(t *testing.T) {
+	is := is.New(t)
+	fake, all := group(t, 4)
+	awaitReaders(t, all, 2)
+	fake.setDown(true)
+	down := time.Now()
+	for range 20 {
+		time.Sleep(50 * time.Millisecond)
+		for _, x := range all {
+			age, _ := x.Age()
+			is.True(age >= time.Since(down)-10*time.Millisecond)
+		}
+	}
+}
+
+// TestOlderRecord hands an instance that read the store records that are older.
+func TestOlderRecord(t *testing.T) {
+	is := is.New(t)
+	fake, all := group(t, 4)
+	fake.put(catalog.Endpoints, endpoint("e1", true))
+	fake.put(catalog.Configurations, version(5))
+	assertInForce(t, all, 5)
+	for range 10 {
+		// Readers and followers change places.
+		for _, x := range all {
+			x.store.refused.Store(!x.store.refused.Load())
+		}
+		time.Sleep(50 * time.Millisecond)
+		for _, x := range all {
+			is.Equal(x.Snapshot().Table.Version, int64(5))
+		}
+	}
+}
--- a/catalog/server.go
+++ b/catalog/server.go
@@ -73,12 +73,15 @@
 			return err
 		}
 		age, known := f.catalog.Age()
+		answered, heard := f.catalog.answered()
 		err = f.send(&catalogpb.Update{
 			Kind: &catalogpb.Update_Age{
 				Age: &catalogpb.Age{
 					Seq:   p.GetSeq(),
 					AgeUs: age.Microseconds(),
-					Known: known,
+					Known: known && heard,
+
+					AnsweredUs: answered.Microseconds(),
 				},
 			},
 		})
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -20,6 +20,7 @@
 		is := is.New(t)
 		g := w.ask(0, call{id: "a1", path: "/unsafe/x?q=%2F", body: "hello"})
 		assertWhole(t, g)
+		is.Equal(g.body, platformtest.PlainAnswer("a1", []byte("hello")))
 		r := w.find("a1")
 		is.Equal(r.Target, "/unsafe/x?q=%2F")
 		is.Equal(r.Body, "hello")
@@ -31,7 +32,7 @@
 		is := is.New(t)
 		g := w.ask(1, call{id: "a2", path: "/stream/x", tokens: 1000})
 		assertWhole(t, g)
-		is.Equal(g.body, events(1, 10))
+		is.Equal(g.body, events("a2", 1, 10))
 	})
 	t.Run("no route", func(t *testing.T) {
 		is := is.New(t)
@@ -125,7 +126,7 @@
 		for i := range 4 {
 			g := w.ask(0, call{id: "s" + strconv.Itoa(i), path: "/stream/", tokens: 500})
 			assertWhole(t, g)
-			is.Equal(g.body, events(1, 10)) // each event once and in order
+			is.Equal(g.body, events("s"+strconv.Itoa(i), 1, 10)) // each event once and in order
 		}
 		is.True(len(w.endpoints["e1"].Runs()) > 0) // the faulty endpoint was met
 	})
@@ -147,7 +148,7 @@
 		for i := range 2 {
 			g := w.ask(0, call{id: "s" + strconv.Itoa(i), path: "/stream/", tokens: 500})
 			assertWhole(t, g)
-			is.Equal(g.body, events(1, 10))
+			is.Equal(g.body, events("s"+strconv.Itoa(i), 1, 10))
 		}
 		is.True(len(w.endpoints["e1"].Runs()) > 0)
 	})
@@ -270,9 +271,9 @@
 	w.await("not ready", func() bool { return !w.ready(w.gateways[0]) })
 	assertWhole(t, w.ask(0, call{id: "while", path: "/safe/"}))
 	wait.Wait()
-	for _, g := range answers {
+	for i, g := range answers {
 		assertWhole(t, g)
-		is.Equal(g.body, events(1, 60))
+		is.Equal(g.body, events("t"+strconv.Itoa(i), 1, 60))
 	}
 	<-done
 }
@@ -345,7 +346,7 @@
 	w := newWorld(t, 1)
 	g := w.ask(0, call{id: "big", path: "/stream/", tokens: 300_000})
 	assertWhole(t, g)
-	is.Equal(g.body, events(1, 10))
+	is.Equal(g.body, events("big", 1, 10))
 	r := w.find("big")
 	is.True(r.Readers() != "")
 	w.await("memory given back", func() bool {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -252,11 +252,10 @@
 }
 
 // events is the body of a whole stream.
-func events(from, to int) string {
+func events(id string, from, to int) string {
 	var b strings.Builder
 	for i := from; i <= to; i++ {
-		n := strconv.Itoa(i)
-		b.WriteString("id: " + n + "\ndata: piece " + n + "\n\n")
+		b.WriteString(platformtest.Event(id, i))
 	}
 	return b.String()
 }
--- a/pool/decide.go
+++ b/pool/decide.go
@@ -213,8 +213,7 @@
 			r = w.hopeless(now)
 		}
 		if r != nil {
-			s.log.Info("refuse", "attempt", w.ask.ID, "service", w.ask.Service, "prompt", w.ask.Prompt,
-				"reason", r.Reason, "waited_ms", now.Sub(w.arrived).Milliseconds())
+			s.logRefusal(p, w, r, now)
 			w.refuse <- r
 			continue
 		}
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -179,8 +179,7 @@
 		return g, nil
 	}
 	if r := s.shed(p, w, now); r != nil {
-		s.log.Info("refuse", "attempt", a.ID, "service", a.Service, "prompt", a.Prompt, "reason", r.Reason,
-			"after_ms", r.After.Milliseconds())
+		s.logRefusal(p, w, r, now)
 		s.mu.Unlock()
 		return Grant{}, r
 	}
@@ -198,6 +197,19 @@
 	}
 }
 
+// logRefusal writes the line of a refusal.
+func (s *Scheduler) logRefusal(p *state, w *waiter, r *Refusal, now time.Time) {
+	usable, used, slots := 0, 0, 0
+	for _, e := range p.usable(&w.ask, now) {
+		usable++
+		used += e.Running()
+		slots += e.Slots
+	}
+	s.log.Info("refuse", "attempt", w.ask.ID, "service", w.ask.Service, "prompt", w.ask.Prompt, "reason", r.Reason,
+		"after_ms", r.After.Milliseconds(), "waited_ms", now.Sub(w.arrived).Milliseconds(), "queue", len(p.queue),
+		"endpoints", usable, "running", used, "slots", slots)
+}
+
 func (s *Scheduler) poke() {
 	select {
 	case s.wake <- struct{}{}:
--- a/relay/refusal.go
+++ b/relay/refusal.go
@@ -26,8 +26,13 @@
 // refuse sends a final answer of the relay's own.
 func (l *Relay) refuse(w http.ResponseWriter, h Head, r *refusal) {
 	l.Metrics.refused(r.status)
+	version := int64(0)
+	if known := l.parts.Known(); known != nil {
+		version = known.Table.Version
+	}
+	age, _ := l.parts.Age()
 	l.parts.Log.Info("refused", "request", h.ID, "status", r.status, "reason", r.reason,
-		"after_ms", r.after.Milliseconds())
+		"after_ms", r.after.Milliseconds(), "version", version, "age_ms", age.Milliseconds())
 	l.parts.Wire.Refusal(w.Header(), h.ID, r.after)
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.WriteHeader(r.status)
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -174,10 +174,9 @@
 // logTry writes the line of an attempt.
 func (l *Relay) logTry(j *job, t *try, res result) {
 	l.Metrics.add("attempts_" + res.outcome.String())
-	_, version := l.parts.Age()
-	_ = version
+	age, _ := l.parts.Age()
 	l.parts.Log.Info("attempt", "request", j.head.ID, "attempt", t.ask.ID, "route", j.route.Name,
-		"version", j.table.Version, "service", j.service, "customer", j.customer, "prompt", j.head.PromptTokens,
+		"version", j.table.Version, "age_ms", age.Milliseconds(), "service", j.service, "customer", j.customer, "prompt", j.head.PromptTokens,
 		"endpoint", t.grant.Instance, "by", t.grant.By, "readers", len(t.grant.Readers),
 		"waited_ms", t.grant.Waited.Milliseconds(), "first_predicted_ms", t.grant.First.Milliseconds(),
 		"first_ms", t.firstAfter.Milliseconds(), "ms", time.Since(t.began).Milliseconds(),
--- /dev/null
+++ b/soak/proxy.go
@@ -0,0 +1,177 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// Link is what a proxy does to connections. The zero value passes bytes on.
+type Link struct {
+	// Delay holds each piece of data back.
+	Delay time.Duration
+	// Reset resets connections, and new ones at once.
+	Reset bool
+	// Up and Down silence the direction to and from the target.
+	Up bool
+	// Down silences the direction from the target.
+	Down bool
+}
+
+// Proxy passes connections on to a target, through a link that can fail.
+type Proxy struct {
+	// Address is where the proxy listens.
+	Address string
+
+	target   string
+	listener net.Listener
+
+	mu      sync.Mutex
+	link    Link
+	changed chan struct{}
+	conns   map[net.Conn]struct{}
+}
+
+// NewProxy starts a proxy before a target. Close ends it.
+func NewProxy(target string) (*Proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{
+		Address:  l.Addr().String(),
+		target:   target,
+		listener: l,
+		changed:  make(chan struct{}),
+		conns:    make(map[net.Conn]struct{}),
+	}
+	go p.accept()
+	return p, nil
+}
+
+// Set changes the link.
+func (p *Proxy) Set(l Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.link = l
+	close(p.changed)
+	p.changed = make(chan struct{})
+	if l.Reset {
+		p.resetAll()
+	}
+}
+
+// Close ends the proxy and its connections.
+func (p *Proxy) Close() {
+	// Nothing is left to do about an error.
+	_ = p.listener.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.resetAll()
+}
+
+// resetAll resets all connections. The caller holds the lock.
+func (p *Proxy) resetAll() {
+	for c := range p.conns {
+		reset(c)
+	}
+	clear(p.conns)
+}
+
+// reset closes a connection so that its other side sees a reset.
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+func (p *Proxy) accept() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.serve(c)
+	}
+}
+
+func (p *Proxy) serve(c net.Conn) {
+	p.mu.Lock()
+	bad := p.link.Reset
+	p.conns[c] = struct{}{}
+	p.mu.Unlock()
+	if bad {
+		p.drop(c)
+		return
+	}
+	t, err := net.Dial("tcp", p.target)
+	if err != nil {
+		p.drop(c)
+		return
+	}
+	p.mu.Lock()
+	p.conns[t] = struct{}{}
+	p.mu.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { p.copy(t, c, func(l Link) bool { return l.Up }) })
+	both.Go(func() { p.copy(c, t, func(l Link) bool { return l.Down }) })
+	both.Wait()
+	p.drop(c)
+	p.drop(t)
+}
+
+func (p *Proxy) drop(c net.Conn) {
+	p.mu.Lock()
+	delete(p.conns, c)
+	p.mu.Unlock()
+	reset(c)
+}
+
+// copyBytes is how much is passed on at once.
+const copyBytes = 16 << 10
+
+// copy passes one direction on while the link lets it. An end is passed on as an
+// end, an error as a reset.
+func (p *Proxy) copy(to, from net.Conn, silenced func(Link) bool) {
+	buf := make([]byte, copyBytes)
+	for {
+		n, err := from.Read(buf)
+		p.wait(silenced)
+		if n > 0 {
+			if _, err := to.Write(buf[:n]); err != nil {
+				reset(from)
+				return
+			}
+		}
+		if err == io.EOF {
+			if t, ok := to.(*net.TCPConn); ok {
+				_ = t.CloseWrite()
+			}
+			return
+		}
+		if err != nil {
+			reset(to)
+			return
+		}
+	}
+}
+
+// wait holds data back while the link says so.
+func (p *Proxy) wait(silenced func(Link) bool) {
+	for {
+		p.mu.Lock()
+		l, changed := p.link, p.changed
+		p.mu.Unlock()
+		if l.Delay > 0 {
+			time.Sleep(l.Delay)
+		}
+		if !silenced(l) || l.Reset {
+			return
+		}
+		<-changed
+	}
+}
