Add a fault soak over real processes

Change: package soak and linkmastctl soak: instances as processes over the stand-ins, faults by signals, loopback proxies and the stand-ins themselves, drawn from a seed; callers keep their connections; what callers and endpoints saw is held against the promises.

--- a/cmd/linkmastctl/main.go
+++ b/cmd/linkmastctl/main.go
@@ -36,6 +36,7 @@
 	Demo    demoCommand    `command:"demo" description:"run a whole deployment in this process"`
 	Standin standinCommand `command:"standin" description:"run a stand-in for an outside system"`
 	Load    loadCommand    `command:"load" description:"send requests and measure the answers"`
+	Soak    soakCommand    `command:"soak" description:"run the real programs under drawn faults and check the promises"`
 	Fit     fitCommand     `command:"fit" description:"fit lines to the output of go test -bench, from standard input"`
 }
 
--- /dev/null
+++ b/cmd/linkmastctl/soak.go
@@ -0,0 +1,69 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/linkmast/linkmast/soak"
+)
+
+// soakCommand runs the real programs under drawn faults.
+type soakCommand struct {
+	Seed      uint64  `long:"seed" description:"seed of the first run; without it a fresh one"`
+	Runs      int     `long:"runs" default:"1" description:"how many seeds, counted up"`
+	Minutes   float64 `long:"minutes" default:"0.5" description:"how long faults come in a run"`
+	Processes int     `long:"processes" default:"4" description:"how many instances run"`
+	Program   string  `long:"program" description:"program of an instance; without it linkmast is built"`
+}
+
+// Execute implements flags.Commander.
+func (c *soakCommand) Execute([]string) error {
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer cancel()
+	if c.Seed == 0 {
+		c.Seed = uint64(rand.Uint32())
+	}
+	if c.Program == "" {
+		dir, err := os.MkdirTemp("", "linkmast-soak-build-")
+		if err != nil {
+			return err
+		}
+		defer func() { _ = os.RemoveAll(dir) }()
+		c.Program = filepath.Join(dir, "linkmast")
+		build := exec.CommandContext(ctx, "go", "build", "-o", c.Program, "./cmd/linkmast")
+		build.Stderr = os.Stderr
+		if err := build.Run(); err != nil {
+			return errors.Wrap(err, "build linkmast")
+		}
+	}
+	bad := 0
+	for i := range c.Runs {
+		broken, err := soak.Run(ctx, soak.Settings{
+			Program:   c.Program,
+			Seed:      c.Seed + uint64(i),
+			Length:    time.Duration(c.Minutes * float64(time.Minute)),
+			Processes: c.Processes,
+			Out:       os.Stdout,
+		})
+		if err != nil {
+			return err
+		}
+		if len(broken) > 0 {
+			bad++
+		}
+	}
+	if bad > 0 {
+		return fmt.Errorf("%d of %d runs broke a promise", bad, c.Runs)
+	}
+	return nil
+}
--- /dev/null
+++ b/soak/callers.go
@@ -0,0 +1,161 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/linkmast/linkmast/platform/platformtest"
+)
+
+// Exchange is one request as its caller saw it.
+type Exchange struct {
+	// ID names the request.
+	ID string
+	// Path tells the route.
+	Path string
+	// Key is the key that was sent, and Body the body.
+	Key string
+	// Body is the body that was sent.
+	Body string
+	// Instance is who was asked.
+	Instance int
+	// Sent and Ended are when the caller began and ended.
+	Sent time.Time
+	// Ended is when the caller had the answer, or gave up.
+	Ended time.Time
+	// Status is that of the answer; zero without one.
+	Status int
+	// Answer is the body as far as it came.
+	Answer string
+	// Whole states that the answer looked whole.
+	Whole bool
+	// Signed states that the answer carried a proof of origin.
+	Signed bool
+	// GaveUp states that the caller left on purpose.
+	GaveUp bool
+}
+
+// callers send requests and keep what they saw.
+type callers struct {
+	world *World
+
+	mu      sync.Mutex
+	history []Exchange
+}
+
+// The measures of the load.
+const (
+	callersPerInstance = 4
+	// giveUpShare is the part of requests whose caller leaves early.
+	giveUpShare = 0.05
+	// pauseMean is the mean pause between a caller's requests.
+	pauseMean = 60 * time.Millisecond
+)
+
+// paths are the routes that are called.
+var paths = [...]string{"/stream/", "/once/", "/safe/", "/unsafe/"}
+
+// run sends requests until ctx ends. Each caller keeps its connection for as
+// long as the instance does.
+func (c *callers) run(ctx context.Context, seed uint64) {
+	var all sync.WaitGroup
+	for i := range c.world.processes {
+		for k := range callersPerInstance {
+			r := rand.New(rand.NewPCG(seed, uint64(i*callersPerInstance+k)))
+			all.Go(func() { c.one(ctx, i, k, r) })
+		}
+	}
+	all.Wait()
+}
+
+func (c *callers) one(ctx context.Context, instance, number int, r *rand.Rand) {
+	client := &http.Client{
+		Transport: &http.Transport{
+			MaxIdleConnsPerHost: 1,
+			DisableCompression:  true,
+		},
+	}
+	for n := 0; ctx.Err() == nil; n++ {
+		x := Exchange{
+			ID:       fmt.Sprintf("r%d-%d-%d", instance, number, n),
+			Path:     paths[r.IntN(len(paths))],
+			Key:      steadyKey,
+			Body:     strings.Repeat("b", r.IntN(3000)),
+			Instance: instance,
+		}
+		if r.IntN(2) == 0 {
+			x.Key = c.world.key()
+		}
+		c.send(client, &x, r.Float64() < giveUpShare, promptOf(r))
+		c.mu.Lock()
+		c.history = append(c.history, x)
+		c.mu.Unlock()
+		time.Sleep(time.Duration(r.ExpFloat64() * float64(pauseMean)))
+	}
+}
+
+// promptOf draws the length of a prompt: most are short, some take several
+// engines.
+func promptOf(r *rand.Rand) int {
+	if r.IntN(20) == 0 {
+		return 250_000
+	}
+	return 500 + r.IntN(5000)
+}
+
+// send makes one exchange.
+func (c *callers) send(client *http.Client, x *Exchange, leave bool, prompt int) {
+	timeout := requestTimeout
+	if leave {
+		timeout = 50 * time.Millisecond
+		x.GaveUp = true
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout+time.Second)
+	if leave {
+		ctx, cancel = context.WithTimeout(context.Background(), timeout)
+	}
+	defer cancel()
+	p := c.world.processes[x.Instance]
+	// A body that can't be had again keeps the client from sending twice.
+	body := io.MultiReader(strings.NewReader(x.Body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.listen+x.Path, body)
+	if err != nil {
+		return
+	}
+	req.ContentLength = int64(len(x.Body))
+	req.Host = host
+	platformtest.Caller{
+		ID:     x.ID,
+		Key:    x.Key,
+		Wait:   requestTimeout,
+		Prompt: prompt,
+		Output: 100,
+	}.Set(req.Header)
+	x.Sent = time.Now()
+	defer func() { x.Ended = time.Now() }()
+	res, err := client.Do(req)
+	if err != nil {
+		return
+	}
+	defer func() { _ = res.Body.Close() }()
+	x.Status = res.StatusCode
+	x.Signed = platformtest.Signed(res.Header)
+	data, err := io.ReadAll(res.Body)
+	x.Answer = string(data)
+	x.Whole = err == nil
+}
+
+// all returns what was seen so far.
+func (c *callers) all() []Exchange {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]Exchange(nil), c.history...)
+}
--- /dev/null
+++ b/soak/judge.go
@@ -0,0 +1,179 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/linkmast/linkmast/platform/platformtest"
+)
+
+// Violation is a promise that was broken.
+type Violation struct {
+	// Promise names it.
+	Promise string
+	// Detail says what was seen.
+	Detail string
+}
+
+// String returns the violation in a line.
+func (v Violation) String() string {
+	return v.Promise + ": " + v.Detail
+}
+
+// runSlack is how long after the bound a run may begin that was sent in time: a
+// request on its way.
+const runSlack = 300 * time.Millisecond
+
+// judge holds what callers and endpoints saw against the promises.
+func (w *World) judge(history []Exchange) []Violation {
+	runs := make(map[string][]platformtest.Run)
+	for _, e := range w.endpoints {
+		for _, r := range e.Runs() {
+			runs[r.ID] = append(runs[r.ID], r)
+		}
+	}
+	var out []Violation
+	sent := make(map[string]bool, len(history))
+	for i := range history {
+		x := &history[i]
+		sent[x.ID] = true
+		out = append(out, w.judgeOne(x, runs[x.ID])...)
+	}
+	for id := range runs {
+		if !sent[id] {
+			out = append(out, Violation{
+				Promise: "only what callers sent runs",
+				Detail:  "request " + id + " ran and was not sent",
+			})
+		}
+	}
+	return append(out, w.judgeEnd()...)
+}
+
+// judgeOne holds one exchange against the runs of its request.
+func (w *World) judgeOne(x *Exchange, runs []platformtest.Run) []Violation {
+	var out []Violation
+	wrong := func(promise, detail string) {
+		out = append(out, Violation{
+			Promise: promise,
+			Detail: fmt.Sprintf("request %s %s at instance %d, sent %s, status %d, %d runs: %s",
+				x.ID, x.Path, x.Instance, x.Sent.Format("15:04:05.000"), x.Status, len(runs), detail),
+		})
+	}
+	once := x.Path == "/unsafe/" || x.Path == "/once/"
+	if once && len(runs) > 1 {
+		wrong("at most once", "it ran more than once")
+	}
+	if x.Status == http.StatusServiceUnavailable || x.Status == http.StatusTooManyRequests {
+		if once && len(runs) > 0 {
+			wrong("refusals are true", "it ran though it was refused")
+		}
+	}
+	if (x.Status == http.StatusUnauthorized || x.Status == http.StatusNotFound) && x.Key == steadyKey {
+		wrong("what is allowed is not denied", "its key holds at all times")
+	}
+	if x.Status == http.StatusOK {
+		judgeAnswer(x, runs, wrong)
+	}
+	for i := range runs {
+		w.judgeRun(x, &runs[i], wrong)
+	}
+	return out
+}
+
+// judgeAnswer checks a success.
+func judgeAnswer(x *Exchange, runs []platformtest.Run, wrong func(promise, detail string)) {
+	want := platformtest.PlainAnswer(x.ID, []byte(x.Body))
+	if strings.HasPrefix(x.Path, "/s") && x.Path != "/safe/" || x.Path == "/once/" {
+		var b strings.Builder
+		for i := 1; i <= streamEvents; i++ {
+			b.WriteString(platformtest.Event(x.ID, i))
+		}
+		want = b.String()
+	}
+	switch {
+	case x.Whole && x.Answer != want:
+		wrong("whole and own answer", fmt.Sprintf("the answer is %q", x.Answer))
+	case !x.Whole && !strings.HasPrefix(want, x.Answer):
+		wrong("whole and own answer", fmt.Sprintf("the cut answer is %q", x.Answer))
+	case !x.Signed || len(runs) == 0:
+		wrong("whole and own answer", "no endpoint made it")
+	}
+}
+
+// judgeRun checks what an endpoint got.
+func (w *World) judgeRun(x *Exchange, r *platformtest.Run, wrong func(promise, detail string)) {
+	switch {
+	case r.Method != http.MethodPost || r.Target != x.Path || r.Body != x.Body:
+		wrong("requests are passed on unchanged", fmt.Sprintf("%s %s with %d bytes", r.Method, r.Target, len(r.Body)))
+	case r.Key() != "" || r.Customer() != "c1":
+		wrong("keys stay here", fmt.Sprintf("customer %q, key %q", r.Customer(), r.Key()))
+	}
+	w.mu.Lock()
+	gone := w.keys[x.Key]
+	w.mu.Unlock()
+	if !gone.IsZero() && x.Sent.After(gone.Add(revoke)) {
+		wrong("keys that were taken away are refused", fmt.Sprintf("taken away %s before", x.Sent.Sub(gone)))
+	}
+	if r.At.After(x.Sent.Add(requestTimeout + runSlack)) {
+		wrong("nothing runs after its time", fmt.Sprintf("ran %s after it was sent", r.At.Sub(x.Sent)))
+	}
+}
+
+// judgeEnd checks what is left once all callers have gone.
+func (w *World) judgeEnd() []Violation {
+	var out []Violation
+	for _, e := range w.endpoints {
+		if n := e.Running(); n > 0 {
+			out = append(out, Violation{
+				Promise: "what nobody waits for ends",
+				Detail:  fmt.Sprintf("endpoint %s still runs %d requests", e.Instance, n),
+			})
+		}
+		if n := e.Held(); n > 0 {
+			out = append(out, Violation{
+				Promise: "memory is given back",
+				Detail:  fmt.Sprintf("endpoint %s still holds %d tokens", e.Instance, n),
+			})
+		}
+	}
+	for _, p := range w.processes {
+		p.mu.Lock()
+		if p.ended > 0 {
+			out = append(out, Violation{
+				Promise: "instances don't end by themselves",
+				Detail:  fmt.Sprintf("%s ended %d times", p.name, p.ended),
+			})
+		}
+		p.mu.Unlock()
+	}
+	return out
+}
+
+// judgeRecovery checks that requests are served once all faults are lifted.
+func judgeRecovery(history []Exchange, from time.Time) []Violation {
+	served, all := 0, 0
+	for _, x := range history {
+		if x.Sent.Before(from) || x.GaveUp || x.Key != steadyKey {
+			continue
+		}
+		all++
+		if x.Status == http.StatusOK && x.Whole {
+			served++
+		}
+	}
+	if all > 0 && float64(served) >= recoveredShare*float64(all) {
+		return nil
+	}
+	return []Violation{{
+		Promise: "it recovers",
+		Detail:  fmt.Sprintf("%d of %d requests were served after all faults had ended", served, all),
+	}}
+}
+
+// recoveredShare is the part of requests that must be served after recovery.
+const recoveredShare = 0.98
--- /dev/null
+++ b/soak/schedule.go
@@ -0,0 +1,211 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"github.com/linkmast/linkmast/platform/platformtest"
+)
+
+// Step is one fault of a schedule.
+type Step struct {
+	// At is when it begins, from the start.
+	At time.Duration
+	// For is how long it lasts.
+	For time.Duration
+	// Kind names the fault.
+	Kind string
+	// Target is the number of the process or endpoint.
+	Target int
+}
+
+// String returns the step in a line.
+func (s Step) String() string {
+	return fmt.Sprintf("%6.2fs %s %d for %s", s.At.Seconds(), s.Kind, s.Target, s.For)
+}
+
+// kinds are the faults with how often each is drawn.
+var kinds = [...]struct {
+	name   string
+	weight int
+}{
+	{"term", 3}, {"kill", 2}, {"freeze", 2}, {"hangup", 2},
+	{"store refuses", 1}, {"store silent", 1}, {"store slow", 1}, {"store loses writes", 1}, {"store forgets", 1},
+	{"store link silent", 1}, {"store link one way", 1}, {"store link reset", 1},
+	{"endpoint rejects", 1}, {"endpoint fails", 1}, {"endpoint cuts streams", 2}, {"endpoint silent", 1},
+	{"endpoint loses answers", 2}, {"endpoint link slow", 1}, {"endpoint link reset", 1}, {"endpoint link one way", 1},
+	{"endpoint leaves", 2}, {"key taken away", 3},
+}
+
+// Draw returns the schedule of a seed: faults that come every second or so for a
+// time, some of them together.
+func Draw(seed uint64, length time.Duration, processes int) []Step {
+	r := rand.New(rand.NewPCG(seed, 1))
+	total := 0
+	for _, k := range kinds {
+		total += k.weight
+	}
+	var out []Step
+	for at := 500 * time.Millisecond; at < length; at += time.Duration(r.ExpFloat64() * float64(time.Second)) {
+		n := r.IntN(total)
+		for _, k := range kinds {
+			if n -= k.weight; n >= 0 {
+				continue
+			}
+			out = append(out, Step{
+				At:     at,
+				For:    time.Duration(300+r.IntN(2500)) * time.Millisecond,
+				Kind:   k.name,
+				Target: r.IntN(max(processes, engines+services)),
+			})
+			break
+		}
+	}
+	return out
+}
+
+// play carries a schedule out.
+func (w *World) play(ctx context.Context, steps []Step, note func(Step)) {
+	begin := time.Now()
+	done := make(chan struct{}, len(steps))
+	for _, s := range steps {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Until(begin.Add(s.At))):
+		}
+		note(s)
+		go func() {
+			w.do(s)
+			done <- struct{}{}
+		}()
+	}
+	for range steps {
+		<-done
+	}
+}
+
+// do carries one step out and takes it back.
+func (w *World) do(s Step) {
+	p := w.processes[s.Target%len(w.processes)]
+	e := w.endpoints[s.Target%len(w.endpoints)]
+	if f, ok := storeFaults[s.Kind]; ok {
+		w.store.SetFaults(f)
+		time.Sleep(s.For)
+		w.store.SetFaults(platformtest.StoreFaults{})
+		return
+	}
+	if f, ok := endpointFaults[s.Kind]; ok {
+		e.SetFaults(f)
+		time.Sleep(s.For)
+		e.SetFaults(platformtest.EndpointFaults{})
+		return
+	}
+	if l, ok := storeLinks[s.Kind]; ok {
+		p.store.Set(l)
+		time.Sleep(s.For)
+		p.store.Set(Link{})
+		return
+	}
+	if l, ok := endpointLinks[s.Kind]; ok {
+		e.proxy.Set(l)
+		time.Sleep(s.For)
+		e.proxy.Set(Link{})
+		return
+	}
+	w.doOther(s, p, e)
+}
+
+var storeFaults = map[string]platformtest.StoreFaults{
+	"store refuses":      {Refuse: true},
+	"store silent":       {Silent: true},
+	"store slow":         {Slow: 400 * time.Millisecond},
+	"store loses writes": {LoseWrites: true},
+}
+
+var endpointFaults = map[string]platformtest.EndpointFaults{
+	"endpoint rejects":       {Reject: true},
+	"endpoint fails":         {Fail: true},
+	"endpoint cuts streams":  {CutAfter: 3},
+	"endpoint silent":        {Silent: true},
+	"endpoint loses answers": {LoseAnswer: true},
+}
+
+var storeLinks = map[string]Link{
+	"store link silent":  {Up: true, Down: true},
+	"store link one way": {Down: true},
+	"store link reset":   {Reset: true},
+}
+
+var endpointLinks = map[string]Link{
+	"endpoint link slow":    {Delay: 100 * time.Millisecond},
+	"endpoint link reset":   {Reset: true},
+	"endpoint link one way": {Down: true},
+}
+
+// doOther carries out signals and changes.
+func (w *World) doOther(s Step, p *process, e *endpoint) {
+	switch s.Kind {
+	case "term":
+		p.signal(syscall.SIGTERM, true)
+		w.restart(p, s.For)
+	case "kill":
+		p.signal(syscall.SIGKILL, true)
+		w.restart(p, s.For)
+	case "freeze":
+		p.signal(syscall.SIGSTOP, false)
+		time.Sleep(s.For)
+		p.signal(syscall.SIGCONT, false)
+	case "hangup":
+		p.signal(syscall.SIGHUP, false)
+	case "store forgets":
+		w.store.Forget(platformtest.TopicEndpoints)
+		w.store.Forget(platformtest.TopicOperator)
+	case "endpoint leaves":
+		w.leave(e, s.For)
+	case "key taken away":
+		w.takeAway()
+	}
+}
+
+// restart starts an instance again after it has ended. When it was told to end
+// twice only the first starts it.
+func (w *World) restart(p *process, after time.Duration) {
+	gone := p.gone()
+	select {
+	case <-gone:
+	case <-time.After(grace + time.Second):
+		p.signal(syscall.SIGCONT, false)
+		p.signal(syscall.SIGKILL, true)
+		<-gone
+	}
+	time.Sleep(after / 4)
+	p.mu.Lock()
+	again := p.exited != gone
+	p.mu.Unlock()
+	if again {
+		return
+	}
+	if err := w.start(p); err != nil {
+		p.mu.Lock()
+		p.ended++
+		p.mu.Unlock()
+	}
+}
+
+// leave lets an endpoint say that it leaves, and come back under another name.
+func (w *World) leave(e *endpoint, after time.Duration) {
+	w.store.Enter(e.Instance, e.service, e.proxy.Address, "d", 8, true)
+	time.Sleep(after)
+	w.store.Remove(e.Instance)
+	w.mu.Lock()
+	w.version++
+	e.Rename(fmt.Sprintf("%s.%d", e.Instance, w.version))
+	w.mu.Unlock()
+	w.store.Enter(e.Instance, e.service, e.proxy.Address, "d", 8, false)
+}
--- /dev/null
+++ b/soak/soak.go
@@ -0,0 +1,108 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Settings are the measures of a run.
+type Settings struct {
+	// Program is the program of an instance.
+	Program string
+	// Seed draws the schedule and the load.
+	Seed uint64
+	// Length is how long faults come.
+	Length time.Duration
+	// Processes is how many instances run.
+	Processes int
+	// Out gets the schedule and the result.
+	Out io.Writer
+}
+
+// The times around the faults.
+const (
+	startWithin = 10 * time.Second
+	// recoverWithin is how long the system has to be well again after the last
+	// fault, and recoverFor how long it is looked at then.
+	recoverWithin = 8 * time.Second
+	recoverFor    = 2 * time.Second
+	// settleFor is how long reservations and runs may outlast their callers.
+	settleFor = 4500 * time.Millisecond
+)
+
+// Run plays one schedule. It returns the promises that were broken.
+func Run(ctx context.Context, s Settings) ([]Violation, error) {
+	w, err := newWorld(s.Program, s.Processes)
+	if err != nil {
+		return nil, err
+	}
+	defer w.close()
+	if err := w.awaitReady(ctx); err != nil {
+		return nil, err
+	}
+	steps := Draw(s.Seed, s.Length, s.Processes)
+	c := &callers{
+		world: w,
+	}
+	load, stop := context.WithCancel(ctx)
+	defer stop()
+	var loading sync.WaitGroup
+	loading.Go(func() { c.run(load, s.Seed) })
+	w.play(ctx, steps, func(step Step) { _, _ = fmt.Fprintln(s.Out, step) })
+	wait(ctx, recoverWithin)
+	recovered := time.Now()
+	wait(ctx, recoverFor)
+	stop()
+	loading.Wait()
+	wait(ctx, settleFor)
+	history := c.all()
+	broken := append(w.judge(history), judgeRecovery(history, recovered)...)
+	w.report(s, history, broken)
+	if len(broken) == 0 {
+		// The logs of a run without a finding are of no use.
+		if err := os.RemoveAll(w.dir); err != nil {
+			return nil, errors.Wrap(err, "soak")
+		}
+	}
+	return broken, ctx.Err()
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func (w *World) awaitReady(ctx context.Context) error {
+	for end := time.Now().Add(startWithin); time.Now().Before(end); wait(ctx, 50*time.Millisecond) {
+		if w.readyCount() == len(w.processes) {
+			return nil
+		}
+	}
+	return errors.Errorf("instances are not ready after %s; %s", startWithin, w.logs())
+}
+
+// report writes the result.
+func (w *World) report(s Settings, history []Exchange, broken []Violation) {
+	status := make(map[int]int)
+	for _, x := range history {
+		status[x.Status]++
+	}
+	_, _ = fmt.Fprintf(s.Out, "seed %d: %d requests, answers by status %v, %d broken promises\n",
+		s.Seed, len(history), status, len(broken))
+	for _, v := range broken {
+		_, _ = fmt.Fprintln(s.Out, "  "+v.String())
+	}
+	if len(broken) > 0 {
+		_, _ = fmt.Fprintln(s.Out, "  "+w.logs())
+	}
+}
