--- a/cmd/linkmast/main.go
+++ b/cmd/linkmast/main.go
@@ -90,9 +90,9 @@
 }
 
 // start starts the instance that the settings ask for.
-func start(s *settings.File, log logr.Logger) (instance, error) {
+func start(s *settings.File, log logr.Logger, dropped func() int64) (instance, error) {
 	if s.Platform.Store != "" {
-		g, err := gateway.New(s, log)
+		g, err := gateway.New(s, log, dropped)
 		if err != nil {
 			return nil, err
 		}
@@ -121,7 +121,7 @@
 	log := logr.FromSlogHandler(handler).WithValues("instance", s.ID)
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	n, err := start(s, log)
+	n, err := start(s, log, lines.Dropped)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
--- a/gateway/admin.go
+++ b/gateway/admin.go
@@ -55,6 +55,8 @@
 	InFlight    int64 `json:"in_flight"`
 	Connections int   `json:"connections"`
 	Dials       int64 `json:"dials"`
+	// LinesDropped counts log lines that were dropped.
+	LinesDropped int64 `json:"lines_dropped"`
 }
 
 func (g *Gateway) processFigures() processFigures {
@@ -63,5 +65,7 @@
 		InFlight:    g.relay.InFlight(),
 		Connections: g.open.count(),
 		Dials:       g.upstream.Dials(),
+
+		LinesDropped: g.dropped(),
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -40,6 +40,7 @@
 
 	settings *settings.File
 	log      logr.Logger
+	dropped  func() int64
 	catalog  *catalog.Catalog
 	pools    *pool.Scheduler
 	placer   *pool.Client
@@ -57,12 +58,14 @@
 	stop     sync.Once
 }
 
-// New starts an instance. Stop ends it as planned, Close at once.
-func New(f *settings.File, log logr.Logger) (*Gateway, error) {
+// New starts an instance. Stop ends it as planned, Close at once. Dropped returns
+// how many log lines were dropped so far.
+func New(f *settings.File, log logr.Logger, dropped func() int64) (*Gateway, error) {
 	g := &Gateway{
 		Done:     make(chan struct{}),
 		settings: f,
 		log:      log,
+		dropped:  dropped,
 		upstream: upstream.New(upstream.Settings{}),
 		open:     newConnections(),
 		stopping: make(chan struct{}),
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -161,7 +161,7 @@
 		},
 	}
 	f.SetDefaults()
-	g, err := gateway.New(f, logr.Discard())
+	g, err := gateway.New(f, logr.Discard(), func() int64 { return 0 })
 	if err != nil {
 		w.t.Fatal(err)
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -127,6 +127,8 @@
 	exclude []string
 	// out is the caller's side of the answer.
 	out *answer
+	// next is a place that was found for the next attempt.
+	next *place
 	// failure is an endpoint's own failure, for when no other can be had.
 	failure *failure
 }
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -58,37 +58,67 @@
 // attempt finds a place and sends the request there once. It returns true when
 // another attempt makes sense, else the final answer, nil once it was sent.
 func (l *Relay) attempt(ctx context.Context, j *job) (again bool, final *refusal) {
-	a := l.ask(j)
-	g, err := l.parts.Placer.Place(ctx, a)
+	p, err := l.place(ctx, j)
 	if err != nil {
 		return false, j.unplaced(ctx, err)
 	}
-	if gone := l.departed(&g); gone != "" {
-		l.parts.Placer.End(a.ID, a.Service, pool.Abandoned, "")
-		l.parts.Log.Info("place declined", "request", j.head.ID, "attempt", a.ID, "endpoint", gone,
-			"reason", "it is leaving", "by", g.By)
+	if gone := l.departed(&p.grant); gone != "" {
+		l.parts.Placer.End(p.ask.ID, p.ask.Service, pool.Abandoned, "")
+		l.parts.Log.Info("place declined", "request", j.head.ID, "attempt", p.ask.ID, "endpoint", gone,
+			"reason", "it is leaving", "by", p.grant.By)
 		j.exclude = append(j.exclude, gone)
 		return true, nil
 	}
 	if j.keyed && !j.ran {
 		if late := l.tooOld(); late != nil {
-			l.parts.Placer.End(a.ID, a.Service, pool.Abandoned, "")
+			l.parts.Placer.End(p.ask.ID, p.ask.Service, pool.Abandoned, "")
 			return false, late
 		}
 	}
 	t := &try{
 		relay: l,
 		job:   j,
-		ask:   a,
-		grant: g,
+		ask:   p.ask,
+		grant: p.grant,
 	}
 	res := t.run(ctx)
-	l.parts.Placer.End(a.ID, a.Service, res.outcome, res.culprit)
+	l.parts.Placer.End(p.ask.ID, p.ask.Service, res.outcome, res.culprit)
 	l.logTry(j, t, res)
-	if res.final {
-		return false, nil
+	return l.after(ctx, j, t, res)
+}
+
+// place returns the place that was found during the last attempt, or a new one.
+func (l *Relay) place(ctx context.Context, j *job) (*place, error) {
+	if p := j.next; p != nil {
+		j.next = nil
+		return p, nil
+	}
+	a := l.ask(j)
+	g, err := l.parts.Placer.Place(ctx, a)
+	if err != nil {
+		return nil, err
+	}
+	return &place{
+		ask:   a,
+		grant: g,
+	}, nil
+}
+
+// after decides what follows an attempt. A place that was found for another one
+// is used or given back.
+func (l *Relay) after(ctx context.Context, j *job, t *try, res result) (again bool, final *refusal) {
+	again, final = false, nil
+	if !res.final {
+		again, final = l.next(ctx, j, t, res)
+	}
+	switch {
+	case t.next == nil:
+	case again:
+		j.next = t.next
+	default:
+		l.parts.Placer.End(t.next.ask.ID, t.next.ask.Service, pool.Abandoned, "")
 	}
-	return l.next(ctx, j, t, res)
+	return again, final
 }
 
 // departed returns an endpoint of a grant that must get nothing new, or nothing:
--- a/relay/try.go
+++ b/relay/try.go
@@ -23,7 +23,9 @@
 	grant pool.Grant
 
 	// caller ends when the caller goes or its time is over.
-	caller     context.Context
+	caller context.Context
+	// next is the place of the next attempt, when this one was ended for it.
+	next       *place
 	began      time.Time
 	firstAfter time.Duration
 	longestGap time.Duration
@@ -62,8 +64,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	request := t.request()
-	watch := t.watch(cancel)
-	defer watch.stop()
+	watch := t.watch(ctx, cancel)
+	defer func() { t.next = watch.end() }()
 	x, err := t.relay.parts.Upstream.Do(ctx, request)
 	if err != nil {
 		return t.unanswered(err, watch)
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -3,9 +3,11 @@
 package relay
 
 import (
-	"sync/atomic"
+	"context"
+	"sync"
 	"time"
 
+	"github.com/linkmast/linkmast/pool"
 	"github.com/linkmast/linkmast/route"
 )
 
@@ -20,32 +22,75 @@
 	gapSilence = 4
 	// firstSilence is how much longer than predicted the first event may take.
 	firstSilence = 700 * time.Millisecond
+	// replaceWithin bounds the search for another place. Longer than that and
+	// the silent endpoint may as well be waited for.
+	replaceWithin = 300 * time.Millisecond
 )
 
-// watch ends an attempt whose endpoint is silent.
+// place is a place for the next attempt, found before the present one is ended.
+type place struct {
+	ask   pool.Ask
+	grant pool.Grant
+}
+
+// watch ends an attempt whose endpoint is silent, once there is another place:
+// without one the silent endpoint is the best there is.
 type watch struct {
-	timer  *time.Timer
+	try    *try
+	cancel func()
 	limit  time.Duration
-	silent atomic.Bool
+	// stopped ends the search for a place.
+	stopped context.Context
+	stop    func()
+
+	mu    sync.Mutex
+	timer *time.Timer
+	next  *place
 }
 
 // watch starts the watch of an attempt. Only streams that can be continued at
 // one more endpoint are watched: nothing is won by ending another one early.
-func (t *try) watch(cancel func()) *watch {
-	w := &watch{}
+func (t *try) watch(ctx context.Context, cancel func()) *watch {
+	w := &watch{
+		try:    t,
+		cancel: cancel,
+	}
+	w.stopped, w.stop = context.WithCancel(ctx)
 	r := t.job.route
 	if r.Kind != route.Streaming || !r.Resumable || t.job.attemptsLeft() <= 0 {
 		return w
 	}
 	w.limit = max(minSilence, gapSilence*r.GapTarget)
-	begin := max(w.limit, 2*t.grant.First+firstSilence)
-	w.timer = time.AfterFunc(begin, func() {
-		w.silent.Store(true)
-		cancel()
-	})
+	w.timer = time.AfterFunc(max(w.limit, 2*t.grant.First+firstSilence), w.replace)
 	return w
 }
 
+// replace looks for another place and ends the attempt when there is one.
+func (w *watch) replace() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped.Err() != nil || w.next != nil {
+		return
+	}
+	t := w.try
+	a := t.relay.ask(t.job)
+	a.Exclude = append(a.Exclude[:len(a.Exclude):len(a.Exclude)], t.grant.Instance)
+	ctx, cancel := context.WithTimeout(w.stopped, replaceWithin)
+	defer cancel()
+	g, err := t.relay.parts.Placer.Place(ctx, a)
+	if err != nil {
+		t.relay.parts.Log.Info("silent endpoint kept", "request", t.job.head.ID, "attempt", t.ask.ID,
+			"endpoint", t.grant.Instance, "reason", err.Error())
+		w.timer.Reset(w.limit)
+		return
+	}
+	w.next = &place{
+		ask:   a,
+		grant: g,
+	}
+	w.cancel()
+}
+
 // touch notes a sign of life.
 func (w *watch) touch() {
 	if w.timer != nil {
@@ -53,13 +98,22 @@
 	}
 }
 
-func (w *watch) stop() {
-	if w.timer != nil {
-		w.timer.Stop()
+// end ends the watch. It returns the place for the next attempt if the endpoint
+// was given up for it.
+func (w *watch) end() *place {
+	w.stop()
+	if w.timer == nil {
+		return nil
 	}
+	w.timer.Stop()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.next
 }
 
 // expired states that the attempt was ended for silence.
 func (w *watch) expired() bool {
-	return w.silent.Load()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.next != nil
 }
