Send configurations between instances as what changed

Change: long records are packed against the one before, once for all followers; who comes back gets no configuration that it has; instances with a slow link are the last to get duties. The packing of package rollout is shared (internal/zdelta).

--- a/catalog/apply.go
+++ b/catalog/apply.go
@@ -60,8 +60,9 @@
 
 // note keeps a record that took effect, and hands it on to followers.
 func (c *Catalog) note(f Feed, r Record) {
+	before := c.records[f][r.Key]
 	c.records[f][r.Key] = r
-	c.journal.add(f, r)
+	c.journal.add(f, r, before)
 }
 
 // applyTable brings a configuration into force if it is newer.
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -68,6 +69,10 @@
 		r.Key = v.Key
 	}
 	r.Value = fmt.Appendf(nil, "%s/%d", f, len(s.changes))
+	if f == catalog.Configurations {
+		// Long enough to be packed on its way between instances.
+		r.Value = fmt.Appendf(r.Value, "%s %d", strings.Repeat("a route and another ", 500), len(s.changes))
+	}
 	s.changes[string(r.Value)] = c
 	return r
 }
--- a/catalog/journal.go
+++ b/catalog/journal.go
@@ -2,14 +2,47 @@
 
 package catalog
 
+import (
+	"sync"
+
+	"github.com/linkmast/linkmast/internal/zdelta"
+)
+
 // journalLength is how many changes followers may be behind before they get all
 // records anew.
-const journalLength = 4096
+const journalLength = 512
 
 // entry is a record that took effect.
 type entry struct {
 	feed   Feed
 	record Record
+	// packed is a long record's value against that of the record before.
+	packed *packed
+}
+
+// packedFrom is the size from which values are packed, in bytes.
+const packedFrom = 2 << 10
+
+// packed is a value against an earlier one of its key, packed when it is first
+// sent. All followers share it.
+type packed struct {
+	value Record
+	base  Record
+
+	once sync.Once
+	data []byte
+	err  error
+}
+
+// bytes returns the packed value.
+func (p *packed) bytes() ([]byte, error) {
+	p.once.Do(func() {
+		p.data, p.err = zdelta.Pack(p.value.Value, p.base.Value)
+		p.value, p.base = Record{}, Record{
+			Offset: p.base.Offset,
+		}
+	})
+	return p.data, p.err
 }
 
 // journal is the latest changes in order.
@@ -19,11 +52,19 @@
 	first int64
 }
 
-func (j *journal) add(f Feed, r Record) {
-	j.entries = append(j.entries, entry{
+// add adds a record that replaces another one of its key.
+func (j *journal) add(f Feed, r, before Record) {
+	e := entry{
 		feed:   f,
 		record: r,
-	})
+	}
+	if len(r.Value) >= packedFrom && len(before.Value) > 0 {
+		e.packed = &packed{
+			value: r,
+			base:  before,
+		}
+	}
+	j.entries = append(j.entries, e)
 	if over := len(j.entries) - journalLength; over > 0 {
 		j.entries = append([]entry(nil), j.entries[over:]...)
 		j.first += int64(over)
--- a/catalog/readers.go
+++ b/catalog/readers.go
@@ -12,6 +12,7 @@
 
 	"github.com/linkmast/linkmast/catalog/catalogpb"
 	"github.com/linkmast/linkmast/internal/rendezvous"
+	"github.com/linkmast/linkmast/internal/zdelta"
 )
 
 // The times of following other instances.
@@ -231,6 +232,7 @@
 	f.sent[f.seq] = time.Now()
 	return f.stream.Send(&catalogpb.Ping{
 		Seq: f.seq,
+		Has: f.catalog.configurationOffset(),
 	})
 }
 
@@ -239,15 +241,14 @@
 	c := f.catalog
 	switch k := u.GetKind().(type) {
 	case *catalogpb.Update_Records:
-		records := make([]Record, 0, len(k.Records.GetRecords()))
-		for _, r := range k.Records.GetRecords() {
-			records = append(records, Record{
-				Key:    r.GetKey(),
-				Value:  r.GetValue(),
-				Offset: r.GetOffset(),
-			})
+		feed := Feed(k.Records.GetFeed())
+		records, err := c.decode(feed, k.Records.GetRecords())
+		if err != nil {
+			return err
 		}
-		c.apply(Feed(k.Records.GetFeed()), records, k.Records.GetNext(), k.Records.GetWhole())
+		// The configuration is not sent again to those who have it.
+		whole := k.Records.GetWhole() && feed != Configurations
+		c.apply(feed, records, k.Records.GetNext(), whole)
 	case *catalogpb.Update_Age:
 		sent := f.sent[k.Age.GetSeq()]
 		for seq := range f.sent {
@@ -267,3 +268,55 @@
 	}
 	return nil
 }
+
+// decode unpacks records.
+func (c *Catalog) decode(f Feed, in []*catalogpb.Record) ([]Record, error) {
+	out := make([]Record, 0, len(in))
+	for _, m := range in {
+		r := Record{
+			Key:    m.GetKey(),
+			Value:  m.GetValue(),
+			Offset: m.GetOffset(),
+		}
+		if m.GetPacked() {
+			base, err := c.base(f, m)
+			if err != nil {
+				return nil, err
+			}
+			if r.Value, err = zdelta.Unpack(m.GetValue(), base); err != nil {
+				return nil, err
+			}
+		}
+		out = append(out, r)
+	}
+	return out, nil
+}
+
+// errBase ends following when a change refers to a record that is not known; all
+// records come with the next stream.
+var errBase = errors.New("a change builds on an unknown record")
+
+// base returns the value that a packed record builds on.
+func (c *Catalog) base(f Feed, m *catalogpb.Record) ([]byte, error) {
+	if m.GetBase() < 0 {
+		return nil, nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r, ok := c.records[f][m.GetKey()]
+	if !ok || r.Offset != m.GetBase() {
+		return nil, errBase
+	}
+	return r.Value, nil
+}
+
+// configurationOffset returns the offset of the configuration that is known, or
+// noOffset.
+func (c *Catalog) configurationOffset() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range c.records[Configurations] {
+		return r.Offset
+	}
+	return noOffset
+}
--- a/catalog/readers_test.go
+++ b/catalog/readers_test.go
@@ -182,6 +182,10 @@
 	awaitReaders(t, all, 2)
 	fake.put(catalog.Configurations, version(2))
 	assertInForce(t, all, 2)
+	for n := range int64(20) {
+		fake.put(catalog.Configurations, version(3+n))
+	}
+	assertInForce(t, all, 22)
 	fake.put(catalog.Endpoints, endpoint("e1", true))
 	for _, x := range all {
 		await(t, "leaving", func() bool { return x.Snapshot().Gone("e1") })
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -100,7 +100,7 @@
 		ID:            f.ID,
 		Address:       g.PeerListen,
 		FailureDomain: f.FailureDomain,
-		Capacity:      int(f.ProcessorShare * thousandths),
+		Capacity:      capacity(f),
 	}
 	g.peers = peer.New(nil)
 	g.catalog = catalog.New(catalog.Settings{
@@ -137,6 +137,20 @@
 // thousandths of a processor core are the unit of an instance's capacity.
 const thousandths = 1000
 
+// capacityPerMbps is how much of a core the work takes that a Mbit/s carries, in
+// thousandths: 200 Mbit/s go with a whole core.
+const capacityPerMbps = 5
+
+// capacity returns what an instance can carry, by its processor or its link,
+// whichever binds.
+func capacity(f *settings.File) int {
+	c := f.ProcessorShare * thousandths
+	if f.LinkMbps > 0 {
+		c = min(c, f.LinkMbps*capacityPerMbps)
+	}
+	return max(int(c), 1)
+}
+
 // rpcBuffer is the buffer of each direction of a connection between instances.
 const rpcBuffer = 16 << 10
 
--- a/rollout/pack.go
+++ b/internal/zdelta/zdelta.go
@@ -1,16 +1,19 @@
 // Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
 
-package rollout
+// Package zdelta packs texts, alone or as what they differ in from another text
+// that the reader has (zstd, RFC 8878, with the other text as its dictionary).
+package zdelta
 
 import (
 	"math/bits"
 
 	"github.com/go-faster/errors"
 	"github.com/klauspost/compress/zstd"
-
-	"github.com/linkmast/linkmast/config"
 )
 
+// MaxBytes is the largest text that is unpacked.
+const MaxBytes = 8 << 20
+
 // dictID names the dictionary of deltas; there is only ever one.
 const dictID = 1
 
@@ -20,12 +23,12 @@
 // window returns a window that spans both files.
 func window(n int) int {
 	w := 1 << bits.Len(uint(n))
-	return min(max(w, minWindow), config.MaxBytes*2)
+	return min(max(w, minWindow), MaxBytes*2)
 }
 
-// pack compresses text with zstd (RFC 8878). With base, the result is a delta
+// Pack compresses text with zstd (RFC 8878). With base, the result is a delta
 // that only a reader who has base can unpack.
-func pack(text, base []byte) ([]byte, error) {
+func Pack(text, base []byte) ([]byte, error) {
 	opts := []zstd.EOption{
 		zstd.WithEncoderConcurrency(1),
 		zstd.WithWindowSize(window(len(text) + len(base))),
@@ -45,12 +48,12 @@
 	return out, nil
 }
 
-// unpack reverses pack. It fails on anything larger than a file may be.
-func unpack(data, base []byte) ([]byte, error) {
+// Unpack reverses Pack. It fails on anything larger than MaxBytes.
+func Unpack(data, base []byte) ([]byte, error) {
 	opts := []zstd.DOption{
 		zstd.WithDecoderConcurrency(1),
-		zstd.WithDecoderMaxMemory(config.MaxBytes),
-		zstd.WithDecoderMaxWindow(config.MaxBytes * 2),
+		zstd.WithDecoderMaxMemory(MaxBytes),
+		zstd.WithDecoderMaxWindow(MaxBytes * 2),
 		zstd.WithDecoderLowmem(true),
 	}
 	if len(base) > 0 {
--- a/rollout/bench_test.go
+++ b/rollout/bench_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"github.com/linkmast/linkmast/config"
+	"github.com/linkmast/linkmast/internal/zdelta"
 )
 
 // file returns a configuration with n endpoints, in which one figure of one
@@ -61,11 +62,11 @@
 			var delta []byte
 			for b.Loop() {
 				var err error
-				if delta, err = pack(text, old); err != nil {
+				if delta, err = zdelta.Pack(text, old); err != nil {
 					b.Fatal(err)
 				}
 			}
-			whole, err := pack(text, nil)
+			whole, err := zdelta.Pack(text, nil)
 			if err != nil {
 				b.Fatal(err)
 			}
@@ -79,12 +80,12 @@
 	for _, n := range sizes {
 		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
 			old, text := file(n, 0), file(n, 7)
-			delta, err := pack(text, old)
+			delta, err := zdelta.Pack(text, old)
 			if err != nil {
 				b.Fatal(err)
 			}
 			for b.Loop() {
-				if _, err := unpack(delta, old); err != nil {
+				if _, err := zdelta.Unpack(delta, old); err != nil {
 					b.Fatal(err)
 				}
 			}
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/linkmast/linkmast/config"
+	"github.com/linkmast/linkmast/internal/zdelta"
 	"github.com/linkmast/linkmast/logsvc"
 	"github.com/linkmast/linkmast/rollout/rolloutpb"
 )
@@ -218,7 +219,7 @@
 
 // open reads the file of a record; base is the file that a delta is against.
 func open(rec *rolloutpb.Record, base []byte) (State, error) {
-	text, err := unpack(rec.Body, base)
+	text, err := zdelta.Unpack(rec.Body, base)
 	if err != nil {
 		return State{}, errors.Wrap(err, "unpack")
 	}
--- a/rollout/publish.go
+++ b/rollout/publish.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/linkmast/linkmast/config"
+	"github.com/linkmast/linkmast/internal/zdelta"
 	"github.com/linkmast/linkmast/logsvc"
 	"github.com/linkmast/linkmast/rollout/rolloutpb"
 )
@@ -107,7 +108,7 @@
 // encode returns a record that carries text, as a delta against base if there
 // is one.
 func encode(text, base []byte, rec *rolloutpb.Record) ([]byte, error) {
-	body, err := pack(text, base)
+	body, err := zdelta.Pack(text, base)
 	if err != nil {
 		return nil, err
 	}
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -14,6 +14,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/linkmast/linkmast/config"
+	"github.com/linkmast/linkmast/internal/zdelta"
 	"github.com/linkmast/linkmast/logsvc"
 	"github.com/linkmast/linkmast/rollout/rolloutpb"
 )
@@ -305,7 +306,7 @@
 	if !reply.Delta {
 		base = nil
 	}
-	text, err := unpack(reply.Body, base)
+	text, err := zdelta.Unpack(reply.Body, base)
 	if err == nil {
 		var s State
 		if s, err = parse(text, reply.Sha256, reply.WrittenMs); err == nil {
@@ -349,7 +350,7 @@
 	body, ok := r.deltas[key]
 	if !ok {
 		var err error
-		if body, err = pack(s.Text, base); err != nil {
+		if body, err = zdelta.Pack(s.Text, base); err != nil {
 			return nil, err
 		}
 		r.deltas[key] = body
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"github.com/linkmast/linkmast/internal/zdelta"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -273,12 +274,12 @@
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			is := is.New(t)
 			old, text := file(n, 1), file(n, 2)
-			delta, err := pack(text, old)
+			delta, err := zdelta.Pack(text, old)
 			is.NoErr(err)
-			got, err := unpack(delta, old)
+			got, err := zdelta.Unpack(delta, old)
 			is.NoErr(err)
 			is.Equal(string(got), string(text))
-			_, err = unpack(delta[:len(delta)/2], old)
+			_, err = zdelta.Unpack(delta[:len(delta)/2], old)
 			is.True(err != nil)
 		})
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -43,6 +43,9 @@
 	// ProcessorShare is the part of a processor core that the instance has; the
 	// default is 1. Instances with more of it carry more.
 	ProcessorShare float64 `toml:"processor_share"`
+	// LinkMbps is the speed of the instance's link in Mbit/s; zero means that it
+	// does not bind.
+	LinkMbps float64 `toml:"link_mbps"`
 	// Retries bounds how many requests are sent to endpoints again.
 	Retries Retries `toml:"retries"`
 	// Peers are peer addresses of other instances, asked at a start while the
@@ -272,6 +275,7 @@
 	}
 	for name, v := range map[string]float64{
 		"processor_share": f.ProcessorShare,
+		"link_mbps":       f.LinkMbps,
 		"retries.ratio":   f.Retries.Ratio,
 		"retries.extra":   f.Retries.Extra,
 	} {
