Count a resumed stream that fails as an attempt

Change: only an endpoint that broke its stream off no longer counts. TestAttempts is red without it.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -154,6 +154,37 @@
 	})
 }
 
+// TestAttempts counts the endpoints that streams are sent to when all of them
+// fail in some way: at most two, as the route says, but for those that broke a
+// stream off.
+func TestAttempts(t *testing.T) {
+	for _, row := range []struct {
+		name   string
+		faults platformtest.EndpointFaults
+		most   int
+	}{
+		{"reject", platformtest.EndpointFaults{Reject: true}, 0},
+		{"fail before the first event", platformtest.EndpointFaults{FailStreams: true}, 2},
+		{"fail when a stream goes on", platformtest.EndpointFaults{FailResumed: true, CutAfter: 3}, 2},
+		{"silent", platformtest.EndpointFaults{Silent: true}, 2},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, 1)
+			w.addEndpoint("e3", "engines", fastEngine())
+			w.addEndpoint("e4", "engines", fastEngine())
+			for _, name := range []string{"e1", "e2", "e3", "e4"} {
+				w.endpoints[name].SetFaults(row.faults)
+			}
+			for i := range 3 {
+				id := "n" + strconv.Itoa(i)
+				w.ask(0, call{id: id, path: "/stream/", tokens: 500})
+				is.True(w.runs(id) <= row.most)
+			}
+		})
+	}
+}
+
 // TestKeyTakenAway takes a key away while instances can't learn of it.
 func TestKeyTakenAway(t *testing.T) {
 	for _, row := range []struct {
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -185,8 +185,8 @@
 		return false, j.giveUp(res.reason, 0)
 	case res.outcome == pool.Unreachable && len(j.exclude) <= maxUnreachable:
 		return true, nil
-	case j.out.begun && res.outcome == pool.Failed && len(j.exclude) <= maxResumes:
-		// The endpoint ended its run itself; it no longer counts.
+	case j.out.begun && res.broke && len(j.exclude) <= maxResumes:
+		// The endpoint broke its run off; it no longer counts.
 		return true, nil
 	case j.attemptsLeft() > 0:
 		return true, nil
--- a/relay/try.go
+++ b/relay/try.go
@@ -37,7 +37,9 @@
 	// culprit is the endpoint at fault, if it is not that of the grant.
 	culprit string
 	// final states that the caller has a whole answer.
-	final  bool
+	final bool
+	// broke states that the endpoint broke its answer off.
+	broke  bool
 	status int
 	reason string
 }
@@ -140,6 +142,8 @@
 	case t.job.out.gone():
 		res.outcome = pool.Abandoned
 		res.reason = "caller gone"
+	default:
+		res.broke = true
 	}
 	return res
 }
