--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -95,6 +95,8 @@
 	// instance that it follows last confirmed the configuration.
 	read  clock
 	heard clock
+	// failing has a bit for each feed whose last read failed.
+	failing atomic.Int64
 	// followers counts the instances that follow this one.
 	followers atomic.Int64
 
--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -90,6 +90,7 @@
 	for ctx.Err() == nil {
 		if !c.shouldRead() {
 			sleep(ctx, lookEvery)
+			c.failing.And(^(1 << f))
 			next, failures = -1, 0
 			continue
 		}
@@ -104,9 +105,11 @@
 		}
 		if err != nil {
 			failures++
+			c.failing.Or(1 << f)
 			c.failed(ctx, f, failures, err)
 			continue
 		}
+		c.failing.And(^(1 << f))
 		if failures > 0 {
 			c.log.Info("store is back", "feed", f.String(), "failures", failures)
 			if f == Configurations {
--- a/catalog/readers.go
+++ b/catalog/readers.go
@@ -27,7 +27,7 @@
 	openWithin = 600 * time.Millisecond
 	// answerSlack is how much longer than its wait a poll may take before the
 	// store counts as out of reach for followers.
-	answerSlack = 350 * time.Millisecond
+	answerSlack = 300 * time.Millisecond
 )
 
 // maxUpdate bounds a message between instances: a whole configuration.
@@ -46,6 +46,8 @@
 // follows; false when it never did.
 func (c *Catalog) answered() (time.Duration, bool) {
 	read, ok := c.read.since()
+	// With a feed that can't be read it is not known what others must know.
+	ok = ok && c.failing.Load() == 0
 	heard, also := c.heard.since()
 	switch {
 	case ok && also:
@@ -94,7 +96,7 @@
 
 // shouldFollow states whether this instance follows another one.
 func (c *Catalog) shouldFollow() bool {
-	if !c.read.within(c.fresh()) {
+	if !c.read.within(c.fresh()) || c.failing.Load() != 0 {
 		return true
 	}
 	_, first := c.order()
--- a/catalog/readers_test.go
+++ b/catalog/readers_test.go
@@ -196,12 +196,13 @@
 // change soon after all the same, and are not many that read.
 func TestReadersFail(t *testing.T) {
 	for _, row := range []struct {
-		name string
-		fail func(x *instance)
+		name   string
+		within time.Duration
+		fail   func(x *instance)
 	}{
-		{"turned away by the store", func(x *instance) { x.store.refused.Store(true) }},
-		{"killed", func(x *instance) { x.rpc.Stop() }},
-		{"not answered by the store", func(x *instance) { x.store.silent.Store(true) }},
+		{"turned away by the store", 500 * time.Millisecond, func(x *instance) { x.store.refused.Store(true) }},
+		{"killed", 800 * time.Millisecond, func(x *instance) { x.rpc.Stop() }},
+		{"not answered by the store", 1200 * time.Millisecond, func(x *instance) { x.store.silent.Store(true) }},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			is := is.New(t)
@@ -219,9 +220,13 @@
 			// Followers leave readers that the store does not answer before a
 			// change is due.
 			fake.put(catalog.Configurations, version(2))
+			fake.put(catalog.Endpoints, endpoint("e1", true))
 			changed := time.Now()
 			assertInForce(t, left, 2)
-			is.True(time.Since(changed) < 1200*time.Millisecond)
+			for _, x := range left {
+				await(t, "leaving", func() bool { return x.Snapshot().Gone("e1") })
+			}
+			is.True(time.Since(changed) < row.within)
 			is.True(len(readers(left)) >= 1)
 		})
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -161,9 +161,9 @@
 
 // pollsPerRevoke is how many polls for configurations fit into the time in which
 // keys must be refused. With 5 s a reader that the store no longer answers is
-// left by its followers within 1.3 s, well below the 2 s in which changes must be
-// in force.
-const pollsPerRevoke = 8
+// left by its followers within a second, well below the 2 s in which changes must
+// be in force.
+const pollsPerRevoke = 10
 
 // maxAgeShare is the part of the time in which a key must be refused after it
 // was taken away, up to which a configuration's age is trusted. The rest is for
--- /dev/null
+++ b/internal/jsonlog/jsonlog_test.go
@@ -0,0 +1,52 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package jsonlog_test
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/internal/jsonlog"
+)
+
+// slow is a writer that hangs until it is freed.
+type slow struct {
+	free chan struct{}
+
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (s *slow) Write(p []byte) (int, error) {
+	<-s.free
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.buf.Write(p)
+}
+
+// TestNeverBlocks writes more than the queue takes to a writer that hangs.
+func TestNeverBlocks(t *testing.T) {
+	is := is.New(t)
+	s := &slow{
+		free: make(chan struct{}),
+	}
+	w := jsonlog.New(s)
+	began := time.Now()
+	const lines = 10_000
+	for range lines {
+		_, err := w.Write([]byte("{}\n"))
+		is.NoErr(err)
+	}
+	is.True(time.Since(began) < time.Second)
+	is.True(w.Dropped() > 0)
+	close(s.free)
+	w.Close()
+	got := s.buf.String()
+	is.True(strings.Contains(got, "log lines dropped"))
+	is.Equal(int64(strings.Count(got, "{}\n"))+w.Dropped(), int64(lines)) // none is lost without being counted
+}
--- /dev/null
+++ b/internal/rendezvous/rendezvous_test.go
@@ -0,0 +1,66 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package rendezvous_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/internal/rendezvous"
+)
+
+type node struct {
+	id     string
+	weight int
+}
+
+func of(n node) (string, int) { return n.id, n.weight }
+
+func nodes(n int) []node {
+	var out []node
+	for i := range n {
+		out = append(out, node{
+			id:     fmt.Sprint("n", i),
+			weight: 100,
+		})
+	}
+	return out
+}
+
+func TestSort(t *testing.T) {
+	t.Run("does not depend on the order", func(t *testing.T) {
+		is := is.New(t)
+		a, b := nodes(9), nodes(9)
+		b[0], b[8] = b[8], b[0]
+		rendezvous.Sort("k", a, of)
+		rendezvous.Sort("k", b, of)
+		is.Equal(a, b)
+	})
+	t.Run("only the keys of a node that goes move", func(t *testing.T) {
+		is := is.New(t)
+		for k := range 200 {
+			key := fmt.Sprint(k)
+			a := nodes(9)
+			b := nodes(8)
+			rendezvous.Sort(key, a, of)
+			rendezvous.Sort(key, b, of)
+			is.True(a[0] == b[0] || a[0].id == "n8")
+		}
+	})
+	t.Run("weak nodes come first for few keys", func(t *testing.T) {
+		is := is.New(t)
+		weak := 0
+		for k := range 2000 {
+			a := nodes(9)
+			a[0].weight = 20
+			rendezvous.Sort(fmt.Sprint(k), a, of)
+			if a[0].id == "n0" {
+				weak++
+			}
+		}
+		// By squared weights 1 in 201.
+		is.True(weak < 40)
+	})
+}
--- /dev/null
+++ b/relay/stream_test.go
@@ -0,0 +1,55 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package relay
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestWholeEvents(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		data string
+		want int
+	}{
+		{"nothing", "", 0},
+		{"part", "id: 1\ndata: x\n", 0},
+		{"one", "id: 1\ndata: x\n\n", 15},
+		{"one and a part", "id: 1\ndata: x\n\nid: 2", 15},
+		{"two", "id: 1\n\nid: 2\n\n", 14},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(wholeEvents([]byte(row.data)), row.want)
+		})
+	}
+}
+
+func TestNoteEvents(t *testing.T) {
+	is := is.New(t)
+	e := events{
+		last: "4",
+	}
+	e.note([]byte("id: 5\ndata: id: 9\n\nid:6\ndata: y\n\n"))
+	is.Equal(e.last, "6")
+	is.Equal(e.count, 2)
+	e.note([]byte(": comment\n\n"))
+	is.Equal(e.last, "6")
+}
+
+// TestPassed looks that what concerns a single connection is not passed on.
+func TestPassed(t *testing.T) {
+	is := is.New(t)
+	h := http.Header{}
+	h.Set("Connection", "close, X-Hop")
+	h.Set("X-Hop", "1")
+	h.Set("Transfer-Encoding", "chunked")
+	h.Set("Content-Length", "7")
+	h.Set("Model", "m")
+	got := passed(h)
+	is.Equal(got, http.Header{"Model": {"m"}})
+	is.Equal(h.Get("X-Hop"), "1") // the caller's header stays
+}
