--- a/catalog/apply.go
+++ b/catalog/apply.go
@@ -6,9 +6,22 @@
 	"time"
 )
 
+// source is where records come from.
+type source int
+
+// The sources of records.
+const (
+	// fromStore are records that this instance read: it may have to doubt
+	// removals.
+	fromStore source = iota
+	// fromPeer are records of an instance that is followed. They took effect
+	// there, so that doubts are over.
+	fromPeer
+)
+
 // apply takes over records of a feed. With whole set they are all there is of
 // the feed before next, so that what is missing has gone.
-func (c *Catalog) apply(f Feed, records []Record, next int64, whole bool) {
+func (c *Catalog) apply(f Feed, records []Record, next int64, whole bool, from source) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.next[f] = max(c.next[f], next)
@@ -16,10 +29,10 @@
 	seen := make(map[string]bool, len(records))
 	for _, r := range records {
 		seen[r.Key] = true
-		any = c.applyRecord(f, r) || any
+		any = c.applyRecord(f, r, from) || any
 	}
 	if whole {
-		any = c.dropMissing(f, seen, next) || any
+		any = c.dropMissing(f, seen, next, from) || any
 	}
 	if any {
 		c.publish()
@@ -28,11 +41,11 @@
 
 // applyRecord takes over a record if it is newer than what is known. It returns
 // whether that changed anything.
-func (c *Catalog) applyRecord(f Feed, r Record) bool {
+func (c *Catalog) applyRecord(f Feed, r Record, from source) bool {
 	if old, known := c.records[f][r.Key]; known && r.Offset <= old.Offset {
 		return false
 	}
-	if w, waits := c.vanished[r.Key]; f == Endpoints && waits && r.Offset <= w.record.Offset {
+	if w, waits := c.vanished[r.Key]; f == Endpoints && waits && from == fromStore && r.Offset <= w.record.Offset {
 		return false
 	}
 	switch v := c.store.Decode(f, r).(type) {
@@ -41,7 +54,7 @@
 	case *EndpointChange:
 		c.applyEndpoint(v.Endpoint)
 	case *EndpointGone:
-		return c.remove(r)
+		return c.remove(r, from)
 	case *PeerChange:
 		if c.peers[v.Peer.ID] != v.Peer {
 			c.log.Info("peer known", "peer", v.Peer.ID, "address", v.Peer.Address)
@@ -106,13 +119,13 @@
 
 // remove ends an endpoint, at once or, in doubt, after a while. It returns
 // whether it did.
-func (c *Catalog) remove(r Record) bool {
+func (c *Catalog) remove(r Record, from source) bool {
 	if _, known := c.endpoints[r.Key]; !known {
 		c.note(Endpoints, r)
 		return false
 	}
 	now := time.Now()
-	if !now.Before(c.doubt) {
+	if from == fromPeer || !now.Before(c.doubt) {
 		c.removeNow(r, "its entry was removed")
 		return true
 	}
@@ -135,7 +148,7 @@
 }
 
 // dropMissing removes what a whole read of a feed up to an offset did not show.
-func (c *Catalog) dropMissing(f Feed, seen map[string]bool, next int64) bool {
+func (c *Catalog) dropMissing(f Feed, seen map[string]bool, next int64, from source) bool {
 	any := false
 	for key, old := range c.records[f] {
 		if seen[key] || len(old.Value) == 0 || old.Offset >= next || f == Configurations {
@@ -145,7 +158,7 @@
 		any = c.applyRecord(f, Record{
 			Key:    key,
 			Offset: next - 1,
-		}) || any
+		}, from) || any
 	}
 	return any
 }
--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -153,7 +153,7 @@
 	if err != nil {
 		return -1, err
 	}
-	c.apply(f, records, next, true)
+	c.apply(f, records, next, true, fromStore)
 	if f == Configurations && len(records) > 0 {
 		c.confirm(sent)
 		c.read.mark(time.Now())
@@ -191,7 +191,7 @@
 	if err != nil {
 		return from, err
 	}
-	c.apply(f, records, next, false)
+	c.apply(f, records, next, false, fromStore)
 	if f == Configurations {
 		c.confirm(sent)
 		c.read.mark(time.Now())
--- a/catalog/readers.go
+++ b/catalog/readers.go
@@ -250,7 +250,7 @@
 		}
 		// The configuration is not sent again to those who have it.
 		whole := k.Records.GetWhole() && feed != Configurations
-		c.apply(feed, records, k.Records.GetNext(), whole)
+		c.apply(feed, records, k.Records.GetNext(), whole, fromPeer)
 	case *catalogpb.Update_Age:
 		sent := f.sent[k.Age.GetSeq()]
 		for seq := range f.sent {
--- a/catalog/readers_test.go
+++ b/catalog/readers_test.go
@@ -241,7 +241,16 @@
 	}
 	time.Sleep(500 * time.Millisecond)
 	fake.put(catalog.Configurations, version(2))
+	fake.put(catalog.Endpoints, &catalog.EndpointGone{
+		Instance: "e1",
+	})
+	gone := time.Now()
 	assertInForce(t, all, 2)
+	for _, x := range all {
+		await(t, "gone", func() bool { return x.Snapshot().Gone("e1") })
+	}
+	// Those that are turned away themselves don't doubt what others tell them.
+	is.New(t).True(time.Since(gone) < time.Second)
 }
 
 // TestAgeOfFollowers looks that no instance takes what it knows for fresher than
