--- a/catalog/apply.go
+++ b/catalog/apply.go
@@ -25,16 +25,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.next[f] = max(c.next[f], next)
-	any := false
+	changed := false
 	seen := make(map[string]bool, len(records))
 	for _, r := range records {
 		seen[r.Key] = true
-		any = c.applyRecord(f, r, from) || any
+		changed = c.applyRecord(f, r, from) || changed
 	}
 	if whole {
-		any = c.dropMissing(f, seen, next, from) || any
+		changed = c.dropMissing(f, seen, next, from) || changed
 	}
-	if any {
+	if changed {
 		c.publish()
 	}
 }
@@ -149,33 +149,33 @@
 
 // dropMissing removes what a whole read of a feed up to an offset did not show.
 func (c *Catalog) dropMissing(f Feed, seen map[string]bool, next int64, from source) bool {
-	any := false
+	changed := false
 	for key, old := range c.records[f] {
 		if seen[key] || len(old.Value) == 0 || old.Offset >= next || f == Configurations {
 			continue
 		}
 		// The record that ended the key is gone too; it lay before next.
-		any = c.applyRecord(f, Record{
+		changed = c.applyRecord(f, Record{
 			Key:    key,
 			Offset: next - 1,
-		}, from) || any
+		}, from) || changed
 	}
-	return any
+	return changed
 }
 
 // expire removes the endpoints whose time after an outage is over.
 func (c *Catalog) expire(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	any := false
+	changed := false
 	for _, w := range c.vanished {
 		if now.Before(w.due) {
 			continue
 		}
 		c.removeNow(w.record, "its entry did not return")
-		any = true
+		changed = true
 	}
-	if any {
+	if changed {
 		c.publish()
 	}
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -32,7 +32,7 @@
 		is := is.New(t)
 		g := w.ask(1, call{id: "a2", path: "/stream/x", tokens: 1000})
 		assertWhole(t, g)
-		is.Equal(g.body, events("a2", 1, 10))
+		is.Equal(g.body, events("a2", 10))
 	})
 	t.Run("no route", func(t *testing.T) {
 		is := is.New(t)
@@ -126,7 +126,7 @@
 		for i := range 4 {
 			g := w.ask(0, call{id: "s" + strconv.Itoa(i), path: "/stream/", tokens: 500})
 			assertWhole(t, g)
-			is.Equal(g.body, events("s"+strconv.Itoa(i), 1, 10)) // each event once and in order
+			is.Equal(g.body, events("s"+strconv.Itoa(i), 10)) // each event once and in order
 		}
 		is.True(len(w.endpoints["e1"].Runs()) > 0) // the faulty endpoint was met
 	})
@@ -148,7 +148,7 @@
 		for i := range 2 {
 			g := w.ask(0, call{id: "s" + strconv.Itoa(i), path: "/stream/", tokens: 500})
 			assertWhole(t, g)
-			is.Equal(g.body, events("s"+strconv.Itoa(i), 1, 10))
+			is.Equal(g.body, events("s"+strconv.Itoa(i), 10))
 		}
 		is.True(len(w.endpoints["e1"].Runs()) > 0)
 	})
@@ -304,7 +304,7 @@
 	wait.Wait()
 	for i, g := range answers {
 		assertWhole(t, g)
-		is.Equal(g.body, events("t"+strconv.Itoa(i), 1, 60))
+		is.Equal(g.body, events("t"+strconv.Itoa(i), 60))
 	}
 	<-done
 }
@@ -377,7 +377,7 @@
 	w := newWorld(t, 1)
 	g := w.ask(0, call{id: "big", path: "/stream/", tokens: 300_000})
 	assertWhole(t, g)
-	is.Equal(g.body, events("big", 1, 10))
+	is.Equal(g.body, events("big", 10))
 	r := w.find("big")
 	is.True(r.Readers() != "")
 	w.await("memory given back", func() bool {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -91,7 +91,7 @@
 	return l.Addr().String()
 }
 
-func (w *world) addEndpoint(name, service string, m *batch.Model) *platformtest.Endpoint {
+func (w *world) addEndpoint(name, service string, m *batch.Model) {
 	e := &platformtest.Endpoint{
 		Instance: name,
 		Engine:   m,
@@ -101,7 +101,6 @@
 	w.endpoints[name] = e
 	w.addresses[name] = serve(w.t, e)
 	w.entry(name, service, false)
-	return e
 }
 
 // entry writes the entry of an endpoint.
@@ -252,9 +251,9 @@
 }
 
 // events is the body of a whole stream.
-func events(id string, from, to int) string {
+func events(id string, n int) string {
 	var b strings.Builder
-	for i := from; i <= to; i++ {
+	for i := 1; i <= n; i++ {
 		b.WriteString(platformtest.Event(id, i))
 	}
 	return b.String()
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -49,11 +49,6 @@
 	return time.Duration(n) * j.PerToken
 }
 
-// writes states whether the job gets tokens in every pass.
-func (j *Job) writes() bool {
-	return !j.Part && j.Tokens == 0
-}
-
 // Engine is the modelled state of an engine.
 type Engine struct {
 	// Instance names the engine.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -55,9 +55,9 @@
 	}
 }
 
-func long(id string, prompt int, now time.Time) placement.Request {
+func long(prompt int, now time.Time) placement.Request {
 	return placement.Request{
-		ID:       id,
+		ID:       "long",
 		Prompt:   prompt,
 		Output:   700,
 		Gap:      time.Second,
@@ -111,7 +111,7 @@
 	fill(list[0], 10, start)
 	fill(list[1], 10, start)
 	now := start.Add(time.Second)
-	p := mustMake(t, list, long("l", 133_000, now), now)
+	p := mustMake(t, list, long(133_000, now), now)
 	is.Equal(p.Spoils, 0.0)
 	is.True(p.Engine.Instance >= "e02")
 	for _, o := range p.Others {
@@ -126,7 +126,7 @@
 		fill(e, 6, start)
 	}
 	now := start.Add(time.Second)
-	p := mustMake(t, list, long("l", 100_000, now), now)
+	p := mustMake(t, list, long(100_000, now), now)
 	is.True(len(p.Others) >= 7) // whole it would take 1.2 s on one engine
 	is.True(p.Spoils < 1)
 }
@@ -134,7 +134,7 @@
 func TestMemory(t *testing.T) {
 	t.Run("spread over engines", func(t *testing.T) {
 		is := is.New(t)
-		p := mustMake(t, engines(4), long("l", 400_000, start), start)
+		p := mustMake(t, engines(4), long(400_000, start), start)
 		sum := p.Hold
 		is.True(p.Hold <= 232_000)
 		for _, o := range p.Others {
@@ -145,13 +145,13 @@
 	})
 	t.Run("too large for all", func(t *testing.T) {
 		is := is.New(t)
-		_, ok := placement.Make(engines(2), long("l", 500_000, start), start)
+		_, ok := placement.Make(engines(2), long(500_000, start), start)
 		is.True(!ok)
 	})
 	t.Run("full front engine", func(t *testing.T) {
 		is := is.New(t)
 		list := engines(3)
-		r := long("l", 220_000, start)
+		r := long(220_000, start)
 		p := mustMake(t, list[:1], r, start)
 		p.Apply(r, start)
 		q := mustMake(t, list, short("s", start), start)
@@ -217,7 +217,7 @@
 		fill(e, 12, start)
 	}
 	now := start.Add(time.Second)
-	r := long("l", 133_000, now)
+	r := long(133_000, now)
 	b.ReportAllocs()
 	for b.Loop() {
 		placement.Make(list, r, now)
--- a/pool/link.go
+++ b/pool/link.go
@@ -182,10 +182,10 @@
 }
 
 // tell sends a message if the session is open.
-func (l *link) tell(m *poolpb.FromEntry) bool {
+func (l *link) tell(m *poolpb.FromEntry) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.push(m)
+	l.push(m)
 }
 
 // push queues a message. The caller holds the lock.
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"github.com/linkmast/linkmast/internal/zdelta"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -15,6 +14,7 @@
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 
+	"github.com/linkmast/linkmast/internal/zdelta"
 	"github.com/linkmast/linkmast/logsvc"
 	"github.com/linkmast/linkmast/rollout/rolloutpb"
 	"github.com/linkmast/linkmast/standin"
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -7,6 +7,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 // Link is what a proxy does to connections. The zero value passes bytes on.
@@ -147,7 +149,7 @@
 				return
 			}
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			if t, ok := to.(*net.TCPConn); ok {
 				_ = t.CloseWrite()
 			}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,150 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package soak
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/platform/platformtest"
+)
+
+// TestDraw looks that a seed gives one schedule, and that seeds differ.
+func TestDraw(t *testing.T) {
+	is := is.New(t)
+	a := Draw(7, time.Minute, 4)
+	is.Equal(a, Draw(7, time.Minute, 4))
+	is.True(len(a) > 20)
+	b := Draw(8, time.Minute, 4)
+	is.True(len(a) != len(b) || a[0] != b[0])
+	seen := make(map[string]bool)
+	for seed := range uint64(40) {
+		for _, s := range Draw(seed, time.Minute, 4) {
+			seen[s.Kind] = true
+		}
+	}
+	is.Equal(len(seen), len(kinds)) // every kind is drawn by some seed
+}
+
+// echo serves what comes back.
+func echo(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				io.Copy(c, c)
+				c.Close()
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func TestProxy(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		link Link
+		want string
+	}{
+		{"well", Link{}, "hello"},
+		{"slow", Link{Delay: 20 * time.Millisecond}, "hello"},
+		{"silent up", Link{Up: true}, ""},
+		{"silent down", Link{Down: true}, ""},
+		{"reset", Link{Reset: true}, ""},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			p, err := NewProxy(echo(t))
+			is.NoErr(err)
+			defer p.Close()
+			p.Set(row.link)
+			c, err := net.Dial("tcp", p.Address)
+			is.NoErr(err)
+			defer c.Close()
+			c.Write([]byte("hello"))
+			c.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+			buf := make([]byte, 5)
+			n, _ := io.ReadFull(c, buf)
+			is.Equal(string(buf[:n]), row.want)
+		})
+	}
+}
+
+// TestJudge shows the judge what breaks each promise, and that it says so.
+func TestJudge(t *testing.T) {
+	now := time.Now()
+	run := func(id, target string) platformtest.Run {
+		return platformtest.Run{
+			ID:     id,
+			Method: "POST",
+			Target: target,
+			Header: platformtest.RunHeader("c1"),
+			At:     now,
+		}
+	}
+	served := Exchange{
+		ID:     "r",
+		Path:   "/unsafe/",
+		Key:    steadyKey,
+		Sent:   now,
+		Status: 200,
+		Answer: platformtest.PlainAnswer("r", nil),
+		Whole:  true,
+		Signed: true,
+	}
+	for _, row := range []struct {
+		name    string
+		promise string
+		change  func(x *Exchange, runs *[]platformtest.Run)
+	}{
+		{"well", "", func(*Exchange, *[]platformtest.Run) {}},
+		{"ran twice", "at most once", func(_ *Exchange, runs *[]platformtest.Run) {
+			*runs = append(*runs, run("r", "/unsafe/"))
+		}},
+		{"refused and ran", "refusals are true", func(x *Exchange, _ *[]platformtest.Run) { x.Status = 503 }},
+		{"another's answer", "whole and own answer", func(x *Exchange, _ *[]platformtest.Run) {
+			x.Answer = platformtest.PlainAnswer("other", nil)
+		}},
+		{"not signed", "whole and own answer", func(x *Exchange, _ *[]platformtest.Run) { x.Signed = false }},
+		{"denied", "what is allowed is not denied", func(x *Exchange, _ *[]platformtest.Run) { x.Status = 401 }},
+		{"changed", "requests are passed on unchanged", func(_ *Exchange, runs *[]platformtest.Run) {
+			(*runs)[0].Target = "/else/"
+		}},
+		{"key passed on", "keys stay here", func(_ *Exchange, runs *[]platformtest.Run) {
+			(*runs)[0].Header = platformtest.LeakedKey("c1")
+		}},
+		{"key taken away", "keys that were taken away are refused", func(x *Exchange, _ *[]platformtest.Run) { x.Key = "gone" }},
+		{"ran late", "nothing runs after its time", func(_ *Exchange, runs *[]platformtest.Run) {
+			(*runs)[0].At = now.Add(time.Minute)
+		}},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			w := &World{
+				keys: map[string]time.Time{"gone": now.Add(-time.Minute)},
+			}
+			x, runs := served, []platformtest.Run{run("r", "/unsafe/")}
+			row.change(&x, &runs)
+			got := w.judgeOne(&x, runs)
+			if row.promise == "" {
+				is.Equal(len(got), 0)
+				return
+			}
+			is.True(len(got) > 0)
+			is.Equal(got[0].Promise, row.promise)
+		})
+	}
+}
--- a/soak/world.go
+++ b/soak/world.go
@@ -59,8 +59,6 @@
 
 	service string
 	proxy   *Proxy
-	// leftAt is when the endpoint was said to leave; zero while it was not.
-	leftAt time.Time
 }
 
 // World is a deployment under test.
