Weigh others' loss twice in plans

Cause: plans counted what they make others lose now, not what comes in while their engines stand still.

Change: a loss of others weighs twice in the choice among plans.

--- a/placement/plan.go
+++ b/placement/plan.go
@@ -57,9 +57,13 @@
 
 // Cost returns what the plan costs in all.
 func (p *Plan) Cost() float64 {
-	return p.Spoils + p.Loses
+	return spoilsWeight*p.Spoils + p.Loses
 }
 
+// spoilsWeight is what a loss of others weighs against one of the request
+// itself.
+const spoilsWeight = 2
+
 // MaxReaders bounds the engines that read a prompt together: one and sixteen
 // that help it.
 const MaxReaders = 17
@@ -142,7 +146,7 @@
 			continue
 		}
 		c.order = i
-		c.cost = c.spoils + r.loses(c.first, now)
+		c.cost = spoilsWeight*c.spoils + r.loses(c.first, now)
 		c.crowded = c.isCrowded(r.TargetAt.Sub(now))
 		cands = append(cands, c)
 	}
