--- a/pool/decide.go
+++ b/pool/decide.go
@@ -19,6 +19,8 @@
 	waitShare = 0.7
 	// forceShare is the part of its deadline after which a request may cost
 	// others forceFactor of what it keeps, so that it is not put off for ever.
+	// spoilsPrice is what a loss of others must bring.
+	spoilsPrice = 1.7
 	forceShare  = 0.3
 	forceFactor = 2
 )
@@ -100,7 +102,7 @@
 	keeps := w.request.Worth - plan.Loses
 	if w.ask.Target <= shedTarget {
 		// It would be late before a better moment comes.
-		return plan.Spoils < keeps
+		return spoilsPrice*plan.Spoils < keeps
 	}
 	left := w.request.TargetAt.Sub(now)
 	if plan.First < time.Duration(float64(left)*waitShare) {
@@ -110,7 +112,7 @@
 	if waited > time.Duration(float64(w.ask.Deadline)*forceShare) {
 		keeps *= forceFactor
 	}
-	return plan.Spoils < keeps
+	return spoilsPrice*plan.Spoils < keeps
 }
 
 // grant notes a place and returns it.
