--- a/placement/judge.go
+++ b/placement/judge.go
@@ -181,9 +181,25 @@
 	if j.Gap == 0 {
 		return 0
 	}
-	return j.Stake * (lateness(after, j.Gap) - lateness(before, j.Gap))
+	return j.Stake * (j.pauseLoss(after) - j.pauseLoss(before))
 }
 
+// pauseLoss returns what a pause costs a stream, in parts of its stake: all of it
+// when the stream is late, and what is left as well when its caller gives up.
+func (j *Job) pauseLoss(pause time.Duration) float64 {
+	if pause >= max(giveUpLeast, giveUpGaps*j.Gap) {
+		return 1 / lateShare
+	}
+	return lateness(pause, j.Gap)
+}
+
+// Callers give a stream up after a silence of two seconds or of so many of the
+// longest pauses in time, whichever is longer.
+const (
+	giveUpLeast = 2 * time.Second
+	giveUpGaps  = 8
+)
+
 // put off notes that the reads that wait on the engine are delayed.
 func (e *Engine) putOff(delay time.Duration) {
 	for _, j := range e.Jobs {
--- /dev/null
+++ b/placement/judge_test.go
@@ -0,0 +1,32 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestPauseLoss holds what a pause costs a stream against the bounds of its
+// caller: late from 250 ms on, and gone after two seconds.
+func TestPauseLoss(t *testing.T) {
+	j := Job{
+		Gap: 250 * time.Millisecond,
+	}
+	for _, row := range []struct {
+		pause time.Duration
+		want  float64
+	}{
+		{200 * time.Millisecond, 0},
+		{300 * time.Millisecond, 1},
+		{1900 * time.Millisecond, 1},
+		{2100 * time.Millisecond, 1 / lateShare},
+	} {
+		t.Run(row.pause.String(), func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(j.pauseLoss(row.pause), row.want)
+		})
+	}
+}
