--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -55,3 +55,46 @@
 		}
 	})
 }
+
+// TestParseStore reads settings of an instance on a platform with a store: it
+// needs neither log nor list.
+func TestParseStore(t *testing.T) {
+	const store = `id = "n1"
+region = "r1"
+failure_domain = "d1"
+processor_share = 0.4
+[platform]
+store = "10.0.0.1:7000"
+[retries]
+ratio = 0.2
+extra = 100
+window = "10s"
+[times]
+revoke = "5000ms"
+stop_within = "8s"
+`
+	t.Run("right", func(t *testing.T) {
+		is := is.New(t)
+		f, err := Parse([]byte(store))
+		is.NoErr(err)
+		is.Equal(f.Platform.Store, "10.0.0.1:7000")
+		is.Equal(f.ReadyListen, defaultReady)
+		is.Equal(f.Retries.Extra, 100.0)
+		is.Equal(time.Duration(f.Times.Revoke), 5*time.Second)
+	})
+	for _, c := range []struct {
+		name, old, new, reason string
+	}{
+		{"no port", `10.0.0.1:7000`, `10.0.0.1`, "platform.store must be a host and port"},
+		{"negative share", `processor_share = 0.4`, `processor_share = -1`, "processor_share must not be below zero"},
+		{"negative budget", `extra = 100`, `extra = -1`, "retries.extra must not be below zero"},
+		{"negative time", `5000ms`, `-1s`, "times.revoke must not be below zero"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := Parse([]byte(strings.Replace(store, c.old, c.new, 1)))
+			if err == nil || !strings.Contains(err.Error(), c.reason) {
+				t.Errorf("got %v, want %q", err, c.reason)
+			}
+		})
+	}
+}
