Split the soak's deployment by its parts

Cause: soak/world.go held processes, the configuration, keys and endpoints at once; paths, services and lengths were bare literals, and process.stopped was never read.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -21,13 +21,13 @@
 	ID string
 	// Path tells the route.
 	Path string
-	// Key is the key that was sent, and Body the body.
+	// Key is the key that was sent.
 	Key string
 	// Body is the body that was sent.
 	Body string
 	// Instance is who was asked.
 	Instance int
-	// Sent and Ended are when the caller began and ended.
+	// Sent is when the caller began.
 	Sent time.Time
 	// Ended is when the caller had the answer, or gave up.
 	Ended time.Time
@@ -53,15 +53,36 @@
 
 // The measures of the load.
 const (
+	// callersPerInstance is how many callers, each with its own connection, ask
+	// an instance.
 	callersPerInstance = 4
 	// giveUpShare is the part of requests whose caller leaves early.
 	giveUpShare = 0.05
 	// pauseMean is the mean pause between a caller's requests.
 	pauseMean = 60 * time.Millisecond
+	// maxBodyLength bounds the length of bodies, in bytes.
+	maxBodyLength = 3000
+	// leaveAfter is when a caller leaves that leaves early: before most answers.
+	leaveAfter = 50 * time.Millisecond
+	// callerSlack is how much longer than the request's time a caller waits, for
+	// the refusal to arrive.
+	callerSlack = time.Second
+	// outputTokens is the length of answers that callers name.
+	outputTokens = 100
+)
+
+// The lengths of prompts, in tokens.
+const (
+	// longPrompt takes several engines, and one in longOneIn is as long.
+	longPrompt = 250_000
+	longOneIn  = 20
+	// shortPrompt is the least, and shortSpread how much longer others are.
+	shortPrompt = 500
+	shortSpread = 5000
 )
 
 // paths are the routes that are called.
-var paths = [...]string{"/stream/", "/once/", "/safe/", "/unsafe/"}
+var paths = [...]string{streamPath, oncePath, safePath, unsafePath}
 
 // run sends requests until ctx ends. Each caller keeps its connection for as
 // long as the instance does.
@@ -76,6 +97,7 @@
 	all.Wait()
 }
 
+// one is a caller: it sends one request after the other.
 func (c *callers) one(ctx context.Context, instance, number int, r *rand.Rand) {
 	client := &http.Client{
 		Transport: &http.Transport{
@@ -88,7 +110,7 @@
 			ID:       fmt.Sprintf("r%d-%d-%d", instance, number, n),
 			Path:     paths[r.IntN(len(paths))],
 			Key:      steadyKey,
-			Body:     strings.Repeat("b", r.IntN(3000)),
+			Body:     strings.Repeat("b", r.IntN(maxBodyLength)),
 			Instance: instance,
 		}
 		if r.IntN(2) == 0 {
@@ -105,40 +127,25 @@
 // promptOf draws the length of a prompt: most are short, some take several
 // engines.
 func promptOf(r *rand.Rand) int {
-	if r.IntN(20) == 0 {
-		return 250_000
+	if r.IntN(longOneIn) == 0 {
+		return longPrompt
 	}
-	return 500 + r.IntN(5000)
+	return shortPrompt + r.IntN(shortSpread)
 }
 
-// send makes one exchange.
+// send makes one exchange. With leave set the caller leaves early.
 func (c *callers) send(client *http.Client, x *Exchange, leave bool, prompt int) {
-	timeout := requestTimeout
+	timeout := requestTimeout + callerSlack
 	if leave {
-		timeout = 50 * time.Millisecond
+		timeout = leaveAfter
 		x.GaveUp = true
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), timeout+time.Second)
-	if leave {
-		ctx, cancel = context.WithTimeout(context.Background(), timeout)
-	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	p := c.world.processes[x.Instance]
-	// A body that can't be had again keeps the client from sending twice.
-	body := io.MultiReader(strings.NewReader(x.Body))
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.listen+x.Path, body)
+	req, err := x.request(ctx, c.world.processes[x.Instance].listen, prompt)
 	if err != nil {
 		return
 	}
-	req.ContentLength = int64(len(x.Body))
-	req.Host = host
-	platformtest.Caller{
-		ID:     x.ID,
-		Key:    x.Key,
-		Wait:   requestTimeout,
-		Prompt: prompt,
-		Output: 100,
-	}.Set(req.Header)
 	x.Sent = time.Now()
 	defer func() { x.Ended = time.Now() }()
 	res, err := client.Do(req)
@@ -153,6 +160,26 @@
 	x.Whole = err == nil
 }
 
+// request returns the HTTP request of an exchange to an address.
+func (x *Exchange) request(ctx context.Context, address string, prompt int) (*http.Request, error) {
+	// A body that can't be had again keeps the client from sending twice.
+	body := io.MultiReader(strings.NewReader(x.Body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+x.Path, body)
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = int64(len(x.Body))
+	req.Host = host
+	platformtest.Caller{
+		ID:     x.ID,
+		Key:    x.Key,
+		Wait:   requestTimeout,
+		Prompt: prompt,
+		Output: outputTokens,
+	}.Set(req.Header)
+	return req, nil
+}
+
 // all returns what was seen so far.
 func (c *callers) all() []Exchange {
 	c.mu.Lock()
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -64,7 +64,7 @@
 				x.ID, x.Path, x.Instance, x.Sent.Format("15:04:05.000"), x.Status, len(runs), detail),
 		})
 	}
-	once := x.Path == "/unsafe/" || x.Path == "/once/"
+	once := x.Path == unsafePath || x.Path == oncePath
 	if once && len(runs) > 1 {
 		wrong("at most once", "it ran more than once")
 	}
@@ -87,14 +87,7 @@
 
 // judgeAnswer checks a success.
 func judgeAnswer(x *Exchange, runs []platformtest.Run, wrong func(promise, detail string)) {
-	want := platformtest.PlainAnswer(x.ID, []byte(x.Body))
-	if strings.HasPrefix(x.Path, "/s") && x.Path != "/safe/" || x.Path == "/once/" {
-		var b strings.Builder
-		for i := 1; i <= streamEvents; i++ {
-			b.WriteString(platformtest.Event(x.ID, i))
-		}
-		want = b.String()
-	}
+	want := x.wholeAnswer()
 	switch {
 	case x.Whole && x.Answer != want:
 		wrong("whole and own answer", fmt.Sprintf("the answer is %q", x.Answer))
@@ -105,12 +98,24 @@
 	}
 }
 
+// wholeAnswer returns what a whole answer to the request is.
+func (x *Exchange) wholeAnswer() string {
+	if x.Path != streamPath && x.Path != oncePath {
+		return platformtest.PlainAnswer(x.ID, []byte(x.Body))
+	}
+	var b strings.Builder
+	for i := 1; i <= streamEvents; i++ {
+		b.WriteString(platformtest.Event(x.ID, i))
+	}
+	return b.String()
+}
+
 // judgeRun checks what an endpoint got.
 func (w *World) judgeRun(x *Exchange, r *platformtest.Run, wrong func(promise, detail string)) {
 	switch {
 	case r.Method != http.MethodPost || r.Target != x.Path || r.Body != x.Body:
 		wrong("requests are passed on unchanged", fmt.Sprintf("%s %s with %d bytes", r.Method, r.Target, len(r.Body)))
-	case r.Key() != "" || r.Customer() != "c1":
+	case r.Key() != "" || r.Customer() != customer:
 		wrong("keys stay here", fmt.Sprintf("customer %q, key %q", r.Customer(), r.Key()))
 	}
 	w.mu.Lock()
--- /dev/null
+++ b/soak/process.go
@@ -0,0 +1,171 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package soak
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// process is one instance of the system.
+type process struct {
+	name string
+	// listen is where callers connect, and ready where it says whether it is
+	// ready.
+	listen string
+	ready  string
+	// settings is the path of its settings file.
+	settings string
+	// store is the proxy between the instance and the store.
+	store *Proxy
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	exited chan struct{}
+	// ended counts ends that nobody asked for.
+	ended int
+	// wanted states that the process was told to end.
+	wanted bool
+}
+
+// The times that instances are set to.
+const (
+	// revoke is how soon keys that were taken away must be refused.
+	revoke = 2 * time.Second
+	// grace is how long a planned stop may take.
+	grace = 6 * time.Second
+)
+
+// readyTimeout bounds the question whether an instance is ready; one that is
+// frozen does not answer.
+const readyTimeout = 300 * time.Millisecond
+
+// settingsText is the settings file of an instance, without its figures.
+const settingsText = `id = %q
+region = "r"
+failure_domain = %q
+listen = %q
+ready_listen = %q
+peer_listen = %q
+admin_listen = "127.0.0.1:0"
+[platform]
+store = %q
+[retries]
+ratio = 0.5
+extra = 200
+[times]
+revoke = "%s"
+stop_within = "%s"
+`
+
+// free returns an address that nobody listens on.
+func free() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "soak")
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String(), nil
+}
+
+// addProcess starts the instance with a number, behind a proxy to the store.
+func (w *World) addProcess(i int) error {
+	p := &process{
+		name: fmt.Sprintf("n-%d", i),
+	}
+	var err error
+	if p.store, err = NewProxy(w.storeAddr); err != nil {
+		return errors.Wrap(err, "soak")
+	}
+	peers := ""
+	for _, into := range []*string{&p.listen, &p.ready, &peers} {
+		if *into, err = free(); err != nil {
+			return err
+		}
+	}
+	p.settings = filepath.Join(w.dir, p.name+".toml")
+	text := fmt.Sprintf(settingsText, p.name, domain, p.listen, p.ready, peers, p.store.Address, revoke, grace)
+	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
+		return errors.Wrap(err, "soak")
+	}
+	w.processes = append(w.processes, p)
+	return w.start(p)
+}
+
+// start starts an instance.
+func (w *World) start(p *process) error {
+	out, err := os.OpenFile(filepath.Join(w.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Wrap(err, "soak")
+	}
+	cmd := exec.Command(w.program, "--settings", p.settings)
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		return errors.Wrap(err, "soak")
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cmd = cmd
+	p.wanted = false
+	p.exited = make(chan struct{})
+	go p.wait(cmd, out, p.exited)
+	return nil
+}
+
+// wait notes the end of a process.
+func (p *process) wait(cmd *exec.Cmd, out *os.File, exited chan struct{}) {
+	// How it ended is told by whether somebody wanted it.
+	_ = cmd.Wait()
+	_ = out.Close()
+	p.mu.Lock()
+	if !p.wanted {
+		p.ended++
+	}
+	p.mu.Unlock()
+	close(exited)
+}
+
+// signal sends a signal to the process that was started last, by its id. Ends
+// states that it is to end by it.
+func (p *process) signal(s syscall.Signal, ends bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wanted = p.wanted || ends
+	// A process that has ended already needs none.
+	_ = p.cmd.Process.Signal(s)
+}
+
+// gone returns what is closed when the process has ended.
+func (p *process) gone() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.exited
+}
+
+// readyCount returns how many instances say that they are ready.
+func (w *World) readyCount() int {
+	client := &http.Client{
+		Timeout: readyTimeout,
+	}
+	n := 0
+	for _, p := range w.processes {
+		res, err := client.Get("http://" + p.ready + "/")
+		if err != nil {
+			continue
+		}
+		_ = res.Body.Close()
+		if res.StatusCode == http.StatusOK {
+			n++
+		}
+	}
+	return n
+}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -17,7 +17,7 @@
 	Delay time.Duration
 	// Reset resets connections, and new ones at once.
 	Reset bool
-	// Up and Down silence the direction to and from the target.
+	// Up silences the direction to the target.
 	Up bool
 	// Down silences the direction from the target.
 	Down bool
@@ -91,6 +91,7 @@
 	_ = c.Close()
 }
 
+// accept serves connections until the proxy is closed.
 func (p *Proxy) accept() {
 	for {
 		c, err := p.listener.Accept()
@@ -101,6 +102,7 @@
 	}
 }
 
+// serve passes a connection on until both directions have ended.
 func (p *Proxy) serve(c net.Conn) {
 	p.mu.Lock()
 	bad := p.link.Reset
@@ -126,6 +128,7 @@
 	p.drop(t)
 }
 
+// drop resets a connection and forgets it.
 func (p *Proxy) drop(c net.Conn) {
 	p.mu.Lock()
 	delete(p.conns, c)
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -51,24 +51,42 @@
 		total += k.weight
 	}
 	var out []Step
-	for at := 500 * time.Millisecond; at < length; at += time.Duration(r.ExpFloat64() * float64(time.Second)) {
-		n := r.IntN(total)
-		for _, k := range kinds {
-			if n -= k.weight; n >= 0 {
-				continue
-			}
-			out = append(out, Step{
-				At:     at,
-				For:    time.Duration(300+r.IntN(2500)) * time.Millisecond,
-				Kind:   k.name,
-				Target: r.IntN(max(processes, engines+services)),
-			})
-			break
-		}
+	for at := firstStep; at < length; at += time.Duration(r.ExpFloat64() * float64(meanPause)) {
+		kind := kindAt(r.IntN(total))
+		out = append(out, Step{
+			At:     at,
+			For:    time.Duration(leastMS+r.IntN(spreadMS)) * time.Millisecond,
+			Kind:   kind,
+			Target: r.IntN(max(processes, engines+services)),
+		})
 	}
 	return out
 }
 
+// kindAt returns the kind in whose share of the weights a number lies.
+func kindAt(n int) string {
+	for _, k := range kinds {
+		if n < k.weight {
+			return k.name
+		}
+		n -= k.weight
+	}
+	return ""
+}
+
+// The measures of a schedule.
+const (
+	// firstStep is when the first fault comes: once the load has begun.
+	firstStep = 500 * time.Millisecond
+	// meanPause is the mean pause between the beginnings of faults.
+	meanPause = time.Second
+	// leastMS is how long a fault lasts at the least, and spreadMS how much
+	// longer it may last, both in ms: some end before any time-out, others
+	// outlast most, and they overlap.
+	leastMS  = 300
+	spreadMS = 2500
+)
+
 // play carries a schedule out.
 func (w *World) play(ctx context.Context, steps []Step, note func(Step)) {
 	begin := time.Now()
@@ -121,29 +139,44 @@
 	w.doOther(s, p, e)
 }
 
+// storeFaults are the kinds that the store plays itself.
 var storeFaults = map[string]platformtest.StoreFaults{
 	"store refuses":      {Refuse: true},
 	"store silent":       {Silent: true},
-	"store slow":         {Slow: 400 * time.Millisecond},
+	"store slow":         {Slow: storeDelay},
 	"store loses writes": {LoseWrites: true},
 }
 
+// The delays of slow parts.
+const (
+	// storeDelay holds back each answer of the store: below the time-outs of
+	// reads.
+	storeDelay = 400 * time.Millisecond
+	// linkDelay holds back each piece of data to and from an endpoint.
+	linkDelay = 100 * time.Millisecond
+	// cutAfter is the number of events after which streams are cut.
+	cutAfter = 3
+)
+
+// endpointFaults are the kinds that an endpoint plays itself.
 var endpointFaults = map[string]platformtest.EndpointFaults{
 	"endpoint rejects":       {Reject: true},
 	"endpoint fails":         {Fail: true},
-	"endpoint cuts streams":  {CutAfter: 3},
+	"endpoint cuts streams":  {CutAfter: cutAfter},
 	"endpoint silent":        {Silent: true},
 	"endpoint loses answers": {LoseAnswer: true},
 }
 
+// storeLinks are the kinds of link between an instance and the store.
 var storeLinks = map[string]Link{
 	"store link silent":  {Up: true, Down: true},
 	"store link one way": {Down: true},
 	"store link reset":   {Reset: true},
 }
 
+// endpointLinks are the kinds of link before an endpoint.
 var endpointLinks = map[string]Link{
-	"endpoint link slow":    {Delay: 100 * time.Millisecond},
+	"endpoint link slow":    {Delay: linkDelay},
 	"endpoint link reset":   {Reset: true},
 	"endpoint link one way": {Down: true},
 }
@@ -173,6 +206,10 @@
 	}
 }
 
+// restartPart is the part of a step's time that an instance stays away after it
+// has ended.
+const restartPart = 4
+
 // restart starts an instance again after it has ended. When it was told to end
 // twice only the first starts it.
 func (w *World) restart(p *process, after time.Duration) {
@@ -184,7 +221,7 @@
 		p.signal(syscall.SIGKILL, true)
 		<-gone
 	}
-	time.Sleep(after / 4)
+	time.Sleep(after / restartPart)
 	p.mu.Lock()
 	again := p.exited != gone
 	p.mu.Unlock()
@@ -200,12 +237,12 @@
 
 // leave lets an endpoint say that it leaves, and come back under another name.
 func (w *World) leave(e *endpoint, after time.Duration) {
-	w.store.Enter(e.Instance, e.service, e.proxy.Address, "d", 8, true)
+	w.enter(e, true)
 	time.Sleep(after)
 	w.store.Remove(e.Instance)
 	w.mu.Lock()
 	w.version++
 	e.Rename(fmt.Sprintf("%s.%d", e.Instance, w.version))
 	w.mu.Unlock()
-	w.store.Enter(e.Instance, e.service, e.proxy.Address, "d", 8, false)
+	w.enter(e, false)
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -29,7 +29,10 @@
 
 // The times around the faults.
 const (
+	// startWithin bounds the time until all instances are ready.
 	startWithin = 10 * time.Second
+	// startLook is how often they are asked.
+	startLook = 50 * time.Millisecond
 	// recoverWithin is how long the system has to be well again after the last
 	// fault, and recoverFor how long it is looked at then.
 	recoverWithin = 8 * time.Second
@@ -38,7 +41,8 @@
 	settleFor = 4500 * time.Millisecond
 )
 
-// Run plays one schedule. It returns the promises that were broken.
+// Run plays one schedule. It returns the promises that were broken, and the end
+// of ctx as an error; any other error means that the run could not be set up.
 func Run(ctx context.Context, s Settings) ([]Violation, error) {
 	w, err := newWorld(s.Program, s.Processes)
 	if err != nil {
@@ -48,7 +52,21 @@
 	if err := w.awaitReady(ctx); err != nil {
 		return nil, err
 	}
-	steps := Draw(s.Seed, s.Length, s.Processes)
+	history, recovered := w.loadAndPlay(ctx, s)
+	broken := append(w.judge(history), judgeRecovery(history, recovered)...)
+	w.report(s, history, broken)
+	if len(broken) == 0 {
+		// The logs of a run without a finding are of no use.
+		if err := os.RemoveAll(w.dir); err != nil {
+			return nil, errors.Wrap(err, "soak")
+		}
+	}
+	return broken, ctx.Err()
+}
+
+// loadAndPlay plays the schedule under load and waits until all has settled. It
+// returns what the callers saw, and from when on the system must be well again.
+func (w *World) loadAndPlay(ctx context.Context, s Settings) ([]Exchange, time.Time) {
 	c := &callers{
 		world: w,
 	}
@@ -56,6 +74,7 @@
 	defer stop()
 	var loading sync.WaitGroup
 	loading.Go(func() { c.run(load, s.Seed) })
+	steps := Draw(s.Seed, s.Length, s.Processes)
 	w.play(ctx, steps, func(step Step) { _, _ = fmt.Fprintln(s.Out, step) })
 	wait(ctx, recoverWithin)
 	recovered := time.Now()
@@ -63,18 +82,10 @@
 	stop()
 	loading.Wait()
 	wait(ctx, settleFor)
-	history := c.all()
-	broken := append(w.judge(history), judgeRecovery(history, recovered)...)
-	w.report(s, history, broken)
-	if len(broken) == 0 {
-		// The logs of a run without a finding are of no use.
-		if err := os.RemoveAll(w.dir); err != nil {
-			return nil, errors.Wrap(err, "soak")
-		}
-	}
-	return broken, ctx.Err()
+	return c.all(), recovered
 }
 
+// wait waits for a time, or until ctx ends.
 func wait(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -82,8 +93,9 @@
 	}
 }
 
+// awaitReady waits until all instances are ready.
 func (w *World) awaitReady(ctx context.Context) error {
-	for end := time.Now().Add(startWithin); time.Now().Before(end); wait(ctx, 50*time.Millisecond) {
+	for end := time.Now().Add(startWithin); time.Now().Before(end); wait(ctx, startLook) {
 		if w.readyCount() == len(w.processes) {
 			return nil
 		}
