Split the pool's link, scheduler and decisions by what they do

Cause: link.go, scheduler.go and decide.go each held several jobs; telling the owners and listing an attempt's endpoints were written three times; Ask.Domain and Grant.Reserved were never read; comments stood at the wrong constant.

Wire messages are as they were.

--- a/pool/adopt.go
+++ b/pool/adopt.go
@@ -18,14 +18,14 @@
 		at.orphan = 0
 		return
 	}
+	now := time.Now()
 	if !a.Again {
-		p.retry.first(time.Now())
+		p.retry.first(now)
 	}
 	e := p.engines[g.Instance]
 	if e == nil {
 		return
 	}
-	now := time.Now()
 	at := &placed{
 		instance: g.Instance,
 		at:       now,
@@ -33,32 +33,41 @@
 		begun:    begun,
 	}
 	if p.plain {
-		e.Jobs = append(e.Jobs, &placement.Job{
-			ID: a.ID,
-		})
+		addPlain(e, a.ID)
 		p.placed[a.ID] = at
 		return
 	}
+	plan := p.planOf(&a, &g, e)
+	for _, o := range plan.Others {
+		at.readers = append(at.readers, o.Engine.Instance)
+	}
+	plan.Apply(s.waiter(a, now).request, now)
+	p.placed[a.ID] = at
+	if begun {
+		p.begin(a.ID, at, now)
+	}
+}
+
+// planOf returns the plan that a grant was made from, as far as its endpoints are
+// known.
+func (p *state) planOf(a *Ask, g *Grant, e *placement.Engine) placement.Plan {
 	plan := placement.Plan{
 		Engine: e,
 		Read:   e.Model.Read(a.Prompt, len(g.Readers)+1),
 		Hold:   a.Prompt + a.Output,
 	}
 	for _, r := range g.Readers {
-		if o := p.engines[r.Instance]; o != nil {
-			at.readers = append(at.readers, r.Instance)
-			plan.Hold -= r.Reserved
-			plan.Others = append(plan.Others, placement.Share{
-				Engine: o,
-				Hold:   r.Reserved,
-			})
+		o := p.engines[r.Instance]
+		if o == nil {
+			continue
 		}
+		plan.Hold -= r.Reserved
+		plan.Others = append(plan.Others, placement.Share{
+			Engine: o,
+			Hold:   r.Reserved,
+		})
 	}
-	plan.Apply(s.waiter(a, now).request, now)
-	p.placed[a.ID] = at
-	if begun {
-		p.begin(a.ID, at, now)
-	}
+	return plan
 }
 
 // orphan marks attempts whose entry is out of touch, and returns the mark.
--- a/pool/aside.go
+++ b/pool/aside.go
@@ -9,10 +9,14 @@
 // The measures of setting endpoints aside.
 const (
 	// firstAside is how long an endpoint rests after it failed; it doubles
-	// with each further failure up to lastAside. Restarted engines are back
-	// after some seconds.
+	// with each further failure.
 	firstAside = 700 * time.Millisecond
-	lastAside  = 3 * time.Second
+	// lastAside is the longest rest: restarted engines are back after some
+	// seconds.
+	lastAside = 3 * time.Second
+	// maxDoublings keeps the doubling from overflowing; lastAside is reached
+	// before.
+	maxDoublings = 4
 	// rejectAside is how long a full endpoint rests.
 	rejectAside = 60 * time.Millisecond
 	// misplacedAside is how long an address rests that another endpoint has:
@@ -28,6 +32,7 @@
 // record is what the requests of one or several instances showed of an
 // endpoint.
 type record struct {
+	// failures counts those in a row, and until is when the rest ends.
 	failures int
 	until    time.Time
 	// probing states that one request tries an endpoint that was set aside.
@@ -43,7 +48,8 @@
 	all record
 	// rate is the recent part of failed requests.
 	rate float64
-	// reporter is who reported the last failure, at a moment.
+	// reporter is the instance that reported the last failure, and reported is
+	// when it did.
 	reporter string
 	reported time.Time
 }
@@ -51,8 +57,8 @@
 // rateWeight is the weight of one more outcome in an endpoint's failure rate.
 const rateWeight = 0.1
 
-// note takes over an outcome that an instance reports. It returns true when the
-// endpoint was set aside for all.
+// note takes over an outcome that an instance reports; own states that it is this
+// one. It returns true when the endpoint was set aside for all.
 func (h *health) note(o Outcome, reporter string, own bool, now time.Time) bool {
 	if o == Abandoned {
 		h.own.probing, h.all.probing = false, false
@@ -84,7 +90,7 @@
 	return other
 }
 
-// alive notes a sign of life.
+// alive notes a sign of life. Own states that this instance's own request had it.
 func (h *health) alive(own bool) {
 	h.all = record{}
 	h.reporter = ""
@@ -93,6 +99,8 @@
 	}
 }
 
+// note takes over an outcome. It returns true when the endpoint is set aside by
+// it for longer than a moment.
 func (r *record) note(o Outcome, now time.Time) bool {
 	r.probing = false
 	switch o {
@@ -114,11 +122,12 @@
 	if r.failures <= failuresTolerated {
 		return false
 	}
-	rest := min(firstAside<<min(r.failures-failuresTolerated-1, 4), lastAside)
+	rest := min(firstAside<<min(r.failures-failuresTolerated-1, maxDoublings), lastAside)
 	r.until = later(r.until, now.Add(rest))
 	return true
 }
 
+// later returns the later one of two moments.
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
--- a/pool/client.go
+++ b/pool/client.go
@@ -40,10 +40,13 @@
 	order map[string][]string
 	// chosen is the part of the order that is asked.
 	chosen map[string][]string
-	links  map[string]*linked
-	book   map[string]*running
-	// lost gets a value when a link breaks off or comes about.
-	lost  chan struct{}
+	// links are the links by instance.
+	links map[string]*linked
+	// book is what this instance has running, by attempt.
+	book map[string]*running
+	// turn gets a value when a link breaks off or comes about.
+	turn chan struct{}
+	// ctx is that of Run; nil before.
 	ctx   context.Context
 	parts sync.WaitGroup
 }
@@ -71,7 +74,7 @@
 		log:    log,
 		order:  make(map[string][]string),
 		chosen: make(map[string][]string),
-		lost:   make(chan struct{}, 1),
+		turn:   make(chan struct{}, 1),
 		links:  make(map[string]*linked),
 		book:   make(map[string]*running),
 	}
@@ -91,7 +94,7 @@
 			c.parts.Wait()
 			return
 		case <-tick.C:
-		case <-c.lost:
+		case <-c.turn:
 		}
 	}
 }
@@ -170,6 +173,7 @@
 	return ids
 }
 
+// openLink opens a link that ends with Run or when it is cancelled.
 func (c *Client) openLink(id, address string) *linked {
 	ctx, cancel := context.WithCancel(c.ctx)
 	l := &link{
@@ -194,7 +198,7 @@
 // turned makes the links be looked at anew.
 func (c *Client) turned() {
 	select {
-	case c.lost <- struct{}{}:
+	case c.turn <- struct{}{}:
 	default:
 	}
 }
@@ -230,7 +234,6 @@
 
 // Place implements Placer.
 func (c *Client) Place(ctx context.Context, a Ask) (Grant, error) {
-	a.Domain = c.self.FailureDomain
 	a.Avoid = c.local.Shunned(a.Service)
 	a.Exclude = append(slices.Clone(a.Exclude), c.leaving()...)
 	owners := c.owners(a.Service)
@@ -282,8 +285,13 @@
 	c.book[a.ID] = r
 	m := runningMessage(r)
 	c.mu.Unlock()
-	for _, l := range c.owners(a.Service) {
-		if l != nil && l != by {
+	c.tell(a.Service, m, by)
+}
+
+// tell sends a message to the owners of a pool but one, which may be nil.
+func (c *Client) tell(service string, m *poolpb.FromEntry, but *linked) {
+	for _, l := range c.owners(service) {
+		if l != nil && l != but {
 			l.tell(m)
 		}
 	}
@@ -297,12 +305,7 @@
 	}
 	c.mu.Unlock()
 	c.local.First(id, service)
-	m := firstMessage(id, service)
-	for _, l := range c.owners(service) {
-		if l != nil {
-			l.tell(m)
-		}
-	}
+	c.tell(service, firstMessage(id, service), nil)
 }
 
 // End implements Placer.
@@ -311,10 +314,5 @@
 	delete(c.book, id)
 	c.mu.Unlock()
 	c.local.End(id, service, o, culprit)
-	m := endMessage(id, service, o, culprit)
-	for _, l := range c.owners(service) {
-		if l != nil {
-			l.tell(m)
-		}
-	}
+	c.tell(service, endMessage(id, service, o, culprit), nil)
 }
--- a/pool/decide.go
+++ b/pool/decide.go
@@ -4,7 +4,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/linkmast/linkmast/placement"
@@ -12,15 +11,17 @@
 
 // The measures of waiting.
 const (
-	// spoilsTolerated is what a request may cost others at any time.
+	// spoilsTolerated is what a request may cost others at any time, in units of
+	// worth.
 	spoilsTolerated = 0.25
-	// waitShare is the part of a request's target that it may wait for a
-	// better moment.
-	waitShare = 0.7
-	// forceShare is the part of its deadline after which a request may cost
-	// others forceFactor of what it keeps, so that it is not put off for ever.
-	// spoilsPrice is what a loss of others must bring.
+	// spoilsPrice is how much of its worth a request must keep for each unit
+	// that others lose.
 	spoilsPrice = 1.7
+	// waitShare is the part of the time until a request would be late that its
+	// first event may take for the request to be put off still.
+	waitShare = 0.7
+	// forceShare is the part of its deadline after which what a request keeps
+	// counts forceFactor times, so that it is not put off for ever.
 	forceShare  = 0.3
 	forceFactor = 2
 )
@@ -79,7 +80,8 @@
 	return float64(used) >= crowdedShare*float64(all)
 }
 
-// shed returns the refusal of a request that would be late in a crowded pool.
+// shed returns the refusal of a request that would be late in a crowded pool, or
+// nil.
 func (s *Scheduler) shed(p *state, w *waiter, now time.Time) *Refusal {
 	if p.plain || !w.late || !w.sheddable() || !crowded(p.usable(&w.ask, now)) {
 		return nil
@@ -147,111 +149,9 @@
 
 // probe notes that an attempt tries endpoints that had failed.
 func (p *state) probe(at *placed) {
-	for _, name := range append(at.readers, at.instance) {
+	for _, name := range at.endpoints() {
 		if h := p.health[name]; h != nil {
 			h.all.probing = h.all.failures > failuresTolerated
 		}
 	}
 }
-
-// tryPlain places a request on the plain endpoint with the least work for its
-// slots, counting recent failures as work.
-func (s *Scheduler) tryPlain(p *state, w *waiter, list []*placement.Engine, now time.Time) (Grant, bool) {
-	best := slices.MinFunc(list, func(a, b *placement.Engine) int {
-		return compareFloat(p.load(a), p.load(b))
-	})
-	best.Jobs = append(best.Jobs, &placement.Job{
-		ID: w.ask.ID,
-	})
-	return s.grant(p, w, &placement.Plan{
-		Engine: best,
-	}, now), true
-}
-
-// failureLoad is what a failure rate of one adds to the load of an endpoint.
-const failureLoad = 4
-
-func (p *state) load(e *placement.Engine) float64 {
-	return float64(len(e.Jobs))/float64(e.Slots) + failureLoad*p.health[e.Instance].rate
-}
-
-func compareFloat(a, b float64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
-// review looks at all waiting requests. It returns whether any still wait.
-func (s *Scheduler) review(now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	waiting := false
-	for _, p := range s.pools {
-		s.reviewPool(p, now)
-		waiting = waiting || len(p.queue) > 0
-	}
-	return waiting
-}
-
-func (s *Scheduler) reviewPool(p *state, now time.Time) {
-	if len(p.queue) == 0 {
-		return
-	}
-	slices.SortStableFunc(p.queue, func(a, b *waiter) int {
-		return compareFloat(a.urgency(now), b.urgency(now))
-	})
-	kept := p.queue[:0]
-	for _, w := range p.queue {
-		if g, ok := s.try(p, w, now); ok {
-			w.reply <- g
-			continue
-		}
-		r := s.shed(p, w, now)
-		if r == nil {
-			r = w.hopeless(now)
-		}
-		if r != nil {
-			s.logRefusal(p, w, r, now)
-			w.refuse <- r
-			continue
-		}
-		kept = append(kept, w)
-	}
-	clear(p.queue[len(kept):])
-	p.queue = kept
-}
-
-// urgency orders waiting requests: the one with the least time until it is late
-// goes first, less urgent customers after, and what is late already last.
-func (w *waiter) urgency(now time.Time) float64 {
-	left := w.request.TargetAt.Sub(now)
-	if left <= 0 {
-		left += lateSeconds * time.Second
-	}
-	return left.Seconds() + rankSeconds*float64(w.ask.Rank)
-}
-
-// lateSeconds puts late requests behind all others.
-const lateSeconds = 100
-
-// rankSeconds is how much later a request counts for each rank of its customer.
-const rankSeconds = 0.3
-
-// refuseShare is the part of its deadline after which a request that found no
-// place is refused, so that its caller can come back in time.
-const refuseShare = 0.6
-
-// hopeless returns a refusal for a request that waited too long.
-func (w *waiter) hopeless(now time.Time) *Refusal {
-	if now.Sub(w.arrived) < time.Duration(float64(w.ask.Deadline)*refuseShare) {
-		return nil
-	}
-	return &Refusal{
-		Reason: "no endpoint can take the request now",
-		After:  retryAfter,
-	}
-}
--- a/pool/figures.go
+++ b/pool/figures.go
@@ -2,6 +2,10 @@
 
 package pool
 
+import (
+	"time"
+)
+
 // Figures are the state of one pool.
 type Figures struct {
 	// Endpoints is how many are known.
@@ -32,3 +36,23 @@
 	}
 	return out
 }
+
+// errorStats are how far predictions were off.
+type errorStats struct {
+	count int
+	// within counts predictions that were met.
+	within int
+}
+
+// metWithin is the relative error up to which a prediction counts as met: one that
+// is off by more may change a decision.
+const metWithin = 0.2
+
+// add counts a prediction.
+func (s *errorStats) add(predicted, actual time.Duration) {
+	s.count++
+	off := (actual - predicted).Abs()
+	if float64(off) <= metWithin*float64(predicted) {
+		s.within++
+	}
+}
--- a/pool/link.go
+++ b/pool/link.go
@@ -21,11 +21,11 @@
 const (
 	// pingIdle is how often an owner that is not asked is tried.
 	pingIdle = time.Second
-	// pingBusy is how often one is tried that owes an answer, and silence how
-	// long it may say nothing then: some twenty round trips and a pass of the
-	// garbage collector.
+	// pingBusy is how often one is tried that owes an answer.
 	pingBusy = 50 * time.Millisecond
-	silence  = 200 * time.Millisecond
+	// silence is how long an owner that owes an answer may say nothing: some
+	// twenty round trips and a pass of the garbage collector.
+	silence = 200 * time.Millisecond
 	// idleSilence is how long an owner may say nothing that owes none.
 	idleSilence = 2500 * time.Millisecond
 	// redial is the pause between tries to open a link.
@@ -47,6 +47,7 @@
 // link is an entry's session with an owner. It is opened again until it is
 // closed.
 type link struct {
+	// peer names the owner, and address is where it is.
 	peer    string
 	address string
 	self    hello
@@ -57,14 +58,20 @@
 	turn func()
 	log  logr.Logger
 
-	mu     sync.Mutex
-	open   bool
-	out    chan *poolpb.FromEntry
-	asked  map[string]chan reply
+	mu   sync.Mutex
+	open bool
+	// out are the messages that wait to be sent.
+	out chan *poolpb.FromEntry
+	// asked are the asks that are owed an answer, by attempt.
+	asked map[string]chan reply
+	// heard is when the owner last said anything, and pinged when it was last
+	// asked to.
 	heard  time.Time
 	pinged time.Time
-	seq    int64
-	drop   context.CancelFunc
+	// seq is the number of the last ping.
+	seq int64
+	// drop ends the session.
+	drop context.CancelFunc
 }
 
 // hello says who an entry is.
@@ -79,101 +86,6 @@
 	err   error
 }
 
-// run keeps the session open until ctx ends.
-func (l *link) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		err := l.session(ctx)
-		l.lost(err)
-		select {
-		case <-ctx.Done():
-		case <-time.After(redial):
-		}
-	}
-}
-
-// session opens the session and serves it until it breaks off.
-func (l *link) session(ctx context.Context) error {
-	conn, err := l.dialer.Conn(l.address)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	opening := time.AfterFunc(openWithin, cancel)
-	defer opening.Stop()
-	stream, err := poolpb.NewPoolClient(conn).Session(ctx)
-	if err != nil {
-		return err
-	}
-	if err := l.greet(stream); err != nil {
-		return err
-	}
-	// The first sign of life opens the session.
-	if _, err := stream.Recv(); err != nil {
-		return err
-	}
-	opening.Stop()
-	out := l.opened(cancel)
-	go l.send(ctx, cancel, stream, out)
-	go l.keep(ctx, cancel)
-	return l.receive(stream)
-}
-
-// greet tells the owner who speaks and what runs.
-func (l *link) greet(stream grpc.BidiStreamingClient[poolpb.FromEntry, poolpb.FromOwner]) error {
-	first := []*poolpb.FromEntry{{
-		Kind: &poolpb.FromEntry_Hello{
-			Hello: &poolpb.Hello{
-				Entry:  l.self.entry,
-				Domain: l.self.domain,
-			},
-		},
-	}}
-	first = append(first, l.book()...)
-	first = append(first, pingMessage(0))
-	for _, m := range first {
-		if err := stream.Send(m); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (l *link) opened(drop context.CancelFunc) chan *poolpb.FromEntry {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.open = true
-	l.drop = drop
-	l.heard = time.Now()
-	l.out = make(chan *poolpb.FromEntry, sendQueue)
-	l.asked = make(map[string]chan reply)
-	l.log.Info("owner in touch", "owner", l.peer)
-	l.turn()
-	return l.out
-}
-
-// lost ends what was asked when the session has broken off.
-func (l *link) lost(err error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !l.open {
-		return
-	}
-	l.open = false
-	for _, c := range l.asked {
-		c <- reply{
-			err: errLost,
-		}
-	}
-	cause := ""
-	if err != nil {
-		cause = err.Error()
-	}
-	l.log.Info("owner out of touch", "owner", l.peer, "asked", len(l.asked), "cause", cause)
-	l.asked = nil
-	l.turn()
-}
-
 // usable states whether the owner can be asked.
 func (l *link) usable() bool {
 	l.mu.Lock()
@@ -230,6 +142,7 @@
 	}
 }
 
+// withdraw takes an ask back.
 func (l *link) withdraw(a *Ask) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -245,93 +158,3 @@
 	// The place may have been given at this moment.
 	l.push(endMessage(a.ID, a.Service, Abandoned, ""))
 }
-
-// send sends what is queued.
-func (l *link) send(ctx context.Context, cancel func(), stream grpc.BidiStreamingClient[poolpb.FromEntry, poolpb.FromOwner], out <-chan *poolpb.FromEntry) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case m := <-out:
-			if err := stream.Send(m); err != nil {
-				cancel()
-				return
-			}
-		}
-	}
-}
-
-// receive takes the owner's messages.
-func (l *link) receive(stream grpc.BidiStreamingClient[poolpb.FromEntry, poolpb.FromOwner]) error {
-	for {
-		m, err := stream.Recv()
-		if err != nil {
-			return err
-		}
-		l.take(m)
-	}
-}
-
-func (l *link) take(m *poolpb.FromOwner) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.heard = time.Now()
-	switch k := m.GetKind().(type) {
-	case *poolpb.FromOwner_Grant:
-		l.answer(k.Grant.GetId(), reply{
-			grant: decodeGrant(k.Grant),
-		})
-	case *poolpb.FromOwner_Refusal:
-		l.answer(k.Refusal.GetId(), reply{
-			err: &Refusal{
-				Reason: k.Refusal.GetReason(),
-				After:  microseconds(k.Refusal.GetAfterUs()),
-			},
-		})
-	case *poolpb.FromOwner_Pong:
-	}
-}
-
-func (l *link) answer(id string, r reply) {
-	if c, ok := l.asked[id]; ok {
-		delete(l.asked, id)
-		c <- r
-	}
-}
-
-// keep ends a session whose owner is silent.
-func (l *link) keep(ctx context.Context, cancel func()) {
-	tick := time.NewTicker(pingBusy)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-tick.C:
-			if l.check(now) {
-				cancel()
-				return
-			}
-		}
-	}
-}
-
-// check asks for a sign of life when one is due, and returns whether the owner
-// is out of touch.
-func (l *link) check(now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	limit, every := idleSilence, pingIdle
-	if len(l.asked) > 0 {
-		limit, every = silence, pingBusy
-	}
-	if now.Sub(l.heard) > limit {
-		return true
-	}
-	if now.Sub(l.pinged) >= every-pingBusy/2 {
-		l.pinged = now
-		l.seq++
-		l.push(pingMessage(l.seq))
-	}
-	return false
-}
--- a/pool/messages.go
+++ b/pool/messages.go
@@ -44,6 +44,7 @@
 	}
 }
 
+// microseconds returns a duration that was sent as a number.
 func microseconds(n int64) time.Duration {
 	return time.Duration(n) * time.Microsecond
 }
--- /dev/null
+++ b/pool/plain.go
@@ -0,0 +1,38 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/linkmast/linkmast/placement"
+)
+
+// tryPlain places a request on the plain endpoint with the least work for its
+// slots, counting recent failures as work.
+func (s *Scheduler) tryPlain(p *state, w *waiter, list []*placement.Engine, now time.Time) (Grant, bool) {
+	best := slices.MinFunc(list, func(a, b *placement.Engine) int {
+		return cmp.Compare(p.load(a), p.load(b))
+	})
+	addPlain(best, w.ask.ID)
+	return s.grant(p, w, &placement.Plan{
+		Engine: best,
+	}, now), true
+}
+
+// addPlain notes that an attempt runs on a plain endpoint.
+func addPlain(e *placement.Engine, id string) {
+	e.Jobs = append(e.Jobs, &placement.Job{
+		ID: id,
+	})
+}
+
+// failureLoad is what a failure rate of one adds to the load of an endpoint.
+const failureLoad = 4
+
+// load returns how busy a plain endpoint is, in requests for each of its slots.
+func (p *state) load(e *placement.Engine) float64 {
+	return float64(len(e.Jobs))/float64(e.Slots) + failureLoad*p.health[e.Instance].rate
+}
--- /dev/null
+++ b/pool/queue.go
@@ -0,0 +1,135 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package pool
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+)
+
+// review looks at all waiting requests. It returns whether any still wait.
+func (s *Scheduler) review(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	waiting := false
+	for _, p := range s.pools {
+		s.reviewPool(p, now)
+		waiting = waiting || len(p.queue) > 0
+	}
+	return waiting
+}
+
+// reviewPool places or refuses the waiting requests of a pool, the most urgent
+// ones first. The caller holds the lock.
+func (s *Scheduler) reviewPool(p *state, now time.Time) {
+	if len(p.queue) == 0 {
+		return
+	}
+	slices.SortStableFunc(p.queue, func(a, b *waiter) int {
+		return cmp.Compare(a.urgency(now), b.urgency(now))
+	})
+	kept := p.queue[:0]
+	for _, w := range p.queue {
+		if g, ok := s.try(p, w, now); ok {
+			w.reply <- g
+			continue
+		}
+		r := s.shed(p, w, now)
+		if r == nil {
+			r = w.hopeless(now)
+		}
+		if r != nil {
+			s.logRefusal(p, w, r, now)
+			w.refuse <- r
+			continue
+		}
+		kept = append(kept, w)
+	}
+	clear(p.queue[len(kept):])
+	p.queue = kept
+}
+
+// urgency orders waiting requests; the lowest goes first. It is the time in
+// seconds until the request is late, and more for customers of a lower priority.
+// What is late already comes after all others.
+func (w *waiter) urgency(now time.Time) float64 {
+	left := w.request.TargetAt.Sub(now)
+	if left <= 0 {
+		left += lateSeconds * time.Second
+	}
+	return left.Seconds() + rankSeconds*float64(w.ask.Rank)
+}
+
+// The weights of urgency, in seconds.
+const (
+	// lateSeconds puts late requests behind all others: targets are shorter.
+	lateSeconds = 100
+	// rankSeconds is how much later a request counts for each rank of its
+	// customer.
+	rankSeconds = 0.3
+)
+
+// refuseShare is the part of its deadline after which a request that found no
+// place is refused, so that its caller can come back in time.
+const refuseShare = 0.6
+
+// hopeless returns a refusal for a request that waited too long, or nil.
+func (w *waiter) hopeless(now time.Time) *Refusal {
+	if now.Sub(w.arrived) < time.Duration(float64(w.ask.Deadline)*refuseShare) {
+		return nil
+	}
+	return &Refusal{
+		Reason: "no endpoint can take the request now",
+		After:  retryAfter,
+	}
+}
+
+// queueTick is how often waiting requests are looked at anew: a fraction of a
+// pass.
+const queueTick = 15 * time.Millisecond
+
+// Run looks at waiting requests until ctx ends.
+func (s *Scheduler) Run(ctx context.Context) {
+	tick := time.NewTicker(queueTick)
+	defer tick.Stop()
+	for {
+		if s.review(time.Now()) {
+			select {
+			case <-ctx.Done():
+				return
+			case <-tick.C:
+			}
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.wake:
+		}
+	}
+}
+
+// poke makes Run look at the waiting requests.
+func (s *Scheduler) poke() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// withdraw takes back a request that no longer waits for its place.
+func (s *Scheduler) withdraw(p *state, w *waiter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i := slices.Index(p.queue, w); i >= 0 {
+		p.queue = slices.Delete(p.queue, i, i+1)
+		return
+	}
+	select {
+	case <-w.reply:
+		p.end(w.ask.ID)
+	default:
+	}
+}
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -13,16 +13,18 @@
 	"github.com/linkmast/linkmast/placement"
 )
 
-// Settings are the measures of a Scheduler. A zero value means the default.
+// Settings are the measures of a Scheduler.
 type Settings struct {
 	// Self names the instance.
 	Self string
-	// Retries bounds how many requests are sent again.
+	// Retries bounds how many requests are sent again; the zero value allows
+	// none.
 	Retries Budget
-	// WorthBase and WorthPerToken are what an answer in time is worth: a base
-	// and an amount for each token of the prompt.
+	// WorthBase is what an answer in time is worth without the part for its
+	// prompt; the default is 0.8.
 	WorthBase float64
-	// WorthPerToken is what each token of the prompt adds.
+	// WorthPerToken is what each token of the prompt adds; the default is
+	// 1.1e-4.
 	WorthPerToken float64
 }
 
@@ -39,49 +41,23 @@
 	settings Settings
 	log      logr.Logger
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// pools are the services' states by name.
 	pools map[string]*state
-	wake  chan struct{}
+	// wake gets a value when there may be something to review.
+	wake chan struct{}
 	// marks counts the sessions that ended.
 	marks int64
 }
 
-// state is what a scheduler knows of one service.
-type state struct {
-	engines map[string]*placement.Engine
-	// list is the engines in a fixed order.
-	list   []*placement.Engine
-	health map[string]*health
-	placed map[string]*placed
-	queue  []*waiter
-	// retry is the budget of the pool's owner, and alone what an instance may
-	// spend that has no owner to ask.
-	retry  spender
-	alone  spender
-	errors errorStats
-	// plain states that the service's endpoints are no engines.
-	plain bool
-}
-
-// placed is an attempt that has a place.
-type placed struct {
-	instance string
-	readers  []string
-	at       time.Time
-	first    time.Duration
-	begun    bool
-	// orphan is the mark of the ended session that the attempt came through;
-	// zero while its entry is in touch.
-	orphan int64
-}
-
 // waiter is a request that waits for a better moment.
 type waiter struct {
 	ask     Ask
 	request placement.Request
 	arrived time.Time
-	reply   chan Grant
-	refuse  chan *Refusal
+	// reply or refuse gets the decision.
+	reply  chan Grant
+	refuse chan *Refusal
 	// late states that the last plan made the request late.
 	late bool
 }
@@ -102,31 +78,6 @@
 	}
 }
 
-// queueTick is how often waiting requests are looked at anew: a fraction of a
-// pass.
-const queueTick = 15 * time.Millisecond
-
-// Run looks at waiting requests until ctx ends.
-func (s *Scheduler) Run(ctx context.Context) {
-	tick := time.NewTicker(queueTick)
-	defer tick.Stop()
-	for {
-		if s.review(time.Now()) {
-			select {
-			case <-ctx.Done():
-				return
-			case <-tick.C:
-			}
-			continue
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-s.wake:
-		}
-	}
-}
-
 // Update takes over the endpoints that are known.
 func (s *Scheduler) Update(snap *catalog.Snapshot) {
 	s.mu.Lock()
@@ -210,19 +161,15 @@
 		"endpoints", usable, "running", used, "slots", slots)
 }
 
-func (s *Scheduler) poke() {
-	select {
-	case s.wake <- struct{}{}:
-	default:
-	}
-}
-
 // Callers give a stream up after a silence of the longest of these: a time, so
 // many targets, or so many of the longest pauses in time.
 const (
-	giveUpLeast   = 2 * time.Second
+	// giveUpLeast is that time.
+	giveUpLeast = 2 * time.Second
+	// giveUpTargets counts targets.
 	giveUpTargets = 4
-	giveUpGaps    = 8
+	// giveUpGaps counts pauses.
+	giveUpGaps = 8
 )
 
 // waiter makes the state of an ask.
@@ -245,28 +192,12 @@
 	}
 }
 
-// withdraw takes back a request that no longer waits for its place.
-func (s *Scheduler) withdraw(p *state, w *waiter) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for i, q := range p.queue {
-		if q == w {
-			p.queue = append(p.queue[:i], p.queue[i+1:]...)
-			return
-		}
-	}
-	select {
-	case <-w.reply:
-		p.end(w.ask.ID)
-	default:
-	}
-}
-
 // First implements Placer.
 func (s *Scheduler) First(id, service string) {
 	s.first(id, service, s.settings.Self)
 }
 
+// first takes over the first event of an attempt, as an instance reports it.
 func (s *Scheduler) first(id, service, reporter string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -279,7 +210,7 @@
 	at.begun = true
 	p.errors.add(at.first, now.Sub(at.at))
 	p.begin(id, at, now)
-	for _, name := range append(at.readers, at.instance) {
+	for _, name := range at.endpoints() {
 		if h := p.health[name]; h != nil {
 			h.alive(reporter == s.settings.Self)
 		}
--- a/pool/server.go
+++ b/pool/server.go
@@ -43,13 +43,14 @@
 type session struct {
 	server *Server
 	stream grpc.BidiStreamingServer[poolpb.FromEntry, poolpb.FromOwner]
-	entry  string
-	domain string
+	// entry names the instance at the other end.
+	entry string
 
 	// sending guards the stream, which takes one message at a time.
 	sending sync.Mutex
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// asked are the asks that wait for a place, by attempt, with what ends them.
 	asked map[string]context.CancelFunc
 	// attempts are what the entry has running, by id with their service.
 	attempts map[string]string
@@ -113,11 +114,12 @@
 	}
 }
 
+// take takes over a message of the entry. An error ends the session.
 func (x *session) take(ctx context.Context, m *poolpb.FromEntry) error {
 	s := x.server.scheduler
 	switch k := m.GetKind().(type) {
 	case *poolpb.FromEntry_Hello:
-		x.entry, x.domain = k.Hello.GetEntry(), k.Hello.GetDomain()
+		x.entry = k.Hello.GetEntry()
 	case *poolpb.FromEntry_Ask:
 		x.place(ctx, decodeAsk(k.Ask))
 	case *poolpb.FromEntry_Withdraw:
@@ -143,12 +145,14 @@
 	return nil
 }
 
+// send sends the entry a message.
 func (x *session) send(m *poolpb.FromOwner) error {
 	x.sending.Lock()
 	defer x.sending.Unlock()
 	return x.stream.Send(m)
 }
 
+// note adds to what the entry has running.
 func (x *session) note(id, service string) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -157,12 +161,14 @@
 	}
 }
 
+// drop takes from what the entry has running.
 func (x *session) drop(id string) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	delete(x.attempts, id)
 }
 
+// withdraw ends an ask that waits.
 func (x *session) withdraw(id string) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -173,7 +179,6 @@
 
 // place answers an ask as soon as there is a place or a refusal.
 func (x *session) place(ctx context.Context, a Ask) {
-	a.Domain = x.domain
 	ctx, cancel := context.WithCancel(ctx)
 	x.mu.Lock()
 	x.asked[a.ID] = cancel
@@ -188,6 +193,7 @@
 	})
 }
 
+// reply tells the entry what became of its ask.
 func (x *session) reply(a Ask, g Grant, err error) {
 	var r *Refusal
 	switch {
--- a/pool/state.go
+++ b/pool/state.go
@@ -13,6 +13,48 @@
 	"github.com/linkmast/linkmast/route"
 )
 
+// state is what a scheduler knows of one service.
+type state struct {
+	// engines are the endpoints by instance.
+	engines map[string]*placement.Engine
+	// list is the engines in a fixed order.
+	list []*placement.Engine
+	// health is what is known of each endpoint, by instance.
+	health map[string]*health
+	// placed are the attempts that have a place, by id.
+	placed map[string]*placed
+	// queue are the requests that wait.
+	queue []*waiter
+	// retry is the budget of the pool's owner, and alone what an instance may
+	// spend that has no owner to ask.
+	retry  spender
+	alone  spender
+	errors errorStats
+	// plain states that the service's endpoints are no engines.
+	plain bool
+}
+
+// placed is an attempt that has a place.
+type placed struct {
+	instance string
+	// readers are the endpoints that help to read the prompt.
+	readers []string
+	// at is when the place was given, and first the predicted time from then to
+	// the first event.
+	at    time.Time
+	first time.Duration
+	// begun states that the first event has come.
+	begun bool
+	// orphan is the mark of the ended session that the attempt came through;
+	// zero while its entry is in touch.
+	orphan int64
+}
+
+// endpoints returns all endpoints of the attempt, the one that answers last.
+func (at *placed) endpoints() []string {
+	return append(slices.Clone(at.readers), at.instance)
+}
+
 // upsert takes over the entry of an endpoint.
 func (p *state) upsert(c catalog.Endpoint, svc *route.Service) {
 	e, ok := p.engines[c.Instance]
@@ -55,9 +97,10 @@
 	})
 }
 
-// share sets the parts of the retry budget: half for the pool's owner, which may
-// change, and half for all instances that place alone. Pools without engines are
-// always placed by each instance alone.
+// share sets the parts of the retry budget. Of what may be sent again beside the
+// ratio, half is for the pool's owner, which may change, and half for all
+// instances that place alone. Pools without engines are always placed by each
+// instance alone, so that there the instances share all of it.
 func (p *state) share(whole Budget, instances int) {
 	p.retry.budget = Budget{
 		Ratio:  whole.Ratio * budgetShare,
@@ -76,7 +119,8 @@
 // all when owners change.
 const budgetShare = 0.75
 
-// named returns the endpoint with a name or an address.
+// named returns the instance of the endpoint with a name or an address; empty
+// when there is none.
 func (p *state) named(name string) string {
 	if _, ok := p.engines[name]; ok {
 		return name
@@ -96,7 +140,7 @@
 		return
 	}
 	delete(p.placed, id)
-	for _, name := range append(at.readers, at.instance) {
+	for _, name := range at.endpoints() {
 		if e := p.engines[name]; e != nil {
 			e.Remove(id)
 		}
@@ -147,24 +191,6 @@
 // retryAfter is when to come back when nothing better is known.
 const retryAfter = 500 * time.Millisecond
 
-// errorStats are how far predictions were off.
-type errorStats struct {
-	count int
-	// within counts predictions that were off by a fifth or less.
-	within int
-}
-
-// within is the relative error up to which a prediction counts as met.
-const within = 0.2
-
-func (s *errorStats) add(predicted, actual time.Duration) {
-	s.count++
-	off := (actual - predicted).Abs()
-	if float64(off) <= within*float64(predicted) {
-		s.within++
-	}
-}
-
 // begin corrects the model by an attempt's first event.
 func (p *state) begin(id string, at *placed, now time.Time) {
 	if p.plain {
--- a/pool/types.go
+++ b/pool/types.go
@@ -18,9 +18,9 @@
 	Customer string
 	// Rank is the priority; 0 goes first.
 	Rank int
-	// Prompt is the length of the prompt in tokens.
+	// Prompt is the length of the prompt, in tokens.
 	Prompt int
-	// Output is the likely length of the answer in tokens.
+	// Output is the likely length of the answer, in tokens.
 	Output int
 	// Target is the time that is left until the first event would be late. It
 	// may be negative.
@@ -35,8 +35,6 @@
 	// Avoid are endpoints that failed the entry's requests of late. They are
 	// used when there is no other.
 	Avoid []string
-	// Domain is the failure domain of the entry.
-	Domain string
 	// Returning states that the caller has come back after a refusal, or tries
 	// again.
 	Returning bool
@@ -62,9 +60,6 @@
 	Instance string
 	// Address is its host and port.
 	Address string
-	// Reserved is the memory to set aside at the endpoint itself, in tokens;
-	// zero means that it takes what it needs.
-	Reserved int
 	// Readers are the endpoints that read the prompt together with it.
 	Readers []Reader
 	// First is the predicted time to the first event.
