--- a/catalog/apply.go
+++ b/catalog/apply.go
@@ -117,8 +117,8 @@
 	}
 }
 
-// remove ends an endpoint, at once or, in doubt, after a while. It returns
-// whether it did.
+// remove ends an endpoint: at once, or in doubt only when its entry has not come
+// back by then. It returns whether the endpoint ended.
 func (c *Catalog) remove(r Record, from source) bool {
 	if _, known := c.endpoints[r.Key]; !known {
 		c.note(Endpoints, r)
@@ -139,6 +139,7 @@
 	return false
 }
 
+// removeNow ends an endpoint. The reason is for the log.
 func (c *Catalog) removeNow(r Record, reason string) {
 	delete(c.endpoints, r.Key)
 	delete(c.vanished, r.Key)
@@ -147,7 +148,8 @@
 	c.log.Info("endpoint gone", "endpoint", r.Key, "reason", reason)
 }
 
-// dropMissing removes what a whole read of a feed up to an offset did not show.
+// dropMissing removes what a whole read of a feed up to an offset did not show. It
+// returns whether that changed anything.
 func (c *Catalog) dropMissing(f Feed, seen map[string]bool, next int64, from source) bool {
 	changed := false
 	for key, old := range c.records[f] {
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -35,10 +35,14 @@
 
 // The defaults of Settings.
 const (
-	defaultReaders  = 2
-	defaultPoll     = time.Second
+	// defaultReaders is two, so that one may fail.
+	defaultReaders = 2
+	// defaultPoll keeps the age of a configuration at about two seconds.
+	defaultPoll = time.Second
+	// defaultLongPoll costs the store three calls a minute and feed.
 	defaultLongPoll = 20 * time.Second
-	// The platform's pages give about two seconds for entries to return.
+	// defaultHold is the time that the platform's pages give entries to return:
+	// about two seconds.
 	defaultHold = 2 * time.Second
 )
 
@@ -48,38 +52,6 @@
 	Conn(address string) (*grpc.ClientConn, error)
 }
 
-// Snapshot is what was known at one moment. It never changes.
-type Snapshot struct {
-	// Table is the configuration in force.
-	Table *route.Table
-	// Endpoints are all endpoints by instance, leaving ones included.
-	Endpoints map[string]Endpoint
-	// Departed are the endpoints that leave or are gone, for departedFor after
-	// this became known. Another instance may not know of it yet.
-	Departed map[string]time.Time
-	// Peers are the other instances by id, this one included.
-	Peers map[string]Peer
-}
-
-// departedFor is how long endpoints that are gone are remembered: longer than
-// outages of the store usually last.
-const departedFor = 2 * time.Minute
-
-// Leaving returns the endpoints that must get nothing new.
-func (s *Snapshot) Leaving() []string {
-	out := make([]string, 0, len(s.Departed))
-	for instance := range s.Departed {
-		out = append(out, instance)
-	}
-	return out
-}
-
-// Gone states whether an endpoint must get nothing new.
-func (s *Snapshot) Gone(instance string) bool {
-	_, gone := s.Departed[instance]
-	return gone
-}
-
 // Catalog follows the store.
 type Catalog struct {
 	settings Settings
@@ -90,7 +62,8 @@
 	// confirmed is when the last read that confirmed the configuration was
 	// sent; nil before the first.
 	confirmed atomic.Pointer[time.Time]
-	snapshot  atomic.Pointer[Snapshot]
+	// snapshot is what was last published.
+	snapshot atomic.Pointer[Snapshot]
 	// read is when the store last answered this instance, and heard when an
 	// instance that it follows last confirmed the configuration.
 	read  clock
@@ -100,7 +73,8 @@
 	// followers counts the instances that follow this one.
 	followers atomic.Int64
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// table, endpoints and peers are what the records say.
 	table     *route.Table
 	endpoints map[string]Endpoint
 	peers     map[string]Peer
@@ -108,6 +82,7 @@
 	// effect, and next the offsets after the last ones.
 	records map[Feed]map[string]Record
 	next    map[Feed]int64
+	// journal has the latest changes for followers.
 	journal journal
 	// doubt is until when removals of endpoints are not taken for real.
 	doubt time.Time
@@ -116,7 +91,8 @@
 	// departed are the endpoints that leave or are gone, with when this became
 	// known.
 	departed map[string]time.Time
-	changed  chan struct{}
+	// changed is closed at the next change.
+	changed chan struct{}
 }
 
 // removal is the end of an endpoint's entry that has not taken effect.
@@ -201,60 +177,3 @@
 		}
 	}
 }
-
-// publish makes what is known visible. The caller holds the lock.
-func (c *Catalog) publish() {
-	close(c.changed)
-	c.changed = make(chan struct{})
-	if c.table == nil {
-		return
-	}
-	s := &Snapshot{
-		Table:     c.table,
-		Endpoints: make(map[string]Endpoint, len(c.endpoints)),
-		Departed:  make(map[string]time.Time, len(c.departed)),
-		Peers:     make(map[string]Peer, len(c.peers)),
-	}
-	for k, at := range c.departed {
-		if time.Since(at) > departedFor {
-			delete(c.departed, k)
-			continue
-		}
-		s.Departed[k] = at
-	}
-	for k, e := range c.endpoints {
-		s.Endpoints[k] = e
-	}
-	for k, p := range c.peers {
-		s.Peers[k] = p
-	}
-	c.snapshot.Store(s)
-}
-
-// clock is a moment; zero while there was none.
-type clock struct {
-	at atomic.Int64
-}
-
-// begin is what moments of a clock count from.
-var begin = time.Now()
-
-func (k *clock) mark(now time.Time) {
-	k.at.Store(int64(now.Sub(begin)) + 1)
-}
-
-func (k *clock) reset() {
-	k.at.Store(0)
-}
-
-// since returns how long ago the clock was marked; false when it never was.
-func (k *clock) since() (time.Duration, bool) {
-	at := k.at.Load()
-	return time.Since(begin) - time.Duration(at), at > 0
-}
-
-// within states whether the clock was marked at most so long ago.
-func (k *clock) within(d time.Duration) bool {
-	ago, ok := k.since()
-	return ok && ago <= d
-}
--- /dev/null
+++ b/catalog/kick.go
@@ -0,0 +1,47 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package catalog
+
+import (
+	"sync"
+	"sync/atomic"
+)
+
+// kick ends what watches it.
+type kick struct {
+	mu sync.Mutex
+	ch chan struct{}
+}
+
+func newKick() *kick {
+	return &kick{
+		ch: make(chan struct{}),
+	}
+}
+
+// fire ends all that watch now.
+func (k *kick) fire() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	close(k.ch)
+	k.ch = make(chan struct{})
+}
+
+// watch calls f at the next fire, until it is stopped. Fired states whether it
+// was called.
+func (k *kick) watch(f func()) (fired func() bool, stop func()) {
+	k.mu.Lock()
+	ch := k.ch
+	k.mu.Unlock()
+	done := make(chan struct{})
+	var called atomic.Bool
+	go func() {
+		select {
+		case <-ch:
+			called.Store(true)
+			f()
+		case <-done:
+		}
+	}()
+	return called.Load, func() { close(done) }
+}
--- a/catalog/follow.go
+++ b/catalog/reading.go
@@ -5,20 +5,24 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 )
 
-// The waits between tries while the store can't be read, and what a poll may
-// take longer than its wait.
+// The times of reading the store.
 const (
+	// firstBackoff is the wait after a first failure; it grows by as much with
+	// each further one up to lastBackoff, so that a store that is back is
+	// noticed within half a second.
 	firstBackoff = 100 * time.Millisecond
 	lastBackoff  = 400 * time.Millisecond
-	pollSlack    = 800 * time.Millisecond
+	// pollSlack is how much longer than its wait a poll may take.
+	pollSlack = 800 * time.Millisecond
+	// wholeTimeout bounds a whole read of a feed.
 	wholeTimeout = 2 * time.Second
-	expireEvery  = 100 * time.Millisecond
+	// expireEvery is how often it is looked whether removals have come due.
+	expireEvery = 100 * time.Millisecond
 	// firstStartWait is how long an instance waits at the first start of all
 	// until the others are announced; they start within 0.3 s.
 	firstStartWait = 700 * time.Millisecond
@@ -62,6 +66,7 @@
 	return false
 }
 
+// sleep waits for a time, or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -69,6 +74,7 @@
 	}
 }
 
+// expireLoop removes endpoints as their time comes.
 func (c *Catalog) expireLoop(ctx context.Context) {
 	tick := time.NewTicker(expireEvery)
 	defer tick.Stop()
@@ -85,43 +91,51 @@
 // readLoop keeps one feed up to date from the store while this instance should
 // read it.
 func (c *Catalog) readLoop(ctx context.Context, f Feed, retry *kick) {
-	next := int64(-1)
+	next := int64(unread)
 	failures := 0
 	for ctx.Err() == nil {
 		if !c.shouldRead() {
 			sleep(ctx, lookEvery)
-			c.failing.And(^(1 << f))
-			next, failures = -1, 0
+			c.setFailing(f, false)
+			next, failures = unread, 0
 			continue
 		}
-		if next < 0 {
+		if next == unread {
 			next = c.resume(f)
 		}
 		var err error
-		if next < 0 {
+		if next == unread {
 			next, err = c.readWhole(ctx, f)
 		} else {
 			next, err = c.poll(ctx, f, next, failures > 0, retry)
 		}
 		if err != nil {
 			failures++
-			c.failing.Or(1 << f)
+			c.setFailing(f, true)
 			c.failed(ctx, f, failures, err)
 			continue
 		}
-		c.failing.And(^(1 << f))
+		c.setFailing(f, false)
 		if failures > 0 {
-			c.log.Info("store is back", "feed", f.String(), "failures", failures)
-			if f == Configurations {
-				// The other feeds may hang on connections that died.
-				retry.fire()
-			}
+			c.back(f, failures, retry)
 		}
 		failures = 0
 	}
 }
 
-// resume returns the offset from which a feed can be followed, or -1 when
+// back notes that a feed can be read again.
+func (c *Catalog) back(f Feed, failures int, retry *kick) {
+	c.log.Info("store is back", "feed", f.String(), "failures", failures)
+	if f == Configurations {
+		// The other feeds may hang on connections that died.
+		retry.fire()
+	}
+}
+
+// unread stands for the offset of a feed that must be read whole.
+const unread = -1
+
+// resume returns the offset from which a feed can be followed, or unread when
 // nothing is known of it.
 func (c *Catalog) resume(f Feed) int64 {
 	c.mu.Lock()
@@ -129,7 +143,7 @@
 	if next, known := c.next[f]; known && len(c.records[f]) > 0 {
 		return next
 	}
-	return -1
+	return unread
 }
 
 // failed notes a failed read and waits before the next.
@@ -144,14 +158,14 @@
 	sleep(ctx, min(firstBackoff*time.Duration(failures), lastBackoff))
 }
 
-// readWhole reads a feed from nothing.
+// readWhole reads a feed from nothing. It returns the offset to follow from.
 func (c *Catalog) readWhole(ctx context.Context, f Feed) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, wholeTimeout)
 	defer cancel()
 	sent := time.Now()
 	records, next, err := c.store.Whole(ctx, f)
 	if err != nil {
-		return -1, err
+		return unread, err
 	}
 	c.apply(f, records, next, true, fromStore)
 	if f == Configurations && len(records) > 0 {
@@ -161,16 +175,21 @@
 	return next, nil
 }
 
-// poll waits for the next records of a feed. After a failure it does not wait,
-// so that it is known at once that the store is back.
-func (c *Catalog) poll(ctx context.Context, f Feed, from int64, failed bool, retry *kick) (int64, error) {
-	wait := c.settings.LongPoll
-	if f == Configurations {
-		wait = c.settings.Poll
-	}
-	if failed {
-		wait = 0
+// pollWait returns how long a poll waits. After a failure it does not, so that it
+// is known at once that the store is back.
+func (c *Catalog) pollWait(f Feed, failed bool) time.Duration {
+	switch {
+	case failed:
+		return 0
+	case f == Configurations:
+		return c.settings.Poll
 	}
+	return c.settings.LongPoll
+}
+
+// poll waits for the next records of a feed, and returns the offset after them.
+func (c *Catalog) poll(ctx context.Context, f Feed, from int64, failed bool, retry *kick) (int64, error) {
+	wait := c.pollWait(f, failed)
 	ctx, cancel := context.WithTimeout(ctx, wait+pollSlack)
 	defer cancel()
 	kicked := func() bool { return false }
@@ -198,42 +217,3 @@
 	}
 	return next, nil
 }
-
-// kick ends what watches it.
-type kick struct {
-	mu sync.Mutex
-	ch chan struct{}
-}
-
-func newKick() *kick {
-	return &kick{
-		ch: make(chan struct{}),
-	}
-}
-
-// fire ends all that watch now.
-func (k *kick) fire() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	close(k.ch)
-	k.ch = make(chan struct{})
-}
-
-// watch calls f at the next fire, until it is stopped. Fired states whether it
-// was called.
-func (k *kick) watch(f func()) (fired func() bool, stop func()) {
-	k.mu.Lock()
-	ch := k.ch
-	k.mu.Unlock()
-	done := make(chan struct{})
-	var called atomic.Bool
-	go func() {
-		select {
-		case <-ch:
-			called.Store(true)
-			f()
-		case <-done:
-		}
-	}()
-	return called.Load, func() { close(done) }
-}
--- a/catalog/server.go
+++ b/catalog/server.go
@@ -8,7 +8,6 @@
 	"google.golang.org/grpc"
 
 	"github.com/linkmast/linkmast/catalog/catalogpb"
-	"github.com/linkmast/linkmast/internal/zdelta"
 )
 
 // Server hands on what a Catalog knows to other instances.
@@ -67,6 +66,7 @@
 	sending sync.Mutex
 }
 
+// send sends the follower a message.
 func (f *follower) send(u *catalogpb.Update) error {
 	f.sending.Lock()
 	defer f.sending.Unlock()
@@ -81,10 +81,9 @@
 		err := f.send(&catalogpb.Update{
 			Kind: &catalogpb.Update_Age{
 				Age: &catalogpb.Age{
-					Seq:   p.GetSeq(),
-					AgeUs: age.Microseconds(),
-					Known: known && heard,
-
+					Seq:        p.GetSeq(),
+					AgeUs:      age.Microseconds(),
+					Known:      known && heard,
 					AnsweredUs: answered.Microseconds(),
 				},
 			},
@@ -105,29 +104,7 @@
 	c := f.catalog
 	c.mu.Lock()
 	at, changed := c.journal.end(), c.changed
-	type part struct {
-		feed    Feed
-		next    int64
-		records []Record
-	}
-	parts := make([]part, 0, len(feeds))
-	for _, feed := range feeds {
-		next, known := c.next[feed]
-		if !known {
-			continue
-		}
-		all := make([]Record, 0, len(c.records[feed]))
-		for _, r := range c.records[feed] {
-			if feed != Configurations || r.Offset != has {
-				all = append(all, r)
-			}
-		}
-		parts = append(parts, part{
-			feed:    feed,
-			next:    next,
-			records: all,
-		})
-	}
+	parts := c.whole(has)
 	c.mu.Unlock()
 	for _, p := range parts {
 		u, err := encodeRecords(p.feed, p.records, p.next, true)
@@ -141,7 +118,39 @@
 	return at, changed, nil
 }
 
-// sendFrom sends the changes from a number on.
+// wholeFeed is all that is known of a feed.
+type wholeFeed struct {
+	feed    Feed
+	next    int64
+	records []Record
+}
+
+// whole returns the feeds that are known, without the configuration at an offset.
+// The caller holds the lock.
+func (c *Catalog) whole(has int64) []wholeFeed {
+	out := make([]wholeFeed, 0, len(feeds))
+	for _, f := range feeds {
+		next, known := c.next[f]
+		if !known {
+			continue
+		}
+		all := make([]Record, 0, len(c.records[f]))
+		for _, r := range c.records[f] {
+			if f != Configurations || r.Offset != has {
+				all = append(all, r)
+			}
+		}
+		out = append(out, wholeFeed{
+			feed:    f,
+			next:    next,
+			records: all,
+		})
+	}
+	return out
+}
+
+// sendFrom sends the changes from a number on; all records when those changes are
+// no longer kept. It returns what sendAll returns.
 func (f *follower) sendFrom(at int64) (int64, <-chan struct{}, error) {
 	c := f.catalog
 	c.mu.Lock()
@@ -163,59 +172,3 @@
 	}
 	return end, changed, nil
 }
-
-// noOffset stands for no record.
-const noOffset = -1
-
-// encode makes the message of one change.
-func (e *entry) encode() (*catalogpb.Update, error) {
-	if e.packed == nil {
-		return encodeRecords(e.feed, []Record{e.record}, e.record.Offset+1, false)
-	}
-	data, err := e.packed.bytes()
-	if err != nil {
-		return nil, err
-	}
-	return update(e.feed, e.record.Offset+1, false, []*catalogpb.Record{{
-		Key:    e.record.Key,
-		Value:  data,
-		Offset: e.record.Offset,
-		Packed: true,
-		Base:   e.packed.base.Offset,
-	}}), nil
-}
-
-// encodeRecords makes the message of whole records; long values are packed.
-func encodeRecords(f Feed, records []Record, next int64, whole bool) (*catalogpb.Update, error) {
-	out := make([]*catalogpb.Record, 0, len(records))
-	for _, r := range records {
-		m := &catalogpb.Record{
-			Key:    r.Key,
-			Value:  r.Value,
-			Offset: r.Offset,
-			Base:   noOffset,
-		}
-		if len(r.Value) >= packedFrom {
-			data, err := zdelta.Pack(r.Value, nil)
-			if err != nil {
-				return nil, err
-			}
-			m.Value, m.Packed = data, true
-		}
-		out = append(out, m)
-	}
-	return update(f, next, whole, out), nil
-}
-
-func update(f Feed, next int64, whole bool, records []*catalogpb.Record) *catalogpb.Update {
-	return &catalogpb.Update{
-		Kind: &catalogpb.Update_Records{
-			Records: &catalogpb.Records{
-				Feed:    int32(f),
-				Whole:   whole,
-				Next:    next,
-				Records: records,
-			},
-		},
-	}
-}
--- /dev/null
+++ b/catalog/snapshot.go
@@ -0,0 +1,67 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package catalog
+
+import (
+	"maps"
+	"time"
+
+	"github.com/linkmast/linkmast/route"
+)
+
+// Snapshot is what was known at one moment. It never changes.
+type Snapshot struct {
+	// Table is the configuration in force.
+	Table *route.Table
+	// Endpoints are all endpoints by instance, leaving ones included.
+	Endpoints map[string]Endpoint
+	// Departed are the endpoints that leave or are gone, for departedFor after
+	// this became known. Another instance may not know of it yet.
+	Departed map[string]time.Time
+	// Peers are all instances by id, this one included.
+	Peers map[string]Peer
+}
+
+// departedFor is how long endpoints that are gone are remembered: longer than
+// outages of the store usually last.
+const departedFor = 2 * time.Minute
+
+// Leaving returns the endpoints that must get nothing new, in any order.
+func (s *Snapshot) Leaving() []string {
+	out := make([]string, 0, len(s.Departed))
+	for instance := range s.Departed {
+		out = append(out, instance)
+	}
+	return out
+}
+
+// Gone states whether an endpoint must get nothing new.
+func (s *Snapshot) Gone(instance string) bool {
+	_, gone := s.Departed[instance]
+	return gone
+}
+
+// publish makes what is known visible. The caller holds the lock.
+func (c *Catalog) publish() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+	if c.table == nil {
+		return
+	}
+	s := &Snapshot{
+		Table:     c.table,
+		Endpoints: make(map[string]Endpoint, len(c.endpoints)),
+		Departed:  make(map[string]time.Time, len(c.departed)),
+		Peers:     make(map[string]Peer, len(c.peers)),
+	}
+	for k, at := range c.departed {
+		if time.Since(at) > departedFor {
+			delete(c.departed, k)
+			continue
+		}
+		s.Departed[k] = at
+	}
+	maps.Copy(s.Endpoints, c.endpoints)
+	maps.Copy(s.Peers, c.peers)
+	c.snapshot.Store(s)
+}
