Read the relay's admission and attempts one step at a time

Cause: admit and whole did several things each; exhaust filled the excluded endpoints with empty names, which nothing looked at, as no attempt follows; comments on attemptsLeft, the histogram and the defaults said other than the code.

Change: newJob, allowed, tooLarge, mayRetry and keepFailure; fields documented.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -14,11 +14,14 @@
 
 // answer is the caller's side of a request.
 type answer struct {
-	w      http.ResponseWriter
-	flush  *http.ResponseController
-	begun  bool
+	w     http.ResponseWriter
+	flush *http.ResponseController
+	// begun states that the head was sent.
+	begun bool
+	// events is what the caller has of a stream.
 	events events
-	err    error
+	// err is why the caller takes no more; nil while it does.
+	err error
 }
 
 func newAnswer(w http.ResponseWriter, j *job) *answer {
@@ -41,16 +44,17 @@
 	if length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	if _, ok := h["Date"]; !ok {
-		h["Date"] = nil
-	}
-	if _, ok := h["Content-Type"]; !ok {
-		h["Content-Type"] = nil
+	// Without an entry net/http would add what the endpoint did not send.
+	for _, name := range []string{"Date", "Content-Type"} {
+		if _, ok := h[name]; !ok {
+			h[name] = nil
+		}
 	}
 	a.w.WriteHeader(res.StatusCode)
 	a.begun = true
 }
 
+// write sends a piece of the body, unless the caller takes no more.
 func (a *answer) write(data []byte) {
 	if a.err != nil {
 		return
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -13,6 +13,8 @@
 	// Vars has them all by name.
 	Vars *expvar.Map
 
+	// first has the times to the first event of streams, and whole those to the
+	// end of answers.
 	first *histogram
 	whole *histogram
 }
@@ -28,20 +30,22 @@
 	return m
 }
 
+// add counts an event by its name.
 func (m *Metrics) add(name string) {
 	m.Vars.Add(name, 1)
 }
 
+// refused counts a refusal by its status.
 func (m *Metrics) refused(status int) {
 	m.Vars.Add("refused_"+strconv.Itoa(status), 1)
 }
 
-// bounds are the upper bounds of a histogram's buckets, in ms. They double, so
-// that a latency is known within a factor of two.
+// bounds are the upper bounds of a histogram's buckets, in ms. Each is 2 or 2.5
+// times the one before, so that a latency is known within that factor.
 var bounds = [...]int64{1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10000, 20000}
 
-// histogram counts durations by bucket; each counter has the durations up to
-// the bound that it is named for.
+// histogram counts durations by bucket; each counter has those above the bound
+// before and up to the one that it is named for.
 type histogram struct {
 	vars *expvar.Map
 }
@@ -52,6 +56,7 @@
 	}
 }
 
+// observe counts a duration.
 func (h *histogram) observe(d time.Duration) {
 	ms := d.Milliseconds()
 	for _, b := range bounds {
--- a/relay/refusal.go
+++ b/relay/refusal.go
@@ -10,8 +10,10 @@
 // refusal is a final answer of the relay's own.
 type refusal struct {
 	status int
+	// reason is the body of the answer.
 	reason string
-	after  time.Duration
+	// after is when the caller may come back; zero when that is not said.
+	after time.Duration
 }
 
 // unavailable returns a refusal of a request that did not run.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -18,7 +18,7 @@
 	"github.com/linkmast/linkmast/route"
 )
 
-// Settings are the measures of a Relay. A zero value means the default.
+// Settings are the measures of a Relay.
 type Settings struct {
 	// Self names the instance; it becomes part of the names of attempts.
 	Self string
@@ -52,8 +52,10 @@
 
 	settings Settings
 	parts    Parts
+	// counter is the number of the last attempt.
 	counter  atomic.Uint64
 	stopping atomic.Bool
+	// inFlight counts the requests that are being served.
 	inFlight atomic.Int64
 }
 
@@ -79,7 +81,9 @@
 
 // The bounds of requests where the configuration has none.
 const (
-	defaultWait    = 30 * time.Second
+	// defaultWait is how long a caller is taken to wait that does not say.
+	defaultWait = 30 * time.Second
+	// defaultMaxBody bounds a request's body, in bytes.
 	defaultMaxBody = 16 << 20
 )
 
@@ -117,12 +121,13 @@
 	body     []byte
 	arrived  time.Time
 	deadline time.Time
-	keyed    bool
+	// keyed states that the request needs a key.
+	keyed bool
 
-	// sends counts the endpoints that the request was sent to, and ran those
-	// that may have run it.
+	// sends counts the endpoints that the request was sent to.
 	sends int
-	ran   bool
+	// ran states that one of them may have run it.
+	ran bool
 	// exclude are the endpoints that failed the request.
 	exclude []string
 	// out is the caller's side of the answer.
@@ -144,18 +149,7 @@
 	if rt == nil {
 		return l.unknown("no route", http.StatusNotFound, h, known.Table)
 	}
-	j := &job{
-		head:    h,
-		route:   rt,
-		table:   known.Table,
-		rank:    rt.Rank,
-		service: rt.Service(h.ID),
-		method:  r.Method,
-		target:  r.RequestURI,
-		host:    r.Host,
-		arrived: arrived,
-		keyed:   known.Table.Keyed && !rt.Public,
-	}
+	j := newJob(h, r, rt, known.Table, arrived)
 	if j.keyed {
 		if late := l.tooOld(); late != nil {
 			return nil, late
@@ -167,18 +161,39 @@
 		j.customer, j.rank = c.ID, c.Rank
 	}
 	j.header = passed(r.Header)
-	wait := h.Wait
+	j.deadline = arrived.Add(allowed(h.Wait, rt))
+	if ref := j.read(r); ref != nil {
+		return nil, ref
+	}
+	return j, nil
+}
+
+// newJob returns a request on its way by a route.
+func newJob(h Head, r *http.Request, rt *route.Route, t *route.Table, arrived time.Time) *job {
+	return &job{
+		head:    h,
+		route:   rt,
+		table:   t,
+		rank:    rt.Rank,
+		service: rt.Service(h.ID),
+		method:  r.Method,
+		target:  r.RequestURI,
+		host:    r.Host,
+		arrived: arrived,
+		keyed:   t.Keyed && !rt.Public,
+	}
+}
+
+// allowed returns the time that a request has on a route when its caller waits for
+// so long; zero means that the caller does not say.
+func allowed(wait time.Duration, rt *route.Route) time.Duration {
 	if wait == 0 {
 		wait = defaultWait
 	}
 	if rt.Timeout > 0 {
 		wait = min(wait, rt.Timeout)
 	}
-	j.deadline = arrived.Add(wait)
-	if ref := j.read(r); ref != nil {
-		return nil, ref
-	}
-	return j, nil
+	return wait
 }
 
 // unknown refuses a request that the configuration in force does not allow,
@@ -210,10 +225,10 @@
 // by then it has asked the store again, and other instances may know more.
 const comeBack = 300 * time.Millisecond
 
-// maxDiscard bounds how much of a body that is too large is read.
+// maxDiscard bounds how much of a body that is too large is read, in bytes.
 const maxDiscard = 8 << 20
 
-// read reads the body.
+// read reads the body. It returns a refusal when that is too large or cut short.
 func (j *job) read(r *http.Request) *refusal {
 	limit := j.table.Limits.BodyBytes
 	if limit <= 0 {
@@ -222,10 +237,7 @@
 	if r.ContentLength > limit {
 		// A caller that still sends would not hear the answer.
 		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxDiscard))
-		return &refusal{
-			status: http.StatusRequestEntityTooLarge,
-			reason: "body is too large",
-		}
+		return tooLarge()
 	}
 	data, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	if err != nil {
@@ -235,15 +247,20 @@
 		}
 	}
 	if int64(len(data)) > limit {
-		return &refusal{
-			status: http.StatusRequestEntityTooLarge,
-			reason: "body is too large",
-		}
+		return tooLarge()
 	}
 	j.body = data
 	return nil
 }
 
+// tooLarge returns the refusal of a body above the bound.
+func tooLarge() *refusal {
+	return &refusal{
+		status: http.StatusRequestEntityTooLarge,
+		reason: "body is too large",
+	}
+}
+
 // hopHeaders concern a single connection (RFC 9110, section 7.6.1).
 var hopHeaders = [...]string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
@@ -264,7 +281,7 @@
 	return out
 }
 
-// sent returns how many endpoints the request may still be sent to.
+// attemptsLeft returns how many endpoints the request may still be sent to.
 func (j *job) attemptsLeft() int {
 	return j.route.MaxAttempts - j.sends
 }
--- a/relay/reserve.go
+++ b/relay/reserve.go
@@ -83,6 +83,7 @@
 	return g.Wait()
 }
 
+// one gives the order for a reservation.
 func (h *hold) one(ctx context.Context, r reserved) error {
 	var err error
 	for range orderTries {
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -107,7 +107,6 @@
 // after decides what follows an attempt. A place that was found for another one
 // is used or given back.
 func (l *Relay) after(ctx context.Context, j *job, t *try, res result) (again bool, final *refusal) {
-	again, final = false, nil
 	if !res.final {
 		again, final = l.next(ctx, j, t, res)
 	}
@@ -175,7 +174,8 @@
 	return j.giveUp(err.Error(), comeBack)
 }
 
-// next decides what follows an attempt without a whole answer.
+// next decides what follows an attempt without a whole answer: another one, or the
+// final answer.
 func (l *Relay) next(ctx context.Context, j *job, t *try, res result) (bool, *refusal) {
 	j.exclude = append(j.exclude, t.excluded(res)...)
 	switch {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -11,7 +11,7 @@
 	"github.com/linkmast/linkmast/pool"
 )
 
-// streamBuffer is how much of a stream is read at once.
+// streamBuffer is how much of a stream is read at once, in bytes: several events.
 const streamBuffer = 4 << 10
 
 // stream passes the events of a stream on as they come. Only whole events are
--- a/relay/try.go
+++ b/relay/try.go
@@ -25,9 +25,11 @@
 	// caller ends when the caller goes or its time is over.
 	caller context.Context
 	// next is the place of the next attempt, when this one was ended for it.
-	next       *place
-	began      time.Time
+	next  *place
+	began time.Time
+	// firstAfter is the time to the first sign of an answer; zero before.
 	firstAfter time.Duration
+	// longestGap is the longest pause between events so far.
 	longestGap time.Duration
 }
 
@@ -39,16 +41,21 @@
 	// final states that the caller has a whole answer.
 	final bool
 	// broke states that the endpoint broke its answer off.
-	broke  bool
+	broke bool
+	// status is that of the endpoint's answer; zero without one.
 	status int
+	// reason says why there is no whole answer, for the log and the caller.
 	reason string
 }
 
 // The ages up to which a connection is used again. A request that must not run
 // twice is lost when its endpoint closes the connection at that moment.
 const (
+	// freshIdempotent leaves it to the idle time that the endpoint names, or that
+	// of package upstream, which is shorter.
 	freshIdempotent = time.Minute
-	freshOnce       = time.Second
+	// freshOnce is well below that idle time.
+	freshOnce = time.Second
 )
 
 // run sends the request and passes the answer on.
@@ -157,7 +164,7 @@
 		return t.rejected(x, head)
 	}
 	j.ran = true
-	success := res.StatusCode >= 200 && res.StatusCode < 300
+	success := res.StatusCode >= http.StatusOK && res.StatusCode < http.StatusMultipleChoices
 	if success && j.route.Kind == route.Streaming {
 		return t.stream(x, w)
 	}
@@ -183,14 +190,15 @@
 	return r
 }
 
-// maxRejection bounds how much of a rejection is read.
+// maxRejection bounds how much of a rejection is read, in bytes.
 const maxRejection = 64 << 10
 
-// maxWhole is up to which size an answer is read whole before it is passed on,
-// so that one that breaks off can be replaced.
+// maxWhole is the size, in bytes, up to which an answer is read whole before it is
+// passed on, so that one that breaks off can be replaced.
 const maxWhole = 1 << 20
 
-// whole passes on an answer that is no stream.
+// whole passes on an answer that is no stream. Success states that its status is
+// one of success.
 func (t *try) whole(x *upstream.Exchange, w *watch, success bool) result {
 	j := t.job
 	data, err := io.ReadAll(io.LimitReader(x.Response.Body, maxWhole+1))
@@ -205,18 +213,8 @@
 			reason:  "no stream to continue with",
 		}
 	}
-	retry := !success && x.Response.StatusCode >= http.StatusInternalServerError && j.route.Idempotent()
-	if retry && j.attemptsLeft() > 0 && j.left() > retryLeft {
-		x.Whole()
-		j.failure = &failure{
-			response: x.Response,
-			body:     data,
-		}
-		return result{
-			outcome: pool.Failed,
-			status:  x.Response.StatusCode,
-			reason:  "endpoint failed the request",
-		}
+	if x.Response.StatusCode >= http.StatusInternalServerError && j.mayRetry() {
+		return t.keepFailure(x, data)
 	}
 	r := result{
 		outcome: pool.Served,
@@ -236,6 +234,26 @@
 	return t.large(x, data, r)
 }
 
+// keepFailure keeps an endpoint's own failure for when no other answer can be had.
+func (t *try) keepFailure(x *upstream.Exchange, data []byte) result {
+	x.Whole()
+	t.job.failure = &failure{
+		response: x.Response,
+		body:     data,
+	}
+	return result{
+		outcome: pool.Failed,
+		status:  x.Response.StatusCode,
+		reason:  "endpoint failed the request",
+	}
+}
+
+// mayRetry states whether a request that an endpoint ran and failed may be sent to
+// another one.
+func (j *job) mayRetry() bool {
+	return j.route.Idempotent() && j.attemptsLeft() > 0 && j.left() > retryLeft
+}
+
 // failure is an endpoint's answer that says that it failed.
 type failure struct {
 	response *http.Response
@@ -245,7 +263,8 @@
 // retryLeft is the time that a further attempt needs to make sense.
 const retryLeft = 100 * time.Millisecond
 
-// large passes on an answer that is too large to be held.
+// large passes on an answer that is too large to be held. One that breaks off ends
+// the request, as its caller has the beginning.
 func (t *try) large(x *upstream.Exchange, begin []byte, r result) result {
 	out := t.job.out
 	out.head(x.Response, x.Response.ContentLength)
@@ -264,10 +283,9 @@
 // exhaust makes the request end with this attempt.
 func (j *job) exhaust() {
 	j.sends = max(j.sends, j.route.MaxAttempts)
-	j.exclude = append(j.exclude, make([]string, maxResumes+1)...)
 }
 
-// first notes the first sign of an answer.
+// first notes the first sign of an answer; later ones change nothing.
 func (t *try) first() {
 	if t.firstAfter > 0 {
 		return
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -20,7 +20,9 @@
 	// gapSilence is how many of the longest pauses in time a silence lasts
 	// before it counts. Callers give up after eight.
 	gapSilence = 4
-	// firstSilence is how much longer than predicted the first event may take.
+	// firstFactor times the predicted time and firstSilence is how long the
+	// first event may take.
+	firstFactor  = 2
 	firstSilence = 700 * time.Millisecond
 	// replaceWithin bounds the search for another place. Longer than that and
 	// the silent endpoint may as well be waited for.
@@ -38,14 +40,17 @@
 type watch struct {
 	try    *try
 	cancel func()
-	limit  time.Duration
+	// limit is the silence after which another place is looked for.
+	limit time.Duration
 	// stopped ends the search for a place.
 	stopped context.Context
 	stop    func()
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// timer ends with the silence; nil for an attempt that is not watched.
 	timer *time.Timer
-	next  *place
+	// next is the place that the attempt was ended for.
+	next *place
 }
 
 // watch starts the watch of an attempt. Only streams that can be continued at
@@ -61,7 +66,7 @@
 		return w
 	}
 	w.limit = max(minSilence, gapSilence*r.GapTarget)
-	w.timer = time.AfterFunc(max(w.limit, 2*t.grant.First+firstSilence), w.replace)
+	w.timer = time.AfterFunc(max(w.limit, firstFactor*t.grant.First+firstSilence), w.replace)
 	return w
 }
 
