--- /dev/null
+++ b/placement/choose.go
@@ -0,0 +1,134 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// The measures of filling engines in order.
+const (
+	// packedPrompt is the longest prompt that engines are filled with, in
+	// tokens; reading it takes less than half of the shortest pause that counts.
+	packedPrompt = 24_000
+	// packedPass is the longest pass that filling may lead to: well below the
+	// shortest pause that counts on the sheets, 250 ms, as several prompts may
+	// arrive in one pass.
+	packedPass = 150 * time.Millisecond
+	// packedFirst is the part of the target up to which the first event may take
+	// on an engine that is filled.
+	packedFirst = 0.75
+	// packedLeft is how many slots filling leaves free.
+	packedLeft = 2
+)
+
+// The differences up to which candidates count as equal.
+const (
+	// costEqual is one of cost, in units of worth.
+	costEqual = 0.02
+	// firstEqual is one of the time to the first event.
+	firstEqual = 2 * time.Millisecond
+)
+
+// candidates returns what reading a part of the request would do on each engine,
+// the best first. Out is room for them.
+func (r *Request) candidates(engines []*Engine, p part, now time.Time, out []candidate) []candidate {
+	for i, e := range engines {
+		c := e.judge(p, now)
+		if p.joint && c.reading {
+			// The new part would go before the one that is being read.
+			continue
+		}
+		c.order = i
+		c.cost = spoilsWeight*c.spoils + r.loses(c.first, now)
+		c.crowded = c.isCrowded(r.TargetAt.Sub(now))
+		out = append(out, c)
+	}
+	slices.SortFunc(out, r.compare)
+	return out
+}
+
+// choose returns n of the candidates, which are in order, and which of them gets
+// the request; a negative index when none can.
+func choose(cands []candidate, need, n int) (int, []candidate) {
+	if len(cands) < n {
+		return -1, nil
+	}
+	if head := headOf(cands[:n], need, n); head >= 0 {
+		return head, cands[:n]
+	}
+	return withSlot(cands, need, n)
+}
+
+// compare orders candidates: those with the least cost first. Among equals, short
+// prompts fill the engines from the front of the fixed order as long as passes stay
+// short, and long ones take them from the back: so the long ones find engines where
+// they make nobody wait.
+func (r *Request) compare(a, b candidate) int {
+	if d := a.cost - b.cost; d < -costEqual || d > costEqual {
+		return cmp.Compare(a.cost, b.cost)
+	}
+	if r.Prompt > packedPrompt {
+		if d := a.first - b.first; d < -firstEqual || d > firstEqual {
+			return cmp.Compare(a.first, b.first)
+		}
+		return cmp.Compare(b.order, a.order)
+	}
+	if c := cmp.Compare(a.crowded, b.crowded); c != 0 {
+		return c
+	}
+	if a.crowded == 0 {
+		return cmp.Compare(a.order, b.order)
+	}
+	return cmp.Compare(a.first, b.first)
+}
+
+// isCrowded returns 1 for an engine that should not be filled further: with a
+// long pass now or next, or none but the last slots free.
+func (c *candidate) isCrowded(target time.Duration) int {
+	if c.pass > packedPass || c.left <= packedLeft || c.first > time.Duration(packedFirst*float64(target)) {
+		return 1
+	}
+	return 0
+}
+
+// headOf returns the index of the engine that gets the request: one with a free
+// slot, with room for all if there is any, else with the most room. It is negative
+// when no engine has a slot, or, for n of 1, room.
+func headOf(chosen []candidate, need, n int) int {
+	head := -1
+	for i, c := range chosen {
+		if !c.slots {
+			continue
+		}
+		if c.free >= need {
+			return i
+		}
+		if n > 1 && (head < 0 || c.free > chosen[head].free) {
+			head = i
+		}
+	}
+	return head
+}
+
+// withSlot returns the cheapest choice whose first engine has a slot and, when
+// it is alone, room for all, and the index of that engine; a negative one without
+// such a choice.
+func withSlot(cands []candidate, need, n int) (int, []candidate) {
+	for i, c := range cands {
+		if !c.slots || n == 1 && c.free < need {
+			continue
+		}
+		chosen := make([]candidate, 0, n)
+		chosen = append(chosen, c)
+		for j := range cands {
+			if j != i && len(chosen) < n {
+				chosen = append(chosen, cands[j])
+			}
+		}
+		return 0, chosen
+	}
+	return -1, nil
+}
--- /dev/null
+++ b/placement/cost.go
@@ -0,0 +1,76 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package placement
+
+import (
+	"time"
+)
+
+// Cost returns what the plan costs in all but for its number of engines, in units
+// of worth.
+func (p *Plan) Cost() float64 {
+	return spoilsWeight*p.Spoils + p.Loses
+}
+
+// spoilsWeight is what a loss of others weighs against one of the request
+// itself. Above 1 it stands for what comes in while engines stand still, which a
+// plan does not see.
+const spoilsWeight = 2
+
+// lateShare is the part of a request's worth that is lost when it is late. The
+// sheets of both sites keep a quarter.
+const lateShare = 0.75
+
+// The part of a bound at which a prediction begins to count as late, and that
+// at which it surely is.
+const (
+	lateFrom = 0.85
+	lateTo   = 1.05
+)
+
+// lateness returns how likely something that is predicted to take d is late, from
+// 0 to 1.
+func lateness(d, bound time.Duration) float64 {
+	if bound <= 0 {
+		return 1
+	}
+	r := float64(d) / float64(bound)
+	return min(max((r-lateFrom)/(lateTo-lateFrom), 0), 1)
+}
+
+// joinCost is what each further engine costs a plan: one more that may fail
+// under the request, and a disturbance for what comes next.
+const joinCost = 0.01
+
+// joining returns what the plan's further engines cost.
+func (p *Plan) joining() float64 {
+	return joinCost * float64(len(p.Others))
+}
+
+// loses returns what the request itself loses when its first event takes a time.
+func (r *Request) loses(first time.Duration, now time.Time) float64 {
+	if !r.GiveUpAt.IsZero() && now.Add(first).After(r.GiveUpAt) {
+		return r.Worth
+	}
+	return lateShare * r.Worth * lateness(first, r.TargetAt.Sub(now))
+}
+
+// harm returns what a job loses when the next pass takes after rather than
+// before, and reads that wait are delayed.
+func (j *Job) harm(before, after, delay time.Duration) float64 {
+	if j.Part || j.Stake == 0 {
+		return 0
+	}
+	if j.Tokens > j.inPass {
+		if delay == 0 {
+			return 0
+		}
+		bound := j.TargetAt.Sub(j.AskedAt)
+		due := j.FirstAt.Sub(j.AskedAt)
+		return j.Stake * (lateness(due+delay, bound) - lateness(due, bound))
+	}
+	if j.Gap == 0 {
+		return 0
+	}
+	return j.Stake * (lateness(after, j.Gap) - lateness(before, j.Gap))
+}
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -3,6 +3,7 @@
 package placement
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -30,8 +31,7 @@
 	Gap time.Duration
 	// Stake is what is lost when the request is late.
 	Stake float64
-	// AskedAt is when the request was placed, TargetAt when its first event
-	// would be late, and FirstAt when it is expected.
+	// AskedAt is when the request was placed.
 	AskedAt time.Time
 	// TargetAt is when the first event would be late.
 	TargetAt time.Time
@@ -144,10 +144,11 @@
 // budget returns how many tokens a pass of the model reads.
 func (e *Engine) budget(writers int) int {
 	b := e.Model.Budget(writers)
-	if writers == 0 && b < b*idleSteps {
-		return b * idleSteps
+	if writers > 0 || b > math.MaxInt/idleSteps {
+		// Without a bound there is nothing to multiply.
+		return b
 	}
-	return b
+	return b * idleSteps
 }
 
 // writers returns how many jobs write, and the context of a step.
@@ -200,43 +201,3 @@
 		return j.ID == id
 	})
 }
-
-// maxShift bounds how far one observation moves the model, so that a delay on
-// the way of the event is not taken for one of the engine.
-const maxShift = 100 * time.Millisecond
-
-// Observe corrects the model by the first event of a job: a pass of the engine
-// ended just now. It returns how much later that was than the model said.
-func (e *Engine) Observe(id string, now time.Time) time.Duration {
-	e.Advance(now)
-	for _, j := range e.Jobs {
-		if j.ID != id || j.Part {
-			continue
-		}
-		if j.Tokens == 0 {
-			late := now.Sub(j.wroteAt)
-			if !e.passEnd.IsZero() {
-				e.passEnd = e.passEnd.Add(min(late, maxShift))
-			}
-			return late
-		}
-		early := e.passEnd.Sub(now)
-		j.inPass = j.Tokens
-		e.finishPass(now)
-		e.startPass(now)
-		return -early
-	}
-	return 0
-}
-
-// FinishPart notes that a helping engine has read its part of a prompt.
-func (e *Engine) FinishPart(id string, now time.Time) {
-	e.Advance(now)
-	e.Jobs = slices.DeleteFunc(e.Jobs, func(j *Job) bool {
-		if j.ID != id || !j.Part {
-			return false
-		}
-		j.Tokens, j.inPass = 0, 0
-		return j.Memory == 0
-	})
-}
--- a/placement/judge.go
+++ b/placement/judge.go
@@ -38,17 +38,23 @@
 type part struct {
 	tokens int
 	time   time.Duration
-	joint  bool
+	// joint states that several engines read the prompt.
+	joint bool
 }
 
 // load is what an engine has before it after its present pass.
 type load struct {
-	wait    time.Duration
+	// wait is what is left of the present pass.
+	wait time.Duration
+	// running counts the requests that have a slot, and writers those that
+	// write.
 	running int
 	writers int
+	// context is what a step has to look at, in tokens.
 	context int
-	joint   reads
-	own     reads
+	// joint are parts that several engines read, and own whole prompts.
+	joint reads
+	own   reads
 	// reading states that some of a joint part is left, in this pass or later.
 	reading bool
 }
@@ -59,6 +65,15 @@
 	time   time.Duration
 }
 
+// waiting returns all that waits to be read.
+func (l *load) waiting() reads {
+	return reads{
+		tokens: l.joint.tokens + l.own.tokens,
+		time:   l.joint.time + l.own.time,
+	}
+}
+
+// add adds what the present pass leaves of a job's reads.
 func (r *reads) add(j *Job) {
 	n := j.Tokens - j.inPass
 	r.tokens += n
@@ -99,10 +114,7 @@
 		pass = e.Model.Pass(l.writers, l.context)
 	}
 	budget := e.budget(l.writers)
-	waiting := reads{
-		tokens: l.joint.tokens + l.own.tokens,
-		time:   l.joint.time + l.own.time,
-	}
+	waiting := l.waiting()
 	before := pass + waiting.within(budget)
 	with := reads{
 		tokens: waiting.tokens + p.tokens,
@@ -110,13 +122,12 @@
 	}
 	after := pass + with.within(budget)
 	c := candidate{
-		engine: e,
-		first:  l.wait + l.first(p, pass, budget),
-		free:   e.room(),
-		slots:  l.running < e.Slots,
-		left:   e.Slots - l.running,
-		pass:   after,
-
+		engine:  e,
+		first:   l.wait + l.first(p, pass, budget),
+		free:    e.room(),
+		slots:   l.running < e.Slots,
+		left:    e.Slots - l.running,
+		pass:    after,
 		reading: l.reading,
 	}
 	if p.joint || l.writers > 0 && with.tokens <= budget {
@@ -143,10 +154,7 @@
 		tokens: p.tokens,
 		time:   p.time,
 	}
-	behind := reads{
-		tokens: l.joint.tokens + l.own.tokens,
-		time:   l.joint.time + l.own.time,
-	}
+	behind := l.waiting()
 	if !p.joint {
 		ahead.tokens += behind.tokens
 		ahead.time += behind.time
@@ -163,32 +171,3 @@
 	}
 	return d
 }
-
-// harm returns what a job loses when the next pass takes after rather than
-// before, and reads that wait are delayed.
-func (j *Job) harm(before, after, delay time.Duration) float64 {
-	if j.Part || j.Stake == 0 {
-		return 0
-	}
-	if j.Tokens > j.inPass {
-		if delay == 0 {
-			return 0
-		}
-		bound := j.TargetAt.Sub(j.AskedAt)
-		due := j.FirstAt.Sub(j.AskedAt)
-		return j.Stake * (lateness(due+delay, bound) - lateness(due, bound))
-	}
-	if j.Gap == 0 {
-		return 0
-	}
-	return j.Stake * (lateness(after, j.Gap) - lateness(before, j.Gap))
-}
-
-// put off notes that the reads that wait on the engine are delayed.
-func (e *Engine) putOff(delay time.Duration) {
-	for _, j := range e.Jobs {
-		if j.Tokens > j.inPass && !j.Part {
-			j.FirstAt = j.FirstAt.Add(delay)
-		}
-	}
-}
--- /dev/null
+++ b/placement/observe.go
@@ -0,0 +1,48 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package placement
+
+import (
+	"slices"
+	"time"
+)
+
+// maxShift bounds how far one observation moves the model, so that a delay on
+// the way of the event is not taken for one of the engine.
+const maxShift = 100 * time.Millisecond
+
+// Observe corrects the model by the first event of a job: a pass of the engine
+// ended just now. It returns how much later that was than the model said.
+func (e *Engine) Observe(id string, now time.Time) time.Duration {
+	e.Advance(now)
+	for _, j := range e.Jobs {
+		if j.ID != id || j.Part {
+			continue
+		}
+		if j.Tokens == 0 {
+			late := now.Sub(j.wroteAt)
+			if !e.passEnd.IsZero() {
+				e.passEnd = e.passEnd.Add(min(late, maxShift))
+			}
+			return late
+		}
+		early := e.passEnd.Sub(now)
+		j.inPass = j.Tokens
+		e.finishPass(now)
+		e.startPass(now)
+		return -early
+	}
+	return 0
+}
+
+// FinishPart notes that a helping engine has read its part of a prompt.
+func (e *Engine) FinishPart(id string, now time.Time) {
+	e.Advance(now)
+	e.Jobs = slices.DeleteFunc(e.Jobs, func(j *Job) bool {
+		if j.ID != id || !j.Part {
+			return false
+		}
+		j.Tokens, j.inPass = 0, 0
+		return j.Memory == 0
+	})
+}
