Split the gateway by assembling, serving and announcing

Cause: gateway.go made the parts, opened sockets and announced the instance, with one function of 40 lines; the callers' server was told from others by its name in a log.

Change: assemble.go, serve.go, announce.go and connections.go; fields of Gateway in groups with what they are; bounds of connections each with its comment.

--- a/gateway/admin.go
+++ b/gateway/admin.go
@@ -30,12 +30,15 @@
 
 // storeFigures are what is known from the store.
 type storeFigures struct {
-	Version   int64 `json:"version"`
+	// Version is that of the configuration in force.
+	Version int64 `json:"version"`
+	// AgeMS is how old it may be, in ms.
 	AgeMS     int64 `json:"age_ms"`
 	Endpoints int   `json:"endpoints"`
 	Peers     int   `json:"peers"`
 }
 
+// storeFigures returns the figures; zero while nothing is known.
 func (g *Gateway) storeFigures() storeFigures {
 	var f storeFigures
 	if s := g.catalog.Snapshot(); s != nil {
@@ -51,21 +54,24 @@
 
 // processFigures are those of the process.
 type processFigures struct {
-	Goroutines  int   `json:"goroutines"`
-	InFlight    int64 `json:"in_flight"`
-	Connections int   `json:"connections"`
-	Dials       int64 `json:"dials"`
+	Goroutines int `json:"goroutines"`
+	// InFlight counts the requests that are being served.
+	InFlight int64 `json:"in_flight"`
+	// Connections counts the open connections of callers.
+	Connections int `json:"connections"`
+	// Dials counts the connections that were opened to endpoints.
+	Dials int64 `json:"dials"`
 	// LinesDropped counts log lines that were dropped.
 	LinesDropped int64 `json:"lines_dropped"`
 }
 
+// processFigures returns the figures of now.
 func (g *Gateway) processFigures() processFigures {
 	return processFigures{
-		Goroutines:  runtime.NumGoroutine(),
-		InFlight:    g.relay.InFlight(),
-		Connections: g.open.count(),
-		Dials:       g.upstream.Dials(),
-
+		Goroutines:   runtime.NumGoroutine(),
+		InFlight:     g.relay.InFlight(),
+		Connections:  g.open.count(),
+		Dials:        g.upstream.Dials(),
 		LinesDropped: g.dropped(),
 	}
 }
--- /dev/null
+++ b/gateway/assemble.go
@@ -0,0 +1,120 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/linkmast/linkmast/catalog"
+	"github.com/linkmast/linkmast/catalog/catalogpb"
+	"github.com/linkmast/linkmast/internal/wirehttp"
+	"github.com/linkmast/linkmast/peer"
+	"github.com/linkmast/linkmast/platform"
+	"github.com/linkmast/linkmast/pool"
+	"github.com/linkmast/linkmast/pool/poolpb"
+	"github.com/linkmast/linkmast/relay"
+	"github.com/linkmast/linkmast/settings"
+)
+
+// assemble makes the parts, each from those before it. The address for other
+// instances must be known.
+func (g *Gateway) assemble() {
+	f := g.settings
+	client := wirehttp.Client()
+	g.self = catalog.Peer{
+		ID:            f.ID,
+		Address:       g.PeerListen,
+		FailureDomain: f.FailureDomain,
+		Capacity:      capacity(f),
+	}
+	g.peers = peer.New(nil)
+	g.catalog = catalog.New(catalog.Settings{
+		Self:       g.self,
+		FirstStart: f.FirstStart,
+		Poll:       time.Duration(f.Times.Revoke) / pollsPerRevoke,
+	}, platform.NewStore(client, f.Platform.Store), g.peers, g.log.WithName("catalog"))
+	g.assemblePools()
+	g.assembleServer()
+	g.assembleRelay(client)
+}
+
+// assemblePools makes the scheduler of pools and the client that asks other
+// instances.
+func (g *Gateway) assemblePools() {
+	f := g.settings
+	log := g.log.WithName("pool")
+	g.pools = pool.NewScheduler(pool.Settings{
+		Self: f.ID,
+		Retries: pool.Budget{
+			Ratio:  f.Retries.Ratio,
+			Extra:  f.Retries.Extra,
+			Window: time.Duration(f.Retries.Window),
+		},
+	}, log)
+	g.placer = pool.NewClient(g.self, g.pools, g.peers, log)
+}
+
+// assembleServer makes what serves other instances.
+func (g *Gateway) assembleServer() {
+	g.rpc = grpc.NewServer(grpc.ReadBufferSize(rpcBuffer), grpc.WriteBufferSize(rpcBuffer))
+	poolpb.RegisterPoolServer(g.rpc, pool.NewServer(g.pools, g.owns, g.stopping))
+	catalogpb.RegisterCatalogServer(g.rpc, catalog.NewServer(g.catalog, g.stopping))
+}
+
+// assembleRelay makes what serves callers. The client carries orders to engines.
+func (g *Gateway) assembleRelay(client *http.Client) {
+	f := g.settings
+	g.relay = relay.New(relay.Settings{
+		Self:   f.ID,
+		MaxAge: time.Duration(float64(f.Times.Revoke) * maxAgeShare),
+	}, relay.Parts{
+		Known:    g.catalog.Snapshot,
+		Age:      g.catalog.Age,
+		Placer:   g.placer,
+		Wire:     platform.Wire{},
+		Memory:   platform.NewOrders(client),
+		Upstream: g.upstream,
+		Log:      g.log.WithName("relay"),
+	})
+}
+
+// thousandths of a processor core are the unit of an instance's capacity, as
+// settings give shares of cores.
+const thousandths = 1000
+
+// capacityPerMbps is how much of a core the work takes that a Mbit/s carries, in
+// thousandths: 200 Mbit/s go with a whole core.
+const capacityPerMbps = 5
+
+// capacity returns what an instance can carry, by its processor or its link,
+// whichever binds.
+func capacity(f *settings.File) int {
+	c := f.ProcessorShare * thousandths
+	if f.LinkMbps > 0 {
+		c = min(c, f.LinkMbps*capacityPerMbps)
+	}
+	return max(int(c), 1)
+}
+
+// rpcBuffer is the buffer of each direction of a connection between instances, in
+// bytes. Most messages are far smaller.
+const rpcBuffer = 16 << 10
+
+// pollsPerRevoke is how many polls for configurations fit into the time in which
+// keys must be refused. With 5 s a reader that the store no longer answers is
+// left by its followers within a second, well below the 2 s in which changes must
+// be in force.
+const pollsPerRevoke = 10
+
+// maxAgeShare is the part of the time in which a key must be refused after it
+// was taken away, up to which a configuration's age is trusted. The rest is for
+// the time between the check and the endpoint.
+const maxAgeShare = 0.8
+
+// owns states whether the instance can own pools.
+func (g *Gateway) owns() bool {
+	return g.catalog.Snapshot() != nil
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,13 +14,9 @@
 	"google.golang.org/grpc"
 
 	"github.com/linkmast/linkmast/catalog"
-	"github.com/linkmast/linkmast/catalog/catalogpb"
 	"github.com/linkmast/linkmast/internal/upstream"
-	"github.com/linkmast/linkmast/internal/wirehttp"
 	"github.com/linkmast/linkmast/peer"
-	"github.com/linkmast/linkmast/platform"
 	"github.com/linkmast/linkmast/pool"
-	"github.com/linkmast/linkmast/pool/poolpb"
 	"github.com/linkmast/linkmast/relay"
 	"github.com/linkmast/linkmast/settings"
 )
@@ -40,18 +36,26 @@
 
 	settings *settings.File
 	log      logr.Logger
-	dropped  func() int64
-	catalog  *catalog.Catalog
+	// dropped returns how many log lines were dropped so far.
+	dropped func() int64
+	// self is what other instances are told.
+	self    catalog.Peer
+	catalog *catalog.Catalog
+	// pools places what this instance owns, and placer finds the owner of the
+	// rest.
 	pools    *pool.Scheduler
 	placer   *pool.Client
-	peers    *peer.Pool
-	rpc      *grpc.Server
-	self     catalog.Peer
 	relay    *relay.Relay
 	upstream *upstream.Pool
-	servers  []*http.Server
-	callers  *http.Server
-	open     *connections
+	// peers are the connections to other instances, and rpc serves theirs.
+	peers *peer.Pool
+	rpc   *grpc.Server
+	// servers are all HTTP servers, callers the one of these for callers, and
+	// open its connections.
+	servers []*http.Server
+	callers *http.Server
+	open    *connections
+	// stopping is closed when a stop begins, and cancel ends the parts.
 	stopping chan struct{}
 	cancel   context.CancelFunc
 	parts    sync.WaitGroup
@@ -59,7 +63,8 @@
 }
 
 // New starts an instance. Stop ends it as planned, Close at once. Dropped returns
-// how many log lines were dropped so far.
+// how many log lines were dropped so far. The error is that of an address that
+// can't be listened on.
 func New(f *settings.File, log logr.Logger, dropped func() int64) (*Gateway, error) {
 	g := &Gateway{
 		Done:     make(chan struct{}),
@@ -92,134 +97,7 @@
 	return g, nil
 }
 
-// assemble makes the parts.
-func (g *Gateway) assemble() {
-	f := g.settings
-	client := wirehttp.Client()
-	g.self = catalog.Peer{
-		ID:            f.ID,
-		Address:       g.PeerListen,
-		FailureDomain: f.FailureDomain,
-		Capacity:      capacity(f),
-	}
-	g.peers = peer.New(nil)
-	g.catalog = catalog.New(catalog.Settings{
-		Self:       g.self,
-		FirstStart: f.FirstStart,
-		Poll:       time.Duration(f.Times.Revoke) / pollsPerRevoke,
-	}, platform.NewStore(client, f.Platform.Store), g.peers, g.log.WithName("catalog"))
-	g.pools = pool.NewScheduler(pool.Settings{
-		Self: f.ID,
-		Retries: pool.Budget{
-			Ratio:  f.Retries.Ratio,
-			Extra:  f.Retries.Extra,
-			Window: time.Duration(f.Retries.Window),
-		},
-	}, g.log.WithName("pool"))
-	g.placer = pool.NewClient(g.self, g.pools, g.peers, g.log.WithName("pool"))
-	g.rpc = grpc.NewServer(grpc.ReadBufferSize(rpcBuffer), grpc.WriteBufferSize(rpcBuffer))
-	poolpb.RegisterPoolServer(g.rpc, pool.NewServer(g.pools, g.owns, g.stopping))
-	catalogpb.RegisterCatalogServer(g.rpc, catalog.NewServer(g.catalog, g.stopping))
-	g.relay = relay.New(relay.Settings{
-		Self:   f.ID,
-		MaxAge: time.Duration(float64(f.Times.Revoke) * maxAgeShare),
-	}, relay.Parts{
-		Known:    g.catalog.Snapshot,
-		Age:      g.catalog.Age,
-		Placer:   g.placer,
-		Wire:     platform.Wire{},
-		Memory:   platform.NewOrders(client),
-		Upstream: g.upstream,
-		Log:      g.log.WithName("relay"),
-	})
-}
-
-// thousandths of a processor core are the unit of an instance's capacity.
-const thousandths = 1000
-
-// capacityPerMbps is how much of a core the work takes that a Mbit/s carries, in
-// thousandths: 200 Mbit/s go with a whole core.
-const capacityPerMbps = 5
-
-// capacity returns what an instance can carry, by its processor or its link,
-// whichever binds.
-func capacity(f *settings.File) int {
-	c := f.ProcessorShare * thousandths
-	if f.LinkMbps > 0 {
-		c = min(c, f.LinkMbps*capacityPerMbps)
-	}
-	return max(int(c), 1)
-}
-
-// rpcBuffer is the buffer of each direction of a connection between instances.
-const rpcBuffer = 16 << 10
-
-// owns states whether the instance can own pools.
-func (g *Gateway) owns() bool {
-	return g.catalog.Snapshot() != nil
-}
-
-// pollsPerRevoke is how many polls for configurations fit into the time in which
-// keys must be refused. With 5 s a reader that the store no longer answers is
-// left by its followers within a second, well below the 2 s in which changes must
-// be in force.
-const pollsPerRevoke = 10
-
-// maxAgeShare is the part of the time in which a key must be refused after it
-// was taken away, up to which a configuration's age is trusted. The rest is for
-// the time between the check and the endpoint.
-const maxAgeShare = 0.8
-
-// The bounds of callers' connections. Callers may let one rest for as long as
-// the configuration says, which is less.
-const (
-	headerTimeout  = 10 * time.Second
-	idleTimeout    = 2 * time.Minute
-	maxHeaderBytes = 64 << 10
-)
-
-// serve opens the sockets and starts the servers.
-func (g *Gateway) serve() error {
-	f := g.settings
-	for _, one := range []struct {
-		name    string
-		address string
-		handler http.Handler
-		into    *string
-	}{
-		{"callers", f.Listen, g.relay, &g.Listen},
-		{"ready", f.ReadyListen, http.HandlerFunc(g.ready), &g.ReadyListen},
-		{"admin", f.AdminListen, g.adminHandler(), &g.AdminListen},
-	} {
-		l, err := net.Listen("tcp", one.address)
-		if err != nil {
-			g.closeServers()
-			return errors.Wrap(err, "listen")
-		}
-		*one.into = l.Addr().String()
-		s := &http.Server{
-			Handler:           one.handler,
-			ReadHeaderTimeout: headerTimeout,
-			IdleTimeout:       idleTimeout,
-			MaxHeaderBytes:    maxHeaderBytes,
-		}
-		if one.name == "callers" {
-			s.ConnState = g.open.note
-			g.callers = s
-		}
-		g.servers = append(g.servers, s)
-		g.parts.Go(func() { g.ended(one.name, s.Serve(l)) })
-	}
-	return nil
-}
-
-func (g *Gateway) ended(name string, err error) {
-	if err != nil && !errors.Is(err, http.ErrServerClosed) {
-		g.log.Error(err, "server ended", "server", name)
-	}
-}
-
-// follow hands on what the catalog learns.
+// follow hands on what the catalog learns until ctx ends.
 func (g *Gateway) follow(ctx context.Context) {
 	known := false
 	for {
@@ -243,6 +121,7 @@
 // sweepEvery is how often connections that rested for too long are closed.
 const sweepEvery = time.Second
 
+// sweep closes connections to endpoints that rested for too long until ctx ends.
 func (g *Gateway) sweep(ctx context.Context) {
 	tick := time.NewTicker(sweepEvery)
 	defer tick.Stop()
@@ -255,49 +134,3 @@
 		}
 	}
 }
-
-// ready answers the balancer.
-func (g *Gateway) ready(w http.ResponseWriter, _ *http.Request) {
-	select {
-	case <-g.stopping:
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	default:
-	}
-	if g.catalog.Snapshot() == nil {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	w.WriteHeader(http.StatusOK)
-}
-
-// The times of announcing the instance.
-const (
-	announceTimeout = time.Second
-	announceRetry   = 500 * time.Millisecond
-	// announceCheck is how long an entry may take to show.
-	announceCheck = 3 * time.Second
-)
-
-// announce keeps the instance's entry in the store.
-func (g *Gateway) announce(ctx context.Context) {
-	for ctx.Err() == nil {
-		pause := announceCheck
-		if s := g.catalog.Snapshot(); s == nil || s.Peers[g.self.ID] != g.self {
-			if err := g.announceOnce(ctx); err != nil {
-				g.log.V(1).Info("instance can't be announced", "cause", err.Error())
-				pause = announceRetry
-			}
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
-	}
-}
-
-func (g *Gateway) announceOnce(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
-	defer cancel()
-	return g.catalog.Announce(ctx, g.self)
-}
--- /dev/null
+++ b/gateway/serve.go
@@ -0,0 +1,82 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// The bounds of callers' connections. Callers may let one rest for as long as
+// the configuration says, which is less.
+const (
+	// headerTimeout bounds the time in which the header of a request arrives.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is how long a connection may rest.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes bounds the header of a request.
+	maxHeaderBytes = 64 << 10
+)
+
+// serve opens the sockets of the HTTP servers and starts them. After an error none
+// runs.
+func (g *Gateway) serve() error {
+	f := g.settings
+	g.callers = newServer(g.relay)
+	g.callers.ConnState = g.open.note
+	for _, one := range []struct {
+		name    string
+		address string
+		server  *http.Server
+		into    *string
+	}{
+		{"callers", f.Listen, g.callers, &g.Listen},
+		{"ready", f.ReadyListen, newServer(http.HandlerFunc(g.ready)), &g.ReadyListen},
+		{"admin", f.AdminListen, newServer(g.adminHandler()), &g.AdminListen},
+	} {
+		l, err := net.Listen("tcp", one.address)
+		if err != nil {
+			g.closeServers()
+			return errors.Wrap(err, "listen")
+		}
+		*one.into = l.Addr().String()
+		g.servers = append(g.servers, one.server)
+		g.parts.Go(func() { g.ended(one.name, one.server.Serve(l)) })
+	}
+	return nil
+}
+
+// newServer returns a server within the bounds of connections.
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+// ended notes the end of a server; one that was not closed is an error.
+func (g *Gateway) ended(name string, err error) {
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		g.log.Error(err, "server ended", "server", name)
+	}
+}
+
+// ready answers the balancer.
+func (g *Gateway) ready(w http.ResponseWriter, _ *http.Request) {
+	select {
+	case <-g.stopping:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	default:
+	}
+	if g.catalog.Snapshot() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -4,9 +4,6 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
-	"sync"
 	"time"
 )
 
@@ -20,37 +17,6 @@
 	stopMargin = 700 * time.Millisecond
 )
 
-// connections counts the open connections of callers.
-type connections struct {
-	mu   sync.Mutex
-	open map[net.Conn]struct{}
-}
-
-func newConnections() *connections {
-	return &connections{
-		open: make(map[net.Conn]struct{}),
-	}
-}
-
-// note implements the ConnState hook of an http.Server.
-func (c *connections) note(conn net.Conn, s http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch s {
-	case http.StateNew:
-		c.open[conn] = struct{}{}
-	case http.StateClosed, http.StateHijacked:
-		delete(c.open, conn)
-	case http.StateActive, http.StateIdle:
-	}
-}
-
-func (c *connections) count() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.open)
-}
-
 // Stop ends the instance as planned. It is not ready from now on but serves what
 // the balancer still sends, and asks callers to use other connections. Then it
 // takes nothing new and ends with the last request, so that the next process is
@@ -84,6 +50,7 @@
 	<-g.Done
 }
 
+// closeServers closes the HTTP servers and their connections.
 func (g *Gateway) closeServers() {
 	for _, s := range g.servers {
 		// The servers are closed whether or not they were shut down before.
