Let the soak use keys that were taken away, and look for somebody to follow less often

Change: a quarter of the requests carries any key that holds or held; the pause between tries to follow somebody grows to half a second.

Measured: tests of catalog, soak and gateway pass.

--- a/catalog/following.go
+++ b/catalog/following.go
@@ -64,10 +64,14 @@
 			// It worked for a while: the order is tried from its start.
 			try = -1
 		}
-		sleep(ctx, lookEvery)
+		sleep(ctx, min(lookEvery*time.Duration(1+max(try, 0)/2), longestLook))
 	}
 }
 
+// longestLook is the longest pause between tries to follow somebody, for when the
+// store does not answer anybody. Whoever can reach the store reads it meanwhile.
+const longestLook = 500 * time.Millisecond
+
 // pick returns the instance that is followed at a try, of the others in their
 // order. The first tries go to the readers, beginning with one chosen by this
 // instance's name so that they share the work; then the order goes on.
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -113,8 +113,11 @@
 			Body:     strings.Repeat("b", r.IntN(maxBodyLength)),
 			Instance: instance,
 		}
-		if r.IntN(2) == 0 {
+		switch r.IntN(4) {
+		case 0:
 			x.Key = c.world.key()
+		case 1:
+			x.Key = c.world.anyKey(r)
 		}
 		c.send(client, &x, r.Float64() < giveUpShare, promptOf(r))
 		c.mu.Lock()
--- a/soak/configuration.go
+++ b/soak/configuration.go
@@ -4,6 +4,9 @@
 
 import (
 	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/linkmast/linkmast/batch"
@@ -135,3 +138,11 @@
 	}
 	return steadyKey
 }
+
+// anyKey returns a key that holds or held.
+func (w *World) anyKey(r *rand.Rand) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	all := slices.Sorted(maps.Keys(w.keys))
+	return all[r.IntN(len(all))]
+}
