Name the bounds of the small packages and document their fields

Cause: window sizes, hash bits, units and queue lengths were bare numbers or shared one comment; unexported fields with rules of their own said nothing.

Change: named constants with units; notSent and orderRoutes out of longer functions; what New, Do, Index, Unpack and Close need or return is said.

Run: go vet ./...; go test ./batch ./route ./internal/{upstream,jsonlog,rendezvous, zdelta}: pass.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -7,6 +7,12 @@
 	"time"
 )
 
+// The units of the measures.
+const (
+	thousand = 1000
+	million  = 1e6
+)
+
 // Model holds the measures of an engine.
 type Model struct {
 	// Slots bounds the requests that run at once.
@@ -18,7 +24,7 @@
 	// Chunk bounds the prompt tokens that are read in a step; zero means no
 	// bound.
 	Chunk int
-	// Step is the time of a step without writers.
+	// Step is the time of a step without what its writers and their context add.
 	Step time.Duration
 	// PerSequence is what each writer adds to a step.
 	PerSequence time.Duration
@@ -44,22 +50,24 @@
 		d = time.Duration(t / m.ReadPerSecond * float64(time.Second))
 	}
 	pairs := t * (t - 1) / 2
-	d += time.Duration(pairs / 1e6 * float64(m.PerMillionPairs))
+	d += time.Duration(pairs / million * float64(m.PerMillionPairs))
 	return d / time.Duration(n)
 }
 
 // Pass returns the time of a pass without reading: writers requests with
-// context tokens together get Stride tokens each.
+// context tokens together get Stride tokens each. Without writers it is that of
+// one step.
 func (m *Model) Pass(writers, context int) time.Duration {
 	if writers == 0 {
 		return m.Step
 	}
 	step := m.Step + time.Duration(writers)*m.PerSequence
-	step += time.Duration(float64(context) / 1000 * float64(m.PerThousandContext))
+	step += time.Duration(float64(context) / thousand * float64(m.PerThousandContext))
 	return step * time.Duration(max(m.Stride, 1))
 }
 
-// Budget returns how many prompt tokens a pass reads at the most.
+// Budget returns how many prompt tokens a pass reads at the most; math.MaxInt when
+// there is no bound.
 func (m *Model) Budget(writers int) int {
 	if m.Chunk <= 0 {
 		return math.MaxInt
--- a/internal/jsonlog/jsonlog.go
+++ b/internal/jsonlog/jsonlog.go
@@ -20,9 +20,12 @@
 // The measures of a Writer. A line is some 400 bytes, so that the queue takes at
 // most about 1 MB and the output 400 KB a second.
 const (
-	queueLines  = 2048
-	linesPerSec = 1000
-	burstLines  = 2000
+	// queueLines is how many lines wait to be written at the most.
+	queueLines = 2048
+	// linesPerSecond is the allowance.
+	linesPerSecond = 1000
+	// burstLines is how much of the allowance can be saved up.
+	burstLines = 2000
 )
 
 // Writer is an io.Writer of lines that never blocks.
@@ -30,9 +33,12 @@
 	// Done is closed when the writer has stopped.
 	Done chan struct{}
 
-	queue   chan []byte
-	stop    chan struct{}
-	limit   *rate.Limiter
+	queue chan []byte
+	// stop is closed when the writer is to end.
+	stop  chan struct{}
+	limit *rate.Limiter
+	// dropped counts the lines that were dropped, and told those of them that
+	// the output was told of.
 	dropped atomic.Int64
 	told    int64
 }
@@ -43,7 +49,7 @@
 		Done:  make(chan struct{}),
 		queue: make(chan []byte, queueLines),
 		stop:  make(chan struct{}),
-		limit: rate.NewLimiter(linesPerSec, burstLines),
+		limit: rate.NewLimiter(linesPerSecond, burstLines),
 	}
 	go j.run(w)
 	return j
@@ -68,12 +74,14 @@
 	return j.dropped.Load()
 }
 
-// Close writes what is queued and ends the writer.
+// Close writes what is queued and ends the writer. It must be called once; lines
+// written later are lost.
 func (j *Writer) Close() {
 	close(j.stop)
 	<-j.Done
 }
 
+// run writes lines until the writer is closed.
 func (j *Writer) run(w io.Writer) {
 	defer close(j.Done)
 	for {
@@ -87,6 +95,7 @@
 	}
 }
 
+// drain writes the lines that wait.
 func (j *Writer) drain(w io.Writer) {
 	for {
 		select {
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -19,13 +19,21 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// mantissa is the number of fractions that a float64 tells apart.
-const mantissa = 1 << 53
+// The fractions that a float64 tells apart.
+const (
+	// mantissa is their number.
+	mantissa = 1 << mantissaBits
+	// mantissaBits is the precision of a float64 (IEEE 754).
+	mantissaBits = 53
+	// hashBits is the length of a hash.
+	hashBits = 64
+)
 
-// Score returns the score of a node for a key.
+// Score returns the score of a node for a key, as in the package comment. A weight
+// below 1 counts as 1.
 func Score(key, id string, weight int) float64 {
 	h := xxhash.Sum64String(key + "\x00" + id)
-	fraction := (float64(h>>11) + 0.5) / mantissa
+	fraction := (float64(h>>(hashBits-mantissaBits)) + 0.5) / mantissa
 	w := float64(max(weight, 1))
 	return -w * w / math.Log(fraction)
 }
@@ -40,7 +48,8 @@
 	})
 }
 
-// Index returns a number below n that depends on a name alone.
+// Index returns a number from 0 to below n that depends on a name and n alone. N must
+// be positive.
 func Index(name string, n int) int {
 	return int(xxhash.Sum64String(name) % uint64(n))
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -12,12 +12,14 @@
 	"time"
 )
 
-// bufferBytes is the buffer of each direction of a connection.
+// bufferBytes is the buffer of each direction of a connection: most requests and
+// many answers fit.
 const bufferBytes = 8 << 10
 
 // Conn is a connection to an endpoint.
 type Conn struct {
-	net     net.Conn
+	net net.Conn
+	// address is the endpoint's host and port.
 	address string
 	reader  *bufio.Reader
 	writer  *bufio.Writer
@@ -27,6 +29,7 @@
 	keep   time.Duration
 }
 
+// newConn returns a fresh connection to an address.
 func newConn(c net.Conn, address string) *Conn {
 	return &Conn{
 		net:     c,
@@ -37,7 +40,8 @@
 	}
 }
 
-// quiet states whether an idle connection is open and has nothing to read.
+// quiet states whether an idle connection is open and has nothing to read: a read
+// that would wait says so.
 func (c *Conn) quiet() bool {
 	if c.reader.Buffered() > 0 {
 		return false
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -41,7 +41,7 @@
 	Err error
 }
 
-// Error returns the cause.
+// Error returns the cause, and whether the request was sent.
 func (e *Error) Error() string {
 	if e.Sent {
 		return "sent: " + e.Err.Error()
@@ -59,25 +59,27 @@
 	// Response is the answer. Its body is read from the connection.
 	Response *http.Response
 
-	pool    *Pool
-	conn    *Conn
-	stop    func() bool
+	pool *Pool
+	conn *Conn
+	// stop keeps the end of the context from closing the connection. It returns
+	// false when that has happened.
+	stop func() bool
+	// written gets how the writing of the request ended.
 	written chan error
-	whole   bool
+	// whole states that the body was read to its end.
+	whole bool
 }
 
 // maxForeign bounds the answers to other requests that are skipped.
 const maxForeign = 4
 
 // Do sends a request and returns when the head of its answer is there. The end
-// of ctx closes the connection, also later on. The caller closes the exchange.
+// of ctx closes the connection, also later on. The caller closes the exchange. The
+// error is an *Error.
 func (p *Pool) Do(ctx context.Context, r Request) (*Exchange, error) {
 	c, err := p.get(ctx, r.Address, r.Fresh)
 	if err != nil {
-		return nil, &Error{
-			Sent: false,
-			Err:  err,
-		}
+		return nil, notSent(err)
 	}
 	x := &Exchange{
 		pool:    p,
@@ -87,10 +89,7 @@
 	}
 	if err := ctx.Err(); err != nil {
 		x.Close()
-		return nil, &Error{
-			Sent: false,
-			Err:  err,
-		}
+		return nil, notSent(err)
 	}
 	x.write(r)
 	if err := x.head(r); err != nil {
@@ -103,6 +102,14 @@
 	return x, nil
 }
 
+// notSent returns the error of a request of which no byte was written.
+func notSent(err error) *Error {
+	return &Error{
+		Sent: false,
+		Err:  err,
+	}
+}
+
 // write sends the request. A body that may not fit into the connection's
 // buffers is sent beside the reading of the answer, as an endpoint may answer
 // before it has read it.
@@ -116,6 +123,7 @@
 	}()
 }
 
+// send writes a request to the connection.
 func (c *Conn) send(r Request) error {
 	w := c.writer
 	// Errors of a buffered writer stay until Flush returns them.
@@ -144,7 +152,8 @@
 		if err != nil {
 			return errors.Wrap(err, "read answer")
 		}
-		if res.StatusCode >= 100 && res.StatusCode < 200 {
+		if res.StatusCode >= http.StatusContinue && res.StatusCode < http.StatusOK {
+			// It only announces the answer.
 			continue
 		}
 		if r.Own == nil || r.Own(res) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -33,10 +33,13 @@
 	// seconds.
 	probeIdle  = time.Second
 	probeEvery = time.Second
+	// probeCount is how many probes stay without an answer before the kernel
+	// gives the connection up.
 	probeCount = 2
 )
 
-// maxIdle bounds the idle connections to one endpoint.
+// maxIdle bounds the idle connections to one endpoint: an engine of
+// today has 16 slots.
 const maxIdle = 16
 
 // Settings are the measures of a Pool. A zero value means the default.
@@ -49,9 +52,12 @@
 // Pool holds idle connections to endpoints.
 type Pool struct {
 	dialer net.Dialer
-	dials  atomic.Int64
+	// dials counts the connections that were opened.
+	dials atomic.Int64
 
-	mu   sync.Mutex
+	mu sync.Mutex
+	// idle are the connections by address; the one that became idle last stands
+	// last.
 	idle map[string][]*Conn
 }
 
@@ -88,7 +94,8 @@
 	return p.dials.Load()
 }
 
-// get returns a connection that has rested for less than fresh, or a new one.
+// get returns a connection that has rested for less than fresh, or a new one. The
+// error is that of the dial.
 func (p *Pool) get(ctx context.Context, address string, fresh time.Duration) (*Conn, error) {
 	for {
 		c := p.take(address)
@@ -108,7 +115,7 @@
 	return newConn(n, address), nil
 }
 
-// take returns the connection that became idle last.
+// take returns the connection that became idle last; nil when there is none.
 func (p *Pool) take(address string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -137,7 +144,8 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
-// Sweep closes the connections that have rested for too long.
+// Sweep closes the connections that rested for longer than their endpoints keep
+// them.
 func (p *Pool) Sweep() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/zdelta/zdelta.go
+++ b/internal/zdelta/zdelta.go
@@ -11,23 +11,28 @@
 	"github.com/klauspost/compress/zstd"
 )
 
-// MaxBytes is the largest text that is unpacked.
+// MaxBytes is the size of the largest text that is unpacked, in bytes.
 const MaxBytes = 8 << 20
 
 // dictID names the dictionary of deltas; there is only ever one.
 const dictID = 1
 
-// minWindow is the least window of the compressor, in bytes.
-const minWindow = 1 << 16
+// The bounds of the compressor's window, in bytes.
+const (
+	// minWindow is enough for short texts.
+	minWindow = 1 << 16
+	// maxWindow spans a text and its base, both of the largest size.
+	maxWindow = 2 * MaxBytes
+)
 
-// window returns a window that spans both files.
+// window returns the size of a window that spans n bytes: a power of two.
 func window(n int) int {
 	w := 1 << bits.Len(uint(n))
-	return min(max(w, minWindow), MaxBytes*2)
+	return min(max(w, minWindow), maxWindow)
 }
 
-// Pack compresses text with zstd (RFC 8878). With base, the result is a delta
-// that only a reader who has base can unpack.
+// Pack compresses text. With base, the result is a delta that only a reader who has
+// base can unpack.
 func Pack(text, base []byte) ([]byte, error) {
 	opts := []zstd.EOption{
 		zstd.WithEncoderConcurrency(1),
@@ -48,12 +53,13 @@
 	return out, nil
 }
 
-// Unpack reverses Pack. It fails on anything larger than MaxBytes.
+// Unpack reverses Pack; base must be that of Pack. It fails on what is damaged, or
+// larger than MaxBytes when unpacked.
 func Unpack(data, base []byte) ([]byte, error) {
 	opts := []zstd.DOption{
 		zstd.WithDecoderConcurrency(1),
 		zstd.WithDecoderMaxMemory(MaxBytes),
-		zstd.WithDecoderMaxWindow(MaxBytes * 2),
+		zstd.WithDecoderMaxWindow(maxWindow),
 		zstd.WithDecoderLowmem(true),
 	}
 	if len(base) > 0 {
--- a/route/route.go
+++ b/route/route.go
@@ -126,7 +126,8 @@
 
 // Limits bound what a caller may send.
 type Limits struct {
-	// HeaderBytes bounds the header of a request.
+	// HeaderBytes bounds the header of a request; zero means that the
+	// configuration does not say, as for the other limits.
 	HeaderBytes int
 	// BodyBytes bounds the body of a request.
 	BodyBytes int64
@@ -149,11 +150,14 @@
 	// Keyed states whether routes that are not public need a key.
 	Keyed bool
 
+	// byHost are the routes of each host, those with the longest prefix first.
 	byHost map[string][]*Route
-	byKey  map[string]*Customer
+	// byKey are the customers by key.
+	byKey map[string]*Customer
 }
 
-// New returns the table of a version. It takes over its arguments.
+// New returns the table of a version. It takes over its arguments. Keyed states
+// whether routes that are not public need a key.
 func New(version int64, routes []Route, services []Service, customers []Customer, keyed bool, l Limits) *Table {
 	t := &Table{
 		Version:  version,
@@ -167,8 +171,19 @@
 	for i := range services {
 		t.Services[services[i].Name] = &services[i]
 	}
-	for i := range routes {
-		r := &routes[i]
+	for i := range customers {
+		for _, k := range customers[i].Keys {
+			t.byKey[k] = &customers[i]
+		}
+	}
+	t.orderRoutes()
+	return t
+}
+
+// orderRoutes puts the routes of each host in the order in which they are tried.
+func (t *Table) orderRoutes() {
+	for i := range t.Routes {
+		r := &t.Routes[i]
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
 	}
 	for _, rs := range t.byHost {
@@ -176,12 +191,6 @@
 			return cmp.Compare(len(b.Prefix), len(a.Prefix))
 		})
 	}
-	for i := range customers {
-		for _, k := range customers[i].Keys {
-			t.byKey[k] = &customers[i]
-		}
-	}
-	return t
 }
 
 // Match returns the route of a host and path, or nil. A port behind the host
@@ -198,7 +207,7 @@
 	return nil
 }
 
-// Customer returns the holder of a key.
+// Customer returns the holder of a key, or false when nobody holds it.
 func (t *Table) Customer(key string) (*Customer, bool) {
 	c, ok := t.byKey[key]
 	return c, ok
