Split the commands' start, stop and soak runs

Cause: serve of linkmast and Execute of the soak each did the whole life of a run.

Change: stop, buildInstance and play; signalQueue; linkmast's comment says both kinds of instance.

Run: go vet ./cmd/...; go test ./cmd/linkmast: pass (51 s). No soak was played.

--- a/cmd/linkmast/main.go
+++ b/cmd/linkmast/main.go
@@ -1,6 +1,7 @@
 // Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
 
-// Command linkmast is one instance of the system.
+// Command linkmast is one instance of the system: a gateway on a platform with a
+// store where the settings name one, else a node.
 package main
 
 import (
@@ -40,10 +41,14 @@
 	Version  bool   `long:"version" description:"print the version and exit"`
 }
 
+// signalQueue is how many signals may wait: more than anybody sends at once.
+const signalQueue = 8
+
 func main() {
 	os.Exit(run(os.Args[1:]))
 }
 
+// run carries the command line out and returns the exit code.
 func run(args []string) int {
 	var o options
 	parser := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash)
@@ -119,7 +124,7 @@
 		Level: level,
 	})
 	log := logr.FromSlogHandler(handler).WithValues("instance", s.ID)
-	signals := make(chan os.Signal, 8)
+	signals := make(chan os.Signal, signalQueue)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	n, err := start(s, log, lines.Dropped)
 	if err != nil {
@@ -132,6 +137,12 @@
 		}
 		reload(o.Settings, s, log)
 	}
+	stop(n, signals)
+	return exitOK
+}
+
+// stop ends the instance as planned, and at once with a further SIGINT.
+func stop(n instance, signals <-chan os.Signal) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() {
@@ -142,7 +153,6 @@
 		}
 	}()
 	n.Stop(ctx)
-	return exitOK
 }
 
 // reload checks the settings file anew. What it holds is fixed for the life of
--- a/cmd/linkmastctl/soak.go
+++ b/cmd/linkmastctl/soak.go
@@ -40,12 +40,26 @@
 		}
 		defer func() { _ = os.RemoveAll(dir) }()
 		c.Program = filepath.Join(dir, "linkmast")
-		build := exec.CommandContext(ctx, "go", "build", "-o", c.Program, "./cmd/linkmast")
-		build.Stderr = os.Stderr
-		if err := build.Run(); err != nil {
-			return errors.Wrap(err, "build linkmast")
+		if err := buildInstance(ctx, c.Program); err != nil {
+			return err
 		}
 	}
+	return c.play(ctx)
+}
+
+// buildInstance builds the program of an instance from the source tree that is the
+// working directory.
+func buildInstance(ctx context.Context, path string) error {
+	build := exec.CommandContext(ctx, "go", "build", "-o", path, "./cmd/linkmast")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		return errors.Wrap(err, "build linkmast")
+	}
+	return nil
+}
+
+// play plays the runs one after the other. The error says how many broke a promise.
+func (c *soakCommand) play(ctx context.Context) error {
 	bad := 0
 	for i := range c.Runs {
 		broken, err := soak.Run(ctx, soak.Settings{
