--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -251,37 +251,44 @@
 	is.True(err != nil) // all slots are taken
 }
 
-// TestRetryBudget sends requests again without end, with an owner and without.
-func TestRetryBudget(t *testing.T) {
-	again := func(n *node, id string) bool {
-		a := ask(id)
-		a.Again = true
-		_, err := n.client.Place(t.Context(), a)
-		var r *pool.Refusal
-		if err != nil && !errors.As(err, &r) {
-			t.Fatal(err)
-		}
-		if err == nil {
-			n.client.End(id, "engines", pool.Served, "")
-		}
-		return err == nil
+// placedAgain states whether a request that is sent again gets a place.
+func (n *node) placedAgain(t *testing.T, id string) bool {
+	t.Helper()
+	a := ask(id)
+	a.Again = true
+	_, err := n.client.Place(t.Context(), a)
+	var r *pool.Refusal
+	if err != nil && !errors.As(err, &r) {
+		t.Fatal(err)
 	}
-	count := func(f *fleet) int {
-		granted := 0
-		for i, n := range f.nodes {
-			for k := range 30 {
-				if again(n, fmt.Sprintf("again-%d-%d", i, k)) {
-					granted++
-				}
+	if err == nil {
+		n.client.End(id, "engines", pool.Served, "")
+	}
+	return err == nil
+}
+
+// sendAgain sends requests again through all instances, and returns how many got a
+// place.
+func (f *fleet) sendAgain(t *testing.T) int {
+	t.Helper()
+	granted := 0
+	for i, n := range f.nodes {
+		for k := range 30 {
+			if n.placedAgain(t, fmt.Sprintf("again-%d-%d", i, k)) {
+				granted++
 			}
 		}
-		return granted
 	}
+	return granted
+}
+
+// TestRetryBudget sends requests again without end, with an owner and without.
+func TestRetryBudget(t *testing.T) {
 	t.Run("one owner", func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(t, 4)
 		f.owner("")
-		got := count(f)
+		got := f.sendAgain(t)
 		is.True(got > 0)
 		is.True(got <= 16)
 	})
@@ -292,7 +299,7 @@
 			n.rpc.Stop()
 		}
 		time.Sleep(20 * time.Millisecond)
-		is.True(count(f) <= 16)
+		is.True(f.sendAgain(t) <= 16)
 	})
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -83,28 +83,34 @@
 	}
 }
 
-// TestJudge shows the judge what breaks each promise, and that it says so.
-func TestJudge(t *testing.T) {
-	now := time.Now()
-	run := func(id, target string) platformtest.Run {
-		return platformtest.Run{
-			ID:     id,
-			Method: "POST",
-			Target: target,
-			Header: platformtest.RunHeader("c1"),
-			At:     now,
-		}
+// runOf is a run for the customer at a moment.
+func runOf(id, target string, at time.Time) platformtest.Run {
+	return platformtest.Run{
+		ID:     id,
+		Method: "POST",
+		Target: target,
+		Header: platformtest.RunHeader("c1"),
+		At:     at,
 	}
-	served := Exchange{
+}
+
+// servedAt is an exchange that was sent at a moment and went well.
+func servedAt(at time.Time) Exchange {
+	return Exchange{
 		ID:     "r",
 		Path:   "/unsafe/",
 		Key:    steadyKey,
-		Sent:   now,
+		Sent:   at,
 		Status: 200,
 		Answer: platformtest.PlainAnswer("r", nil),
 		Whole:  true,
 		Signed: true,
 	}
+}
+
+// TestJudge shows the judge what breaks each promise, and that it says so.
+func TestJudge(t *testing.T) {
+	now := time.Now()
 	for _, row := range []struct {
 		name    string
 		promise string
@@ -112,7 +118,7 @@
 	}{
 		{"well", "", func(*Exchange, *[]platformtest.Run) {}},
 		{"ran twice", "at most once", func(_ *Exchange, runs *[]platformtest.Run) {
-			*runs = append(*runs, run("r", "/unsafe/"))
+			*runs = append(*runs, runOf("r", "/unsafe/", now))
 		}},
 		{"refused and ran", "refusals are true", func(x *Exchange, _ *[]platformtest.Run) { x.Status = 503 }},
 		{"another's answer", "whole and own answer", func(x *Exchange, _ *[]platformtest.Run) {
@@ -136,7 +142,7 @@
 			w := &World{
 				keys: map[string]time.Time{"gone": now.Add(-time.Minute)},
 			}
-			x, runs := served, []platformtest.Run{run("r", "/unsafe/")}
+			x, runs := servedAt(now), []platformtest.Run{runOf("r", "/unsafe/", now)}
 			row.change(&x, &runs)
 			got := w.judgeOne(&x, runs)
 			if row.promise == "" {
