--- a/catalog/kick.go
+++ b/catalog/kick.go
@@ -13,6 +13,7 @@
 	ch chan struct{}
 }
 
+// newKick returns a kick that nothing watches.
 func newKick() *kick {
 	return &kick{
 		ch: make(chan struct{}),
--- a/pool/figures.go
+++ b/pool/figures.go
@@ -16,7 +16,7 @@
 	Queued int `json:"queued"`
 	// Predicted counts the first events that were predicted.
 	Predicted int `json:"predicted"`
-	// Within counts those that came within a fifth of the prediction.
+	// Within counts those that were off by a fifth of the prediction or less.
 	Within int `json:"within"`
 }
 
--- a/pool/messages.go
+++ b/pool/messages.go
@@ -8,6 +8,7 @@
 	"github.com/linkmast/linkmast/pool/poolpb"
 )
 
+// encodeAsk returns the message of an ask. Durations are sent in microseconds.
 func encodeAsk(a *Ask) *poolpb.Ask {
 	return &poolpb.Ask{
 		Id:         a.ID,
@@ -26,6 +27,7 @@
 	}
 }
 
+// decodeAsk returns the ask of a message.
 func decodeAsk(m *poolpb.Ask) Ask {
 	return Ask{
 		ID:        m.GetId(),
@@ -49,6 +51,8 @@
 	return time.Duration(n) * time.Microsecond
 }
 
+// encodeGrant returns the message of an attempt's grant. Reservations are not in it,
+// as the entry makes them.
 func encodeGrant(id string, g *Grant) *poolpb.Grant {
 	m := &poolpb.Grant{
 		Id:       id,
@@ -68,6 +72,7 @@
 	return m
 }
 
+// decodeGrant returns the grant of a message.
 func decodeGrant(m *poolpb.Grant) Grant {
 	g := Grant{
 		Instance: m.GetInstance(),
@@ -86,6 +91,7 @@
 	return g
 }
 
+// runningMessage tells an owner of an attempt that another one placed.
 func runningMessage(r *running) *poolpb.FromEntry {
 	return &poolpb.FromEntry{
 		Kind: &poolpb.FromEntry_Running{
@@ -98,6 +104,7 @@
 	}
 }
 
+// firstMessage tells an owner of the first event of an attempt.
 func firstMessage(id, service string) *poolpb.FromEntry {
 	return &poolpb.FromEntry{
 		Kind: &poolpb.FromEntry_First{
@@ -109,6 +116,7 @@
 	}
 }
 
+// endMessage tells an owner how an attempt ended.
 func endMessage(id, service string, o Outcome, culprit string) *poolpb.FromEntry {
 	return &poolpb.FromEntry{
 		Kind: &poolpb.FromEntry_End{
@@ -122,6 +130,7 @@
 	}
 }
 
+// pingMessage asks an owner for a sign of life.
 func pingMessage(seq int64) *poolpb.FromEntry {
 	return &poolpb.FromEntry{
 		Kind: &poolpb.FromEntry_Ping{
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -24,6 +24,7 @@
 	err error
 }
 
+// newAnswer returns the answer to a request, of which nothing was sent yet.
 func newAnswer(w http.ResponseWriter, j *job) *answer {
 	return &answer{
 		w:     w,
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -19,6 +19,7 @@
 	whole *histogram
 }
 
+// newMetrics returns metrics that have counted nothing.
 func newMetrics() *Metrics {
 	m := &Metrics{
 		Vars:  new(expvar.Map).Init(),
@@ -50,6 +51,7 @@
 	vars *expvar.Map
 }
 
+// newHistogram returns an empty histogram.
 func newHistogram() *histogram {
 	return &histogram{
 		vars: new(expvar.Map).Init(),
--- a/soak/configuration.go
+++ b/soak/configuration.go
@@ -102,6 +102,10 @@
 	}
 }
 
+// publishWithin bounds the time from when a key is noted as taken away until the
+// store has the version without it; keys noted earlier keep their time.
+const publishWithin = time.Second
+
 // takeAway takes a key away and gives another one.
 func (w *World) takeAway() {
 	w.mu.Lock()
@@ -118,7 +122,7 @@
 	now := time.Now()
 	for k, gone := range w.keys {
 		// The bound counts from when the store has the new version.
-		if !gone.IsZero() && now.Sub(gone) < time.Second {
+		if !gone.IsZero() && now.Sub(gone) < publishWithin {
 			w.keys[k] = now
 		}
 	}
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -206,17 +206,21 @@
 	}
 }
 
-// restartPart is the part of a step's time that an instance stays away after it
-// has ended.
+// restartPart divides a step's time into that for which an instance stays away after
+// it has ended.
 const restartPart = 4
 
+// graceSlack is how much longer than its grace an instance may take to end before
+// it is killed, as the platform does.
+const graceSlack = time.Second
+
 // restart starts an instance again after it has ended. When it was told to end
 // twice only the first starts it.
 func (w *World) restart(p *process, after time.Duration) {
 	gone := p.gone()
 	select {
 	case <-gone:
-	case <-time.After(grace + time.Second):
+	case <-time.After(grace + graceSlack):
 		p.signal(syscall.SIGCONT, false)
 		p.signal(syscall.SIGKILL, true)
 		<-gone
