--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -84,7 +84,7 @@
 	// longer it may last, both in ms: some end before any time-out, others
 	// outlast most, and they overlap.
 	leastMS  = 300
-	spreadMS = 2500
+	spreadMS = 4500
 )
 
 // play carries a schedule out.
