Poll for endpoints each second, as the store may not wake a poll

Both readers' polls of 20 s for endpoints, sent at 4.418 s, were answered only at 17.1 s, by the next removal of an entry; the three entries that said at 12.807 s that they leave did not wake them.

Change: a poll for endpoints waits for a second, so that what it missed is read by the next one. Ruled out: a wrong offset (the late answer has all records from it), our own reading of it (a line before and after each poll shows the store's answer late), followers (they knew within 2 ms of the first reader).

Test: catalog TestMissedWakeUp, red before.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -26,7 +26,11 @@
 	// Poll is how long a poll for configurations waits; the default is 1s. The
 	// age of the configuration stays below about twice this.
 	Poll time.Duration
-	// LongPoll is how long a poll of the other feeds waits; the default is 20s.
+	// EndpointPoll is how long a poll for endpoints waits; the default is 1s. The
+	// store does not always wake a poll when there is something new, and an
+	// endpoint that leaves must be known within two seconds.
+	EndpointPoll time.Duration
+	// LongPoll is how long a poll for instances waits; the default is 20s.
 	LongPoll time.Duration
 	// Hold is how long endpoints that vanished in an outage of the store are
 	// kept after its return; the default is 2s.
@@ -39,7 +43,10 @@
 	defaultReaders = 2
 	// defaultPoll keeps the age of a configuration at about two seconds.
 	defaultPoll = time.Second
-	// defaultLongPoll costs the store three calls a minute and feed.
+	// defaultEndpointPoll leaves a second of the two in which a leaving endpoint
+	// must be known for the way to all instances.
+	defaultEndpointPoll = time.Second
+	// defaultLongPoll costs the store three calls a minute.
 	defaultLongPoll = 20 * time.Second
 	// defaultHold is the time that the platform's pages give entries to return:
 	// about two seconds.
@@ -109,6 +116,9 @@
 	if s.Poll == 0 {
 		s.Poll = defaultPoll
 	}
+	if s.EndpointPoll == 0 {
+		s.EndpointPoll = defaultEndpointPoll
+	}
 	if s.LongPoll == 0 {
 		s.LongPoll = defaultLongPoll
 	}
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -29,6 +29,8 @@
 	down    bool
 	calls   int
 	changed chan struct{}
+	// deaf states that polls are not woken by the next changes.
+	deaf bool
 }
 
 func newFakeStore() *fakeStore {
@@ -46,6 +48,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.feeds[f] = append(s.feeds[f], s.record(f, c, s.first[f]+int64(len(s.feeds[f]))))
+	if s.deaf {
+		return
+	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -287,6 +292,18 @@
 	})
 }
 
+// TestMissedWakeUp looks that changes are known in time although the store does not
+// wake the polls that wait for them. An endpoint that leaves must get nothing new two
+// seconds after it said so.
+func TestMissedWakeUp(t *testing.T) {
+	run(t, func(is *is.I, s *fakeStore, c *catalog.Catalog) {
+		s.deaf = true
+		s.put(catalog.Endpoints, endpoint("e1", true))
+		time.Sleep(1500 * time.Millisecond)
+		is.True(c.Snapshot().Gone("e1"))
+	})
+}
+
 // TestLeavingStays looks that an endpoint that said that it leaves does not come
 // back by a record that is late.
 func TestLeavingStays(t *testing.T) {
--- a/catalog/reading.go
+++ b/catalog/reading.go
@@ -183,6 +183,8 @@
 		return 0
 	case f == Configurations:
 		return c.settings.Poll
+	case f == Endpoints:
+		return c.settings.EndpointPoll
 	}
 	return c.settings.LongPoll
 }
