Put a request off that would be late now while it may still be in time

The plan's own loss was part of its price, but what a better moment would have kept was not, so that loss never made a request wait.

Change: a request with a long target that would be late now waits while all engines together could read its prompt in 0.7 of the time that is left. Then it is placed as before.

Test: pool TestWaitsForTimelyPlace, red before.

--- a/placement/plan.go
+++ b/placement/plan.go
@@ -86,6 +86,16 @@
 	return best, found
 }
 
+// Soonest returns the least time in which the engines can read a request's prompt
+// together.
+func Soonest(engines []*Engine, r Request) time.Duration {
+	if len(engines) == 0 {
+		return 0
+	}
+	read := engines[0].Model.Read(r.Prompt, min(len(engines), MaxReaders))
+	return max(read, leastPart)
+}
+
 // leastPart is the least time of reading that is split off: with less, one more
 // engine that may fail is not worth the shorter pause.
 const leastPart = 40 * time.Millisecond
--- a/pool/decide.go
+++ b/pool/decide.go
@@ -37,7 +37,7 @@
 	}
 	plan, ok := placement.Make(list, w.request, now)
 	w.late = !ok || plan.Loses > lateFrom*w.request.Worth
-	if !ok || !w.worthIt(&plan, now) {
+	if !ok || w.soonInTime(list, now) || !w.worthIt(&plan, now) {
 		return Grant{}, false
 	}
 	if w.late && w.sheddable() && crowded(list) {
@@ -92,6 +92,21 @@
 	}
 }
 
+// soonShare is the part of the time until a request would be late that reading its
+// prompt may take for it to be put off when there is no plan in time: the rest is
+// for engines to become free.
+const soonShare = 0.7
+
+// soonInTime states whether a request that would be late now may still be in time
+// at a better moment.
+func (w *waiter) soonInTime(list []*placement.Engine, now time.Time) bool {
+	left := w.request.TargetAt.Sub(now)
+	if !w.late || w.ask.Target <= shedTarget || left <= 0 {
+		return false
+	}
+	return placement.Soonest(list, w.request) < time.Duration(soonShare*float64(left))
+}
+
 // worthIt states whether a plan should be carried out now rather than later.
 func (w *waiter) worthIt(plan *placement.Plan, now time.Time) bool {
 	waited := now.Sub(w.arrived)
@@ -102,13 +117,9 @@
 		return true
 	}
 	keeps := w.request.Worth - plan.Loses
-	if w.ask.Target <= shedTarget {
-		// It would be late before a better moment comes.
-		return spoilsPrice*plan.Spoils < keeps
-	}
 	left := w.request.TargetAt.Sub(now)
-	if plan.First < time.Duration(float64(left)*waitShare) {
-		// There is time for a better moment.
+	if w.ask.Target > shedTarget && plan.First < time.Duration(float64(left)*waitShare) {
+		// There is time for a better moment, as there is not with a short target.
 		return false
 	}
 	if waited > time.Duration(float64(w.ask.Deadline)*forceShare) {
--- /dev/null
+++ b/pool/wait_test.go
@@ -0,0 +1,103 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package pool_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/batch"
+	"github.com/linkmast/linkmast/catalog"
+	"github.com/linkmast/linkmast/pool"
+	"github.com/linkmast/linkmast/route"
+)
+
+// slowEngine reads a prompt of 100 000 tokens in a second, in passes of some
+// hundredths of a second.
+func slowEngine() *batch.Model {
+	return &batch.Model{
+		Slots:         4,
+		Capacity:      1_000_000,
+		Stride:        10,
+		Chunk:         1000,
+		Step:          time.Millisecond,
+		ReadPerSecond: 100_000,
+	}
+}
+
+// alone runs a test with a scheduler of a pool of one slow engine, in virtual time.
+func alone(t *testing.T, f func(ctx context.Context, is *is.I, s *pool.Scheduler)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := pool.NewScheduler(pool.Settings{
+			Self: "n0",
+		}, logr.Discard())
+		s.Update(&catalog.Snapshot{
+			Table: route.New(1, nil, []route.Service{
+				{Name: "engines", Engine: slowEngine()},
+			}, nil, false, route.Limits{}),
+			Endpoints: map[string]catalog.Endpoint{
+				"e0": {
+					Instance: "e0",
+					Service:  "engines",
+					Address:  "e0:1",
+					Slots:    4,
+				},
+			},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			s.Run(ctx)
+			close(done)
+		}()
+		defer func() {
+			cancel()
+			<-done
+		}()
+		f(ctx, is.New(t), s)
+	})
+}
+
+// prompt returns a request with a prompt that is in time within a target.
+func prompt(id string, tokens int, target time.Duration) pool.Ask {
+	return pool.Ask{
+		ID:       id,
+		Service:  "engines",
+		Prompt:   tokens,
+		Target:   target,
+		Gap:      time.Second,
+		Deadline: 10 * time.Second,
+	}
+}
+
+// TestWaitsForTimelyPlace looks that a request that would be late now is not placed
+// while it may still be in time, and is placed late once it can't be.
+func TestWaitsForTimelyPlace(t *testing.T) {
+	t.Run("room in time", func(t *testing.T) {
+		alone(t, func(ctx context.Context, is *is.I, s *pool.Scheduler) {
+			_, err := s.Place(ctx, prompt("before", 100_000, 5*time.Second))
+			is.NoErr(err)
+			time.AfterFunc(300*time.Millisecond, func() { s.End("before", "engines", pool.Abandoned, "") })
+			g, err := s.Place(ctx, prompt("r", 50_000, 1400*time.Millisecond))
+			is.NoErr(err)
+			is.True(g.Waited >= 300*time.Millisecond)
+			is.True(g.Waited+g.First < 1400*time.Millisecond)
+		})
+	})
+	t.Run("no room in time", func(t *testing.T) {
+		alone(t, func(ctx context.Context, is *is.I, s *pool.Scheduler) {
+			_, err := s.Place(ctx, prompt("before", 400_000, 5*time.Second))
+			is.NoErr(err)
+			g, err := s.Place(ctx, prompt("r", 50_000, 1400*time.Millisecond))
+			is.NoErr(err)
+			is.True(g.Waited > 0)
+			is.True(g.Waited < 1400*time.Millisecond)
+		})
+	})
+}
