Ask a store that can't be reached less often

Counted by second and feed on a scratch copy: from 18 to 26 s, while the store was down, every instance asked for all three feeds each 0.4 s, as nobody could tell it enough; at 26 s the entries of the endpoints came back one by one and woke 45 waiting polls each.

Change: whoever is not among the first readers and hears from others asks for the configuration only, at intervals that double up to 2 s; without company it asks as before. In a large fleet those that come late in the order wait 15 ms each for somebody to follow before they read. Polls for endpoints and instances that bring something are 100 ms apart.

Test: catalog TestOutageCostsFewCalls, red before.

--- a/catalog/following.go
+++ b/catalog/following.go
@@ -215,6 +215,7 @@
 			delete(f.sent, seq)
 		}
 	}
+	f.catalog.company.mark(time.Now())
 	age := time.Duration(a.GetAgeUs()) * time.Microsecond
 	answered := time.Duration(a.GetAnsweredUs()) * time.Microsecond
 	c := f.catalog
--- a/catalog/readers.go
+++ b/catalog/readers.go
@@ -50,8 +50,8 @@
 }
 
 // order returns the other instances in the order in which they are followed, and
-// whether this one is among the first readers.
-func (c *Catalog) order() ([]Peer, bool) {
+// how many of them come before this one.
+func (c *Catalog) order() ([]Peer, int) {
 	c.mu.Lock()
 	all := make([]Peer, 0, len(c.peers)+1)
 	for _, p := range c.peers {
@@ -63,17 +63,65 @@
 	all = append(all, c.settings.Self)
 	rendezvous.Sort(readersKey, all, func(p Peer) (string, int) { return p.ID, p.Capacity })
 	at := slices.IndexFunc(all, func(p Peer) bool { return p.ID == c.settings.Self.ID })
-	return slices.Delete(all, at, at+1), at < c.settings.Readers
+	return slices.Delete(all, at, at+1), at
+}
+
+// first states whether this instance is among the first readers.
+func (c *Catalog) first() bool {
+	_, at := c.order()
+	return at < c.settings.Readers
+}
+
+// The measures of reading the store because nobody else tells enough. When many
+// instances do so at once, those that come first in the order find out first, and the
+// others can follow them.
+const (
+	// atOnce is how many of the order read at once.
+	atOnce = 8
+	// patienceEach is how much longer each of the others waits for somebody to
+	// follow: 1.2 s in all with 90 instances, well below the two seconds in which
+	// changes must be in force.
+	patienceEach = 15 * time.Millisecond
+)
+
+// patience returns how long the instance at a place of the order waits for somebody
+// to follow before it reads the store itself.
+func patience(at int) time.Duration {
+	return time.Duration(max(at+1-atOnce, 0)) * patienceEach
 }
 
 // shouldRead states whether this instance reads the store: as one of the first,
 // for those that follow it, or because nobody else told it enough.
 func (c *Catalog) shouldRead() bool {
-	if c.followers.Load() > 0 || !c.heard.within(c.fresh()) {
+	_, at := c.order()
+	if at < c.settings.Readers {
 		return true
 	}
-	_, first := c.order()
-	return first
+	if c.heard.within(c.fresh()) {
+		c.alone.reset()
+		return c.followers.Load() > 0
+	}
+	if _, waits := c.alone.since(); !waits {
+		c.alone.mark(time.Now())
+	}
+	return !c.alone.within(patience(at))
+}
+
+// waits states whether a feed is not read while the store can't be reached: one feed
+// is enough to see that it is back, but for the first readers, as the store may be
+// down in parts.
+func (c *Catalog) waits(f Feed) bool {
+	return f != Configurations && c.failing.Load()&(1<<Configurations) != 0 && c.hasCompany()
+}
+
+// companyWithin is how recently another instance must have answered for this one to
+// rely on hearing from it that the store is back: some tries to follow somebody.
+const companyWithin = 2 * time.Second
+
+// hasCompany states whether this instance would hear from others that the store is
+// back: it is not among the first readers, and others answer it.
+func (c *Catalog) hasCompany() bool {
+	return c.company.within(companyWithin) && !c.first()
 }
 
 // shouldFollow states whether this instance follows another one.
@@ -81,6 +129,5 @@
 	if !c.read.within(c.fresh()) || c.failing.Load() != 0 {
 		return true
 	}
-	_, first := c.order()
-	return !first && c.followers.Load() == 0
+	return !c.first() && c.followers.Load() == 0
 }
--- a/catalog/readers_test.go
+++ b/catalog/readers_test.go
@@ -140,10 +140,7 @@
 
 // readers returns the instances that called the store during a while.
 func readers(all []*instance) []*instance {
-	before := make([]int64, len(all))
-	for i, x := range all {
-		before[i] = x.store.calls.Load()
-	}
+	before := calls(all)
 	time.Sleep(8 * poll)
 	var out []*instance
 	for i, x := range all {
@@ -253,6 +250,40 @@
 	is.New(t).True(time.Since(gone) < time.Second)
 }
 
+// TestOutageCostsFewCalls looks that instances that hear from others don't ask a store
+// that is down again and again, and know soon after that it is back.
+func TestOutageCostsFewCalls(t *testing.T) {
+	is := is.New(t)
+	fake, all := group(t, 6)
+	first := awaitReaders(t, all, 2)
+	before := calls(all)
+	for _, x := range all {
+		x.store.refused.Store(true)
+	}
+	time.Sleep(3 * time.Second)
+	for i, x := range all {
+		if x != first[0] && x != first[1] {
+			is.True(x.store.calls.Load()-before[i] <= 12) // some 25 with all feeds read each 0.4 s
+		}
+	}
+	for _, x := range all {
+		x.store.refused.Store(false)
+	}
+	back := time.Now()
+	fake.put(catalog.Configurations, version(2))
+	assertInForce(t, all, 2)
+	is.True(time.Since(back) < 1500*time.Millisecond)
+}
+
+// calls returns how often each instance has called the store.
+func calls(all []*instance) []int64 {
+	out := make([]int64, len(all))
+	for i, x := range all {
+		out[i] = x.store.calls.Load()
+	}
+	return out
+}
+
 // TestAgeOfFollowers looks that no instance takes what it knows for fresher than
 // the store's last answer to anybody.
 func TestAgeOfFollowers(t *testing.T) {
--- a/catalog/reading.go
+++ b/catalog/reading.go
@@ -17,10 +17,18 @@
 	// noticed within half a second.
 	firstBackoff = 100 * time.Millisecond
 	lastBackoff  = 400 * time.Millisecond
+	// lastProbe bounds the wait of instances that hear from others that the
+	// store is back; it doubles with each failure. Each call has a price, and
+	// there are many of them.
+	lastProbe = 2 * time.Second
 	// pollSlack is how much longer than its wait a poll may take.
 	pollSlack = 800 * time.Millisecond
 	// wholeTimeout bounds a whole read of a feed.
 	wholeTimeout = 2 * time.Second
+	// spacing is the least time between two polls for endpoints or instances
+	// that bring something: after an outage entries come back one by one, and
+	// what comes together costs one call.
+	spacing = 100 * time.Millisecond
 	// expireEvery is how often it is looked whether removals have come due.
 	expireEvery = 100 * time.Millisecond
 	// firstStartWait is how long an instance waits at the first start of all
@@ -94,7 +102,7 @@
 	next := int64(unread)
 	failures := 0
 	for ctx.Err() == nil {
-		if !c.shouldRead() {
+		if !c.shouldRead() || c.waits(f) {
 			sleep(ctx, lookEvery)
 			c.setFailing(f, false)
 			next, failures = unread, 0
@@ -155,7 +163,19 @@
 	if failures == 1 {
 		c.log.Info("store can't be read", "feed", f.String(), "cause", err.Error())
 	}
-	sleep(ctx, min(firstBackoff*time.Duration(failures), lastBackoff))
+	sleep(ctx, c.backoff(failures))
+}
+
+// maxDoublings keeps the doubling of waits from overflowing; lastProbe is reached
+// before.
+const maxDoublings = 8
+
+// backoff returns the wait after a number of failures in a row.
+func (c *Catalog) backoff(failures int) time.Duration {
+	if c.hasCompany() {
+		return min(firstBackoff<<min(failures-1, maxDoublings), lastProbe)
+	}
+	return min(firstBackoff*time.Duration(failures), lastBackoff)
 }
 
 // readWhole reads a feed from nothing. It returns the offset to follow from.
@@ -216,6 +236,10 @@
 	if f == Configurations {
 		c.confirm(sent)
 		c.read.mark(time.Now())
+		return next, nil
+	}
+	if len(records) > 0 {
+		sleep(ctx, spacing-time.Since(sent))
 	}
 	return next, nil
 }
