Try few links at once when an instance starts, and let requests wait for it

An instance of a fifth of a core that had asked the store at 34.602 s had its answer only at 34.987 s, and went on to open links to the instances of the pool's order one after the other until two were open: at a start, when none is, to nearly all of them.

Change: at most one link more than the wanted two is tried at once, for 0.15 s each; a request that comes before the first configuration waits for it, 0.6 s and a quarter of its caller's time at most. Whoever reaches none of the instances before it in the order has the retry budget of one that is alone.

Tests: pool TestTriesFewAtOnce, gateway TestRequestDuringStart, both red before.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -232,6 +232,16 @@
 	assertWhole(t, w.ask(1, call{id: "late", path: "/safe/"}))
 }
 
+// TestRequestDuringStart sends a request to an instance that can't know the
+// configuration yet, and does shortly after.
+func TestRequestDuringStart(t *testing.T) {
+	w := newWorld(t, 1)
+	w.store.SetFaults(platformtest.StoreFaults{Refuse: true})
+	w.start(1)
+	time.AfterFunc(100*time.Millisecond, func() { w.store.SetFaults(platformtest.StoreFaults{}) })
+	assertWhole(t, w.ask(1, call{id: "early", path: "/safe/"}))
+}
+
 // TestLeaving lets an endpoint leave.
 func TestLeaving(t *testing.T) {
 	for _, row := range []struct {
--- a/pool/client.go
+++ b/pool/client.go
@@ -102,7 +102,7 @@
 	a.Avoid = c.local.Shunned(a.Service)
 	a.Exclude = append(slices.Clone(a.Exclude), c.leaving()...)
 	owners := c.owners(a.Service)
-	alone := false
+	alone := len(owners) > 0
 	for i, l := range owners {
 		if l == nil {
 			// Those before are out of touch; others may still ask them.
--- a/pool/client_links.go
+++ b/pool/client_links.go
@@ -18,6 +18,13 @@
 	wantedOwners = 2
 	// lookEvery is how often the links are compared with what is wanted.
 	lookEvery = 200 * time.Millisecond
+	// spareTries is how many more links than wanted are tried at once. An instance
+	// that starts in a large fleet would else try them all.
+	spareTries = 1
+	// tryFor is how long a link that is not open yet may keep the next instance
+	// from being tried: many round trips, and below the time in which owners are
+	// replaced.
+	tryFor = 150 * time.Millisecond
 )
 
 // linked is a link with what ends it.
@@ -69,9 +76,9 @@
 // choose returns the instances of a pool's order that are asked, and adds those
 // that need a link to wanted.
 func (c *Client) choose(ids []string, wanted map[string]string) []string {
-	usable := 0
+	usable, trying := 0, 0
 	for i, id := range ids {
-		if usable == wantedOwners {
+		if usable == wantedOwners || usable+trying >= wantedOwners+spareTries {
 			return ids[:i]
 		}
 		if id == c.self.ID {
@@ -79,7 +86,10 @@
 			continue
 		}
 		wanted[id] = c.known.Peers[id].Address
-		if l := c.links[id]; l != nil && l.usable() {
+		switch l := c.links[id]; {
+		case l == nil || l.trying():
+			trying++
+		case l.usable():
 			usable++
 		}
 	}
@@ -100,6 +110,7 @@
 		book:   c.running,
 		turn:   c.turned,
 		log:    c.log,
+		began:  time.Now(),
 	}
 	c.parts.Go(func() { l.run(ctx) })
 	return &linked{
--- a/pool/link.go
+++ b/pool/link.go
@@ -57,6 +57,8 @@
 	// turn is called when the session opens or breaks off.
 	turn func()
 	log  logr.Logger
+	// began is when the first try to open it began.
+	began time.Time
 
 	mu   sync.Mutex
 	open bool
@@ -93,6 +95,11 @@
 	return l.open
 }
 
+// trying states whether the link is new and not open yet.
+func (l *link) trying() bool {
+	return !l.usable() && time.Since(l.began) < tryFor
+}
+
 // tell sends a message if the session is open.
 func (l *link) tell(m *poolpb.FromEntry) {
 	l.mu.Lock()
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -3,11 +3,13 @@
 package relay
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strings"
 	"time"
 
+	"github.com/linkmast/linkmast/catalog"
 	"github.com/linkmast/linkmast/route"
 )
 
@@ -45,7 +47,7 @@
 
 // admit checks a request against the configuration in force and reads it.
 func (l *Relay) admit(h Head, r *http.Request, arrived time.Time) (*job, *refusal) {
-	known := l.parts.Known()
+	known := l.awaitKnown(r.Context(), h.Wait)
 	if known == nil {
 		return nil, unavailable("no configuration yet", comeBack)
 	}
@@ -73,6 +75,41 @@
 	return j, nil
 }
 
+// The times of a request that comes to an instance that has just started.
+const (
+	// startWithin is how long it waits for the first configuration: instances know
+	// one within half a second when the store answers, and a caller that is
+	// refused may have no further try.
+	startWithin = 600 * time.Millisecond
+	// startPart divides the time that a caller waits into that which may go by
+	// so, as a refused one needs time to come back.
+	startPart = 4
+	// startLook is how often it looks.
+	startLook = 10 * time.Millisecond
+)
+
+// awaitKnown returns what is known, or nil when nothing is in time for a caller that
+// waits for so long; zero means that it does not say. Without the age of the
+// configuration it is not known whether keys hold.
+func (l *Relay) awaitKnown(ctx context.Context, wait time.Duration) *catalog.Snapshot {
+	within := startWithin
+	if wait > 0 {
+		within = min(within, wait/startPart)
+	}
+	late := time.Now().Add(within)
+	for {
+		known := l.parts.Known()
+		if _, aged := l.parts.Age(); known != nil && aged || time.Now().After(late) {
+			return known
+		}
+		select {
+		case <-time.After(startLook):
+		case <-ctx.Done():
+			return known
+		}
+	}
+}
+
 // newJob returns a request on its way by a route.
 func newJob(h Head, r *http.Request, rt *route.Route, t *route.Table, arrived time.Time) *job {
 	return &job{
