Let the soak see runs that go on without their callers

Cause: of six faults put into mechanisms, the soak did not find a caller's leaving that is not noticed: it looked only whether anything still ran at the end, and streams of twelve events are over a quarter of a second after a caller has left anyway.

Change: stand-in endpoints note when runs end, streams have 60 events (1.2 s), and a run that goes on for more than half a second after its caller left breaks a promise, unless its instance stood still or a link to an endpoint failed meanwhile.

Tests: soak TestJudge (rows of callers that left), TestDisturbed.

--- a/soak/judge.go
+++ b/soak/judge.go
@@ -81,10 +81,49 @@
 	}
 	for i := range runs {
 		w.judgeRun(x, &runs[i], wrong)
+		w.judgeLeft(x, &runs[i], wrong)
 	}
 	return out
 }
 
+// leftSlack is how long after its caller has left a run may go on: a few messages,
+// and the pause of a busy machine.
+const leftSlack = 500 * time.Millisecond
+
+// judgeLeft checks that a run ends when its caller leaves.
+func (w *World) judgeLeft(x *Exchange, r *platformtest.Run, wrong func(promise, detail string)) {
+	if !x.GaveUp || x.Whole || !r.At.Before(x.Ended) {
+		return
+	}
+	ended := r.Ended
+	if ended.IsZero() {
+		ended = time.Now()
+	}
+	late := ended.Sub(x.Ended)
+	if late <= leftSlack || w.disturbed(x, ended) {
+		return
+	}
+	wrong("what its caller leaves ends", fmt.Sprintf("it ran on for %s", late.Round(time.Millisecond)))
+}
+
+// disturbed states whether a fault that keeps an endpoint from hearing of a caller's
+// leaving lay in the time until a run ended: its instance stands still, or a link to
+// an endpoint fails.
+func (w *World) disturbed(x *Exchange, ended time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, p := range w.played {
+		if p.ended().Before(x.Sent) || p.began.After(ended) {
+			continue
+		}
+		_, link := endpointLinks[p.step.Kind]
+		if link || p.step.Kind == "freeze" && p.step.Target%len(w.processes) == x.Instance {
+			return true
+		}
+	}
+	return false
+}
+
 // judgeAnswer checks a success.
 func judgeAnswer(x *Exchange, runs []platformtest.Run, wrong func(promise, detail string)) {
 	want := x.wholeAnswer()
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -30,6 +30,17 @@
 	return fmt.Sprintf("%6.2fs %s %d for %s", s.At.Seconds(), s.Kind, s.Target, s.For)
 }
 
+// played is a step with when it began.
+type played struct {
+	step  Step
+	began time.Time
+}
+
+// ended returns when the step was over.
+func (p *played) ended() time.Time {
+	return p.began.Add(p.step.For)
+}
+
 // kinds are the faults with how often each is drawn.
 var kinds = [...]struct {
 	name   string
@@ -100,6 +111,12 @@
 		case <-time.After(time.Until(begin.Add(s.At))):
 		}
 		note(s)
+		w.mu.Lock()
+		w.played = append(w.played, played{
+			step:  s,
+			began: time.Now(),
+		})
+		w.mu.Unlock()
 		playing.Go(func() { w.do(s) })
 	}
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -122,6 +122,46 @@
 	}
 }
 
+// leave makes the caller of an exchange leave at once, and its run end a time after.
+func leave(x *Exchange, runs *[]platformtest.Run, after time.Duration) {
+	x.GaveUp, x.Whole, x.Status, x.Answer = true, false, 0, ""
+	x.Ended = x.Sent.Add(leaveAfter)
+	(*runs)[0].Ended = x.Ended.Add(after)
+}
+
+// TestDisturbed looks that a run that goes on is not held against an instance that
+// stands still, or a link that fails.
+func TestDisturbed(t *testing.T) {
+	now := time.Now()
+	for _, row := range []struct {
+		step  Step
+		began time.Time
+		want  bool
+	}{
+		{Step{Kind: "freeze", Target: 1, For: time.Second}, now, true},
+		{Step{Kind: "freeze", Target: 2, For: time.Second}, now, false},
+		{Step{Kind: "endpoint link one way", For: time.Second}, now, true},
+		{Step{Kind: "endpoint link one way", For: time.Second}, now.Add(-time.Minute), false},
+		{Step{Kind: "kill", Target: 1, For: time.Second}, now, false},
+	} {
+		t.Run(row.step.String(), func(t *testing.T) {
+			is := is.New(t)
+			w := &World{
+				processes: make([]*process, 4),
+				played: []played{{
+					step:  row.step,
+					began: row.began,
+				}},
+			}
+			x := Exchange{
+				Instance: 1,
+				Sent:     now,
+			}
+			is.Equal(w.disturbed(&x, now.Add(time.Second)), row.want)
+		})
+	}
+}
+
 // TestJudge shows the judge what breaks each promise, and that it says so.
 func TestJudge(t *testing.T) {
 	now := time.Now()
@@ -150,6 +190,12 @@
 		{"ran late", "nothing runs after its time", func(_ *Exchange, runs *[]platformtest.Run) {
 			(*runs)[0].At = now.Add(time.Minute)
 		}},
+		{"caller left, run ended", "", func(x *Exchange, runs *[]platformtest.Run) {
+			leave(x, runs, 100*time.Millisecond)
+		}},
+		{"caller left, run went on", "what its caller leaves ends", func(x *Exchange, runs *[]platformtest.Run) {
+			leave(x, runs, time.Second)
+		}},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			is := is.New(t)
--- a/soak/world.go
+++ b/soak/world.go
@@ -23,8 +23,9 @@
 	engines = 6
 	// services is how many endpoints are plain.
 	services = 3
-	// streamEvents is the number of events in a stream.
-	streamEvents = 12
+	// streamEvents is the number of events in a stream: more than a second of
+	// them, so that a run that goes on without its caller is seen.
+	streamEvents = 60
 	// plainWork is the time that a plain endpoint takes for a request.
 	plainWork = 10 * time.Millisecond
 	// endpointSlots is how many requests an endpoint works on at once.
@@ -57,6 +58,8 @@
 
 	mu      sync.Mutex
 	version int
+	// played are the faults so far.
+	played []played
 	// keys are the customer's keys by name, with when each was taken away.
 	keys map[string]time.Time
 }
