Take in the reading pass over what was added

Cause: admission, decisions of the pool and the soak's judge each had several jobs in one file, some names were metaphors, and a few comments were no longer true.

Change: files by job (catalog/outage.go, pool/grant.go and shed.go, relay/known.go, body.go and header.go, soak/judge_left.go, judge_end.go and play.go), names, comments; no behaviour.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -75,10 +75,11 @@
 	// instance that it follows last confirmed the configuration.
 	read  clock
 	heard clock
-	// company is when another instance last answered, whatever it knew.
-	company clock
-	// alone is since when this instance has nobody to follow.
-	alone clock
+	// contact is when another instance last answered, whatever it knew.
+	contact clock
+	// unheard is when this instance found that no other one tells it enough;
+	// unmarked while one does.
+	unheard clock
 	// failing has a bit for each feed whose last read failed.
 	failing atomic.Int64
 	// followers counts the instances that follow this one.
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -102,6 +102,14 @@
 	s.changed = make(chan struct{})
 }
 
+// outage makes the store fail for a time, and changes it before it is back.
+func (s *fakeStore) outage(d time.Duration, change func()) {
+	s.setDown(true)
+	time.Sleep(d)
+	change()
+	s.setDown(false)
+}
+
 // forget drops a feed's records and leaves the given ones as the newest.
 func (s *fakeStore) forget(f catalog.Feed, left ...catalog.Change) {
 	s.mu.Lock()
@@ -242,6 +250,8 @@
 	})
 }
 
+// TestLapsedEntries looks when an endpoint ends whose entry is removed: at once in calm,
+// and only after a while when the store was down.
 func TestLapsedEntries(t *testing.T) {
 	gone := &catalog.EndpointGone{
 		Instance: "e1",
@@ -256,10 +266,9 @@
 	})
 	t.Run("kept after an outage and back", func(t *testing.T) {
 		run(t, func(is *is.I, s *fakeStore, c *catalog.Catalog) {
-			s.setDown(true)
-			time.Sleep(3 * time.Second)
-			s.put(catalog.Endpoints, gone)
-			s.setDown(false)
+			s.outage(3*time.Second, func() {
+				s.put(catalog.Endpoints, gone)
+			})
 			time.Sleep(time.Second)
 			is.Equal(len(c.Snapshot().Endpoints), 2)
 			s.put(catalog.Endpoints, endpoint("e1", false))
@@ -270,10 +279,9 @@
 	})
 	t.Run("kept after an outage and gone", func(t *testing.T) {
 		run(t, func(is *is.I, s *fakeStore, c *catalog.Catalog) {
-			s.setDown(true)
-			time.Sleep(3 * time.Second)
-			s.put(catalog.Endpoints, gone)
-			s.setDown(false)
+			s.outage(3*time.Second, func() {
+				s.put(catalog.Endpoints, gone)
+			})
 			time.Sleep(3 * time.Second)
 			is.Equal(len(c.Snapshot().Endpoints), 1)
 			is.True(c.Snapshot().Gone("e1"))
@@ -281,11 +289,10 @@
 	})
 	t.Run("gone with the history", func(t *testing.T) {
 		run(t, func(is *is.I, s *fakeStore, c *catalog.Catalog) {
-			s.setDown(true)
-			time.Sleep(time.Second)
-			s.put(catalog.Endpoints, gone)
-			s.forget(catalog.Endpoints, endpoint("e2", false))
-			s.setDown(false)
+			s.outage(time.Second, func() {
+				s.put(catalog.Endpoints, gone)
+				s.forget(catalog.Endpoints, endpoint("e2", false))
+			})
 			time.Sleep(3 * time.Second)
 			is.Equal(len(c.Snapshot().Endpoints), 1)
 		})
--- a/catalog/following.go
+++ b/catalog/following.go
@@ -57,7 +57,8 @@
 		if ctx.Err() != nil {
 			return
 		}
-		// Without anybody to follow the store is read at once.
+		// With nobody to follow, this instance reads the store after the delay of
+		// its place in the order.
 		c.heard.reset()
 		c.log.Info("no longer follows", "peer", p.ID, "cause", err.Error(), "ms", time.Since(began).Milliseconds())
 		if time.Since(began) > openWithin {
@@ -209,16 +210,16 @@
 
 // takeAge takes over an age. It counts from when its ping was sent.
 func (f *following) takeAge(a *catalogpb.Age) error {
+	c := f.catalog
+	c.contact.mark(time.Now())
 	sent := f.sent[a.GetSeq()]
 	for seq := range f.sent {
 		if seq <= a.GetSeq() {
 			delete(f.sent, seq)
 		}
 	}
-	f.catalog.company.mark(time.Now())
 	age := time.Duration(a.GetAgeUs()) * time.Microsecond
 	answered := time.Duration(a.GetAnsweredUs()) * time.Microsecond
-	c := f.catalog
 	if !a.GetKnown() || answered > c.settings.Poll+answerSlack {
 		// Followers must know changes soon, so they leave long before the age
 		// becomes a matter of safety.
--- /dev/null
+++ b/catalog/outage.go
@@ -0,0 +1,71 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package catalog
+
+import (
+	"context"
+	"time"
+)
+
+// The times of trying a store that can't be read.
+const (
+	// firstBackoff is the wait after a first failure; it grows by as much with
+	// each further one up to lastBackoff, so that a store that is back is
+	// noticed within half a second.
+	firstBackoff = 100 * time.Millisecond
+	lastBackoff  = 400 * time.Millisecond
+	// lastSharedBackoff bounds the wait of instances that hear from others that
+	// the store is back; it doubles with each failure. Each call has a price, and
+	// there are many of these instances.
+	lastSharedBackoff = 2 * time.Second
+	// contactWithin is how recently another instance must have answered for this
+	// one to rely on hearing from it that the store is back: the time of some
+	// tries to follow another one.
+	contactWithin = 2 * time.Second
+)
+
+// maxDoublings keeps the doubling of waits from overflowing; lastSharedBackoff is
+// reached before.
+const maxDoublings = 8
+
+// inTouch states whether this instance would hear from others that the store is
+// back: it is not among the first readers, and others answer it.
+func (c *Catalog) inTouch() bool {
+	return c.contact.within(contactWithin) && !c.first()
+}
+
+// pauses states whether a feed is not read because the feed of configurations can't
+// be. That one is enough to see that the store is back. The first readers try all
+// feeds, as the store may be down in parts.
+func (c *Catalog) pauses(f Feed) bool {
+	return f != Configurations && c.failing.Load()&(1<<Configurations) != 0 && c.inTouch()
+}
+
+// backoff returns the wait after a number of failures in a row.
+func (c *Catalog) backoff(failures int) time.Duration {
+	if c.inTouch() {
+		return min(firstBackoff<<min(failures-1, maxDoublings), lastSharedBackoff)
+	}
+	return min(firstBackoff*time.Duration(failures), lastBackoff)
+}
+
+// failed notes a failed read and waits before the next.
+func (c *Catalog) failed(ctx context.Context, f Feed, failures int, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	c.troubled(time.Now())
+	if failures == 1 {
+		c.log.Info("store can't be read", "feed", f.String(), "cause", err.Error())
+	}
+	sleep(ctx, c.backoff(failures))
+}
+
+// back notes that a feed can be read again.
+func (c *Catalog) back(f Feed, failures int, retry *kick) {
+	c.log.Info("store is back", "feed", f.String(), "failures", failures)
+	if f == Configurations {
+		// The other feeds may hang on connections that died.
+		retry.fire()
+	}
+}
--- a/catalog/readers.go
+++ b/catalog/readers.go
@@ -50,7 +50,7 @@
 }
 
 // order returns the other instances in the order in which they are followed, and
-// how many of them come before this one.
+// this one's place in it, counted from zero.
 func (c *Catalog) order() ([]Peer, int) {
 	c.mu.Lock()
 	all := make([]Peer, 0, len(c.peers)+1)
@@ -72,56 +72,40 @@
 	return at < c.settings.Readers
 }
 
-// The measures of reading the store because nobody else tells enough. When many
-// instances do so at once, those that come first in the order find out first, and the
-// others can follow them.
+// The measures of reading the store because no other instance tells enough. When many
+// instances come to this at the same time, those that come first in the order read
+// first, and the others can follow them.
 const (
-	// atOnce is how many of the order read at once.
-	atOnce = 8
-	// patienceEach is how much longer each of the others waits for somebody to
-	// follow: 1.2 s in all with 90 instances, well below the two seconds in which
-	// changes must be in force.
-	patienceEach = 15 * time.Millisecond
+	// undelayedReaders is how many instances of the order read without a delay.
+	undelayedReaders = 8
+	// readDelayStep is how much longer each further instance waits for another one
+	// to follow: 1.2 s for the last of 90 instances, well below the two seconds in
+	// which changes must be in force.
+	readDelayStep = 15 * time.Millisecond
 )
 
-// patience returns how long the instance at a place of the order waits for somebody
-// to follow before it reads the store itself.
-func patience(at int) time.Duration {
-	return time.Duration(max(at+1-atOnce, 0)) * patienceEach
+// readDelay returns how long the instance at a place of the order, counted from zero,
+// waits for another one to follow before it reads the store itself.
+func readDelay(at int) time.Duration {
+	return time.Duration(max(at+1-undelayedReaders, 0)) * readDelayStep
 }
 
 // shouldRead states whether this instance reads the store: as one of the first,
-// for those that follow it, or because nobody else told it enough.
+// for those that follow it, or because no other instance has told it enough for the
+// delay of its place.
 func (c *Catalog) shouldRead() bool {
 	_, at := c.order()
 	if at < c.settings.Readers {
 		return true
 	}
 	if c.heard.within(c.fresh()) {
-		c.alone.reset()
+		c.unheard.reset()
 		return c.followers.Load() > 0
 	}
-	if _, waits := c.alone.since(); !waits {
-		c.alone.mark(time.Now())
+	if _, marked := c.unheard.since(); !marked {
+		c.unheard.mark(time.Now())
 	}
-	return !c.alone.within(patience(at))
-}
-
-// waits states whether a feed is not read while the store can't be reached: one feed
-// is enough to see that it is back, but for the first readers, as the store may be
-// down in parts.
-func (c *Catalog) waits(f Feed) bool {
-	return f != Configurations && c.failing.Load()&(1<<Configurations) != 0 && c.hasCompany()
-}
-
-// companyWithin is how recently another instance must have answered for this one to
-// rely on hearing from it that the store is back: some tries to follow somebody.
-const companyWithin = 2 * time.Second
-
-// hasCompany states whether this instance would hear from others that the store is
-// back: it is not among the first readers, and others answer it.
-func (c *Catalog) hasCompany() bool {
-	return c.company.within(companyWithin) && !c.first()
+	return !c.unheard.within(readDelay(at))
 }
 
 // shouldFollow states whether this instance follows another one.
--- a/catalog/reading.go
+++ b/catalog/reading.go
@@ -12,15 +12,6 @@
 
 // The times of reading the store.
 const (
-	// firstBackoff is the wait after a first failure; it grows by as much with
-	// each further one up to lastBackoff, so that a store that is back is
-	// noticed within half a second.
-	firstBackoff = 100 * time.Millisecond
-	lastBackoff  = 400 * time.Millisecond
-	// lastProbe bounds the wait of instances that hear from others that the
-	// store is back; it doubles with each failure. Each call has a price, and
-	// there are many of them.
-	lastProbe = 2 * time.Second
 	// pollSlack is how much longer than its wait a poll may take.
 	pollSlack = 800 * time.Millisecond
 	// wholeTimeout bounds a whole read of a feed.
@@ -102,7 +93,7 @@
 	next := int64(unread)
 	failures := 0
 	for ctx.Err() == nil {
-		if !c.shouldRead() || c.waits(f) {
+		if !c.shouldRead() || c.pauses(f) {
 			sleep(ctx, lookEvery)
 			c.setFailing(f, false)
 			next, failures = unread, 0
@@ -131,15 +122,6 @@
 	}
 }
 
-// back notes that a feed can be read again.
-func (c *Catalog) back(f Feed, failures int, retry *kick) {
-	c.log.Info("store is back", "feed", f.String(), "failures", failures)
-	if f == Configurations {
-		// The other feeds may hang on connections that died.
-		retry.fire()
-	}
-}
-
 // unread stands for the offset of a feed that must be read whole.
 const unread = -1
 
@@ -154,30 +136,6 @@
 	return unread
 }
 
-// failed notes a failed read and waits before the next.
-func (c *Catalog) failed(ctx context.Context, f Feed, failures int, err error) {
-	if ctx.Err() != nil {
-		return
-	}
-	c.troubled(time.Now())
-	if failures == 1 {
-		c.log.Info("store can't be read", "feed", f.String(), "cause", err.Error())
-	}
-	sleep(ctx, c.backoff(failures))
-}
-
-// maxDoublings keeps the doubling of waits from overflowing; lastProbe is reached
-// before.
-const maxDoublings = 8
-
-// backoff returns the wait after a number of failures in a row.
-func (c *Catalog) backoff(failures int) time.Duration {
-	if c.hasCompany() {
-		return min(firstBackoff<<min(failures-1, maxDoublings), lastProbe)
-	}
-	return min(firstBackoff*time.Duration(failures), lastBackoff)
-}
-
 // readWhole reads a feed from nothing. It returns the offset to follow from.
 func (c *Catalog) readWhole(ctx context.Context, f Feed) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, wholeTimeout)
@@ -233,12 +191,11 @@
 		return from, err
 	}
 	c.apply(f, records, next, false, fromStore)
-	if f == Configurations {
+	switch {
+	case f == Configurations:
 		c.confirm(sent)
 		c.read.mark(time.Now())
-		return next, nil
-	}
-	if len(records) > 0 {
+	case len(records) > 0:
 		sleep(ctx, spacing-time.Since(sent))
 	}
 	return next, nil
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -86,8 +86,9 @@
 	return best, found
 }
 
-// Soonest returns the least time in which the engines can read a request's prompt
-// together.
+// Soonest returns the least time in which engines of one model can read a request's
+// prompt together if all of them are free, but no less than leastPart; zero when
+// there are none.
 func Soonest(engines []*Engine, r Request) time.Duration {
 	if len(engines) == 0 {
 		return 0
--- a/pool/client.go
+++ b/pool/client.go
@@ -102,6 +102,7 @@
 	a.Avoid = c.local.Shunned(a.Service)
 	a.Exclude = append(slices.Clone(a.Exclude), c.leaving()...)
 	owners := c.owners(a.Service)
+	// A pool that has no owners, like one without engines, is each instance's own.
 	alone := len(owners) > 0
 	for i, l := range owners {
 		if l == nil {
--- a/pool/client_links.go
+++ b/pool/client_links.go
@@ -18,8 +18,8 @@
 	wantedOwners = 2
 	// lookEvery is how often the links are compared with what is wanted.
 	lookEvery = 200 * time.Millisecond
-	// spareTries is how many more links than wanted are tried at once. An instance
-	// that starts in a large fleet would else try them all.
+	// spareTries is how many more owners than wanted may be open or in their first
+	// try at once. An instance that starts among many would else try all.
 	spareTries = 1
 	// tryFor is how long a link that is not open yet may keep the next instance
 	// from being tried: many round trips, and below the time in which owners are
--- /dev/null
+++ b/pool/grant.go
@@ -0,0 +1,48 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package pool
+
+import (
+	"time"
+
+	"github.com/linkmast/linkmast/placement"
+)
+
+// grant notes a place and returns it.
+func (s *Scheduler) grant(p *state, w *waiter, plan *placement.Plan, now time.Time) Grant {
+	at := &placed{
+		instance: plan.Engine.Instance,
+		at:       now,
+		first:    plan.First,
+	}
+	g := Grant{
+		Instance: plan.Engine.Instance,
+		Address:  plan.Engine.Address,
+		First:    plan.First,
+		Waited:   now.Sub(w.arrived),
+		By:       s.settings.Self,
+	}
+	for _, o := range plan.Others {
+		at.readers = append(at.readers, o.Engine.Instance)
+		g.Readers = append(g.Readers, Reader{
+			Instance: o.Engine.Instance,
+			Address:  o.Engine.Address,
+			Reserved: o.Hold,
+		})
+	}
+	p.probe(at)
+	p.placed[w.ask.ID] = at
+	s.log.Info("place", "attempt", w.ask.ID, "service", w.ask.Service, "prompt", w.ask.Prompt, "endpoint", g.Instance,
+		"readers", len(g.Readers), "first_ms", g.First.Milliseconds(), "read_ms", plan.Read.Milliseconds(),
+		"spoils", plan.Spoils, "loses", plan.Loses, "waited_ms", g.Waited.Milliseconds(), "queue", len(p.queue))
+	return g
+}
+
+// probe notes that an attempt tries endpoints that had failed.
+func (p *state) probe(at *placed) {
+	for _, name := range at.endpoints() {
+		if h := p.health[name]; h != nil {
+			h.all.probing = h.all.failures > failuresTolerated
+		}
+	}
+}
--- a/pool/link.go
+++ b/pool/link.go
@@ -57,7 +57,7 @@
 	// turn is called when the session opens or breaks off.
 	turn func()
 	log  logr.Logger
-	// began is when the first try to open it began.
+	// began is when the link was made and the first try to open it began.
 	began time.Time
 
 	mu   sync.Mutex
@@ -95,7 +95,7 @@
 	return l.open
 }
 
-// trying states whether the link is new and not open yet.
+// trying states whether the link is not open and was made less than tryFor ago.
 func (l *link) trying() bool {
 	return !l.usable() && time.Since(l.began) < tryFor
 }
--- a/pool/links_test.go
+++ b/pool/links_test.go
@@ -3,7 +3,6 @@
 package pool_test
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"sync"
@@ -20,14 +19,14 @@
 	"github.com/linkmast/linkmast/route"
 )
 
-// deadEnd opens no connection and keeps whom it was asked for.
-type deadEnd struct {
+// failingDialer opens no connection and keeps the addresses that it was asked for.
+type failingDialer struct {
 	mu    sync.Mutex
 	asked map[string]bool
 }
 
 // Conn implements pool.Dialer.
-func (d *deadEnd) Conn(address string) (*grpc.ClientConn, error) {
+func (d *failingDialer) Conn(address string) (*grpc.ClientConn, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.asked[address] = true
@@ -35,32 +34,37 @@
 }
 
 // tried returns how many instances were tried.
-func (d *deadEnd) tried() int {
+func (d *failingDialer) tried() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return len(d.asked)
 }
 
+// peers returns a snapshot with a pool of engines and a number of other instances.
+func peers(n int) *catalog.Snapshot {
+	snap := &catalog.Snapshot{
+		Table: route.New(1, nil, []route.Service{
+			{Name: "engines", Engine: model()},
+		}, nil, false, route.Limits{}),
+		Peers: make(map[string]catalog.Peer),
+	}
+	for i := range n {
+		id := fmt.Sprint("n", i)
+		snap.Peers[id] = catalog.Peer{
+			ID:       id,
+			Address:  id + ":1",
+			Capacity: 400,
+		}
+	}
+	return snap
+}
+
 // TestTriesFewAtOnce looks that an instance that starts among many does not try to
 // reach them all, and goes on when the first ones can't be reached.
 func TestTriesFewAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		snap := &catalog.Snapshot{
-			Table: route.New(1, nil, []route.Service{
-				{Name: "engines", Engine: model()},
-			}, nil, false, route.Limits{}),
-			Peers: make(map[string]catalog.Peer),
-		}
-		for i := range 60 {
-			id := fmt.Sprint("n", i)
-			snap.Peers[id] = catalog.Peer{
-				ID:       id,
-				Address:  id + ":1",
-				Capacity: 400,
-			}
-		}
-		dialer := &deadEnd{
+		dialer := &failingDialer{
 			asked: make(map[string]bool),
 		}
 		self := catalog.Peer{
@@ -70,17 +74,9 @@
 		c := pool.NewClient(self, pool.NewScheduler(pool.Settings{
 			Self: self.ID,
 		}, logr.Discard()), dialer, logr.Discard())
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() {
-			c.Run(ctx)
-			close(done)
-		}()
-		defer func() {
-			cancel()
-			<-done
-		}()
-		c.Update(snap)
+		_, stop := background(t, c.Run)
+		defer stop()
+		c.Update(peers(60))
 		time.Sleep(100 * time.Millisecond)
 		is.Equal(dialer.tried(), 3)
 		time.Sleep(time.Second)
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -150,15 +150,11 @@
 
 // logRefusal writes the line of a refusal.
 func (s *Scheduler) logRefusal(p *state, w *waiter, r *Refusal, now time.Time) {
-	usable, used, slots := 0, 0, 0
-	for _, e := range p.usable(&w.ask, now) {
-		usable++
-		used += e.Running()
-		slots += e.Slots
-	}
+	usable := p.usable(&w.ask, now)
+	used, slots := slotsOf(usable)
 	s.log.Info("refuse", "attempt", w.ask.ID, "service", w.ask.Service, "prompt", w.ask.Prompt, "reason", r.Reason,
 		"after_ms", r.After.Milliseconds(), "waited_ms", now.Sub(w.arrived).Milliseconds(), "queue", len(p.queue),
-		"endpoints", usable, "running", used, "slots", slots)
+		"endpoints", len(usable), "running", used, "slots", slots)
 }
 
 // Callers give a stream up after a silence of the longest of these: a time, so
--- a/pool/wait_test.go
+++ b/pool/wait_test.go
@@ -30,8 +30,25 @@
 	}
 }
 
-// alone runs a test with a scheduler of a pool of one slow engine, in virtual time.
-func alone(t *testing.T, f func(ctx context.Context, is *is.I, s *pool.Scheduler)) {
+// background starts run in a goroutine. It returns the context that run has, and what
+// ends that and waits for run to return.
+func background(t *testing.T, run func(context.Context)) (context.Context, func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		run(ctx)
+		close(done)
+	}()
+	return ctx, func() {
+		cancel()
+		<-done
+	}
+}
+
+// withSlowEngine runs a test with a scheduler of a pool of one slow engine, in virtual
+// time.
+func withSlowEngine(t *testing.T, f func(ctx context.Context, is *is.I, s *pool.Scheduler)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		s := pool.NewScheduler(pool.Settings{
@@ -50,16 +67,8 @@
 				},
 			},
 		})
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() {
-			s.Run(ctx)
-			close(done)
-		}()
-		defer func() {
-			cancel()
-			<-done
-		}()
+		ctx, stop := background(t, s.Run)
+		defer stop()
 		f(ctx, is.New(t), s)
 	})
 }
@@ -80,7 +89,7 @@
 // while it may still be in time, and is placed late once it can't be.
 func TestWaitsForTimelyPlace(t *testing.T) {
 	t.Run("room in time", func(t *testing.T) {
-		alone(t, func(ctx context.Context, is *is.I, s *pool.Scheduler) {
+		withSlowEngine(t, func(ctx context.Context, is *is.I, s *pool.Scheduler) {
 			_, err := s.Place(ctx, prompt("before", 100_000, 5*time.Second))
 			is.NoErr(err)
 			time.AfterFunc(300*time.Millisecond, func() { s.End("before", "engines", pool.Abandoned, "") })
@@ -91,7 +100,7 @@
 		})
 	})
 	t.Run("no room in time", func(t *testing.T) {
-		alone(t, func(ctx context.Context, is *is.I, s *pool.Scheduler) {
+		withSlowEngine(t, func(ctx context.Context, is *is.I, s *pool.Scheduler) {
 			_, err := s.Place(ctx, prompt("before", 400_000, 5*time.Second))
 			is.NoErr(err)
 			g, err := s.Place(ctx, prompt("r", 50_000, 1400*time.Millisecond))
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -3,13 +3,10 @@
 package relay
 
 import (
-	"context"
-	"io"
 	"net/http"
 	"strings"
 	"time"
 
-	"github.com/linkmast/linkmast/catalog"
 	"github.com/linkmast/linkmast/route"
 )
 
@@ -75,41 +72,6 @@
 	return j, nil
 }
 
-// The times of a request that comes to an instance that has just started.
-const (
-	// startWithin is how long it waits for the first configuration: instances know
-	// one within half a second when the store answers, and a caller that is
-	// refused may have no further try.
-	startWithin = 600 * time.Millisecond
-	// startPart divides the time that a caller waits into that which may go by
-	// so, as a refused one needs time to come back.
-	startPart = 4
-	// startLook is how often it looks.
-	startLook = 10 * time.Millisecond
-)
-
-// awaitKnown returns what is known, or nil when nothing is in time for a caller that
-// waits for so long; zero means that it does not say. Without the age of the
-// configuration it is not known whether keys hold.
-func (l *Relay) awaitKnown(ctx context.Context, wait time.Duration) *catalog.Snapshot {
-	within := startWithin
-	if wait > 0 {
-		within = min(within, wait/startPart)
-	}
-	late := time.Now().Add(within)
-	for {
-		known := l.parts.Known()
-		if _, aged := l.parts.Age(); known != nil && aged || time.Now().After(late) {
-			return known
-		}
-		select {
-		case <-time.After(startLook):
-		case <-ctx.Done():
-			return known
-		}
-	}
-}
-
 // newJob returns a request on its way by a route.
 func newJob(h Head, r *http.Request, rt *route.Route, t *route.Table, arrived time.Time) *job {
 	return &job{
@@ -151,78 +113,6 @@
 	}
 }
 
-// tooOld returns a refusal when keys that were taken away may not be known.
-func (l *Relay) tooOld() *refusal {
-	if l.settings.MaxAge == 0 {
-		return nil
-	}
-	age, known := l.parts.Age()
-	if known && age < l.settings.MaxAge {
-		return nil
-	}
-	return unavailable("configuration is too old", comeBack)
-}
-
-// comeBack is when a caller may come back to an instance that knows too little:
-// by then it has asked the store again, and other instances may know more.
-const comeBack = 300 * time.Millisecond
-
-// maxDiscard bounds how much of a body that is too large is read, in bytes.
-const maxDiscard = 8 << 20
-
-// read reads the body. It returns a refusal when that is too large or cut short.
-func (j *job) read(r *http.Request) *refusal {
-	limit := j.table.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
-	if r.ContentLength > limit {
-		// A caller that still sends would not hear the answer.
-		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxDiscard))
-		return tooLarge()
-	}
-	data, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return &refusal{
-			status: http.StatusBadRequest,
-			reason: "body is cut short",
-		}
-	}
-	if int64(len(data)) > limit {
-		return tooLarge()
-	}
-	j.body = data
-	return nil
-}
-
-// tooLarge returns the refusal of a body above the bound.
-func tooLarge() *refusal {
-	return &refusal{
-		status: http.StatusRequestEntityTooLarge,
-		reason: "body is too large",
-	}
-}
-
-// hopHeaders concern a single connection (RFC 9110, section 7.6.1).
-var hopHeaders = [...]string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
-}
-
-// passed returns the header that is passed on.
-func passed(h http.Header) http.Header {
-	out := h.Clone()
-	for _, line := range h["Connection"] {
-		for _, name := range strings.Split(line, ",") {
-			out.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		out.Del(name)
-	}
-	return out
-}
-
 // attemptsLeft returns how many endpoints the request may still be sent to.
 func (j *job) attemptsLeft() int {
 	return j.route.MaxAttempts - j.sends
@@ -233,10 +123,5 @@
 	return time.Until(j.deadline)
 }
 
-// The bounds of requests where the configuration has none.
-const (
-	// defaultWait is how long a caller is taken to wait that does not say.
-	defaultWait = 30 * time.Second
-	// defaultMaxBody bounds a request's body, in bytes.
-	defaultMaxBody = 16 << 20
-)
+// defaultWait is how long a caller is taken to wait that does not say.
+const defaultWait = 30 * time.Second
--- /dev/null
+++ b/relay/body.go
@@ -0,0 +1,49 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package relay
+
+import (
+	"io"
+	"net/http"
+)
+
+// The bounds of a request's body.
+const (
+	// defaultMaxBody bounds it where the configuration does not, in bytes.
+	defaultMaxBody = 16 << 20
+	// maxDiscard bounds how much of one that is too large is read, in bytes.
+	maxDiscard = 8 << 20
+)
+
+// read reads the body. It returns a refusal when that is too large or cut short.
+func (j *job) read(r *http.Request) *refusal {
+	limit := j.table.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultMaxBody
+	}
+	if r.ContentLength > limit {
+		// A caller that still sends would not hear the answer.
+		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxDiscard))
+		return tooLarge()
+	}
+	data, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		return &refusal{
+			status: http.StatusBadRequest,
+			reason: "body is cut short",
+		}
+	}
+	if int64(len(data)) > limit {
+		return tooLarge()
+	}
+	j.body = data
+	return nil
+}
+
+// tooLarge returns the refusal of a body above the bound.
+func tooLarge() *refusal {
+	return &refusal{
+		status: http.StatusRequestEntityTooLarge,
+		reason: "body is too large",
+	}
+}
--- /dev/null
+++ b/relay/header_test.go
@@ -0,0 +1,24 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package relay
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestPassed looks that what concerns a single connection is not passed on.
+func TestPassed(t *testing.T) {
+	is := is.New(t)
+	h := http.Header{}
+	h.Set("Connection", "close, X-Hop")
+	h.Set("X-Hop", "1")
+	h.Set("Transfer-Encoding", "chunked")
+	h.Set("Content-Length", "7")
+	h.Set("Model", "m")
+	got := passed(h)
+	is.Equal(got, http.Header{"Model": {"m"}})
+	is.Equal(h.Get("X-Hop"), "1") // the caller's header stays
+}
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -63,7 +63,7 @@
 		return false, j.unplaced(ctx, err)
 	}
 	if gone := l.departed(&p.grant); gone != "" {
-		l.parts.Placer.End(p.ask.ID, p.ask.Service, pool.Abandoned, "")
+		l.giveBack(p)
 		l.parts.Log.Info("place declined", "request", j.head.ID, "attempt", p.ask.ID, "endpoint", gone,
 			"reason", "it is leaving", "by", p.grant.By)
 		j.exclude = append(j.exclude, gone)
@@ -71,7 +71,7 @@
 	}
 	if j.keyed && !j.ran {
 		if late := l.tooOld(); late != nil {
-			l.parts.Placer.End(p.ask.ID, p.ask.Service, pool.Abandoned, "")
+			l.giveBack(p)
 			return false, late
 		}
 	}
@@ -104,6 +104,11 @@
 	}, nil
 }
 
+// giveBack gives up a place to which nothing was sent.
+func (l *Relay) giveBack(p *place) {
+	l.parts.Placer.End(p.ask.ID, p.ask.Service, pool.Abandoned, "")
+}
+
 // after decides what follows an attempt. A place that was found for another one
 // is used or given back.
 func (l *Relay) after(ctx context.Context, j *job, t *try, res result) (again bool, final *refusal) {
@@ -115,7 +120,7 @@
 	case again:
 		j.next = t.next
 	default:
-		l.parts.Placer.End(t.next.ask.ID, t.next.ask.Service, pool.Abandoned, "")
+		l.giveBack(t.next)
 	}
 	return again, final
 }
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -86,44 +86,6 @@
 	return out
 }
 
-// leftSlack is how long after its caller has left a run may go on: a few messages,
-// and the pause of a busy machine.
-const leftSlack = 500 * time.Millisecond
-
-// judgeLeft checks that a run ends when its caller leaves.
-func (w *World) judgeLeft(x *Exchange, r *platformtest.Run, wrong func(promise, detail string)) {
-	if !x.GaveUp || x.Whole || !r.At.Before(x.Ended) {
-		return
-	}
-	ended := r.Ended
-	if ended.IsZero() {
-		ended = time.Now()
-	}
-	late := ended.Sub(x.Ended)
-	if late <= leftSlack || w.disturbed(x, ended) {
-		return
-	}
-	wrong("what its caller leaves ends", fmt.Sprintf("it ran on for %s", late.Round(time.Millisecond)))
-}
-
-// disturbed states whether a fault that keeps an endpoint from hearing of a caller's
-// leaving lay in the time until a run ended: its instance stands still, or a link to
-// an endpoint fails.
-func (w *World) disturbed(x *Exchange, ended time.Time) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, p := range w.played {
-		if p.ended().Before(x.Sent) || p.began.After(ended) {
-			continue
-		}
-		_, link := endpointLinks[p.step.Kind]
-		if link || p.step.Kind == "freeze" && p.step.Target%len(w.processes) == x.Instance {
-			return true
-		}
-	}
-	return false
-}
-
 // judgeAnswer checks a success.
 func judgeAnswer(x *Exchange, runs []platformtest.Run, wrong func(promise, detail string)) {
 	want := x.wholeAnswer()
@@ -167,57 +129,3 @@
 		wrong("nothing runs after its time", fmt.Sprintf("ran %s after it was sent", r.At.Sub(x.Sent)))
 	}
 }
-
-// judgeEnd checks what is left once all callers have gone.
-func (w *World) judgeEnd() []Violation {
-	var out []Violation
-	for _, e := range w.endpoints {
-		if n := e.Running(); n > 0 {
-			out = append(out, Violation{
-				Promise: "what nobody waits for ends",
-				Detail:  fmt.Sprintf("endpoint %s still runs %d requests", e.Name(), n),
-			})
-		}
-		if n := e.Held(); n > 0 {
-			out = append(out, Violation{
-				Promise: "memory is given back",
-				Detail:  fmt.Sprintf("endpoint %s still holds %d tokens", e.Name(), n),
-			})
-		}
-	}
-	for _, p := range w.processes {
-		p.mu.Lock()
-		if p.ended > 0 {
-			out = append(out, Violation{
-				Promise: "instances don't end by themselves",
-				Detail:  fmt.Sprintf("%s ended %d times", p.name, p.ended),
-			})
-		}
-		p.mu.Unlock()
-	}
-	return out
-}
-
-// judgeRecovery checks that requests are served once all faults are lifted.
-func judgeRecovery(history []Exchange, from time.Time) []Violation {
-	served, all := 0, 0
-	for _, x := range history {
-		if x.Sent.Before(from) || x.GaveUp || x.Key != steadyKey {
-			continue
-		}
-		all++
-		if x.Status == http.StatusOK && x.Whole {
-			served++
-		}
-	}
-	if all > 0 && float64(served) >= recoveredShare*float64(all) {
-		return nil
-	}
-	return []Violation{{
-		Promise: "it recovers",
-		Detail:  fmt.Sprintf("%d of %d requests were served after all faults had ended", served, all),
-	}}
-}
-
-// recoveredShare is the part of requests that must be served after recovery.
-const recoveredShare = 0.98
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -122,8 +122,9 @@
 	}
 }
 
-// leave makes the caller of an exchange leave at once, and its run end a time after.
-func leave(x *Exchange, runs *[]platformtest.Run, after time.Duration) {
+// leaveEarly makes the caller of an exchange leave before the answer, and its run end
+// the given time after that.
+func leaveEarly(x *Exchange, runs *[]platformtest.Run, after time.Duration) {
 	x.GaveUp, x.Whole, x.Status, x.Answer = true, false, 0, ""
 	x.Ended = x.Sent.Add(leaveAfter)
 	(*runs)[0].Ended = x.Ended.Add(after)
@@ -148,7 +149,7 @@
 			is := is.New(t)
 			w := &World{
 				processes: make([]*process, 4),
-				played: []played{{
+				played: []playedStep{{
 					step:  row.step,
 					began: row.began,
 				}},
@@ -191,10 +192,10 @@
 			(*runs)[0].At = now.Add(time.Minute)
 		}},
 		{"caller left, run ended", "", func(x *Exchange, runs *[]platformtest.Run) {
-			leave(x, runs, 100*time.Millisecond)
+			leaveEarly(x, runs, 100*time.Millisecond)
 		}},
 		{"caller left, run went on", "what its caller leaves ends", func(x *Exchange, runs *[]platformtest.Run) {
-			leave(x, runs, time.Second)
+			leaveEarly(x, runs, time.Second)
 		}},
 	} {
 		t.Run(row.name, func(t *testing.T) {
--- a/soak/world.go
+++ b/soak/world.go
@@ -58,8 +58,8 @@
 
 	mu      sync.Mutex
 	version int
-	// played are the faults so far.
-	played []played
+	// played are the faults that have begun.
+	played []playedStep
 	// keys are the customer's keys by name, with when each was taken away.
 	keys map[string]time.Time
 }
