Give a whole read its own time when a poll finds its records gone

A poll that is told that its records are gone reads the feed whole within its own time limit. After a failure that limit is 0.8 s, so a store whose whole reads take longer would never be read again: each try fails and makes the next a short one.

Change: the whole read has the two seconds of every whole read. An instance that comes among the first readers also forgets since when nobody told it enough, as an old mark would let it read without its delay later.

Test: catalog TestSlowAfterOutage, red before (version 1, not 3). The second change was made by reading, without a test of its own.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -29,6 +29,8 @@
 	down    bool
 	calls   int
 	changed chan struct{}
+	// slow is how long a whole read takes.
+	slow time.Duration
 	// deaf states that polls are not woken by the next changes.
 	deaf bool
 }
@@ -123,7 +125,15 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *fakeStore) Whole(_ context.Context, f catalog.Feed) ([]catalog.Record, int64, error) {
+func (s *fakeStore) Whole(ctx context.Context, f catalog.Feed) ([]catalog.Record, int64, error) {
+	s.mu.Lock()
+	slow := s.slow
+	s.mu.Unlock()
+	select {
+	case <-time.After(slow):
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
@@ -299,6 +309,20 @@
 	})
 }
 
+// TestSlowAfterOutage looks that what a store forgot in an outage is read whole although
+// that takes longer than a poll may.
+func TestSlowAfterOutage(t *testing.T) {
+	run(t, func(is *is.I, s *fakeStore, c *catalog.Catalog) {
+		s.slow = time.Second
+		s.outage(time.Second, func() {
+			s.put(catalog.Configurations, version(2))
+			s.forget(catalog.Configurations, version(3))
+		})
+		time.Sleep(3 * time.Second)
+		is.Equal(c.Snapshot().Table.Version, int64(3))
+	})
+}
+
 // TestMissedWakeUp looks that changes are known in time although the store does not
 // wake the polls that wait for them. An endpoint that leaves must get nothing new two
 // seconds after it said so.
--- a/catalog/readers.go
+++ b/catalog/readers.go
@@ -96,6 +96,7 @@
 func (c *Catalog) shouldRead() bool {
 	_, at := c.order()
 	if at < c.settings.Readers {
+		c.unheard.reset()
 		return true
 	}
 	if c.heard.within(c.fresh()) {
--- a/catalog/reading.go
+++ b/catalog/reading.go
@@ -170,6 +170,7 @@
 // poll waits for the next records of a feed, and returns the offset after them.
 func (c *Catalog) poll(ctx context.Context, f Feed, from int64, failed bool, retry *kick) (int64, error) {
 	wait := c.pollWait(f, failed)
+	whole := ctx
 	ctx, cancel := context.WithTimeout(ctx, wait+pollSlack)
 	defer cancel()
 	kicked := func() bool { return false }
@@ -182,7 +183,8 @@
 	records, next, err := c.store.Follow(ctx, f, from, wait)
 	if errors.Is(err, ErrCompacted) {
 		c.log.Info("feed is read whole again", "feed", f.String(), "from", from)
-		return c.readWhole(ctx, f)
+		// It has a time limit of its own.
+		return c.readWhole(whole, f)
 	}
 	if err != nil && kicked() {
 		return from, nil
