--- a/catalog/readers_test.go
+++ b/catalog/readers_test.go
@@ -151,13 +151,16 @@
 	return out
 }
 
-// awaitReaders waits until just so many instances read the store.
-func awaitReaders(t *testing.T, all []*instance, n int) []*instance {
+// wantedReaders is how many instances read the store in calm.
+const wantedReaders = 2
+
+// awaitReaders waits until just as many instances as wanted read the store.
+func awaitReaders(t *testing.T, all []*instance) []*instance {
 	t.Helper()
 	var got []*instance
 	await(t, "number of readers", func() bool {
 		got = readers(all)
-		return len(got) == n
+		return len(got) == wantedReaders
 	})
 	return got
 }
@@ -176,7 +179,7 @@
 
 func TestTwoRead(t *testing.T) {
 	fake, all := group(t, 6)
-	awaitReaders(t, all, 2)
+	awaitReaders(t, all)
 	fake.put(catalog.Configurations, version(2))
 	assertInForce(t, all, 2)
 	for n := range int64(20) {
@@ -205,7 +208,7 @@
 			is := is.New(t)
 			fake, all := group(t, 6)
 			var left []*instance
-			failed := awaitReaders(t, all, 2)
+			failed := awaitReaders(t, all)
 			for _, x := range failed {
 				row.fail(x)
 			}
@@ -255,7 +258,7 @@
 func TestOutageCostsFewCalls(t *testing.T) {
 	is := is.New(t)
 	fake, all := group(t, 6)
-	first := awaitReaders(t, all, 2)
+	first := awaitReaders(t, all)
 	before := calls(all)
 	for _, x := range all {
 		x.store.refused.Store(true)
@@ -289,7 +292,7 @@
 func TestAgeOfFollowers(t *testing.T) {
 	is := is.New(t)
 	fake, all := group(t, 4)
-	awaitReaders(t, all, 2)
+	awaitReaders(t, all)
 	fake.setDown(true)
 	down := time.Now()
 	for range 20 {
