--- /dev/null
+++ b/catalog/outage_test.go
@@ -0,0 +1,45 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package catalog
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+)
+
+// TestReadDelay holds the delays of reading against worked examples.
+func TestReadDelay(t *testing.T) {
+	is := is.New(t)
+	is.Equal(readDelay(0), time.Duration(0))
+	is.Equal(readDelay(7), time.Duration(0))
+	is.Equal(readDelay(8), 15*time.Millisecond)
+	is.Equal(readDelay(89), 1230*time.Millisecond)
+}
+
+// TestBackoffWithoutContact looks that an instance that hears from no other one goes on
+// asking the store often, as nobody would tell it that the store is back. Marks count
+// from the start of the process, so it runs in real time.
+func TestBackoffWithoutContact(t *testing.T) {
+	is := is.New(t)
+	c := New(Settings{
+		Self: Peer{
+			ID:       "weak",
+			Capacity: 1,
+		},
+	}, nil, nil, logr.Discard())
+	for _, id := range []string{"n0", "n1", "n2"} {
+		c.peers[id] = Peer{
+			ID:       id,
+			Capacity: 400,
+		}
+	}
+	const many = 20
+	is.Equal(c.backoff(many), lastBackoff)
+	c.contact.mark(time.Now())
+	is.Equal(c.backoff(many), lastSharedBackoff)
+	time.Sleep(contactWithin + 10*time.Millisecond)
+	is.Equal(c.backoff(many), lastBackoff)
+}
--- a/pool/links_test.go
+++ b/pool/links_test.go
@@ -83,3 +83,48 @@
 		is.True(dialer.tried() > 9)
 	})
 }
+
+// TestBudgetWithoutOwner looks that an instance that reaches no owner of a pool has only
+// its own part of the retry budget, as others are in the same case.
+func TestBudgetWithoutOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		snap := peers(60)
+		snap.Endpoints = map[string]catalog.Endpoint{
+			"e0": {
+				Instance: "e0",
+				Service:  "engines",
+				Address:  "e0:1",
+				Slots:    100,
+			},
+		}
+		self := catalog.Peer{
+			ID:       "weak",
+			Capacity: 1,
+		}
+		s := pool.NewScheduler(pool.Settings{
+			Self: self.ID,
+			Retries: pool.Budget{
+				Extra:  320,
+				Window: 10 * time.Second,
+			},
+		}, logr.Discard())
+		s.Update(snap)
+		c := pool.NewClient(self, s, &failingDialer{
+			asked: make(map[string]bool),
+		}, logr.Discard())
+		ctx, stop := background(t, c.Run)
+		defer stop()
+		c.Update(snap)
+		time.Sleep(10 * time.Millisecond)
+		sent := 0
+		for i := range 20 {
+			a := prompt(fmt.Sprint("r", i), 100, time.Second)
+			a.Again = true
+			if _, err := c.Place(ctx, a); err == nil {
+				sent++
+			}
+		}
+		is.Equal(sent, 2) // 320 * 0.75 / 2 for all that are alone, a sixtieth for each
+	})
+}
