--- /dev/null
+++ b/internal/days/main.go
@@ -0,0 +1,93 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+// Command days plays recorded days on several seeds and prints the mean and the
+// spread of what each earned, so that a change of policy can be judged by more
+// than one run. It is a developer's tool, no part of the product.
+//
+//	go run ./internal/days --player PROGRAM --site FILE --day NAME --seed 1 --seed 2
+//
+// A mean over the days comes last. Seeds that give the same figures before a
+// change differ after it by the change alone, as processor time is not charged.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+
+	"github.com/go-faster/errors"
+	"github.com/jessevdk/go-flags"
+	"golang.org/x/sync/errgroup"
+)
+
+// options are the command line.
+type options struct {
+	Player string   `long:"player" required:"true" description:"the program that plays days"`
+	Site   string   `long:"site" required:"true" description:"file of the deployment"`
+	Days   []string `long:"day" required:"true" description:"name of a day; may be repeated"`
+	Seeds  []int64  `long:"seed" required:"true" description:"a seed; may be repeated"`
+	Jobs   int      `long:"jobs" default:"4" description:"days played at once"`
+	Why    string   `long:"why" default:"round" description:"a line for the journal"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		var e *flags.Error
+		if errors.As(err, &e) && e.Type == flags.ErrHelp {
+			return
+		}
+		os.Exit(2)
+	}
+	if err := run(context.Background(), &o, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "days:", err)
+		os.Exit(1)
+	}
+}
+
+// run plays all days on all seeds and writes the table.
+func run(ctx context.Context, o *options, out io.Writer) error {
+	dir, err := os.MkdirTemp("", "days")
+	if err != nil {
+		return errors.Wrap(err, "reports")
+	}
+	defer os.RemoveAll(dir)
+	reports := make([][]report, len(o.Days))
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(o.Jobs)
+	for i, day := range o.Days {
+		reports[i] = make([]report, len(o.Seeds))
+		for k, seed := range o.Seeds {
+			g.Go(func() error {
+				r, err := play(ctx, o, dir, day, seed)
+				if err != nil {
+					return errors.Wrapf(err, "%s, seed %d", day, seed)
+				}
+				reports[i][k] = r
+				return nil
+			})
+		}
+	}
+	if err := g.Wait(); err != nil {
+		return err
+	}
+	return table(out, o.Days, reports)
+}
+
+// play plays one day and returns its report. The player's own verdict on a day,
+// its exit code, does not matter: the report has it.
+func play(ctx context.Context, o *options, dir, day string, seed int64) (report, error) {
+	name := filepath.Join(dir, filepath.Base(day)+"-"+strconv.FormatInt(seed, 10)+".json")
+	cmd := exec.CommandContext(ctx, o.Player, "run", o.Site, day, "--no-cpu", "--jobs", "1",
+		"--seed", strconv.FormatInt(seed, 10), "--report", name, "--why", o.Why)
+	said, failed := cmd.CombinedOutput()
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return report{}, errors.Wrapf(failed, "no report: %s", said)
+	}
+	return parseReport(data)
+}
