Serve keys by the newest known configuration where the operator allows it

Cause: every instance refused requests with keys once its configuration was 4 s old (0.8 of the time in which a key must be refused), also where the operator does not ask for that of instances out of touch.

Strict, nothing changes: refused on arrival and again just before dispatch, and a request at a start waits for the age. Otherwise the newest known configuration serves on. What it does not know stays a refusal that is uncertain (503), since it may be known elsewhere.

Tests, red with the setting ignored either way: TestKeysNotStrict (red when always strict), TestKeyTakenAway (red when never strict), TestAwaitKnown.

--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -68,8 +68,9 @@
 func (g *Gateway) assembleRelay(client *http.Client) {
 	f := g.settings
 	g.relay = relay.New(relay.Settings{
-		Self:   f.ID,
-		MaxAge: time.Duration(float64(f.Times.Revoke) * maxAgeShare),
+		Self:       f.ID,
+		MaxAge:     time.Duration(float64(f.Times.Revoke) * maxAgeShare),
+		StrictKeys: *f.Times.RevokeStrict,
 	}, relay.Parts{
 		Known:    g.catalog.Snapshot,
 		Age:      g.catalog.Age,
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -218,6 +218,26 @@
 	}
 }
 
+// TestKeysNotStrict lets an instance serve on by the newest configuration that it
+// knows, as its operator allows. What that configuration does not know is refused as
+// uncertain, not as forbidden, and a key that was taken away once that is known.
+func TestKeysNotStrict(t *testing.T) {
+	is := is.New(t)
+	w := newLenientWorld(t, 1)
+	w.store.SetFaults(platformtest.StoreFaults{Refuse: true})
+	w.configure("k1")
+	time.Sleep(revoke)
+	assertWhole(t, w.ask(0, call{id: "kept", path: "/safe/"}))
+	assertWhole(t, w.ask(0, call{id: "taken", path: "/safe/", key: "k2"}))
+	assertRefused(t, w.ask(0, call{id: "unknown key", path: "/safe/", key: "k3"}))
+	assertRefused(t, w.ask(0, call{id: "unknown route", path: "/other/"}))
+	w.store.SetFaults(platformtest.StoreFaults{})
+	w.await("key refused", func() bool {
+		return w.ask(0, call{id: "again", path: "/safe/", key: "k2"}).status == http.StatusUnauthorized
+	})
+	is.Equal(w.ask(0, call{id: "no route", path: "/other/"}).status, http.StatusNotFound)
+}
+
 // TestStartWithoutStore starts an instance while the store is down.
 func TestStartWithoutStore(t *testing.T) {
 	is := is.New(t)
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -31,6 +31,9 @@
 	addresses map[string]string
 	gateways  []*gateway.Gateway
 	version   int
+	// lenient states that keys need not be refused in time by instances that are
+	// out of touch.
+	lenient bool
 }
 
 // revoke is how soon keys must be refused in the tests.
@@ -53,9 +56,22 @@
 // newWorld starts a store with a configuration, two engines, two plain endpoints
 // and some instances.
 func newWorld(t *testing.T, instances int) *world {
+	t.Helper()
+	return startWorld(t, instances, false)
+}
+
+// newLenientWorld starts the same with instances that serve keys on by the newest
+// configuration that they know.
+func newLenientWorld(t *testing.T, instances int) *world {
+	t.Helper()
+	return startWorld(t, instances, true)
+}
+
+func startWorld(t *testing.T, instances int, lenient bool) *world {
 	t.Helper()
 	w := &world{
 		t:         t,
+		lenient:   lenient,
 		store:     platformtest.NewStore(),
 		endpoints: make(map[string]*platformtest.Endpoint),
 		addresses: make(map[string]string),
@@ -138,6 +154,7 @@
 }
 
 func (w *world) start(i int) *gateway.Gateway {
+	strict := !w.lenient
 	f := &settings.File{
 		ID:            "node-" + strconv.Itoa(i),
 		Region:        "r1",
@@ -155,8 +172,9 @@
 			Window: config.Duration(10 * time.Second),
 		},
 		Times: settings.Times{
-			Revoke:     config.Duration(revoke),
-			StopWithin: config.Duration(stopWithin),
+			Revoke:       config.Duration(revoke),
+			RevokeStrict: &strict,
+			StopWithin:   config.Duration(stopWithin),
 		},
 	}
 	f.SetDefaults()
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -55,7 +55,7 @@
 	}
 	j := newJob(h, r, rt, known.Table, arrived)
 	if j.keyed {
-		if late := l.tooOld(); late != nil {
+		if late := l.tooOldForKeys(); late != nil {
 			return nil, late
 		}
 		c, ok := known.Table.Customer(h.Key)
--- a/relay/known.go
+++ b/relay/known.go
@@ -22,8 +22,8 @@
 	startLook = 10 * time.Millisecond
 )
 
-// awaitKnown returns what is known as soon as there is a configuration with its age,
-// as it is not known without the age whether keys hold. When this takes too long for
+// awaitKnown returns what is known as soon as there is a configuration, with its age
+// if that decides whether requests with keys are served. When this takes too long for
 // a caller that waits for the given time, or ctx ends, it returns what there is,
 // which may be nil. A wait of zero means that the caller does not say.
 func (l *Relay) awaitKnown(ctx context.Context, wait time.Duration) *catalog.Snapshot {
@@ -34,7 +34,8 @@
 	until := time.Now().Add(within)
 	for {
 		known := l.parts.Known()
-		if _, aged := l.parts.Age(); known != nil && aged || time.Now().After(until) {
+		_, aged := l.parts.Age()
+		if known != nil && (aged || !l.settings.StrictKeys) || time.Now().After(until) {
 			return known
 		}
 		select {
@@ -45,7 +46,19 @@
 	}
 }
 
-// tooOld returns a refusal when keys that were taken away may not be known.
+// tooOldForKeys returns a refusal when a request with a key must not be served
+// because the key may have been taken away since. Where the operator does not ask
+// for that, the newest known configuration serves on, however old: with the store
+// away for 8 s and a bound of 5 s this serves the 4 s that were refused before.
+func (l *Relay) tooOldForKeys() *refusal {
+	if !l.settings.StrictKeys {
+		return nil
+	}
+	return l.tooOld()
+}
+
+// tooOld returns a refusal when the configuration in force may be an older one than
+// the newest, so that what it does not know may exist.
 func (l *Relay) tooOld() *refusal {
 	if l.settings.MaxAge == 0 {
 		return nil
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -19,9 +19,12 @@
 type Settings struct {
 	// Self names the instance; it becomes part of the names of attempts.
 	Self string
-	// MaxAge is how old the configuration may be for requests with a key; zero
+	// MaxAge is how old the configuration may be to say what does not exist; zero
 	// means any age.
 	MaxAge time.Duration
+	// StrictKeys states that requests with a key are refused as well once the
+	// configuration is older than that.
+	StrictKeys bool
 }
 
 // Parts are what a Relay works with.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -107,10 +107,14 @@
 	Drain config.Duration `toml:"drain"`
 	// StopWithin bounds a planned stop; the default is 15m.
 	StopWithin config.Duration `toml:"stop_within"`
-	// Revoke is how soon keys that were taken away must be refused everywhere.
-	// An instance that can't tell for that long whether a key still holds
-	// refuses requests with keys. Zero means that it serves on.
+	// Revoke is how soon keys that were taken away must be refused. Zero means
+	// that there is no bound.
 	Revoke config.Duration `toml:"revoke"`
+	// RevokeStrict states that Revoke binds instances that are out of touch, too:
+	// one that can't tell for that long whether a key still holds refuses requests
+	// with keys. The default is true; if false it serves on by the newest
+	// configuration that it knows.
+	RevokeStrict *bool `toml:"revoke_strict"`
 	// Watch is how often owners tell of their endpoints; the default is 200ms.
 	Watch config.Duration `toml:"watch"`
 	// WatchBytesPerSecond bounds what the instance hears of others' endpoints,
@@ -202,10 +206,8 @@
 	orText(&f.AdminListen, defaultAdmin)
 	orText(&f.ReadyListen, defaultReady)
 	orText(&f.Strategy, Weighed)
-	if f.LogDecisions == nil {
-		yes := true
-		f.LogDecisions = &yes
-	}
+	orTrue(&f.LogDecisions)
+	orTrue(&f.Times.RevokeStrict)
 	orTime(&f.Times.Drain, defaultDrain)
 	orTime(&f.Times.StopWithin, defaultStop)
 	orTime(&f.Times.Watch, defaultWatch)
@@ -224,6 +226,13 @@
 	}
 }
 
+func orTrue(v **bool) {
+	if *v == nil {
+		yes := true
+		*v = &yes
+	}
+}
+
 func orFloat(v *float64, def float64) {
 	if *v == 0 {
 		*v = def
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -26,6 +26,7 @@
 	is.Equal(time.Duration(f.Times.Drain), defaultDrain)
 	is.Equal(f.Strategy, Weighed)
 	is.True(*f.LogDecisions)
+	is.True(*f.Times.RevokeStrict)
 }
 
 func TestParseRefuses(t *testing.T) {
@@ -71,6 +72,7 @@
 window = "10s"
 [times]
 revoke = "5000ms"
+revoke_strict = false
 stop_within = "8s"
 `
 	t.Run("right", func(t *testing.T) {
@@ -81,6 +83,7 @@
 		is.Equal(f.ReadyListen, defaultReady)
 		is.Equal(f.Retries.Extra, 100.0)
 		is.Equal(time.Duration(f.Times.Revoke), 5*time.Second)
+		is.True(!*f.Times.RevokeStrict)
 	})
 	for _, c := range []struct {
 		name, old, new, reason string
@@ -88,6 +91,7 @@
 		{"no port", `10.0.0.1:7000`, `10.0.0.1`, "platform.store must be a host and port"},
 		{"negative share", `processor_share = 0.4`, `processor_share = -1`, "processor_share must not be below zero"},
 		{"negative budget", `extra = 100`, `extra = -1`, "retries.extra must not be below zero"},
+		{"strictness is no text", `revoke_strict = false`, `revoke_strict = "no"`, "revoke_strict"},
 		{"negative time", `5000ms`, `-1s`, "times.revoke must not be below zero"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
