Tell callers no longer time to come back than they heed

Cause: callers wait as they are told up to a third of the time left to them.

Change: the time is drawn from a range that lies within what the caller heeds: half of that to all of it, or less when little time has passed.

--- a/relay/admit.go
+++ b/relay/admit.go
@@ -46,7 +46,7 @@
 func (l *Relay) admit(h Head, r *http.Request, arrived time.Time) (*job, *refusal) {
 	known := l.awaitKnown(r.Context(), h.Wait)
 	if known == nil {
-		return nil, unavailable("no configuration yet", l.afterOutage())
+		return nil, unavailable("no configuration yet", l.afterOutage(h.Wait))
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	rt := known.Table.Match(r.Host, path)
@@ -55,7 +55,7 @@
 	}
 	j := newJob(h, r, rt, known.Table, arrived)
 	if j.keyed {
-		if late := l.tooOldForKeys(); late != nil {
+		if late := l.tooOldForKeys(h.Wait); late != nil {
 			return nil, late
 		}
 		c, ok := known.Table.Customer(h.Key)
@@ -103,7 +103,7 @@
 // unknown refuses a request that the configuration in force does not allow,
 // unless that configuration is too old to say so.
 func (l *Relay) unknown(reason string, status int, h Head, t *route.Table) (*job, *refusal) {
-	if late := l.tooOld(); late != nil {
+	if late := l.tooOld(h.Wait); late != nil {
 		return nil, late
 	}
 	l.parts.Log.Info("not allowed", "request", h.ID, "reason", reason, "version", t.Version, "status", status)
--- a/relay/known.go
+++ b/relay/known.go
@@ -58,20 +58,21 @@
 	return known, known != nil && (aged || !l.settings.StrictKeys)
 }
 
-// tooOldForKeys returns a refusal when a request with a key must not be served
-// because the key may have been taken away since. Where the operator does not ask
-// for that, the newest known configuration serves on, however old: with the store
-// away for 8 s and a bound of 5 s this serves the 4 s that were refused before.
-func (l *Relay) tooOldForKeys() *refusal {
+// tooOldForKeys returns a refusal when a request with a key, whose caller waits for the
+// given time, must not be served because the key may have been taken away since. Where
+// the operator does not ask for that, the newest known configuration serves on, however
+// old: with the store away for 8 s and a bound of 5 s this serves the 4 s that were
+// refused before.
+func (l *Relay) tooOldForKeys(wait time.Duration) *refusal {
 	if !l.settings.StrictKeys {
 		return nil
 	}
-	return l.tooOld()
+	return l.tooOld(wait)
 }
 
 // tooOld returns a refusal when the configuration in force may be an older one than
 // the newest, so that what it does not know may exist.
-func (l *Relay) tooOld() *refusal {
+func (l *Relay) tooOld(wait time.Duration) *refusal {
 	if l.settings.MaxAge == 0 {
 		return nil
 	}
@@ -79,7 +80,7 @@
 	if known && age < l.settings.MaxAge {
 		return nil
 	}
-	return unavailable("configuration is too old", l.afterOutage())
+	return unavailable("configuration is too old", l.afterOutage(wait))
 }
 
 // leastOutage is the shortest time that an outage is taken to last on: longer than
@@ -89,14 +90,24 @@
 // most of them twice.
 const leastOutage = 1500 * time.Millisecond
 
-// afterOutage returns when a caller may come back to an instance that knows too
-// little: after as long as it has known too little so far, as what has lasted long is
-// likely to last on. It is spread over half of that, so that not all return at once.
-func (l *Relay) afterOutage() time.Duration {
+// heededShare is the part of the time left to them up to which callers of the platform
+// wait as they are told.
+const heededShare = 1.0 / 3
+
+// afterOutage returns when a caller that waits for the given time may come back to an
+// instance that knows too little: after as long as it has known too little so far, as
+// what has lasted long is likely to last on, and up to twice that, so that not all
+// return at once. All of it lies within what the caller heeds; else all that are told
+// more return at the same moment, which doubled the load for seconds after an outage.
+func (l *Relay) afterOutage(wait time.Duration) time.Duration {
 	lasts, known := l.parts.Age()
 	if !known {
 		lasts = time.Since(l.began)
 	}
 	lasts = max(lasts, leastOutage)
-	return lasts + rand.N(lasts/2)
+	if wait > 0 {
+		heeded := time.Duration(heededShare * float64(wait))
+		lasts = min(lasts, heeded/2)
+	}
+	return lasts + rand.N(max(lasts, 1))
 }
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -70,7 +70,7 @@
 		return true, nil
 	}
 	if j.keyed && !j.ran {
-		if late := l.tooOldForKeys(); late != nil {
+		if late := l.tooOldForKeys(j.left()); late != nil {
 			l.giveBack(p)
 			return false, late
 		}
