Give engines' time a price learned from what was displaced

Cause: callers that have come back are not refused for being late, so that under more short prompts than slots their late answers fill the slots, those who come now are refused and come back late themselves.

Change: a second of an engine costs 0.3 of what refused and late requests lost for each second of theirs, in full when they are a tenth of the work asked for, times the part of the engines in use; it fades by a factor of e in 2 s. A request is placed when it keeps more than that for its time. No place is given whose first event comes after the caller goes.

--- a/placement/plan.go
+++ b/placement/plan.go
@@ -5,6 +5,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/linkmast/linkmast/batch"
 )
 
 // Request is what a plan is made for.
@@ -28,6 +30,14 @@
 	Exclude []string
 }
 
+// Work returns the time of one engine that a request takes: that of reading its prompt,
+// however many engines share it, and its part of the steps that write, which the
+// requests of all slots share.
+func (r *Request) Work(m *batch.Model) time.Duration {
+	write := time.Duration(r.Output) * m.Step / time.Duration(max(m.Slots, 1))
+	return m.Read(r.Prompt, 1) + write
+}
+
 // Share is the part of a plan on an engine that helps.
 type Share struct {
 	// Engine is the engine that helps.
--- a/pool/decide.go
+++ b/pool/decide.go
@@ -8,13 +8,13 @@
 	"github.com/linkmast/linkmast/placement"
 )
 
-// The measures of waiting.
+// The measures of a decision.
 const (
-	// spoilsTolerated is what a request may cost others at any time, in units of
-	// worth.
+	// spoilsTolerated is what a request may cost others without waiting for a better
+	// moment, in units of worth: a fifth of a short one.
 	spoilsTolerated = 0.25
-	// spoilsPrice is how much of its worth a request must keep for each unit
-	// that others lose.
+	// spoilsPrice is how much of its worth a request must keep for each unit that
+	// others lose.
 	spoilsPrice = 1.7
 	// waitShare is the part of the time until a request would be late that its
 	// first event may take for the request to be put off still.
@@ -29,7 +29,8 @@
 	forceFactor = 2
 )
 
-// try places a request if this is a good moment. The caller holds the lock.
+// try places a request if this is the moment for it: its best plan covers what it
+// costs others, and no later moment is likely to be better. The caller holds the lock.
 func (s *Scheduler) try(p *state, w *waiter, now time.Time) (Grant, bool) {
 	list := p.usable(&w.ask, now)
 	if len(list) == 0 {
@@ -40,43 +41,55 @@
 	}
 	plan, ok := placement.Make(list, w.request, now)
 	w.late = !ok || plan.Loses > lateFrom*w.request.Worth
-	if !ok || w.soonInTime(list, now) || !w.worthIt(&plan, now) {
-		return Grant{}, false
-	}
-	if w.sheddable() && crowded(list) {
-		return Grant{}, false
+	switch {
+	case !ok:
+	case now.Add(plan.First).After(w.gone()):
+	case w.sheddable() && crowded(list):
+	case w.betterLater(&plan, list, now):
+	case !p.covers(w, &plan, now):
+	default:
+		p.price.note(p.work(w), w.lost(&plan), now)
+		plan.Apply(w.request, now)
+		return s.grant(p, w, &plan, now), true
 	}
-	plan.Apply(w.request, now)
-	return s.grant(p, w, &plan, now), true
+	return Grant{}, false
 }
 
-// soonInTime states whether a request that would be late now may still be in time
-// at a better moment. With a short target no such moment comes early enough.
-func (w *waiter) soonInTime(list []*placement.Engine, now time.Time) bool {
+// betterLater states whether a request should wait for a better moment: it would be
+// late now and may still be in time, or costs others something now and has time left.
+// With a short target no such moment comes early enough.
+func (w *waiter) betterLater(plan *placement.Plan, list []*placement.Engine, now time.Time) bool {
 	left := w.request.TargetAt.Sub(now)
-	if !w.late || w.ask.Target <= shedTarget || left <= 0 {
+	if w.ask.Target <= shedTarget || left <= 0 {
 		return false
 	}
-	return placement.Soonest(list, w.request) < time.Duration(soonShare*float64(left))
+	if w.late && placement.Soonest(list, w.request) < time.Duration(soonShare*float64(left)) {
+		return true
+	}
+	return plan.Spoils > spoilsTolerated && plan.First < time.Duration(waitShare*float64(left))
 }
 
-// worthIt states whether a plan should be carried out now rather than later.
-func (w *waiter) worthIt(plan *placement.Plan, now time.Time) bool {
-	waited := now.Sub(w.arrived)
-	if plan.First > w.ask.Deadline-waited {
+// covers states whether what a request keeps covers what others lose by its plan, and
+// the price of the engines' time that it takes.
+func (p *state) covers(w *waiter, plan *placement.Plan, now time.Time) bool {
+	keeps := w.request.Worth - plan.Loses
+	if keeps < p.priceNow(now)*p.work(w).Seconds() {
 		return false
 	}
 	if plan.Spoils <= spoilsTolerated {
 		return true
 	}
-	keeps := w.request.Worth - plan.Loses
-	left := w.request.TargetAt.Sub(now)
-	if w.ask.Target > shedTarget && plan.First < time.Duration(float64(left)*waitShare) {
-		// There is time for a better moment, as there is not with a short target.
-		return false
-	}
-	if waited > time.Duration(float64(w.ask.Deadline)*forceShare) {
+	if now.Sub(w.arrived) > time.Duration(forceShare*float64(w.ask.Deadline)) {
 		keeps *= forceFactor
 	}
-	return spoilsPrice*plan.Spoils < keeps
+	return keeps > spoilsPrice*plan.Spoils
+}
+
+// lost returns what a request loses for want of room by a plan that makes it late. One
+// that was late when it came, like one whose first engine failed, loses nothing more.
+func (w *waiter) lost(plan *placement.Plan) float64 {
+	if !w.late || !w.request.TargetAt.After(w.arrived) {
+		return 0
+	}
+	return plan.Loses
 }
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -39,7 +39,7 @@
 			continue
 		}
 		if r := s.refuse(p, w, work, now); r != nil {
-			s.logRefusal(p, w, r, now)
+			s.refused(p, w, r, now)
 			w.refuse <- r
 			continue
 		}
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -130,7 +130,7 @@
 		return g, nil
 	}
 	if r := s.refuse(p, w, p.unread()+p.before(w, now), now); r != nil {
-		s.logRefusal(p, w, r, now)
+		s.refused(p, w, r, now)
 		s.mu.Unlock()
 		return Grant{}, r
 	}
@@ -148,13 +148,16 @@
 	}
 }
 
-// logRefusal writes the line of a refusal.
-func (s *Scheduler) logRefusal(p *state, w *waiter, r *Refusal, now time.Time) {
+// refused notes a refusal and writes its line.
+func (s *Scheduler) refused(p *state, w *waiter, r *Refusal, now time.Time) {
+	work := p.work(w)
+	p.price.note(work, w.request.Worth, now)
 	usable := p.usable(&w.ask, now)
 	used, slots := slotsOf(usable)
 	s.log.Info("refuse", "attempt", w.ask.ID, "service", w.ask.Service, "prompt", w.ask.Prompt, "reason", r.Reason,
 		"after_ms", r.After.Milliseconds(), "waited_ms", now.Sub(w.arrived).Milliseconds(), "queue", len(p.queue),
-		"endpoints", len(usable), "running", used, "slots", slots)
+		"endpoints", len(usable), "running", used, "slots", slots, "worth", w.request.Worth,
+		"work_ms", work.Milliseconds(), "price", p.priceNow(now))
 }
 
 // Callers give a stream up after a silence of the longest of these: a time, so
--- a/pool/shed.go
+++ b/pool/shed.go
@@ -120,6 +120,14 @@
 	return p.list[0].Model.Read(w.ask.Prompt, 1)
 }
 
+// work returns the time of one engine that a request takes.
+func (p *state) work(w *waiter) time.Duration {
+	if len(p.list) == 0 {
+		return 0
+	}
+	return w.request.Work(p.list[0].Model)
+}
+
 // sheddable states whether a request would be late and may be refused because of it.
 func (w *waiter) sheddable() bool {
 	first := !w.ask.Returning && !w.ask.Again
--- a/pool/state.go
+++ b/pool/state.go
@@ -30,6 +30,8 @@
 	retry  spender
 	alone  spender
 	errors errorStats
+	// price is what a second of the engines costs.
+	price price
 	// plain states that the service's endpoints are no engines.
 	plain bool
 }
