Let the soak play both choices of the operator on keys

With odd seeds instances out of touch must refuse keys in time, as before; with even ones they serve on, and a key that was taken away must be refused once the faults are over. TestRefusedFrom has the three cases.

--- a/soak/process.go
+++ b/soak/process.go
@@ -66,6 +66,7 @@
 extra = 200
 [times]
 revoke = "%s"
+revoke_strict = %t
 stop_within = "%s"
 `
 
@@ -95,7 +96,7 @@
 		}
 	}
 	p.settings = filepath.Join(w.dir, p.name+".toml")
-	text := fmt.Sprintf(settingsText, p.name, domain, p.listen, p.ready, peers, p.store.Address, revoke, grace)
+	text := fmt.Sprintf(settingsText, p.name, domain, p.listen, p.ready, peers, p.store.Address, revoke, w.strict, grace)
 	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
 		return errors.Wrap(err, "soak")
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -27,6 +27,12 @@
 	Out io.Writer
 }
 
+// strict states whether keys are refused in time by instances out of touch, which is the
+// operator's choice: with odd seeds.
+func (s *Settings) strict() bool {
+	return s.Seed%2 == 1
+}
+
 // The times around the faults.
 const (
 	// startWithin bounds the time until all instances are ready.
@@ -44,7 +50,7 @@
 // Run plays one schedule. It returns the promises that were broken, and the end
 // of ctx as an error; any other error means that the run could not be set up.
 func Run(ctx context.Context, s Settings) ([]Violation, error) {
-	w, err := newWorld(s.Program, s.Processes)
+	w, err := newWorld(s.Program, s.Processes, s.strict())
 	if err != nil {
 		return nil, err
 	}
@@ -52,8 +58,8 @@
 	if err := w.awaitReady(ctx); err != nil {
 		return nil, err
 	}
-	history, recovered := w.loadAndPlay(ctx, s)
-	broken := append(w.judge(history), judgeRecovery(history, recovered)...)
+	history := w.loadAndPlay(ctx, s)
+	broken := append(w.judge(history), judgeRecovery(history, w.recovered)...)
 	w.report(s, history, broken)
 	if len(broken) == 0 {
 		// The logs of a run without a finding are of no use.
@@ -65,8 +71,8 @@
 }
 
 // loadAndPlay plays the schedule under load and waits until all has settled. It
-// returns what the callers saw, and from when on the system must be well again.
-func (w *World) loadAndPlay(ctx context.Context, s Settings) ([]Exchange, time.Time) {
+// returns what the callers saw.
+func (w *World) loadAndPlay(ctx context.Context, s Settings) []Exchange {
 	c := &callers{
 		world: w,
 	}
@@ -77,12 +83,12 @@
 	steps := Draw(s.Seed, s.Length, s.Processes)
 	w.play(ctx, steps, func(step Step) { _, _ = fmt.Fprintln(s.Out, step) })
 	wait(ctx, recoverWithin)
-	recovered := time.Now()
+	w.recovered = time.Now()
 	wait(ctx, recoverFor)
 	stop()
 	loading.Wait()
 	wait(ctx, settleFor)
-	return c.all(), recovered
+	return c.all()
 }
 
 // wait waits for a time, or until ctx ends.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -215,3 +215,28 @@
 		})
 	}
 }
+
+// TestRefusedFrom looks from when on a key that was taken away must be refused: with
+// an operator who is not strict not before the faults are over.
+func TestRefusedFrom(t *testing.T) {
+	now := time.Now()
+	for _, row := range []struct {
+		name      string
+		strict    bool
+		recovered time.Time
+		want      time.Time
+	}{
+		{"strict, in a fault", true, now.Add(time.Minute), now.Add(revoke)},
+		{"not strict, in a fault", false, now.Add(time.Minute), now.Add(time.Minute)},
+		{"not strict, after the faults", false, now.Add(-time.Minute), now.Add(revoke)},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			w := &World{
+				strict:    row.strict,
+				recovered: row.recovered,
+			}
+			is.Equal(w.refusedFrom(now), row.want)
+		})
+	}
+}
--- a/soak/world.go
+++ b/soak/world.go
@@ -48,7 +48,10 @@
 
 // World is a deployment under test.
 type World struct {
-	program   string
+	program string
+	// strict states that keys which were taken away must be refused in time also by
+	// instances that are out of touch.
+	strict    bool
 	dir       string
 	store     *platformtest.Store
 	storeAddr string
@@ -56,6 +59,9 @@
 	endpoints []*endpoint
 	servers   []*http.Server
 
+	// recovered is when the system must be well again after the last fault.
+	recovered time.Time
+
 	mu      sync.Mutex
 	version int
 	// played are the faults that have begun.
@@ -65,13 +71,14 @@
 }
 
 // newWorld starts the stand-ins and the given number of instances of a program.
-func newWorld(program string, instances int) (*World, error) {
+func newWorld(program string, instances int, strict bool) (*World, error) {
 	dir, err := os.MkdirTemp("", "linkmast-soak-")
 	if err != nil {
 		return nil, errors.Wrap(err, "soak")
 	}
 	w := &World{
 		program: program,
+		strict:  strict,
 		dir:     dir,
 		store:   platformtest.NewStore(),
 		keys: map[string]time.Time{
