--- a/pool/grant.go
+++ b/pool/grant.go
@@ -33,7 +33,7 @@
 	p.probe(at)
 	p.placed[w.ask.ID] = at
 	s.log.Info("place", "attempt", w.ask.ID, "service", w.ask.Service, "prompt", w.ask.Prompt, "endpoint", g.Instance,
-		"readers", len(g.Readers), "first_ms", g.First.Milliseconds(), "read_ms", plan.Read.Milliseconds(),
+		"readers", at.readers, "first_ms", g.First.Milliseconds(), "read_ms", plan.Read.Milliseconds(),
 		"spoils", plan.Spoils, "loses", plan.Loses, "waited_ms", g.Waited.Milliseconds(), "queue", len(p.queue),
 		"work_ms", p.work(w).Milliseconds(), "price", p.priceNow(now))
 	return g
