Don't refuse short prompts for the long reads before them

Cause: the rule that refuses what can't be read before its caller goes counted all that the engines have to read, also for short prompts, which are read beside long ones in the next pass.

Change: the work ahead counts for prompts that wait for reading only; short ones wait for a slot until their caller goes.

Test: TestShortWaitsForSlot, red before.

--- a/pool/shed.go
+++ b/pool/shed.go
@@ -48,7 +48,11 @@
 	if w.outOfSlots(list) {
 		return refusal("no endpoint can answer in time now", 0)
 	}
-	ahead := time.Duration(float64(work) / float64(len(list)) / readShare)
+	ahead := time.Duration(0)
+	if w.ask.Target > shedTarget {
+		// Short ones are read beside long ones, in the next pass of some engine.
+		ahead = time.Duration(float64(work) / float64(len(list)) / readShare)
+	}
 	ready := now.Add(ahead + placement.Soonest(list, w.request))
 	switch {
 	case w.firstTry() && w.late && w.ask.Target > shedTarget && ready.After(w.request.TargetAt):
--- a/pool/wait_test.go
+++ b/pool/wait_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -154,3 +155,24 @@
 		})
 	}
 }
+
+// TestShortWaitsForSlot looks that a short request that has come back waits for a slot,
+// however much the engines have to read before it: it is read beside the long prompts.
+func TestShortWaitsForSlot(t *testing.T) {
+	withSlowEngine(t, func(ctx context.Context, is *is.I, s *pool.Scheduler) {
+		for i := range 4 {
+			_, err := s.Place(ctx, prompt(fmt.Sprint("before", i), 100_000, 10*time.Second))
+			is.NoErr(err)
+		}
+		time.AfterFunc(500*time.Millisecond, func() {
+			for i := range 4 {
+				s.End(fmt.Sprint("before", i), "engines", pool.Abandoned, "")
+			}
+		})
+		a := returning("r", 1000, 300*time.Millisecond)
+		a.Gap = 250 * time.Millisecond
+		g, err := s.Place(ctx, a)
+		is.NoErr(err)
+		is.True(g.Waited >= 500*time.Millisecond)
+	})
+}
