Test the decision's questions and the priority in the queue

No test noticed when what a long waiting request keeps no longer counted double, and none held the customers' priority in the owner's queue. TestCovers (red with the factor at 1), TestBetterLater and TestPriorityInQueue (red with an order by arrival alone) do.

--- /dev/null
+++ b/pool/decide_test.go
@@ -0,0 +1,122 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/batch"
+	"github.com/linkmast/linkmast/placement"
+)
+
+// moment is when the requests of these tests come.
+var moment = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// waiting returns a request that came at moment.
+func waiting(prompt int, target time.Duration) *waiter {
+	return &waiter{
+		ask: Ask{
+			Prompt:   prompt,
+			Target:   target,
+			Deadline: 10 * time.Second,
+		},
+		request: placement.Request{
+			Prompt:   prompt,
+			TargetAt: moment.Add(target),
+			Worth:    1,
+		},
+		arrived: moment,
+	}
+}
+
+// busyPool returns a pool of one engine that reads 100 000 tokens a second and is busy.
+func busyPool() *state {
+	e := &placement.Engine{
+		Instance: "e0",
+		Slots:    4,
+		Model: &batch.Model{
+			ReadPerSecond: 100_000,
+		},
+	}
+	e.Add(&placement.Job{
+		ID:       "before",
+		Tokens:   1_000_000,
+		PerToken: 10 * time.Microsecond,
+	}, moment)
+	return &state{
+		list: []*placement.Engine{e},
+	}
+}
+
+// TestCovers holds what a request keeps against what others lose and the price.
+func TestCovers(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		// spoils is what others lose, and loses what the request does, of a worth of 1.
+		spoils float64
+		loses  float64
+		// price is what a second of engines costs; the request takes half a second.
+		price  float64
+		waited time.Duration
+		want   bool
+	}{
+		{"costs nothing", 0, 0, 0, 0, true},
+		{"late and costs nothing", 0, 0.75, 0, 0, true},
+		{"costs others little", spoilsTolerated, 0.75, 0, 0, true},
+		{"costs others less than it keeps", 0.5, 0, 0, 0, true},
+		{"costs others more than it keeps", 0.8, 0, 0, 0, false},
+		{"has waited for long", 0.8, 0, 0, 4 * time.Second, true},
+		{"keeps more than the price", 0, 0, 1.9, 0, true},
+		{"keeps less than the price", 0, 0, 2.1, 0, false},
+		{"late, keeps less than the price", 0, 0.75, 0.6, 0, false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			p := busyPool()
+			now := moment.Add(row.waited)
+			// All work was displaced, so that the price holds in full.
+			p.price.note(time.Second, row.price/priceShare, now)
+			got := p.covers(waiting(50_000, 3*time.Second), &placement.Plan{
+				Spoils: row.spoils,
+				Loses:  row.loses,
+			}, now)
+			is.Equal(got, row.want)
+		})
+	}
+	t.Run("engines rest", func(t *testing.T) {
+		is := is.New(t)
+		p := busyPool()
+		p.list[0].Remove("before")
+		p.price.note(time.Second, 100, moment)
+		is.True(p.covers(waiting(50_000, 3*time.Second), &placement.Plan{}, moment))
+	})
+}
+
+// TestBetterLater looks which requests wait for a better moment.
+func TestBetterLater(t *testing.T) {
+	for _, row := range []struct {
+		name   string
+		target time.Duration
+		late   bool
+		plan   placement.Plan
+		now    time.Duration
+		want   bool
+	}{
+		{"in time at no cost", 3 * time.Second, false, placement.Plan{First: time.Second}, 0, false},
+		{"late, may be in time", 3 * time.Second, true, placement.Plan{First: 4 * time.Second}, 0, true},
+		{"late, too late to be in time", 3 * time.Second, true, placement.Plan{First: 4 * time.Second}, 2500 * time.Millisecond, false},
+		{"costs others, has time", 3 * time.Second, false, placement.Plan{First: time.Second, Spoils: 1}, 0, true},
+		{"costs others, has no time", 3 * time.Second, false, placement.Plan{First: time.Second, Spoils: 1}, 2 * time.Second, false},
+		{"short", 300 * time.Millisecond, true, placement.Plan{First: time.Second, Spoils: 1}, 0, false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			w := waiting(50_000, row.target)
+			w.late = row.late
+			is.Equal(w.betterLater(&row.plan, busyPool().list, moment.Add(row.now)), row.want)
+		})
+	}
+}
--- a/pool/wait_test.go
+++ b/pool/wait_test.go
@@ -176,3 +176,30 @@
 		is.True(g.Waited >= 500*time.Millisecond)
 	})
 }
+
+// TestPriorityInQueue lets two requests wait for a slot: the one of the customer with the
+// higher priority goes first, though it came later.
+func TestPriorityInQueue(t *testing.T) {
+	withSlowEngine(t, func(ctx context.Context, is *is.I, s *pool.Scheduler) {
+		for i := range 4 {
+			_, err := s.Place(ctx, prompt(fmt.Sprint("before", i), 1000, 10*time.Second))
+			is.NoErr(err)
+		}
+		order := make(chan string, 2)
+		ask := func(id string, rank int) {
+			a := returning(id, 1000, 3*time.Second)
+			a.Rank = rank
+			if _, err := s.Place(ctx, a); err == nil {
+				order <- id
+			}
+		}
+		go ask("lower", 2)
+		time.Sleep(100 * time.Millisecond)
+		go ask("higher", 0)
+		time.Sleep(100 * time.Millisecond)
+		s.End("before0", "engines", pool.Served, "")
+		is.Equal(<-order, "higher")
+		s.End("before1", "engines", pool.Served, "")
+		is.Equal(<-order, "lower")
+	})
+}
