--- a/internal/days/main.go
+++ b/internal/days/main.go
@@ -55,7 +55,11 @@
 	if err != nil {
 		return errors.Wrap(err, "reports")
 	}
-	defer os.RemoveAll(dir)
+	defer func() {
+		if err := os.RemoveAll(dir); err != nil {
+			fmt.Fprintln(os.Stderr, "days: reports are left in", dir, "as", err)
+		}
+	}()
 	reports := make([][]report, len(o.Days))
 	g, ctx := errgroup.WithContext(ctx)
 	g.SetLimit(o.Jobs)
