--- a/catalog/apply.go
+++ b/catalog/apply.go
@@ -19,9 +19,9 @@
 	fromPeer
 )
 
-// apply takes over records of a feed. With whole set they are all there is of
-// the feed before next, so that what is missing has gone.
-func (c *Catalog) apply(f Feed, records []Record, next int64, whole bool, from source) {
+// apply takes over records of a feed. They are all there is before next of the whole
+// parts of the feed, so that what is missing there has gone.
+func (c *Catalog) apply(f Feed, records []Record, next int64, whole parts, from source) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.next[f] = max(c.next[f], next)
@@ -31,8 +31,11 @@
 		seen[r.Key] = true
 		changed = c.applyRecord(f, r, from) || changed
 	}
-	if whole {
-		changed = c.dropMissing(f, seen, next, from) || changed
+	if whole != 0 {
+		changed = c.dropMissing(f, whole, seen, next, from) || changed
+	}
+	if changed && f == Peers {
+		c.rank()
 	}
 	if changed {
 		c.publish()
@@ -75,7 +78,17 @@
 func (c *Catalog) note(f Feed, r Record) {
 	before := c.records[f][r.Key]
 	c.records[f][r.Key] = r
+	c.sums[f].toggle(before)
+	c.sums[f].toggle(r)
 	c.journal.add(f, r, before)
+	long := longKey{
+		feed: f,
+		key:  r.Key,
+	}
+	delete(c.long, long)
+	if len(r.Value) >= packedFrom {
+		c.long[long] = packedRecord(r, Record{})
+	}
 }
 
 // applyTable brings a configuration into force if it is newer.
@@ -148,12 +161,12 @@
 	c.log.Info("endpoint gone", "endpoint", r.Key, "reason", reason)
 }
 
-// dropMissing removes what a whole read of a feed up to an offset did not show. It
-// returns whether that changed anything.
-func (c *Catalog) dropMissing(f Feed, seen map[string]bool, next int64, from source) bool {
+// dropMissing removes what a whole read of some parts of a feed up to an offset did not
+// show. It returns whether that changed anything.
+func (c *Catalog) dropMissing(f Feed, whole parts, seen map[string]bool, next int64, from source) bool {
 	changed := false
 	for key, old := range c.records[f] {
-		if seen[key] || len(old.Value) == 0 || old.Offset >= next || f == Configurations {
+		if seen[key] || !whole.has(key) || len(old.Value) == 0 || old.Offset >= next || f == Configurations {
 			continue
 		}
 		// The record that ended the key is gone too; it lay before next.
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -18,7 +18,7 @@
 type Settings struct {
 	// Self is this instance.
 	Self Peer
-	// Readers is how many instances read the store; the default is 2.
+	// Readers is how many instances read the store at least; the default is 2.
 	Readers int
 	// FirstStart states that all instances start now, so that it takes a moment
 	// until they are all announced.
@@ -82,8 +82,20 @@
 	unheard clock
 	// failing has a bit for each feed whose last read failed.
 	failing atomic.Int64
-	// followers counts the instances that follow this one.
-	followers atomic.Int64
+	// via is what the instance that this one follows said last of where it knows
+	// from; nil before the first.
+	via atomic.Pointer[standing]
+	// fresher fires when what is known was confirmed.
+	fresher *kick
+	// ranks are how the instances that are known divide the work.
+	ranks atomic.Pointer[ranks]
+	// followers are the instances that follow this one.
+	followers followers
+	// introduced fires when another instance has introduced itself to this one, that
+	// knew nobody.
+	introduced *kick
+	// joined is set once it is known who is there.
+	joined atomic.Bool
 
 	mu sync.Mutex
 	// table, endpoints and peers are what the records say.
@@ -94,6 +106,10 @@
 	// effect, and next the offsets after the last ones.
 	records map[Feed]map[string]Record
 	next    map[Feed]int64
+	// sums tell what there is of each feed, and long are the packed values of long
+	// records.
+	sums map[Feed]*sums
+	long map[longKey]*packed
 	// journal has the latest changes for followers.
 	journal journal
 	// doubt is until when removals of endpoints are not taken for real.
@@ -107,6 +123,12 @@
 	changed chan struct{}
 }
 
+// longKey names a long record.
+type longKey struct {
+	feed Feed
+	key  string
+}
+
 // removal is the end of an endpoint's entry that has not taken effect.
 type removal struct {
 	record Record
@@ -131,24 +153,36 @@
 		s.Hold = defaultHold
 	}
 	c := &Catalog{
-		settings:  s,
-		store:     store,
-		dialer:    d,
-		log:       log,
-		endpoints: make(map[string]Endpoint),
-		peers:     make(map[string]Peer),
-		records:   make(map[Feed]map[string]Record),
-		next:      make(map[Feed]int64),
-		vanished:  make(map[string]removal),
-		departed:  make(map[string]time.Time),
-		changed:   make(chan struct{}),
+		settings:   s,
+		store:      store,
+		dialer:     d,
+		log:        log,
+		endpoints:  make(map[string]Endpoint),
+		peers:      make(map[string]Peer),
+		records:    make(map[Feed]map[string]Record),
+		next:       make(map[Feed]int64),
+		vanished:   make(map[string]removal),
+		departed:   make(map[string]time.Time),
+		changed:    make(chan struct{}),
+		sums:       make(map[Feed]*sums),
+		long:       make(map[longKey]*packed),
+		fresher:    newKick(),
+		introduced: newKick(),
 	}
 	for _, f := range feeds {
 		c.records[f] = make(map[string]Record)
+		c.sums[f] = &sums{}
 	}
+	c.rank()
 	return c
 }
 
+// rank divides the work among the instances that are known. The caller holds the lock,
+// or is the only one that has the catalog.
+func (c *Catalog) rank() {
+	c.ranks.Store(newRanks(c.settings.Self, c.peers, c.settings.Readers))
+}
+
 // feeds are all feeds.
 var feeds = [...]Feed{Configurations, Endpoints, Peers}
 
--- /dev/null
+++ b/catalog/crowd_test.go
@@ -0,0 +1,88 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package catalog_test
+
+import (
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/catalog"
+)
+
+// crowdSize is how many instances the tests of many start: enough for carriers beside
+// the readers, and for delays in a line to show.
+const crowdSize = 120
+
+// TestStartTogether starts many instances at one moment. All are ready soon, and none
+// calls the store for more than who is there but the readers.
+func TestStartTogether(t *testing.T) {
+	is := is.New(t)
+	fake, all := group(t, crowdSize)
+	reading := awaitReaders(t, all)
+	for _, x := range all {
+		if !slices.Contains(reading, x) {
+			is.True(x.store.calls.Load() <= 2)
+		}
+	}
+	fake.put(catalog.Configurations, version(2))
+	assertInForce(t, all, 2)
+}
+
+// TestOutageOfMany takes the store away from many instances. They seldom ask it, and
+// all know soon after its return what has changed.
+func TestOutageOfMany(t *testing.T) {
+	is := is.New(t)
+	fake, all := group(t, crowdSize)
+	reading := awaitReaders(t, all)
+	before := calls(all)
+	fake.setDown(true)
+	const outage = 3 * time.Second
+	time.Sleep(outage)
+	asked := int64(0)
+	for i, x := range all {
+		if !slices.Contains(reading, x) {
+			asked += x.store.calls.Load() - before[i]
+		}
+	}
+	t.Log("calls of all but the readers:", asked)
+	is.True(asked <= 3*crowdSize)
+	fake.put(catalog.Configurations, version(2))
+	fake.setDown(false)
+	back := time.Now()
+	assertInForce(t, all, 2)
+	is.True(time.Since(back) < 2*time.Second)
+}
+
+// TestStartInOutage starts an instance anew that can't reach the store. Others tell it
+// who is there and what they know, and how old that is.
+func TestStartInOutage(t *testing.T) {
+	is := is.New(t)
+	fake, all := group(t, 6)
+	awaitReaders(t, all)
+	fake.setDown(true)
+	time.Sleep(500 * time.Millisecond)
+	x := restart(t, fake, all[5])
+	await(t, "snapshot", func() bool { return x.Snapshot() != nil })
+	is.Equal(x.Snapshot().Table.Version, int64(1))
+	age, known := x.Age()
+	is.True(known)
+	is.True(age >= 500*time.Millisecond)
+	calls := x.store.calls.Load()
+	is.True(calls <= 20) // some 25 for each second without an introduction
+}
+
+// restart ends an instance and starts it anew at the same address, where the store does
+// not answer it.
+func restart(t *testing.T, fake *fakeStore, old *instance) *instance {
+	t.Helper()
+	old.stop()
+	l, err := net.Listen("tcp", old.self.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return startInstance(t, fake, old.self, l)
+}
--- a/catalog/encoding.go
+++ b/catalog/encoding.go
@@ -9,9 +9,13 @@
 	"github.com/linkmast/linkmast/internal/zdelta"
 )
 
+// noOffset stands for no record.
+const noOffset = -1
+
 // decode unpacks records.
 func (c *Catalog) decode(f Feed, in []*catalogpb.Record) ([]Record, error) {
 	out := make([]Record, 0, len(in))
+	last := make(map[string]Record)
 	for _, m := range in {
 		r := Record{
 			Key:    m.GetKey(),
@@ -19,101 +23,78 @@
 			Offset: m.GetOffset(),
 		}
 		if m.GetPacked() {
-			base, err := c.base(f, m)
+			base, err := c.base(f, m, last)
 			if err != nil {
 				return nil, err
 			}
 			if r.Value, err = zdelta.Unpack(m.GetValue(), base); err != nil {
 				return nil, err
 			}
+			last[r.Key] = r
 		}
 		out = append(out, r)
 	}
 	return out, nil
 }
 
-// errBase ends following when a change refers to a record that is not known; all
-// records come with the next stream.
+// errBase ends following when a change refers to a record that is not known; what is
+// lacking comes with the next stream.
 var errBase = errors.New("a change builds on an unknown record")
 
-// base returns the value that a packed record builds on.
-func (c *Catalog) base(f Feed, m *catalogpb.Record) ([]byte, error) {
+// base returns the value that a packed record builds on: that of a record before it in
+// the message, by key, or of one that is known.
+func (c *Catalog) base(f Feed, m *catalogpb.Record, before map[string]Record) ([]byte, error) {
 	if m.GetBase() < 0 {
 		return nil, nil
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	r, ok := c.records[f][m.GetKey()]
+	r, ok := before[m.GetKey()]
+	if !ok {
+		c.mu.Lock()
+		r, ok = c.records[f][m.GetKey()]
+		c.mu.Unlock()
+	}
 	if !ok || r.Offset != m.GetBase() {
 		return nil, errBase
 	}
 	return r.Value, nil
 }
 
-// configurationOffset returns the offset of the configuration that is known, or
-// noOffset.
-func (c *Catalog) configurationOffset() int64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, r := range c.records[Configurations] {
-		return r.Offset
-	}
-	return noOffset
-}
-
-// noOffset stands for no record.
-const noOffset = -1
-
-// encode makes the message of one change.
-func (e *entry) encode() (*catalogpb.Update, error) {
-	if e.packed == nil {
-		return encodeRecords(e.feed, []Record{e.record}, e.record.Offset+1, false)
-	}
-	data, err := e.packed.bytes()
-	if err != nil {
-		return nil, err
+// sameFeed returns how many changes at the start are of one feed.
+func sameFeed(entries []entry) int {
+	for i, e := range entries {
+		if e.feed != entries[0].feed {
+			return i
+		}
 	}
-	return update(e.feed, e.record.Offset+1, false, []*catalogpb.Record{{
-		Key:    e.record.Key,
-		Value:  data,
-		Offset: e.record.Offset,
-		Packed: true,
-		Base:   e.packed.base.Offset,
-	}}), nil
+	return len(entries)
 }
 
-// encodeRecords makes the message of whole records; long values are packed.
-func encodeRecords(f Feed, records []Record, next int64, whole bool) (*catalogpb.Update, error) {
-	out := make([]*catalogpb.Record, 0, len(records))
-	for _, r := range records {
-		m := &catalogpb.Record{
-			Key:    r.Key,
-			Value:  r.Value,
-			Offset: r.Offset,
-			Base:   noOffset,
-		}
-		if len(r.Value) >= packedFrom {
-			data, err := zdelta.Pack(r.Value, nil)
-			if err != nil {
-				return nil, err
-			}
-			m.Value, m.Packed = data, true
+// encodeChanges makes the message of changes of one feed, one at least.
+func encodeChanges(entries []entry) (*catalogpb.Update, error) {
+	out := make([]*catalogpb.Record, 0, len(entries))
+	next := int64(0)
+	for _, e := range entries {
+		m, err := e.encode()
+		if err != nil {
+			return nil, err
 		}
 		out = append(out, m)
+		next = max(next, m.GetOffset()+1)
 	}
-	return update(f, next, whole, out), nil
+	return update(entries[0].feed, next, 0, out), nil
 }
 
-// update makes a message of records. With whole set they are all there is of the
-// feed before next.
-func update(f Feed, next int64, whole bool, records []*catalogpb.Record) *catalogpb.Update {
+// update makes a message of records, which are all there is before next of some parts
+// of the feed.
+func update(f Feed, next int64, whole parts, records []*catalogpb.Record) *catalogpb.Update {
 	return &catalogpb.Update{
 		Kind: &catalogpb.Update_Records{
 			Records: &catalogpb.Records{
 				Feed:    int32(f),
-				Whole:   whole,
+				Whole:   whole == allParts,
 				Next:    next,
 				Records: records,
+				Parts:   uint64(whole),
 			},
 		},
 	}
--- /dev/null
+++ b/catalog/figures.go
@@ -0,0 +1,44 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package catalog
+
+// Figures are an instance's place among those that hand on what the store says.
+type Figures struct {
+	// Role is "reader", "carrier" or "follower", by the order of all instances.
+	Role string `json:"role"`
+	// Reads states that the store answers this instance.
+	Reads bool `json:"reads"`
+	// Followers counts the instances that follow this one.
+	Followers int `json:"followers"`
+	// Hops counts the instances between the one that the store answers and this
+	// one, and Root names that one.
+	Hops int    `json:"hops"`
+	Root string `json:"root"`
+	// AnsweredMS is how long ago the store answered the root, in ms; an hour when
+	// it never did.
+	AnsweredMS int64 `json:"answered_ms"`
+}
+
+// Figures returns the figures of now.
+func (c *Catalog) Figures() Figures {
+	now := c.standing()
+	return Figures{
+		Role:       c.ranks.Load().role(),
+		Reads:      c.read.within(c.fresh()),
+		Followers:  c.followers.count(),
+		Hops:       now.hops,
+		Root:       now.root,
+		AnsweredMS: now.answered.Milliseconds(),
+	}
+}
+
+// role returns what an instance is meant to do.
+func (r *ranks) role() string {
+	switch {
+	case r.isReader():
+		return "reader"
+	case r.self < r.carriers:
+		return "carrier"
+	}
+	return "follower"
+}
--- a/catalog/journal.go
+++ b/catalog/journal.go
@@ -5,26 +5,56 @@
 import (
 	"sync"
 
+	"github.com/linkmast/linkmast/catalog/catalogpb"
 	"github.com/linkmast/linkmast/internal/zdelta"
 )
 
-// journalLength is how many changes followers may be behind before they get all
-// records anew.
-const journalLength = 512
+// The bounds of the changes that followers may be behind before they get all records
+// anew.
+const (
+	// journalLength counts changes.
+	journalLength = 512
+	// journalBytes bounds the values of these changes. Configurations of 100 KB in
+	// quick succession would else hold 50 MB on each instance.
+	journalBytes = 4 << 20
+)
 
 // entry is a record that took effect.
 type entry struct {
-	feed   Feed
+	feed Feed
+	// record is the record; a long one's value is in packed.
 	record Record
 	// packed is a long record's value against that of the record before.
 	packed *packed
+	// size is how many bytes of values the entry holds at most.
+	size int
+}
+
+// encode makes the message of the record.
+func (e *entry) encode() (*catalogpb.Record, error) {
+	m := &catalogpb.Record{
+		Key:    e.record.Key,
+		Value:  e.record.Value,
+		Offset: e.record.Offset,
+		Base:   noOffset,
+	}
+	if e.packed == nil {
+		return m, nil
+	}
+	data, err := e.packed.bytes()
+	if err != nil {
+		return nil, err
+	}
+	m.Value, m.Packed, m.Base = data, true, e.packed.base.Offset
+	return m, nil
 }
 
 // packedFrom is the size from which values are packed, in bytes.
 const packedFrom = 2 << 10
 
-// packed is a value against an earlier one of its key, packed when it is first
-// sent. All followers share it.
+// packed is a value against an earlier one of its key, which may be none, packed when
+// it is first sent. All followers share it: 150 that came at once and got a
+// configuration packed anew each took 490 MB, mostly of the compressor's.
 type packed struct {
 	value Record
 	base  Record
@@ -34,6 +64,17 @@
 	err  error
 }
 
+// packedRecord returns a record's value against that of the record before.
+func packedRecord(r, before Record) *packed {
+	if len(before.Value) == 0 {
+		before.Offset = noOffset
+	}
+	return &packed{
+		value: r,
+		base:  before,
+	}
+}
+
 // bytes returns the packed value.
 func (p *packed) bytes() ([]byte, error) {
 	p.once.Do(func() {
@@ -50,6 +91,8 @@
 	entries []entry
 	// first is the number of the first entry that is kept.
 	first int64
+	// size is the sum of the entries' sizes in bytes.
+	size int
 }
 
 // add adds a record that replaces another one of its key.
@@ -57,17 +100,19 @@
 	e := entry{
 		feed:   f,
 		record: r,
+		size:   len(r.Value),
 	}
-	if len(r.Value) >= packedFrom && len(before.Value) > 0 {
-		e.packed = &packed{
-			value: r,
-			base:  before,
-		}
+	if len(r.Value) >= packedFrom {
+		e.packed = packedRecord(r, before)
+		e.record.Value = nil
 	}
 	j.entries = append(j.entries, e)
-	if over := len(j.entries) - journalLength; over > 0 {
-		j.entries = append([]entry(nil), j.entries[over:]...)
-		j.first += int64(over)
+	j.size += e.size
+	for len(j.entries) > journalLength || j.size > journalBytes && len(j.entries) > 1 {
+		j.size -= j.entries[0].size
+		j.entries[0] = entry{}
+		j.entries = j.entries[1:]
+		j.first++
 	}
 }
 
--- a/catalog/kick.go
+++ b/catalog/kick.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 )
 
-// kick ends what watches it.
+// kick wakes or ends what watches it.
 type kick struct {
 	mu sync.Mutex
 	ch chan struct{}
@@ -28,12 +28,17 @@
 	k.ch = make(chan struct{})
 }
 
+// next returns a channel that is closed at the next fire.
+func (k *kick) next() <-chan struct{} {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.ch
+}
+
 // watch calls f at the next fire, until it is stopped. Fired states whether it
 // was called.
 func (k *kick) watch(f func()) (fired func() bool, stop func()) {
-	k.mu.Lock()
-	ch := k.ch
-	k.mu.Unlock()
+	ch := k.next()
 	done := make(chan struct{})
 	var called atomic.Bool
 	go func() {
--- /dev/null
+++ b/catalog/missing.go
@@ -0,0 +1,103 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package catalog
+
+import (
+	"slices"
+
+	"github.com/linkmast/linkmast/catalog/catalogpb"
+)
+
+// have returns what this instance says that it has when it begins to follow.
+func (c *Catalog) have() *catalogpb.Ping {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := &catalogpb.Ping{
+		Has: noOffset,
+		Id:  c.settings.Self.ID,
+	}
+	for _, r := range c.records[Configurations] {
+		p.Has = r.Offset
+	}
+	for _, f := range [...]Feed{Endpoints, Peers} {
+		p.Have = append(p.Have, &catalogpb.Have{
+			Feed: int32(f),
+			Sums: slices.Clone(c.sums[f][:]),
+		})
+	}
+	return p
+}
+
+// lack is what a follower lacks of a feed.
+type lack struct {
+	feed    Feed
+	next    int64
+	records []Record
+	// parts are those of the feed of which records has all.
+	parts parts
+	// long are the packed values of long records, by key.
+	long map[string]*packed
+}
+
+// missing returns what a follower lacks of the feeds that are known, as it says in its
+// first ping. The caller holds the lock.
+func (c *Catalog) missing(first *catalogpb.Ping) []lack {
+	said := make(map[Feed][]uint64, len(first.GetHave()))
+	for _, h := range first.GetHave() {
+		said[Feed(h.GetFeed())] = h.GetSums()
+	}
+	out := make([]lack, 0, len(feeds))
+	for _, f := range feeds {
+		next, known := c.next[f]
+		if !known {
+			continue
+		}
+		l := lack{
+			feed: f,
+			next: next,
+			long: make(map[string]*packed),
+		}
+		if f != Configurations {
+			l.parts = c.sums[f].differ(said[f])
+		}
+		c.collect(&l, first.GetHas())
+		out = append(out, l)
+	}
+	return out
+}
+
+// collect adds the records of a feed that are lacking; of the configuration, the one
+// at another offset. The caller holds the lock.
+func (c *Catalog) collect(l *lack, has int64) {
+	for key, r := range c.records[l.feed] {
+		if l.feed == Configurations && r.Offset == has || l.feed != Configurations && !l.parts.has(key) {
+			continue
+		}
+		l.records = append(l.records, r)
+		if p := c.long[longKey{feed: l.feed, key: key}]; p != nil {
+			l.long[key] = p
+		}
+	}
+}
+
+// encode makes the message of what is lacking.
+func (l *lack) encode() (*catalogpb.Update, error) {
+	out := make([]*catalogpb.Record, 0, len(l.records))
+	for _, r := range l.records {
+		m := &catalogpb.Record{
+			Key:    r.Key,
+			Value:  r.Value,
+			Offset: r.Offset,
+			Base:   noOffset,
+		}
+		if p := l.long[r.Key]; p != nil {
+			data, err := p.bytes()
+			if err != nil {
+				return nil, err
+			}
+			m.Value, m.Packed = data, true
+		}
+		out = append(out, m)
+	}
+	return update(l.feed, l.next, l.parts, out), nil
+}
--- /dev/null
+++ b/catalog/missing_test.go
@@ -0,0 +1,165 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package catalog
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/catalog/catalogpb"
+	"github.com/linkmast/linkmast/internal/zdelta"
+)
+
+// plainStore reads an endpoint from each record. Only Decode may be called.
+type plainStore struct {
+	Store
+}
+
+func (plainStore) Decode(f Feed, r Record) Change {
+	switch {
+	case f != Endpoints:
+		return nil
+	case len(r.Value) == 0:
+		return &EndpointGone{
+			Instance: r.Key,
+		}
+	}
+	return &EndpointChange{
+		Endpoint: Endpoint{
+			Instance: r.Key,
+		},
+	}
+}
+
+// newPlain returns a catalog that knows n endpoints, each written once.
+func newPlain(n int) *Catalog {
+	c := New(Settings{}, plainStore{}, nil, logr.Discard())
+	var all []Record
+	for i := range n {
+		all = append(all, record(i, int64(i)))
+	}
+	c.apply(Endpoints, all, int64(n), allParts, fromStore)
+	return c
+}
+
+func record(i int, offset int64) Record {
+	return Record{
+		Key:    fmt.Sprint("e", i),
+		Value:  []byte("x"),
+		Offset: offset,
+	}
+}
+
+// hand gives a follower what it lacks, and returns how many records that took.
+func hand(from, to *Catalog) int {
+	n := 0
+	for _, l := range from.missing(to.have()) {
+		n += len(l.records)
+		to.apply(l.feed, l.records, l.next, l.parts, fromPeer)
+	}
+	return n
+}
+
+// assertSame checks that two instances know the same endpoints.
+func assertSame(is *is.I, a, b *Catalog) {
+	is.Helper()
+	is.Equal(a.endpoints, b.endpoints)
+	is.Equal(*a.sums[Endpoints], *b.sums[Endpoints])
+}
+
+// TestOnlyMissing looks how many records a follower is sent.
+func TestOnlyMissing(t *testing.T) {
+	const n = 300
+	for _, row := range []struct {
+		name   string
+		change func(from *Catalog)
+		most   int
+	}{
+		{"nothing new", func(*Catalog) {}, 0},
+		{"one changed", func(c *Catalog) {
+			c.apply(Endpoints, []Record{record(7, n)}, n+1, 0, fromStore)
+		}, 20},
+		{"one new", func(c *Catalog) {
+			c.apply(Endpoints, []Record{record(n, n)}, n+1, 0, fromStore)
+		}, 20},
+		{"one gone", func(c *Catalog) {
+			c.apply(Endpoints, []Record{{
+				Key:    "e7",
+				Offset: n,
+			}}, n+1, 0, fromStore)
+		}, 20},
+		{"half gone and not even their ends kept", func(c *Catalog) {
+			*c = *newPlain(n / 2)
+			c.next[Endpoints] = n + 1
+		}, n / 2},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			from, to := newPlain(n), New(Settings{}, plainStore{}, nil, logr.Discard())
+			is.Equal(hand(from, to), n) // nothing is known at first
+			assertSame(is, from, to)
+			row.change(from)
+			is.True(hand(from, to) <= row.most)
+			assertSame(is, from, to)
+			is.Equal(hand(from, to), 0)
+		})
+	}
+}
+
+// TestNewerStays looks that a follower that knows more loses nothing of it.
+func TestNewerStays(t *testing.T) {
+	is := is.New(t)
+	from, to := newPlain(10), newPlain(20)
+	hand(from, to)
+	is.Equal(len(to.endpoints), 20)
+}
+
+// TestPackedOnce looks that followers that come one after the other share one packed
+// configuration.
+func TestPackedOnce(t *testing.T) {
+	is := is.New(t)
+	c := New(Settings{}, plainStore{}, nil, logr.Discard())
+	long := Record{
+		Key:    "config",
+		Value:  make([]byte, 100<<10),
+		Offset: 1,
+	}
+	c.apply(Configurations, []Record{long}, 2, allParts, fromStore)
+	var sent []*catalogpb.Record
+	for range 2 {
+		u, err := c.missing(&catalogpb.Ping{
+			Has: noOffset,
+		})[0].encode()
+		is.NoErr(err)
+		sent = append(sent, u.GetRecords().GetRecords()[0])
+	}
+	is.True(&sent[0].Value[0] == &sent[1].Value[0])
+	value, err := zdelta.Unpack(sent[0].GetValue(), nil)
+	is.NoErr(err)
+	is.Equal(value, long.Value)
+}
+
+// TestJournalBytes looks that configurations in quick succession hold no more memory
+// than the journal may.
+func TestJournalBytes(t *testing.T) {
+	is := is.New(t)
+	var j journal
+	const size = 100 << 10
+	for n := range int64(200) {
+		j.add(Configurations, Record{
+			Key:    "config",
+			Value:  make([]byte, size),
+			Offset: n,
+		}, Record{})
+	}
+	is.True(len(j.entries) <= journalBytes/size)
+	is.Equal(j.end(), int64(200))
+	_, kept := j.from(0)
+	is.True(!kept)
+	entries, kept := j.from(199)
+	is.True(kept)
+	is.Equal(entries[0].record.Offset, int64(199))
+}
--- a/catalog/outage.go
+++ b/catalog/outage.go
@@ -19,9 +19,9 @@
 	// 0.37 s after the store's return, with this 0.05 and 0.18 s, and the last one 0.24
 	// and 0.30 s (the loss of all instances in an outage, two runs).
 	lastUnknownBackoff = 200 * time.Millisecond
-	// lastSharedBackoff bounds the wait of instances that hear from others that
-	// the store is back; it doubles with each failure. Each call has a price, and
-	// there are many of these instances.
+	// lastSharedBackoff bounds the wait of the first instances that hear from others
+	// that the store is back; it doubles with each failure. Each call has a price,
+	// and there are many of these instances.
 	lastSharedBackoff = 2 * time.Second
 	// contactWithin is how recently another instance must have answered for this
 	// one to rely on hearing from it that the store is back: the time of some
@@ -29,6 +29,11 @@
 	contactWithin = 2 * time.Second
 )
 
+// backoffPlaces is how many places of the order later an instance waits by one more
+// measure of the first ones: with it 120 instances beside the readers make 270
+// calls in an outage of 3 s, without it 590.
+const backoffPlaces = 4
+
 // maxDoublings keeps the doubling of waits from overflowing; lastSharedBackoff is
 // reached before.
 const maxDoublings = 8
@@ -36,20 +41,23 @@
 // inTouch states whether this instance would hear from others that the store is
 // back: it is not among the first readers, and others answer it.
 func (c *Catalog) inTouch() bool {
-	return c.contact.within(contactWithin) && !c.first()
+	return c.contact.within(contactWithin) && !c.ranks.Load().isReader()
 }
 
-// pauses states whether a feed is not read because the feed of configurations can't
-// be. That one is enough to see that the store is back. The first readers try all
-// feeds, as the store may be down in parts.
+// pauses states whether a feed is not read because the feed of configurations was not
+// read of late. That one is enough to see that the store is there. The first readers
+// try all feeds, as the store may be down in parts.
 func (c *Catalog) pauses(f Feed) bool {
-	return f != Configurations && c.failing.Load()&(1<<Configurations) != 0 && c.inTouch()
+	return f != Configurations && !c.read.within(c.fresh()) && c.inTouch()
 }
 
-// backoff returns the wait after a number of failures in a row.
+// backoff returns the wait after a number of failures in a row. Those that hear from
+// others that the store is back wait in proportion to their place in the order, so that
+// all of them together ask a store that is down about as often as the first few do.
 func (c *Catalog) backoff(failures int) time.Duration {
 	if c.inTouch() {
-		return min(firstBackoff<<min(failures-1, maxDoublings), lastSharedBackoff)
+		share := time.Duration(max(c.ranks.Load().self/backoffPlaces, 1))
+		return share * min(firstBackoff<<min(failures-1, maxDoublings), lastSharedBackoff)
 	}
 	longest := lastBackoff
 	if c.Snapshot() == nil {
--- /dev/null
+++ b/catalog/ranks.go
@@ -0,0 +1,170 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package catalog
+
+import (
+	"slices"
+
+	"github.com/linkmast/linkmast/internal/rendezvous"
+)
+
+// readersKey is what the order of readers is made from.
+const readersKey = "catalog"
+
+// width is how many instances one carrier is meant for. What 32 instances get that
+// start at once, 60 KB each, takes 80 ms of a link of 200 Mbit/s. With two readers, a
+// tree of two levels reaches 2,000 instances, one of three levels 60,000.
+const width = 32
+
+// ableShare is the part of the greatest capacity from which instances read the store
+// for others and carry followers.
+const ableShare = 0.5
+
+// The bounds of followers, which make instances look elsewhere when many carriers are
+// lost at once.
+const (
+	// limitFactor is how many times the followers that it is meant for a carrier
+	// takes.
+	limitFactor = 2
+	// weakLimit is how many followers an instance takes that is not able to carry,
+	// when followers find nobody else: what changes goes out four times.
+	weakLimit = 4
+)
+
+// ranks is how instances divide the work of handing on what the store says: the first
+// ones of an order that all compute alike read the store, some more follow these, and
+// carry the others. The zero value has nobody.
+type ranks struct {
+	// place is each instance's place in the order, counted from zero. Instances
+	// that are able to carry come before all others.
+	place map[string]int
+	// self is the place of this instance.
+	self int
+	// readers and carriers are how many at the start of the order read the store,
+	// and carry followers; the readers are carriers too.
+	readers  int
+	carriers int
+	// sources are the other instances in the order in which this one tries to
+	// follow them.
+	sources []Peer
+	// wards are the instances that try to follow this one first.
+	wards []Peer
+	// limit is how many followers this instance takes.
+	limit int
+}
+
+// newRanks returns the ranks as they are for self, which peers may hold or not.
+func newRanks(self Peer, peers map[string]Peer, leastReaders int) *ranks {
+	all := make([]Peer, 0, len(peers)+1)
+	for id, p := range peers {
+		if id != self.ID {
+			all = append(all, p)
+		}
+	}
+	all = append(all, self)
+	rendezvous.Sort(readersKey, all, weigh)
+	able := ableFirst(all)
+	r := &ranks{
+		place: make(map[string]int, len(all)),
+	}
+	for i, p := range all {
+		r.place[p.ID] = i
+	}
+	r.self = r.place[self.ID]
+	wanted := (len(all) + width - 1) / width
+	r.readers = min(max(leastReaders, (wanted+width-1)/width), len(all))
+	r.carriers = max(min(wanted, able), r.readers)
+	r.limit = r.limitOf(len(all), able)
+	r.sources = r.sourcesOf(all, self)
+	r.wards = r.wardsOf(all, self)
+	return r
+}
+
+// weigh returns what the order of an instance depends on.
+func weigh(p Peer) (id string, weight int) {
+	return p.ID, p.Capacity
+}
+
+// ableFirst moves the instances that are able to carry to the front, and returns how
+// many they are.
+func ableFirst(all []Peer) int {
+	greatest := 0
+	for _, p := range all {
+		greatest = max(greatest, p.Capacity)
+	}
+	able := func(p Peer) int {
+		if float64(p.Capacity) >= ableShare*float64(greatest) {
+			return 0
+		}
+		return 1
+	}
+	slices.SortStableFunc(all, func(a, b Peer) int { return able(a) - able(b) })
+	n := 0
+	for _, p := range all {
+		n += 1 - able(p)
+	}
+	return n
+}
+
+// limitOf returns how many followers this instance takes, when so many of all
+// instances are able to carry.
+func (r *ranks) limitOf(all, able int) int {
+	if r.self >= max(able, r.readers) {
+		return weakLimit
+	}
+	return limitFactor * max(width, all/r.carriers)
+}
+
+// sourcesOf returns whom an instance tries to follow, in order: the carriers, those in
+// its own failure domain first and each instance in another order, so that they share
+// the work; then all others. A carrier begins with the readers.
+func (r *ranks) sourcesOf(all []Peer, p Peer) []Peer {
+	first := r.carriers
+	if r.place[p.ID] < r.carriers {
+		first = r.readers
+	}
+	head := slices.Clone(all[:first])
+	rendezvous.Sort(p.ID, head, weigh)
+	slices.SortStableFunc(head, func(a, b Peer) int { return away(a, p) - away(b, p) })
+	out := append(head, all[first:]...)
+	return slices.DeleteFunc(out, func(o Peer) bool { return o.ID == p.ID })
+}
+
+// away is zero for instances in the same failure domain, and one for others.
+func away(a, b Peer) int {
+	if a.FailureDomain == b.FailureDomain {
+		return 0
+	}
+	return 1
+}
+
+// wardsOf returns the instances that try to follow self first.
+func (r *ranks) wardsOf(all []Peer, self Peer) []Peer {
+	if r.self >= r.carriers {
+		return nil
+	}
+	var out []Peer
+	for _, p := range all {
+		if p.ID == self.ID {
+			continue
+		}
+		// Of the sources only the first ones matter here.
+		s := r.sourcesOf(all[:r.carriers], p)
+		if len(s) > 0 && s[0].ID == self.ID {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// isReader states whether this instance is among the first readers.
+func (r *ranks) isReader() bool {
+	return r.self < r.readers
+}
+
+// before states whether an instance comes before this one in the order. One that is
+// not known comes after all others.
+func (r *ranks) before(id string) bool {
+	place, known := r.place[id]
+	return known && place < r.self
+}
--- /dev/null
+++ b/catalog/ranks_test.go
@@ -0,0 +1,114 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package catalog
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// fleet returns instances, so many of them able to carry, in five failure domains.
+func fleet(able, weak int) map[string]Peer {
+	out := make(map[string]Peer)
+	for i := range able + weak {
+		p := Peer{
+			ID:            fmt.Sprint("n", i),
+			FailureDomain: fmt.Sprint("d", i%5),
+			Capacity:      100,
+		}
+		if i < able {
+			p.Capacity = 800
+		}
+		out[p.ID] = p
+	}
+	return out
+}
+
+// TestRanks looks at how instances divide the work at several sizes: followers by
+// first choice, and the depth of the tree.
+func TestRanks(t *testing.T) {
+	for _, row := range []struct {
+		able, weak int
+		readers    int
+		carriers   int
+	}{
+		{1, 0, 1, 1},
+		{2, 4, 2, 2},
+		{22, 0, 2, 2},
+		{15, 280, 2, 10},
+		{1, 294, 2, 2},
+		{60, 1140, 2, 38},
+		{10_000, 0, 10, 313},
+	} {
+		t.Run(fmt.Sprint(row.able, "+", row.weak), func(t *testing.T) {
+			is := is.New(t)
+			peers := fleet(row.able, row.weak)
+			if len(peers) > 2000 {
+				r := newRanks(peers["n0"], peers, 2)
+				is.Equal(r.readers, row.readers)
+				is.Equal(r.carriers, row.carriers)
+				return
+			}
+			followers := make(map[string]int)
+			for _, p := range peers {
+				r := newRanks(p, peers, 2)
+				is.Equal(r.readers, row.readers)
+				is.Equal(r.carriers, row.carriers)
+				is.Equal(len(r.sources), len(peers)-1)
+				if len(r.sources) > 0 && !r.isReader() {
+					followers[r.sources[0].ID]++
+				}
+			}
+			for id, n := range followers {
+				r := newRanks(peers[id], peers, 2)
+				is.True(r.self < r.carriers)
+				is.True(n <= r.limit)
+				if row.able >= row.carriers {
+					is.Equal(peers[id].Capacity, 800) // weak ones carry nobody
+				}
+			}
+		})
+	}
+}
+
+// TestWards looks that each instance is the ward of the one that it follows first.
+func TestWards(t *testing.T) {
+	is := is.New(t)
+	peers := fleet(15, 280)
+	first := make(map[string]string)
+	for _, p := range peers {
+		first[p.ID] = newRanks(p, peers, 2).sources[0].ID
+	}
+	wards := 0
+	for _, p := range peers {
+		for _, w := range newRanks(p, peers, 2).wards {
+			is.Equal(first[w.ID], p.ID)
+			wards++
+		}
+	}
+	is.Equal(wards, len(peers))
+}
+
+// TestBefore looks at the order of two that read the store for the same reason.
+func TestBefore(t *testing.T) {
+	is := is.New(t)
+	peers := fleet(5, 0)
+	a, b := newRanks(peers["n0"], peers, 2), newRanks(peers["n1"], peers, 2)
+	is.True(a.before("n1") != b.before("n0"))
+	is.True(!a.before("n0"))
+	is.True(!a.before("unknown"))
+}
+
+// BenchmarkRanks is what each change of the instances costs one of them.
+func BenchmarkRanks(b *testing.B) {
+	for _, n := range []int{295, 1200} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			peers := fleet(n/20, n-n/20)
+			for b.Loop() {
+				newRanks(peers["n0"], peers, 2)
+			}
+		})
+	}
+}
--- a/catalog/reading.go
+++ b/catalog/reading.go
@@ -27,6 +27,13 @@
 	firstStartWait = 700 * time.Millisecond
 )
 
+// answered notes that the store showed the newest configuration to a read.
+func (c *Catalog) answered(sent time.Time) {
+	c.confirm(sent)
+	c.read.mark(time.Now())
+	c.fresher.fire()
+}
+
 // Run follows the store until ctx ends.
 func (c *Catalog) Run(ctx context.Context) {
 	var parts sync.WaitGroup
@@ -47,22 +54,56 @@
 		parts.Go(func() { c.readLoop(ctx, f, retry) })
 	}
 	parts.Go(func() { c.followLoop(ctx) })
+	parts.Go(func() { c.introduceLoop(ctx) })
 	parts.Wait()
 }
 
-// learnPeers reads who is there. It returns false when ctx ends before.
+// learnPeers finds out who is there, from the store or by an instance that introduces
+// itself. It returns false when ctx ends before.
 func (c *Catalog) learnPeers(ctx context.Context) bool {
 	if c.settings.FirstStart {
 		sleep(ctx, firstStartWait)
 	}
-	for failures := 1; ctx.Err() == nil; failures++ {
-		_, err := c.readWhole(ctx, Peers)
+	reading, cancel := context.WithCancel(ctx)
+	defer cancel()
+	_, stop := c.introduced.watch(cancel)
+	defer stop()
+	for failures := 1; !c.joined.Load() && ctx.Err() == nil; failures++ {
+		_, err := c.readWhole(reading, Peers)
 		if err == nil {
-			return true
+			c.joined.Store(true)
+			break
 		}
-		c.failed(ctx, Peers, failures, err)
+		c.failed(reading, Peers, failures, err)
+	}
+	return ctx.Err() == nil
+}
+
+// Entry is what is known of this instance's own entry in the store.
+type Entry int
+
+// The states of the entry.
+const (
+	// EntryUnknown is the state until it is known who is there.
+	EntryUnknown Entry = iota
+	// EntryLacks is that of an entry that is not there, or says something else.
+	EntryLacks
+	// EntryStands is that of an entry as it should be.
+	EntryStands
+)
+
+// Entry returns what is known of this instance's entry. At the first start of all there
+// is none.
+func (c *Catalog) Entry() Entry {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.peers[c.settings.Self.ID] == c.settings.Self:
+		return EntryStands
+	case c.settings.FirstStart || c.joined.Load():
+		return EntryLacks
 	}
-	return false
+	return EntryUnknown
 }
 
 // sleep waits for a time, or until ctx ends.
@@ -145,10 +186,9 @@
 	if err != nil {
 		return unread, err
 	}
-	c.apply(f, records, next, true, fromStore)
+	c.apply(f, records, next, allParts, fromStore)
 	if f == Configurations && len(records) > 0 {
-		c.confirm(sent)
-		c.read.mark(time.Now())
+		c.answered(sent)
 	}
 	return next, nil
 }
@@ -192,11 +232,10 @@
 	if err != nil {
 		return from, err
 	}
-	c.apply(f, records, next, false, fromStore)
+	c.apply(f, records, next, 0, fromStore)
 	switch {
 	case f == Configurations:
-		c.confirm(sent)
-		c.read.mark(time.Now())
+		c.answered(sent)
 	case len(records) > 0:
 		sleep(ctx, spacing-time.Since(sent))
 	}
--- a/catalog/server.go
+++ b/catalog/server.go
@@ -3,9 +3,11 @@
 package catalog
 
 import (
-	"sync"
+	"context"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"github.com/linkmast/linkmast/catalog/catalogpb"
 )
@@ -29,146 +31,166 @@
 
 // Follow implements catalogpb.CatalogServer.
 func (s *Server) Follow(stream grpc.BidiStreamingServer[catalogpb.Ping, catalogpb.Update]) error {
-	s.catalog.followers.Add(1)
-	defer s.catalog.followers.Add(-1)
-	f := &follower{
-		catalog: s.catalog,
-		stream:  stream,
-	}
 	first, err := stream.Recv()
 	if err != nil {
 		return err
 	}
-	at, changed, err := f.sendAll(first.GetHas())
-	if err != nil {
-		return err
+	c := s.catalog
+	defer c.followers.leave(first.GetId())
+	if !c.followers.enter(first.GetId(), c.ranks.Load().limit) {
+		return status.Error(codes.ResourceExhausted, "has enough followers")
 	}
-	done := make(chan error, 1)
-	go func() { done <- f.answerPings(first) }()
-	for err == nil {
-		select {
-		case err = <-done:
-			return err
-		case <-s.closing:
-			return nil
-		case <-changed:
-			at, changed, err = f.sendFrom(at)
-		}
+	// One that starts in an outage of the store is told what there is.
+	if !c.helps(first) && !c.awaitFollowable(stream.Context(), s.closing) {
+		return status.Error(codes.FailedPrecondition, "knows too little")
+	}
+	f := &follower{
+		catalog: c,
+		stream:  stream,
+		pings:   make(chan *catalogpb.Ping),
+		failed:  make(chan error, 1),
 	}
-	return err
+	go f.receive(stream.Context())
+	return f.serve(first, s.closing)
 }
 
-// follower is an instance that follows this one.
+// helps states whether a follower that knows no configuration can be given one.
+func (c *Catalog) helps(first *catalogpb.Ping) bool {
+	return first.GetHas() == noOffset && c.Snapshot() != nil
+}
+
+// follower is an instance that follows this one. One goroutine sends to it.
 type follower struct {
 	catalog *Catalog
 	stream  grpc.BidiStreamingServer[catalogpb.Ping, catalogpb.Update]
-	// sending guards the stream, which takes one message at a time.
-	sending sync.Mutex
-}
-
-// send sends the follower a message.
-func (f *follower) send(u *catalogpb.Update) error {
-	f.sending.Lock()
-	defer f.sending.Unlock()
-	return f.stream.Send(u)
+	pings   chan *catalogpb.Ping
+	failed  chan error
+	// at is the number of the next change that it gets.
+	at int64
 }
 
-// answerPings tells the age for each ping.
-func (f *follower) answerPings(p *catalogpb.Ping) error {
+// receive hands on the follower's pings until the stream ends.
+func (f *follower) receive(ctx context.Context) {
 	for {
-		age, known := f.catalog.Age()
-		answered, heard := f.catalog.answered()
-		err := f.send(&catalogpb.Update{
-			Kind: &catalogpb.Update_Age{
-				Age: &catalogpb.Age{
-					Seq:        p.GetSeq(),
-					AgeUs:      age.Microseconds(),
-					Known:      known && heard,
-					AnsweredUs: answered.Microseconds(),
-				},
-			},
-		})
+		p, err := f.stream.Recv()
 		if err != nil {
-			return err
+			f.failed <- err
+			return
 		}
-		if p, err = f.stream.Recv(); err != nil {
-			return err
+		select {
+		case f.pings <- p:
+		case <-ctx.Done():
+			return
 		}
 	}
 }
 
-// sendAll sends all records but the configuration at the offset that the
-// follower has. It returns the number of the next change and what is closed at
-// it.
-func (f *follower) sendAll(has int64) (int64, <-chan struct{}, error) {
-	c := f.catalog
-	c.mu.Lock()
-	at, changed := c.journal.end(), c.changed
-	parts := c.whole(has)
-	c.mu.Unlock()
-	for _, p := range parts {
-		u, err := encodeRecords(p.feed, p.records, p.next, true)
-		if err != nil {
-			return 0, nil, err
+// serve sends what the follower lacks, each change, and an age for each ping.
+func (f *follower) serve(first *catalogpb.Ping, closing <-chan struct{}) error {
+	if err := f.sendMissing(first); err != nil {
+		return err
+	}
+	if err := f.answer(first); err != nil {
+		return err
+	}
+	for {
+		changed := f.catalog.Changed()
+		if err := f.sendChanges(); err != nil {
+			return err
 		}
-		if err := f.send(u); err != nil {
-			return 0, nil, err
+		select {
+		case err := <-f.failed:
+			return err
+		case <-closing:
+			return nil
+		case p := <-f.pings:
+			if err := f.answer(p); err != nil {
+				return err
+			}
+		case <-changed:
 		}
 	}
-	return at, changed, nil
 }
 
-// wholeFeed is all that is known of a feed.
-type wholeFeed struct {
-	feed    Feed
-	next    int64
-	records []Record
+// answer tells the age. All changes that it covers go first, so that the follower
+// never takes an older configuration for one that was confirmed.
+func (f *follower) answer(p *catalogpb.Ping) error {
+	c := f.catalog
+	age, known := c.Age()
+	now := c.standing()
+	if err := f.sendChanges(); err != nil {
+		return err
+	}
+	return f.stream.Send(&catalogpb.Update{
+		Kind: &catalogpb.Update_Age{
+			Age: &catalogpb.Age{
+				Seq:        p.GetSeq(),
+				AgeUs:      age.Microseconds(),
+				Known:      known,
+				AnsweredUs: now.answered.Microseconds(),
+				Root:       now.root,
+				Hops:       int32(now.hops),
+			},
+		},
+	})
 }
 
-// whole returns the feeds that are known, without the configuration at an offset.
-// The caller holds the lock.
-func (c *Catalog) whole(has int64) []wholeFeed {
-	out := make([]wholeFeed, 0, len(feeds))
-	for _, f := range feeds {
-		next, known := c.next[f]
-		if !known {
-			continue
+// sendMissing sends what the follower lacks, as it says in its first ping. The changes
+// from then on come after it.
+func (f *follower) sendMissing(first *catalogpb.Ping) error {
+	c := f.catalog
+	c.mu.Lock()
+	f.at = c.journal.end()
+	lacks := c.missing(first)
+	c.mu.Unlock()
+	for _, l := range lacks {
+		u, err := l.encode()
+		if err != nil {
+			return err
 		}
-		all := make([]Record, 0, len(c.records[f]))
-		for _, r := range c.records[f] {
-			if f != Configurations || r.Offset != has {
-				all = append(all, r)
-			}
+		if err := f.stream.Send(u); err != nil {
+			return err
 		}
-		out = append(out, wholeFeed{
-			feed:    f,
-			next:    next,
-			records: all,
-		})
 	}
-	return out
+	return nil
 }
 
-// sendFrom sends the changes from a number on; all records when those changes are
-// no longer kept. It returns what sendAll returns.
-func (f *follower) sendFrom(at int64) (int64, <-chan struct{}, error) {
+// sendChanges sends the changes that the follower has not got; all records when those
+// are no longer kept.
+func (f *follower) sendChanges() error {
 	c := f.catalog
 	c.mu.Lock()
-	entries, kept := c.journal.from(at)
+	entries, kept := c.journal.from(f.at)
 	entries = append([]entry(nil), entries...)
-	end, changed := c.journal.end(), c.changed
 	c.mu.Unlock()
 	if !kept {
-		return f.sendAll(noOffset)
+		return f.sendMissing(&catalogpb.Ping{
+			Has: noOffset,
+		})
 	}
-	for _, e := range entries {
-		u, err := e.encode()
+	for len(entries) > 0 {
+		n := sameFeed(entries)
+		u, err := encodeChanges(entries[:n])
 		if err != nil {
-			return 0, nil, err
+			return err
 		}
-		if err := f.send(u); err != nil {
-			return 0, nil, err
+		if err := f.stream.Send(u); err != nil {
+			return err
 		}
+		f.at += int64(n)
+		entries = entries[n:]
 	}
-	return end, changed, nil
+	return nil
+}
+
+// Introduce implements catalogpb.CatalogServer.
+func (s *Server) Introduce(_ context.Context, in *catalogpb.Introduction) (*catalogpb.Introduced, error) {
+	return &catalogpb.Introduced{
+		Known: !s.catalog.meet(Peer{
+			ID:            in.GetId(),
+			Address:       in.GetAddress(),
+			FailureDomain: in.GetFailureDomain(),
+			Capacity:      int(in.GetCapacity()),
+		}),
+	}, nil
 }
--- /dev/null
+++ b/catalog/server_test.go
@@ -0,0 +1,70 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package catalog
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+	"google.golang.org/grpc"
+
+	"github.com/linkmast/linkmast/catalog/catalogpb"
+)
+
+// sentStream keeps what is sent to a follower. Only Send may be called.
+type sentStream struct {
+	grpc.BidiStreamingServer[catalogpb.Ping, catalogpb.Update]
+
+	sent []*catalogpb.Update
+}
+
+// Send implements grpc.BidiStreamingServer.
+func (s *sentStream) Send(u *catalogpb.Update) error {
+	s.sent = append(s.sent, u)
+	return nil
+}
+
+// TestChangesBeforeAge looks that a follower gets a change before the age that covers
+// it: else it would take keys for valid that the change takes away.
+func TestChangesBeforeAge(t *testing.T) {
+	is := is.New(t)
+	c := New(Settings{}, plainStore{}, nil, logr.Discard())
+	stream := &sentStream{}
+	f := &follower{
+		catalog: c,
+		stream:  stream,
+	}
+	c.apply(Configurations, []Record{record(0, 1)}, 2, allParts, fromStore)
+	c.answered(time.Now())
+	is.NoErr(f.answer(&catalogpb.Ping{
+		Seq: 1,
+	}))
+	is.Equal(len(stream.sent), 2)
+	is.Equal(stream.sent[0].GetRecords().GetRecords()[0].GetOffset(), int64(1))
+	is.True(stream.sent[1].GetAge().GetKnown())
+	// It is not sent again.
+	is.NoErr(f.answer(&catalogpb.Ping{
+		Seq: 2,
+	}))
+	is.Equal(len(stream.sent), 3)
+}
+
+// TestFollowersLimit looks that an instance that has enough followers sends others on,
+// and takes one that comes again before its old stream has ended.
+func TestFollowersLimit(t *testing.T) {
+	is := is.New(t)
+	var f followers
+	is.True(f.enter("a", 2))
+	is.True(f.enter("b", 2))
+	is.True(!f.enter("c", 2))
+	f.leave("c")
+	is.True(f.enter("a", 2))
+	is.Equal(f.count(), 2)
+	f.leave("a")
+	is.True(f.has("a"))
+	f.leave("a")
+	is.True(!f.has("a"))
+	is.True(f.enter("c", 2))
+}
--- a/gateway/admin.go
+++ b/gateway/admin.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"net/http"
 	"runtime"
+
+	"github.com/linkmast/linkmast/catalog"
 )
 
 // adminHandler serves the metrics.
@@ -36,11 +38,15 @@
 	AgeMS     int64 `json:"age_ms"`
 	Endpoints int   `json:"endpoints"`
 	Peers     int   `json:"peers"`
+	// Following is the instance's place among those that hand on what the store says.
+	Following catalog.Figures `json:"following"`
 }
 
 // storeFigures returns the figures; zero while nothing is known.
 func (g *Gateway) storeFigures() storeFigures {
-	var f storeFigures
+	f := storeFigures{
+		Following: g.catalog.Figures(),
+	}
 	if s := g.catalog.Snapshot(); s != nil {
 		f.Version = s.Table.Version
 		f.Endpoints = len(s.Endpoints)
--- a/gateway/announce.go
+++ b/gateway/announce.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/linkmast/linkmast/catalog"
 )
 
 // The times of announcing the instance.
@@ -13,6 +15,10 @@
 	announceTimeout = time.Second
 	// announceRetry is the pause after a call that failed.
 	announceRetry = 500 * time.Millisecond
+	// announceLook is how often an instance that does not know yet who is there
+	// looks whether its entry lacks. One that was there before has an entry, and
+	// makes no call.
+	announceLook = 50 * time.Millisecond
 	// announceCheck is how long an entry may take to show.
 	announceCheck = 3 * time.Second
 )
@@ -21,7 +27,10 @@
 func (g *Gateway) announce(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause := announceCheck
-		if s := g.catalog.Snapshot(); s == nil || s.Peers[g.self.ID] != g.self {
+		switch g.catalog.Entry() {
+		case catalog.EntryUnknown:
+			pause = announceLook
+		case catalog.EntryLacks:
 			if err := g.announceOnce(ctx); err != nil {
 				g.log.V(1).Info("instance can't be announced", "cause", err.Error())
 				pause = announceRetry
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -39,13 +39,31 @@
 }
 
 // Sort orders nodes for a key, the first one first. Of returns a node's name and
-// weight.
+// weight. Each score is computed once: 295 nodes take 0.09 ms in place of 0.50 ms with
+// the scores computed in each comparison (BenchmarkSort).
 func Sort[T any](key string, nodes []T, of func(T) (id string, weight int)) {
-	slices.SortFunc(nodes, func(a, b T) int {
-		ida, wa := of(a)
-		idb, wb := of(b)
-		return cmp.Or(cmp.Compare(Score(key, idb, wb), Score(key, ida, wa)), cmp.Compare(ida, idb))
+	all := make([]scored[T], 0, len(nodes))
+	for _, n := range nodes {
+		id, weight := of(n)
+		all = append(all, scored[T]{
+			node:  n,
+			id:    id,
+			score: Score(key, id, weight),
+		})
+	}
+	slices.SortFunc(all, func(a, b scored[T]) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
 	})
+	for i, s := range all {
+		nodes[i] = s.node
+	}
+}
+
+// scored is a node with its score.
+type scored[T any] struct {
+	node  T
+	id    string
+	score float64
 }
 
 // Index returns a number from 0 to below n that depends on a name and n alone. N must
--- a/internal/rendezvous/rendezvous_test.go
+++ b/internal/rendezvous/rendezvous_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -64,3 +65,16 @@
 		is.True(weak < 40)
 	})
 }
+
+// BenchmarkSort orders the instances of a large fleet. Before each score was computed
+// once per node: see the doc comment of Sort.
+func BenchmarkSort(b *testing.B) {
+	for _, n := range []int{295, 1200} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			all := nodes(n)
+			for b.Loop() {
+				rendezvous.Sort("k", slices.Clone(all), of)
+			}
+		})
+	}
+}
