Notice connections between instances and to the store that go silent for good

Connections may go silent without a reset while new ones work. Those to endpoints were probed; those between instances and to the store were not: a follower left a silent instance after 0.6 s but came back to the same dead connection, and a call of the store that ran out of time was followed by one on the next idle connection, as dead as the first.

The probing of package upstream (keep-alive of 1 s, unacknowledged bytes 2.5 s) is a package of its own, tcp, used for endpoints, instances on both ends, and the store. The listener for callers is left alone: a caller that reads slowly must not be cut.

Ruled out: keep-alive pings of the RPC library, which may come every 10 s at most.

Measured: TestSilentPeers 6 instances follow again and know a change within 2 s; without closing the connection they read the store for good (red).

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -57,6 +57,9 @@
 type Dialer interface {
 	// Conn returns the connection to an address.
 	Conn(address string) (*grpc.ClientConn, error)
+	// Forsake closes the connection to an address, so that the next use opens a new
+	// one.
+	Forsake(address string)
 }
 
 // Catalog follows the store.
--- a/catalog/following.go
+++ b/catalog/following.go
@@ -73,6 +73,10 @@
 		return
 	default:
 	}
+	if errors.Is(err, errSilent) {
+		// The connection may have gone silent for good, while a new one works.
+		c.dialer.Forsake(p.Address)
+	}
 	c.log.Info("no longer follows", "peer", p.ID, "cause", err.Error(), "ms", after.Milliseconds())
 }
 
--- a/catalog/readers_test.go
+++ b/catalog/readers_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/linkmast/linkmast/catalog"
 	"github.com/linkmast/linkmast/catalog/catalogpb"
+	"github.com/linkmast/linkmast/internal/tcp/tcptest"
 	"github.com/linkmast/linkmast/peer"
 )
 
@@ -72,6 +73,13 @@
 
 // group starts instances that know each other.
 func group(t *testing.T, n int) (*fakeStore, []*instance) {
+	t.Helper()
+	return groupAt(t, n, func(address string) string { return address })
+}
+
+// groupAt starts instances that know each other by other addresses than those where
+// they listen.
+func groupAt(t *testing.T, n int, known func(address string) string) (*fakeStore, []*instance) {
 	t.Helper()
 	fake := newFakeStore()
 	fake.put(catalog.Configurations, version(1))
@@ -86,7 +94,7 @@
 		listeners[i] = l
 		selves[i] = catalog.Peer{
 			ID:       fmt.Sprint("n", i),
-			Address:  l.Addr().String(),
+			Address:  known(l.Addr().String()),
 			Capacity: 400,
 		}
 		fake.put(catalog.Peers, &catalog.PeerChange{
@@ -328,3 +336,27 @@
 		}
 	}
 }
+
+// TestSilentPeers lets all open connections between instances go silent for good. They
+// open new ones, and know a change soon after.
+func TestSilentPeers(t *testing.T) {
+	is := is.New(t)
+	var relays []*tcptest.Relay
+	fake, all := groupAt(t, 6, func(address string) string {
+		r, err := tcptest.NewRelay(address)
+		is.NoErr(err)
+		t.Cleanup(r.Close)
+		relays = append(relays, r)
+		return r.Address
+	})
+	awaitReaders(t, all)
+	for _, r := range relays {
+		r.Silence()
+	}
+	silenced := time.Now()
+	fake.put(catalog.Configurations, version(2))
+	assertInForce(t, all, 2)
+	is.True(time.Since(silenced) < 2*time.Second)
+	// They follow again, and don't just read the store themselves.
+	awaitReaders(t, all)
+}
--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -35,7 +35,7 @@
 		Self:       g.self,
 		FirstStart: f.FirstStart,
 		Poll:       time.Duration(f.Times.Revoke) / pollsPerRevoke,
-	}, platform.NewStore(client, f.Platform.Store), g.peers, g.log.WithName("catalog"))
+	}, platform.NewStore(wirehttp.Client(), f.Platform.Store), g.peers, g.log.WithName("catalog"))
 	g.assemblePools()
 	g.assembleServer()
 	g.assembleRelay(client)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -14,6 +13,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/linkmast/linkmast/catalog"
+	"github.com/linkmast/linkmast/internal/tcp"
 	"github.com/linkmast/linkmast/internal/upstream"
 	"github.com/linkmast/linkmast/peer"
 	"github.com/linkmast/linkmast/pool"
@@ -75,7 +75,7 @@
 		open:     newConnections(),
 		stopping: make(chan struct{}),
 	}
-	l, err := net.Listen("tcp", f.PeerListen)
+	l, err := tcp.Listen(f.PeerListen)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -7,11 +7,11 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
-	"golang.org/x/sys/unix"
+
+	"github.com/linkmast/linkmast/internal/tcp"
 )
 
 // The times of connections.
@@ -24,18 +24,6 @@
 	// keepMargin is how much earlier a connection is given up than the
 	// endpoint says, for the time that the request is on its way.
 	keepMargin = 700 * time.Millisecond
-	// unackedTimeout is how long sent bytes and probes may stay unacknowledged
-	// before the kernel gives a connection up.
-	unackedTimeout = 2500 * time.Millisecond
-	// probeIdle and probeEvery are how soon a connection on which nothing comes
-	// is probed, and how often: an endpoint without power is noticed within
-	// three seconds, while one that is just busy answers. The kernel counts in
-	// seconds.
-	probeIdle  = time.Second
-	probeEvery = time.Second
-	// probeCount is how many probes stay without an answer before the kernel
-	// gives the connection up.
-	probeCount = 2
 )
 
 // maxIdle bounds the idle connections to one endpoint: an engine of
@@ -51,7 +39,7 @@
 
 // Pool holds idle connections to endpoints.
 type Pool struct {
-	dialer net.Dialer
+	dialer *net.Dialer
 	// dials counts the connections that were opened.
 	dials atomic.Int64
 
@@ -67,28 +55,11 @@
 		s.Dial = defaultDial
 	}
 	return &Pool{
-		dialer: net.Dialer{
-			Timeout: s.Dial,
-			KeepAliveConfig: net.KeepAliveConfig{
-				Enable:   true,
-				Idle:     probeIdle,
-				Interval: probeEvery,
-				Count:    probeCount,
-			},
-			Control: control,
-		},
-		idle: make(map[string][]*Conn),
+		dialer: tcp.Dialer(s.Dial),
+		idle:   make(map[string][]*Conn),
 	}
 }
 
-// control bounds how long sent bytes may stay unacknowledged.
-func control(_, _ string, c syscall.RawConn) error {
-	// Where the option is missing, the time-outs of requests hold all the same.
-	return c.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-	})
-}
-
 // Dials returns how many connections were opened.
 func (p *Pool) Dials() int64 {
 	return p.dials.Load()
--- a/internal/wirehttp/wirehttp.go
+++ b/internal/wirehttp/wirehttp.go
@@ -8,11 +8,12 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"github.com/linkmast/linkmast/internal/tcp"
 )
 
 // MaxRefusal bounds how much of a refusal is read, in bytes.
@@ -31,12 +32,9 @@
 // redirect and keeps connections open between calls. Time-outs of whole calls
 // are up to the caller's context.
 func Client() *http.Client {
-	dialer := &net.Dialer{
-		Timeout: dialTimeout,
-	}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         tcp.Dialer(dialTimeout).DialContext,
 			MaxIdleConnsPerHost: idlePerHost,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -7,6 +7,8 @@
 package peer
 
 import (
+	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -15,6 +17,8 @@
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/linkmast/linkmast/internal/tcp"
 )
 
 // The times of connections.
@@ -64,6 +68,7 @@
 	}
 	c, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(p.creds),
+		grpc.WithContextDialer(dial),
 		grpc.WithIdleTimeout(idleTimeout),
 		grpc.WithReadBufferSize(bufferBytes),
 		grpc.WithWriteBufferSize(bufferBytes),
@@ -85,6 +90,12 @@
 	return c, nil
 }
 
+// dial opens a connection that is given up when the instance at the other end no longer
+// answers.
+func dial(ctx context.Context, address string) (net.Conn, error) {
+	return tcp.Dialer(connectTimeout).DialContext(ctx, "tcp", address)
+}
+
 // Keep closes the connections to all addresses but those for which keep is
 // true.
 func (p *Pool) Keep(keep func(address string) bool) {
@@ -100,6 +111,12 @@
 	}
 }
 
+// Forsake closes the connection to an address: it may have gone silent for good. The
+// next use opens a new one.
+func (p *Pool) Forsake(address string) {
+	p.Keep(func(a string) bool { return a != address })
+}
+
 // Close closes all connections.
 func (p *Pool) Close() {
 	p.Keep(func(string) bool { return false })
--- a/pool/bench_test.go
+++ b/pool/bench_test.go
@@ -14,11 +14,9 @@
 	"github.com/linkmast/linkmast/route"
 )
 
-// BenchmarkPlace decides on a short request in a pool of 64 engines with twelve requests
-// each: 31 to 34 µs, and 28 to 32 µs before there was a price of engines' time and a look
-// at the work ahead (three runs each, beside other work on the machine).
-func BenchmarkPlace(b *testing.B) {
-	const size, running = 64, 12
+// newBusy returns a scheduler with a pool of engines that run so many requests each.
+func newBusy(b *testing.B, size, running int) *pool.Scheduler {
+	b.Helper()
 	s := pool.NewScheduler(pool.Settings{
 		Self: "n0",
 	}, logr.Discard())
@@ -29,7 +27,7 @@
 		Endpoints: make(map[string]catalog.Endpoint),
 	}
 	for i := range size {
-		name := fmt.Sprintf("e%02d", i)
+		name := fmt.Sprintf("e%04d", i)
 		snap.Endpoints[name] = catalog.Endpoint{
 			Instance: name,
 			Service:  "engines",
@@ -37,17 +35,36 @@
 		}
 	}
 	s.Update(snap)
-	place := func(id string) {
-		if _, err := s.Place(b.Context(), prompt(id, shortPrompt, time.Minute)); err != nil {
+	for i := range size * running {
+		if _, err := s.Place(b.Context(), prompt(fmt.Sprint("r", i), shortPrompt, time.Minute)); err != nil {
 			b.Fatal(err)
 		}
 	}
-	for i := range size * running {
-		place(fmt.Sprint("r", i))
-	}
-	b.ReportAllocs()
-	for b.Loop() {
-		place("one")
-		s.End("one", "engines", pool.Abandoned, "")
+	return s
+}
+
+// BenchmarkPlace decides on a request in pools of several sizes with some requests on
+// each engine.
+func BenchmarkPlace(b *testing.B) {
+	const running = 6
+	for _, row := range []struct {
+		name   string
+		tokens int
+	}{
+		{"short", shortPrompt},
+		{"long", 190_000},
+	} {
+		for _, size := range []int{64, 150, 1000} {
+			b.Run(fmt.Sprint(row.name, "/", size), func(b *testing.B) {
+				s := newBusy(b, size, running)
+				b.ReportAllocs()
+				for b.Loop() {
+					if _, err := s.Place(b.Context(), prompt("one", row.tokens, time.Minute)); err != nil {
+						b.Fatal(err)
+					}
+					s.End("one", "engines", pool.Abandoned, "")
+				}
+			})
+		}
 	}
 }
