Give each instance its own order of plain endpoints

An instance places requests to services without engines by what it has running itself, and took the first one of a fixed order among equals. In a large fleet an instance has nothing running most of the time, so all of them sent to the same endpoint: the busiest of twelve got 4 to 11 times the mean, with six slots and 60 ms of work each. What grows is the number of instances for each request that runs; a small fleet sees it only at calm moments.

Ties go by rendezvous of the instance's and the endpoint's name. An instance with little to do also comes back to the endpoint to which it has a connection.

Ruled out: the number of connections, which is not what made it slow; drawing an endpoint at random, which would open a new connection each time.

Measured: TestPlainSpread, 300 instances, 12 endpoints, a request each: all 300 at one endpoint before, at most twice the mean after.

--- a/pool/aside.go
+++ b/pool/aside.go
@@ -52,6 +52,9 @@
 	// when it did.
 	reporter string
 	reported time.Time
+	// preference is higher for a plain endpoint that the instance prefers among
+	// equals.
+	preference float64
 }
 
 // rateWeight is the weight of one more outcome in an endpoint's failure rate.
--- a/pool/plain.go
+++ b/pool/plain.go
@@ -11,10 +11,14 @@
 )
 
 // tryPlain places a request on the plain endpoint with the least work for its
-// slots, counting recent failures as work.
+// slots, counting recent failures as work. Among equals each instance has an order of
+// its own: with one order for all, 300 instances that had nothing running all sent to
+// the same of twelve endpoints, now to each at most twice its share (TestPlainSpread).
+// An instance goes where it has a connection as long as it has little to do.
 func (s *Scheduler) tryPlain(p *state, w *waiter, list []*placement.Engine, now time.Time) (Grant, bool) {
 	best := slices.MinFunc(list, func(a, b *placement.Engine) int {
-		return cmp.Compare(p.load(a), p.load(b))
+		return cmp.Or(cmp.Compare(p.load(a), p.load(b)),
+			cmp.Compare(p.health[b.Instance].preference, p.health[a.Instance].preference))
 	})
 	addPlain(best, w.ask.ID)
 	return s.grant(p, w, &placement.Plan{
--- /dev/null
+++ b/pool/plain_test.go
@@ -0,0 +1,81 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package pool_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/catalog"
+	"github.com/linkmast/linkmast/pool"
+	"github.com/linkmast/linkmast/route"
+)
+
+// newPlainFleet returns the schedulers of instances that know some plain endpoints.
+func newPlainFleet(instances, endpoints int) []*pool.Scheduler {
+	snap := &catalog.Snapshot{
+		Table:     route.New(1, nil, []route.Service{{Name: "plain"}}, nil, false, route.Limits{}),
+		Endpoints: make(map[string]catalog.Endpoint),
+	}
+	for i := range endpoints {
+		name := fmt.Sprintf("p%02d", i)
+		snap.Endpoints[name] = catalog.Endpoint{
+			Instance: name,
+			Service:  "plain",
+			Slots:    6,
+		}
+	}
+	out := make([]*pool.Scheduler, instances)
+	for i := range out {
+		out[i] = pool.NewScheduler(pool.Settings{
+			Self: fmt.Sprint("n", i),
+		}, logr.Discard())
+		out[i].Update(snap)
+	}
+	return out
+}
+
+// placePlain places a request and returns the endpoint.
+func placePlain(t *testing.T, s *pool.Scheduler, id string) string {
+	t.Helper()
+	g, err := s.Place(t.Context(), pool.Ask{
+		ID:       id,
+		Service:  "plain",
+		Target:   300 * time.Millisecond,
+		Deadline: time.Second,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return g.Instance
+}
+
+// TestPlainSpread lets many instances that have nothing running place a request each.
+func TestPlainSpread(t *testing.T) {
+	is := is.New(t)
+	const instances, endpoints = 300, 12
+	arrivals := make(map[string]int)
+	for _, s := range newPlainFleet(instances, endpoints) {
+		arrivals[placePlain(t, s, "one")]++
+	}
+	is.Equal(len(arrivals), endpoints)
+	for _, n := range arrivals {
+		is.True(n <= 2*instances/endpoints)
+	}
+}
+
+// TestPlainReturns looks that an instance that has nothing running goes to the same
+// endpoint again, to which it has a connection, and to others when it is busy there.
+func TestPlainReturns(t *testing.T) {
+	is := is.New(t)
+	s := newPlainFleet(1, 12)[0]
+	first := placePlain(t, s, "one")
+	second := placePlain(t, s, "two")
+	is.True(first != second)
+	s.End("one", "plain", pool.Served, "")
+	is.Equal(placePlain(t, s, "three"), first)
+}
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -100,6 +100,7 @@
 	p, ok := s.pools[service]
 	if !ok {
 		p = &state{
+			self:    s.settings.Self,
 			engines: make(map[string]*placement.Engine),
 			health:  make(map[string]*health),
 			placed:  make(map[string]*placed),
--- a/pool/state.go
+++ b/pool/state.go
@@ -9,12 +9,15 @@
 
 	"github.com/linkmast/linkmast/batch"
 	"github.com/linkmast/linkmast/catalog"
+	"github.com/linkmast/linkmast/internal/rendezvous"
 	"github.com/linkmast/linkmast/placement"
 	"github.com/linkmast/linkmast/route"
 )
 
 // state is what a scheduler knows of one service.
 type state struct {
+	// self names the instance.
+	self string
 	// engines are the endpoints by instance.
 	engines map[string]*placement.Engine
 	// list is the engines in a fixed order.
@@ -65,7 +68,9 @@
 			Instance: c.Instance,
 		}
 		p.engines[c.Instance] = e
-		p.health[c.Instance] = &health{}
+		p.health[c.Instance] = &health{
+			preference: rendezvous.Score(p.self, c.Instance, 1),
+		}
 		p.list = append(p.list, e)
 		slices.SortFunc(p.list, func(a, b *placement.Engine) int {
 			return cmp.Compare(a.Instance, b.Instance)
