Count a caller's lateness from its first try when slots are given out

After an outage of the store the callers that were told to come back fill the slots together with the new ones. The pool took one that has come back for one that can still be in time, for its whole target, and held it in the queue, while a new caller is refused at once when most slots are in use: the queue took each slot that became free, and nearly all who came were late or refused. On the large fleet this is what is left of the outage of 8 s once the followers are back: 1,142 to 1,268 of 1,270 slots running for six seconds, up to 243 waiting, 748 new callers refused in four seconds.

The entry tells how long ago the caller first asked: what is missing of the route's time, for a caller that names a time which no other names (so that first tries with shorter times of their own are not taken for it). By this a short request of a caller that has come back is late; it goes behind all that can be in time and gets slots while less than four fifths of them are in use, then whatever the price.

TestBackWithEngines now counts from the first try too, and holds.

--- a/pool/decide.go
+++ b/pool/decide.go
@@ -44,7 +44,7 @@
 	switch {
 	case !ok:
 	case now.Add(plan.First).After(w.gone()):
-	case w.outOfSlots(list):
+	case w.outOfSlots(list) || w.yields() && crowded(list):
 	case w.betterLater(&plan, list, now):
 	case !p.covers(w, &plan, now):
 	default:
@@ -69,11 +69,17 @@
 	return plan.Spoils > spoilsTolerated && plan.First < time.Duration(waitShare*float64(left))
 }
 
+// lateFromStart states whether a request was late when it came: its caller has come
+// back, or its first endpoint failed.
+func (w *waiter) lateFromStart() bool {
+	return !w.request.TargetAt.After(w.arrived)
+}
+
 // covers states whether what a request keeps covers what others lose by its plan, and
 // the price of the engines' time that it takes.
 func (p *state) covers(w *waiter, plan *placement.Plan, now time.Time) bool {
 	keeps := w.request.Worth - plan.Loses
-	if keeps < p.priceNow(now)*p.work(w).Seconds() {
+	if !w.yields() && keeps < p.priceNow(now)*p.work(w).Seconds() {
 		return false
 	}
 	if plan.Spoils <= spoilsTolerated {
@@ -85,10 +91,21 @@
 	return keeps > spoilsPrice*plan.Spoils
 }
 
+// yields states whether a request is short and was late when it came. It gets slots
+// while not most of them are in use, and then displaces nobody, whatever the price. It
+// guards against the backlog of an outage keeping the slots from all who come after it:
+// of as many new callers as the slots can take, 0.88 of those that came in the four
+// seconds after an outage of 4 s were in time with it and 62 others served late, 0.49
+// and 169 when callers that have come back counted as new ones (emulated pool of the
+// tests).
+func (w *waiter) yields() bool {
+	return w.lateFromStart() && w.ask.Target <= shedTarget
+}
+
 // lost returns what a request loses for want of room by a plan that makes it late. One
 // that was late when it came, like one whose first engine failed, loses nothing more.
 func (w *waiter) lost(plan *placement.Plan) float64 {
-	if !w.late || !w.request.TargetAt.After(w.arrived) {
+	if !w.late || w.lateFromStart() {
 		return 0
 	}
 	return plan.Loses
--- a/pool/messages.go
+++ b/pool/messages.go
@@ -23,6 +23,7 @@
 		Exclude:    a.Exclude,
 		Again:      a.Again,
 		Returning:  a.Returning,
+		SpentUs:    a.Spent.Microseconds(),
 		Avoid:      a.Avoid,
 	}
 }
@@ -42,6 +43,7 @@
 		Exclude:   m.GetExclude(),
 		Again:     m.GetAgain(),
 		Returning: m.GetReturning(),
+		Spent:     microseconds(m.GetSpentUs()),
 		Avoid:     m.GetAvoid(),
 	}
 }
--- a/pool/overload_test.go
+++ b/pool/overload_test.go
@@ -55,10 +55,15 @@
 
 	mu      sync.Mutex
 	engines map[string]*placement.Engine
-	// arrived and inTime count requests by the second of their arrival.
+	// arrived, inTime and late count requests by the second of their first try: how
+	// many came, and how many had their first event in time, or later.
 	arrived map[int]int
 	inTime  map[int]int
-	began   time.Time
+	late    map[int]int
+	// outage is up to when nobody is served. Those that come before are told to come
+	// back, one after the other.
+	outage time.Duration
+	began  time.Time
 }
 
 func newEmulation() *emulation {
@@ -67,6 +72,7 @@
 		engines: make(map[string]*placement.Engine),
 		arrived: make(map[int]int),
 		inTime:  make(map[int]int),
+		late:    make(map[int]int),
 		began:   time.Now(),
 	}
 	snap := &catalog.Snapshot{
@@ -106,39 +112,60 @@
 func (m *emulation) run(ctx context.Context, pause func(at time.Duration) time.Duration, end time.Duration) {
 	var all sync.WaitGroup
 	for i := 0; time.Since(m.began) < end; i++ {
-		all.Go(func() { m.caller(ctx, fmt.Sprint("r", i)) })
+		all.Go(func() { m.caller(ctx, i) })
 		time.Sleep(pause(time.Since(m.began)))
 	}
 	all.Wait()
 }
 
-// caller sends one request, and once more when it is refused.
-func (m *emulation) caller(ctx context.Context, id string) {
+// caller sends a request, and once more when it is refused.
+func (m *emulation) caller(ctx context.Context, i int) {
+	began := time.Now()
 	second := int(time.Since(m.began) / time.Second)
 	m.mu.Lock()
 	m.arrived[second]++
 	m.mu.Unlock()
 	for try := range 2 {
-		a := prompt(fmt.Sprint(id, ".", try), shortPrompt, shortTarget)
+		if time.Since(m.began) < m.outage {
+			time.Sleep(outageAfter(i))
+			continue
+		}
+		a := prompt(fmt.Sprint("r", i, ".", try), shortPrompt, shortTarget)
 		a.Output = shortOutput
 		a.Gap = 250 * time.Millisecond
 		a.Returning = try > 0
-		sent := time.Now()
+		a.Spent = time.Since(began)
 		first, err := m.attempt(ctx, a)
 		var r *pool.Refusal
 		if errors.As(err, &r) {
 			time.Sleep(r.After)
 			continue
 		}
-		if err == nil && first.Sub(sent) <= shortTarget {
-			m.mu.Lock()
-			m.inTime[second]++
-			m.mu.Unlock()
+		if err == nil {
+			m.served(second, first.Sub(began) <= shortTarget)
 		}
 		return
 	}
 }
 
+// outageAfter returns when a caller comes back that was refused in an outage: spread
+// over a sixth to a third of ten seconds.
+func outageAfter(i int) time.Duration {
+	const least, spread, step = 1667, 1666, 389
+	return time.Duration(least+i*step%spread) * time.Millisecond
+}
+
+// served counts the answer to a request by the second of its first try.
+func (m *emulation) served(second int, inTime bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if inTime {
+		m.inTime[second]++
+		return
+	}
+	m.late[second]++
+}
+
 // attempt runs a request and returns when its first event came.
 func (m *emulation) attempt(ctx context.Context, a pool.Ask) (time.Time, error) {
 	ctx, cancel := context.WithTimeout(ctx, patience)
@@ -205,6 +232,28 @@
 	return float64(inTime) / float64(arrived)
 }
 
+// TestFreshAfterOutage ends an outage in which callers were told to come back, while as
+// many new ones come as the slots can take. Those that come for the first time can still
+// be in time and go before those that are late already, who get the room that is left.
+func TestFreshAfterOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := newEmulation()
+		m.outage = 4 * time.Second
+		ctx, stop := background(t, m.s.Run)
+		defer stop()
+		m.run(ctx, func(time.Duration) time.Duration { return time.Second / 42 }, 12*time.Second)
+		late := 0
+		for s := range 12 {
+			late += m.late[s]
+		}
+		t.Log("in time:", m.share(4, 8), "then", m.share(8, 12), "late:", late)
+		is.True(m.share(4, 8) > 0.85) // 0.49 when their age does not count
+		is.True(m.share(8, 12) > 0.98)
+		is.True(late > 50) // of some 120 that come back when they can be served
+	})
+}
+
 // TestBackWithEngines slows a third of the engines for some seconds while more short
 // prompts come than the slots can take. It looks that the sound engines go on serving
 // in time, as they don't when callers that have come back fill the slots with late
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -181,7 +181,7 @@
 			Prompt:   a.Prompt,
 			Output:   a.Output,
 			Gap:      a.Gap,
-			TargetAt: now.Add(a.Target),
+			TargetAt: now.Add(a.Target - a.Spent),
 			GiveUpAt: now.Add(max(giveUpLeast, giveUpTargets*a.Target, giveUpGaps*a.Gap)),
 			Worth:    s.settings.WorthBase + s.settings.WorthPerToken*float64(a.Prompt),
 			Exclude:  a.Exclude,
--- a/pool/types.go
+++ b/pool/types.go
@@ -38,6 +38,9 @@
 	// Returning states that the caller has come back after a refusal, or tries
 	// again.
 	Returning bool
+	// Spent is how long before Target began to count the caller first asked: a
+	// caller that has come back is late by its first try.
+	Spent time.Duration
 	// Again states that the request was sent to an endpoint before.
 	Again bool
 }
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -25,6 +25,9 @@
 	body     []byte
 	arrived  time.Time
 	deadline time.Time
+	// spent is how long before it arrived its caller first asked; zero at a first
+	// try.
+	spent time.Duration
 	// keyed states that the request needs a key.
 	keyed bool
 
@@ -44,7 +47,8 @@
 
 // admit checks a request against the configuration in force and reads it.
 func (l *Relay) admit(h Head, r *http.Request, arrived time.Time) (*job, *refusal) {
-	known := l.awaitKnown(r.Context(), h.Wait)
+	common := l.waits.common(h.Wait)
+	known := l.awaitKnown(r.Context(), h.Wait, common)
 	if known == nil {
 		return nil, unavailable("no configuration yet", l.afterOutage(h.Wait))
 	}
@@ -54,6 +58,9 @@
 		return l.unknown("no route", http.StatusNotFound, h, known.Table)
 	}
 	j := newJob(h, r, rt, known.Table, arrived)
+	if !common {
+		j.spent = spent(h.Wait, rt)
+	}
 	if j.keyed {
 		if late := l.tooOldForKeys(h.Wait); late != nil {
 			return nil, late
@@ -88,6 +95,19 @@
 	}
 }
 
+// returnSlack is how much less than the route's time a caller may name at its
+// first try.
+const returnSlack = 100 * time.Millisecond
+
+// spent returns how long ago a caller first asked that names a time which others don't:
+// a first try has all of the route's time, one that has come back what is left of it.
+func spent(wait time.Duration, rt *route.Route) time.Duration {
+	if wait <= 0 || wait >= rt.Timeout-returnSlack {
+		return 0
+	}
+	return rt.Timeout - wait
+}
+
 // allowed returns the time that a request has on a route when its caller waits for
 // so long; zero means that the caller does not say.
 func allowed(wait time.Duration, rt *route.Route) time.Duration {
--- a/relay/known.go
+++ b/relay/known.go
@@ -27,15 +27,16 @@
 // at once for a caller at its first try, who does better to come back, and holds the
 // request of a caller that has come back and may have no further try. When this takes
 // too long for a caller that waits for the given time, or ctx ends, it returns what
-// there is, which may be nil. A wait of zero means that the caller does not say.
-func (l *Relay) awaitKnown(ctx context.Context, wait time.Duration) *catalog.Snapshot {
+// there is, which may be nil. A wait of zero means that the caller does not say. Common
+// states that others have named the same time, so that this is its first try.
+func (l *Relay) awaitKnown(ctx context.Context, wait time.Duration, common bool) *catalog.Snapshot {
 	if known, ok := l.knows(); ok {
 		return known
 	}
 	held := l.held.Add(1)
 	defer l.held.Add(-1)
 	until := time.Now()
-	if !l.waits.common(wait) && held <= maxHeld {
+	if !common && held <= maxHeld {
 		until = until.Add(time.Duration(startShare * float64(wait)))
 	}
 	for {
--- a/relay/known_test.go
+++ b/relay/known_test.go
@@ -52,10 +52,7 @@
 					},
 					Age: func() (time.Duration, bool) { return 0, time.Since(began) >= row.aged },
 				})
-				if row.common {
-					l.waits.common(row.wait)
-				}
-				got := l.awaitKnown(t.Context(), row.wait)
+				got := l.awaitKnown(t.Context(), row.wait, row.common)
 				is.Equal(got != nil, row.served)
 				took := time.Since(began)
 				is.True(took >= row.want)
@@ -78,9 +75,9 @@
 		var atOnce atomic.Int64
 		began := time.Now()
 		var all sync.WaitGroup
-		for i := range maxHeld + more {
+		for range maxHeld + more {
 			all.Go(func() {
-				l.awaitKnown(t.Context(), time.Minute+time.Duration(i))
+				l.awaitKnown(t.Context(), time.Minute, false)
 				if time.Since(began) == 0 {
 					atOnce.Add(1)
 				}
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -141,25 +141,21 @@
 	return ""
 }
 
-// returnSlack is how much less than the route's time a caller may name at its
-// first try.
-const returnSlack = 100 * time.Millisecond
-
 // ask describes the request to the pool.
 func (l *Relay) ask(j *job) pool.Ask {
 	a := pool.Ask{
-		ID:       j.head.ID + "." + l.settings.Self + "." + strconv.FormatUint(l.counter.Add(1), 36),
-		Service:  j.service,
-		Customer: j.customer,
-		Rank:     j.rank,
-		Prompt:   j.head.PromptTokens,
-		Output:   j.head.OutputTokens,
-		Target:   j.route.Target - time.Since(j.arrived),
-		Deadline: j.left(),
-		Exclude:  j.exclude,
-		Again:    j.sends > 0,
-		// A first try has all of the route's time.
-		Returning: j.head.Wait > 0 && j.head.Wait < j.route.Timeout-returnSlack,
+		ID:        j.head.ID + "." + l.settings.Self + "." + strconv.FormatUint(l.counter.Add(1), 36),
+		Service:   j.service,
+		Customer:  j.customer,
+		Rank:      j.rank,
+		Prompt:    j.head.PromptTokens,
+		Output:    j.head.OutputTokens,
+		Target:    j.route.Target - time.Since(j.arrived),
+		Deadline:  j.left(),
+		Exclude:   j.exclude,
+		Again:     j.sends > 0,
+		Returning: j.spent > 0,
+		Spent:     j.spent,
 	}
 	if j.route.Kind == route.Streaming {
 		a.Gap = j.route.GapTarget
--- a/relay/waits.go
+++ b/relay/waits.go
@@ -15,21 +15,21 @@
 	seen map[time.Duration]struct{}
 }
 
-// maxWaits bounds the times that are remembered; there are a few for each route.
+// maxWaits bounds the times that are remembered. There are a few for each route; what
+// callers name that come back fills the rest, and then all are learned anew.
 const maxWaits = 256
 
-// common states whether another request has named the same time, and remembers it.
+// common states whether another request has named the same time, and remembers it. It
+// is asked once for each request.
 func (w *waits) common(wait time.Duration) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if _, ok := w.seen[wait]; ok {
 		return true
 	}
-	if w.seen == nil {
+	if w.seen == nil || len(w.seen) >= maxWaits {
 		w.seen = make(map[time.Duration]struct{})
 	}
-	if len(w.seen) < maxWaits {
-		w.seen[wait] = struct{}{}
-	}
+	w.seen[wait] = struct{}{}
 	return false
 }
