Let instances that start together spread over the engines, and wait for the owner

After the loss of all instances each places alone until it has a session with the pool's owner. All fill the engines from the front of one fixed order, which is right where one decides: 300 at once filled the same few. And a session that came before the owner knew the endpoints was turned away and tried again 0.3 s later. What grows is the number of instances that start together.

Who places alone begins at another engine of the order, by its name. The owner holds a session until it knows the endpoints.

Ruled out: letting requests wait for the owner for some 150 ms; with the spread nothing is rejected, so the wait would only cost time.

TestAloneSpread 300 at one engine before, at most 10 after; TestOwnerNotReady up to 0.3 s before, below 0.1 s after.

--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -60,7 +60,7 @@
 // assembleServer makes what serves other instances.
 func (g *Gateway) assembleServer() {
 	g.rpc = grpc.NewServer(grpc.ReadBufferSize(rpcBuffer), grpc.WriteBufferSize(rpcBuffer))
-	poolpb.RegisterPoolServer(g.rpc, pool.NewServer(g.pools, g.owns, g.stopping))
+	poolpb.RegisterPoolServer(g.rpc, pool.NewServer(g.pools, g.known, g.stopping))
 	catalogpb.RegisterCatalogServer(g.rpc, catalog.NewServer(g.catalog, g.stopping))
 }
 
@@ -114,8 +114,3 @@
 // was taken away, up to which a configuration's age is trusted. The rest is for
 // the time between the check and the endpoint.
 const maxAgeShare = 0.8
-
-// owns states whether the instance can own pools.
-func (g *Gateway) owns() bool {
-	return g.catalog.Snapshot() != nil
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,6 +55,8 @@
 	servers []*http.Server
 	callers *http.Server
 	open    *connections
+	// known is closed once the pools know their endpoints.
+	known chan struct{}
 	// stopping is closed when a stop begins, and cancel ends the parts.
 	stopping chan struct{}
 	cancel   context.CancelFunc
@@ -73,6 +75,7 @@
 		dropped:  dropped,
 		upstream: upstream.New(upstream.Settings{}),
 		open:     newConnections(),
+		known:    make(chan struct{}),
 		stopping: make(chan struct{}),
 	}
 	l, err := tcp.Listen(f.PeerListen)
@@ -107,6 +110,7 @@
 			g.placer.Update(s)
 			if !known {
 				known = true
+				close(g.known)
 				g.log.Info("ready", "version", s.Table.Version, "endpoints", len(s.Endpoints))
 			}
 		}
--- /dev/null
+++ b/pool/alone_test.go
@@ -0,0 +1,65 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/batch"
+	"github.com/linkmast/linkmast/catalog"
+	"github.com/linkmast/linkmast/route"
+)
+
+// TestAloneSpread lets many instances that have just started, and no owner to ask yet,
+// place a request each. No engine gets more than it has slots for.
+func TestAloneSpread(t *testing.T) {
+	is := is.New(t)
+	const instances, engines, slots = 300, 150, 10
+	snap := &catalog.Snapshot{
+		Table: route.New(1, nil, []route.Service{{
+			Name: "engines",
+			Engine: &batch.Model{
+				Slots:         slots,
+				Capacity:      200_000,
+				Stride:        68,
+				Step:          time.Millisecond,
+				ReadPerSecond: 200_000,
+			},
+		}}, nil, false, route.Limits{}),
+		Endpoints: make(map[string]catalog.Endpoint),
+	}
+	for i := range engines {
+		name := fmt.Sprintf("e%03d", i)
+		snap.Endpoints[name] = catalog.Endpoint{
+			Instance: name,
+			Service:  "engines",
+			Slots:    slots,
+		}
+	}
+	arrivals := make(map[string]int)
+	for i := range instances {
+		s := NewScheduler(Settings{
+			Self: fmt.Sprint("n", i),
+		}, logr.Discard())
+		s.Update(snap)
+		g, err := s.place(t.Context(), Ask{
+			ID:       "one",
+			Service:  "engines",
+			Prompt:   5000,
+			Output:   1000,
+			Target:   400 * time.Millisecond,
+			Gap:      250 * time.Millisecond,
+			Deadline: 10 * time.Second,
+		}, true)
+		is.NoErr(err)
+		arrivals[g.Instance]++
+	}
+	for _, n := range arrivals {
+		is.True(n <= slots) // 300 at one engine with one order for all
+	}
+}
--- a/pool/decide.go
+++ b/pool/decide.go
@@ -3,8 +3,10 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
+	"github.com/linkmast/linkmast/internal/rendezvous"
 	"github.com/linkmast/linkmast/placement"
 )
 
@@ -39,6 +41,9 @@
 	if p.plain {
 		return s.tryPlain(p, w, list, now)
 	}
+	if w.alone {
+		list = s.turned(list)
+	}
 	plan, ok := placement.Make(list, w.request, now)
 	w.late = !ok || plan.Loses > lateFrom*w.request.Worth
 	switch {
@@ -55,6 +60,15 @@
 	return Grant{}, false
 }
 
+// turned returns the engines in an order that begins at another one on each instance.
+// Prompts fill the engines from the front, which is right where one instance decides.
+// Many that place alone all filled the same ones: of 300 instances that started
+// together, 420 of the first 500 requests were rejected by full engines.
+func (s *Scheduler) turned(list []*placement.Engine) []*placement.Engine {
+	at := rendezvous.Index(s.settings.Self, len(list))
+	return slices.Concat(list[at:], list[:at])
+}
+
 // betterLater states whether a request should wait for a better moment: it would be
 // late now and may still be in time, or costs others something now and has time left.
 // With a short target no such moment comes early enough.
--- a/pool/links_test.go
+++ b/pool/links_test.go
@@ -128,3 +128,24 @@
 		is.Equal(sent, 2) // 320 * 0.75 / 2 for all that are alone, a sixtieth for each
 	})
 }
+
+// TestOwnerNotReady starts an instance before the owner of its pool knows the endpoints.
+// It has the owner as soon as that does, and not at its next try.
+func TestOwnerNotReady(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 0)
+	f.add(0)
+	f.add(1)
+	first, second := f.nodes[0], f.nodes[1]
+	// Who owns the pool is not known here: neither may be ready, then both are.
+	first.client.Update(f.snap)
+	second.client.Update(f.snap)
+	time.Sleep(150 * time.Millisecond)
+	first.scheduler.Update(f.snap)
+	second.scheduler.Update(f.snap)
+	close(first.known)
+	close(second.known)
+	ready := time.Now()
+	f.owner("")
+	is.True(time.Since(ready) < 100*time.Millisecond) // up to 300 ms with another try
+}
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -28,7 +28,9 @@
 	scheduler *pool.Scheduler
 	client    *pool.Client
 	rpc       *grpc.Server
-	closing   chan struct{}
+	// known is closed once the instance knows the endpoints.
+	known   chan struct{}
+	closing chan struct{}
 }
 
 // fleet is some instances that know each other.
@@ -61,12 +63,18 @@
 		f.add(i)
 	}
 	for _, n := range f.nodes {
-		n.scheduler.Update(f.snap)
-		n.client.Update(f.snap)
+		n.learn(f.snap)
 	}
 	return f
 }
 
+// learn tells an instance of the endpoints.
+func (n *node) learn(snap *catalog.Snapshot) {
+	n.scheduler.Update(snap)
+	n.client.Update(snap)
+	close(n.known)
+}
+
 func model() *batch.Model {
 	return &batch.Model{
 		Slots:         4,
@@ -98,6 +106,7 @@
 			Capacity: 400,
 		},
 		rpc:     grpc.NewServer(),
+		known:   make(chan struct{}),
 		closing: make(chan struct{}),
 	}
 	n.scheduler = pool.NewScheduler(pool.Settings{
@@ -110,7 +119,7 @@
 	}, logr.Discard())
 	conns := peer.New(nil)
 	n.client = pool.NewClient(n.self, n.scheduler, conns, logr.Discard())
-	poolpb.RegisterPoolServer(n.rpc, pool.NewServer(n.scheduler, func() bool { return true }, n.closing))
+	poolpb.RegisterPoolServer(n.rpc, pool.NewServer(n.scheduler, n.known, n.closing))
 	ctx, cancel := context.WithCancel(context.Background())
 	go n.rpc.Serve(l)
 	go n.scheduler.Run(ctx)
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -60,6 +60,8 @@
 	refuse chan *Refusal
 	// late states that the last plan made the request late.
 	late bool
+	// alone states that no owner of the pool could be asked.
+	alone bool
 }
 
 // NewScheduler returns a scheduler without endpoints.
@@ -126,6 +128,7 @@
 		return Grant{}, r
 	}
 	w := s.waiter(a, now)
+	w.alone = alone
 	if g, ok := s.try(p, w, now); ok {
 		s.mu.Unlock()
 		return g, nil
--- a/pool/server.go
+++ b/pool/server.go
@@ -24,17 +24,18 @@
 	poolpb.UnimplementedPoolServer
 
 	scheduler *Scheduler
-	// ready states whether the endpoints are known.
-	ready func() bool
+	// known is closed once the endpoints are known.
+	known <-chan struct{}
 	// closing ends all sessions.
 	closing <-chan struct{}
 }
 
-// NewServer returns a server. Sessions end when closing is closed.
-func NewServer(s *Scheduler, ready func() bool, closing <-chan struct{}) *Server {
+// NewServer returns a server. Sessions begin once known is closed, and end when closing
+// is.
+func NewServer(s *Scheduler, known, closing <-chan struct{}) *Server {
 	return &Server{
 		scheduler: s,
-		ready:     ready,
+		known:     known,
 		closing:   closing,
 	}
 }
@@ -59,8 +60,13 @@
 
 // Session implements poolpb.PoolServer.
 func (s *Server) Session(stream grpc.BidiStreamingServer[poolpb.FromEntry, poolpb.FromOwner]) error {
-	if !s.ready() {
-		return status.Error(codes.Unavailable, "endpoints are not known yet")
+	// Instances that start together come before the endpoints are known.
+	select {
+	case <-s.known:
+	case <-stream.Context().Done():
+		return stream.Context().Err()
+	case <-s.closing:
+		return status.Error(codes.Unavailable, "stopping")
 	}
 	x := &session{
 		server:   s,
