Let the soak silence connections for good, lose all instances in an outage, and leave anywhere

The loopback proxy was a type of the soak, and a second one with another name had come with the tests of silent connections; it is one type of package tcptest now, with both. New faults: the open connections to the store or to an endpoint go silent without an end, all instances are killed while the store turns everybody away and start before it is back. Callers that leave early do so at a drawn moment of a second in place of always 50 ms.

--- a/catalog/readers_test.go
+++ b/catalog/readers_test.go
@@ -341,16 +341,16 @@
 // open new ones, and know a change soon after.
 func TestSilentPeers(t *testing.T) {
 	is := is.New(t)
-	var relays []*tcptest.Relay
+	var proxies []*tcptest.Proxy
 	fake, all := groupAt(t, 6, func(address string) string {
-		r, err := tcptest.NewRelay(address)
+		r, err := tcptest.NewProxy(address)
 		is.NoErr(err)
 		t.Cleanup(r.Close)
-		relays = append(relays, r)
+		proxies = append(proxies, r)
 		return r.Address
 	})
 	awaitReaders(t, all)
-	for _, r := range relays {
+	for _, r := range proxies {
 		r.Silence()
 	}
 	silenced := time.Now()
--- a/soak/proxy.go
+++ b/internal/tcp/tcptest/proxy.go
@@ -1,6 +1,8 @@
 // Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
 
-package soak
+// Package tcptest is a link between processes that can fail: it delays, resets, silences
+// or cuts connections, one way or for good.
+package tcptest
 
 import (
 	"io"
@@ -34,7 +36,10 @@
 	mu      sync.Mutex
 	link    Link
 	changed chan struct{}
-	conns   map[net.Conn]struct{}
+	// conns are both ends of the connections that are passed on, and silent of those
+	// that went silent for good.
+	conns  map[net.Conn]struct{}
+	silent map[net.Conn]struct{}
 }
 
 // NewProxy starts a proxy before a target. Close ends it.
@@ -49,6 +54,7 @@
 		listener: l,
 		changed:  make(chan struct{}),
 		conns:    make(map[net.Conn]struct{}),
+		silent:   make(map[net.Conn]struct{}),
 	}
 	go p.accept()
 	return p, nil
@@ -66,6 +72,16 @@
 	}
 }
 
+// Silence makes all open connections silent for good: nothing comes through any more, and
+// neither end is told. New ones work.
+func (p *Proxy) Silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		p.silent[c] = struct{}{}
+	}
+}
+
 // Close ends the proxy and its connections.
 func (p *Proxy) Close() {
 	// Nothing is left to do about an error.
@@ -132,6 +148,7 @@
 func (p *Proxy) drop(c net.Conn) {
 	p.mu.Lock()
 	delete(p.conns, c)
+	delete(p.silent, c)
 	p.mu.Unlock()
 	reset(c)
 }
@@ -145,6 +162,12 @@
 	buf := make([]byte, copyBytes)
 	for {
 		n, err := from.Read(buf)
+		if p.isSilent(from) {
+			if err != nil {
+				return
+			}
+			continue
+		}
 		p.wait(silenced)
 		if n > 0 {
 			if _, err := to.Write(buf[:n]); err != nil {
@@ -165,6 +188,14 @@
 	}
 }
 
+// isSilent states whether a connection has gone silent for good.
+func (p *Proxy) isSilent(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, silent := p.silent[c]
+	return silent
+}
+
 // wait holds data back while the link says so.
 func (p *Proxy) wait(silenced func(Link) bool) {
 	for {
--- /dev/null
+++ b/internal/tcp/tcptest/proxy_test.go
@@ -0,0 +1,99 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package tcptest
+
+import (
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// echo serves what comes back.
+func echo(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				io.Copy(c, c)
+				c.Close()
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func TestProxy(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		link Link
+		want string
+	}{
+		{"well", Link{}, "hello"},
+		{"slow", Link{Delay: 20 * time.Millisecond}, "hello"},
+		{"silent up", Link{Up: true}, ""},
+		{"silent down", Link{Down: true}, ""},
+		{"reset", Link{Reset: true}, ""},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			p, err := NewProxy(echo(t))
+			is.NoErr(err)
+			defer p.Close()
+			p.Set(row.link)
+			is.Equal(heard(t, p.Address), row.want)
+		})
+	}
+}
+
+// TestSilence makes a connection silent for good. The next one works.
+func TestSilence(t *testing.T) {
+	is := is.New(t)
+	p, err := NewProxy(echo(t))
+	is.NoErr(err)
+	defer p.Close()
+	c, err := net.Dial("tcp", p.Address)
+	is.NoErr(err)
+	defer c.Close()
+	is.Equal(answer(c), "hello")
+	p.Silence()
+	is.Equal(answer(c), "")
+	is.Equal(heard(t, p.Address), "hello")
+}
+
+// heard says hello to an address and returns what comes back. A reset may already
+// be seen by the dial.
+func heard(t *testing.T, address string) string {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if errors.Is(err, syscall.ECONNRESET) {
+		return ""
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	return answer(c)
+}
+
+// answer says hello on a connection and returns what comes back.
+func answer(c net.Conn) string {
+	c.Write([]byte("hello"))
+	c.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+	buf := make([]byte, 5)
+	n, _ := io.ReadFull(c, buf)
+	return string(buf[:n])
+}
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -62,8 +62,9 @@
 	pauseMean = 60 * time.Millisecond
 	// maxBodyLength bounds the length of bodies, in bytes.
 	maxBodyLength = 3000
-	// leaveAfter is when a caller leaves that leaves early: before most answers.
-	leaveAfter = 50 * time.Millisecond
+	// leaveWithin bounds when a caller leaves that leaves early: while its request is
+	// read, waits, runs, or its answer comes.
+	leaveWithin = time.Second
 	// callerSlack is how much longer than the request's time a caller waits, for
 	// the refusal to arrive.
 	callerSlack = time.Second
@@ -119,7 +120,11 @@
 		case 1:
 			x.Key = c.world.anyKey(r)
 		}
-		c.send(client, &x, r.Float64() < giveUpShare, promptOf(r))
+		leave := time.Duration(0)
+		if r.Float64() < giveUpShare {
+			leave = time.Duration(1 + r.Int64N(int64(leaveWithin)))
+		}
+		c.send(client, &x, leave, promptOf(r))
 		c.mu.Lock()
 		c.history = append(c.history, x)
 		c.mu.Unlock()
@@ -136,11 +141,12 @@
 	return shortPrompt + r.IntN(shortSpread)
 }
 
-// send makes one exchange. With leave set the caller leaves early.
-func (c *callers) send(client *http.Client, x *Exchange, leave bool, prompt int) {
+// send makes one exchange. The caller leaves after a time; zero means that it waits for
+// the answer.
+func (c *callers) send(client *http.Client, x *Exchange, leave time.Duration, prompt int) {
 	timeout := requestTimeout + callerSlack
-	if leave {
-		timeout = leaveAfter
+	if leave > 0 {
+		timeout = leave
 		x.GaveUp = true
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -7,7 +7,8 @@
 // A schedule is drawn from a seed: signals to processes (SIGTERM, SIGKILL,
 // SIGSTOP and SIGCONT, SIGHUP), faults of the store and of endpoints, loopback
 // proxies that delay, reset, silence or cut connections one way, keys that are
-// taken away, endpoints that leave. Faults overlap and repeat. Callers keep
+// taken away, endpoints that leave, connections that go silent for good, the loss of
+// all instances in an outage of the store, callers that leave at any moment. Faults overlap and repeat. Callers keep
 // using their connections until the process is gone. At the end all faults are
 // lifted and the system must be well again.
 //
--- a/soak/judge_left.go
+++ b/soak/judge_left.go
@@ -40,6 +40,7 @@
 			continue
 		}
 		_, link := endpointLinks[p.step.Kind]
+		link = link || p.step.Kind == endpointsSilent
 		frozen := p.step.Kind == "freeze" && p.step.Target%len(w.processes) == x.Instance
 		if link || frozen {
 			return true
--- a/soak/play.go
+++ b/soak/play.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/linkmast/linkmast/internal/tcp/tcptest"
 	"github.com/linkmast/linkmast/platform/platformtest"
 )
 
@@ -69,13 +70,13 @@
 	if l, ok := storeLinks[s.Kind]; ok {
 		p.store.Set(l)
 		time.Sleep(s.For)
-		p.store.Set(Link{})
+		p.store.Set(tcptest.Link{})
 		return
 	}
 	if l, ok := endpointLinks[s.Kind]; ok {
 		e.proxy.Set(l)
 		time.Sleep(s.For)
-		e.proxy.Set(Link{})
+		e.proxy.Set(tcptest.Link{})
 		return
 	}
 	w.doOther(s, p, e)
@@ -110,14 +111,14 @@
 }
 
 // storeLinks are the kinds of link between an instance and the store.
-var storeLinks = map[string]Link{
+var storeLinks = map[string]tcptest.Link{
 	"store link silent":  {Up: true, Down: true},
 	"store link one way": {Down: true},
 	"store link reset":   {Reset: true},
 }
 
 // endpointLinks are the kinds of link before an endpoint.
-var endpointLinks = map[string]Link{
+var endpointLinks = map[string]tcptest.Link{
 	"endpoint link slow":    {Delay: linkDelay},
 	"endpoint link reset":   {Reset: true},
 	"endpoint link one way": {Down: true},
@@ -145,9 +146,31 @@
 		w.leave(e, s.For)
 	case "key taken away":
 		w.takeAway()
+	case "store connections silent":
+		p.store.Silence()
+	case endpointsSilent:
+		e.proxy.Silence()
+	case "all lost in an outage":
+		w.loseAll(s.For)
 	}
 }
 
+// loseAll kills all instances while the store turns everybody away, and starts them
+// before it is back.
+func (w *World) loseAll(outage time.Duration) {
+	w.store.SetFaults(storeFaults["store refuses"])
+	var all sync.WaitGroup
+	for _, p := range w.processes {
+		all.Go(func() {
+			p.signal(syscall.SIGKILL, true)
+			w.restart(p, outage)
+		})
+	}
+	time.Sleep(outage)
+	w.store.SetFaults(platformtest.StoreFaults{})
+	all.Wait()
+}
+
 // restartPart divides a step's time into that for which an instance stays away after
 // it has ended.
 const restartPart = 4
--- a/soak/process.go
+++ b/soak/process.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/linkmast/linkmast/internal/tcp/tcptest"
 )
 
 // process is one instance of the system.
@@ -26,7 +28,7 @@
 	// settings is the path of its settings file.
 	settings string
 	// store is the proxy between the instance and the store.
-	store *Proxy
+	store *tcptest.Proxy
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -86,7 +88,7 @@
 		name: fmt.Sprintf("n-%d", i),
 	}
 	var err error
-	if p.store, err = NewProxy(w.storeAddr); err != nil {
+	if p.store, err = tcptest.NewProxy(w.storeAddr); err != nil {
 		return errors.Wrap(err, "soak")
 	}
 	peers := ""
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -36,8 +36,12 @@
 	{"endpoint rejects", 1}, {"endpoint fails", 1}, {"endpoint cuts streams", 2}, {"endpoint silent", 1},
 	{"endpoint loses answers", 2}, {"endpoint link slow", 1}, {"endpoint link reset", 1}, {"endpoint link one way", 1},
 	{"endpoint leaves", 2}, {"key taken away", 3},
+	{"store connections silent", 2}, {endpointsSilent, 2}, {"all lost in an outage", 1},
 }
 
+// endpointsSilent lets the open connections to an endpoint go silent for good.
+const endpointsSilent = "endpoint connections silent"
+
 // Draw returns the schedule of a seed: faults that come every second or so for a
 // time, some of them together.
 func Draw(seed uint64, length time.Duration, processes int) []Step {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -3,10 +3,6 @@
 package soak
 
 import (
-	"errors"
-	"io"
-	"net"
-	"syscall"
 	"testing"
 	"time"
 
@@ -32,71 +28,6 @@
 	is.Equal(len(seen), len(kinds)) // every kind is drawn by some seed
 }
 
-// echo serves what comes back.
-func echo(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				io.Copy(c, c)
-				c.Close()
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
-
-func TestProxy(t *testing.T) {
-	for _, row := range []struct {
-		name string
-		link Link
-		want string
-	}{
-		{"well", Link{}, "hello"},
-		{"slow", Link{Delay: 20 * time.Millisecond}, "hello"},
-		{"silent up", Link{Up: true}, ""},
-		{"silent down", Link{Down: true}, ""},
-		{"reset", Link{Reset: true}, ""},
-	} {
-		t.Run(row.name, func(t *testing.T) {
-			is := is.New(t)
-			p, err := NewProxy(echo(t))
-			is.NoErr(err)
-			defer p.Close()
-			p.Set(row.link)
-			is.Equal(heard(t, p.Address), row.want)
-		})
-	}
-}
-
-// heard says hello to an address and returns what comes back. A reset may already
-// be seen by the dial.
-func heard(t *testing.T, address string) string {
-	t.Helper()
-	c, err := net.Dial("tcp", address)
-	if errors.Is(err, syscall.ECONNRESET) {
-		return ""
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	c.Write([]byte("hello"))
-	c.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
-	buf := make([]byte, 5)
-	n, _ := io.ReadFull(c, buf)
-	return string(buf[:n])
-}
-
 // runOf is a run for the customer at a moment.
 func runOf(id, target string, at time.Time) platformtest.Run {
 	return platformtest.Run{
@@ -126,7 +57,7 @@
 // the given time after that.
 func leaveEarly(x *Exchange, runs *[]platformtest.Run, after time.Duration) {
 	x.GaveUp, x.Whole, x.Status, x.Answer = true, false, 0, ""
-	x.Ended = x.Sent.Add(leaveAfter)
+	x.Ended = x.Sent.Add(leaveWithin / 2)
 	(*runs)[0].Ended = x.Ended.Add(after)
 }
 
--- a/soak/world.go
+++ b/soak/world.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/linkmast/linkmast/internal/tcp/tcptest"
 	"github.com/linkmast/linkmast/platform/platformtest"
 )
 
@@ -43,7 +44,7 @@
 	*platformtest.Endpoint
 
 	service string
-	proxy   *Proxy
+	proxy   *tcptest.Proxy
 }
 
 // World is a deployment under test.
@@ -140,7 +141,7 @@
 	if err != nil {
 		return err
 	}
-	if e.proxy, err = NewProxy(address); err != nil {
+	if e.proxy, err = tcptest.NewProxy(address); err != nil {
 		return errors.Wrap(err, "soak")
 	}
 	w.endpoints = append(w.endpoints, e)
