Let able instances own the pools

The owner of a pool is the first by rendezvous hashing with squared capacities.

The order that the readers of the store have holds for all duties: those with half of the greatest capacity or more come first, each part by rendezvous.

Measured: TestOwnerAble red before.

--- a/catalog/ranks.go
+++ b/catalog/ranks.go
@@ -16,8 +16,8 @@
 // tree of two levels reaches 2,000 instances, one of three levels 60,000.
 const width = 32
 
-// ableShare is the part of the greatest capacity from which instances read the store
-// for others and carry followers.
+// ableShare is the part of the greatest capacity from which instances do work for
+// others: read the store, carry followers, own pools.
 const ableShare = 0.5
 
 // The bounds of followers, which make instances look elsewhere when many carriers are
@@ -63,8 +63,7 @@
 		}
 	}
 	all = append(all, self)
-	rendezvous.Sort(readersKey, all, weigh)
-	able := ableFirst(all)
+	able := Order(readersKey, all)
 	r := &ranks{
 		place: make(map[string]int, len(all)),
 	}
@@ -86,9 +85,12 @@
 	return p.ID, p.Capacity
 }
 
-// ableFirst moves the instances that are able to carry to the front, and returns how
-// many they are.
-func ableFirst(all []Peer) int {
+// Order orders instances for a duty, the first one first, and returns how many of them
+// are able to do work for others. These come before all others, each part by rendezvous
+// hashing of the duty's name: of 15 able instances and 280 with an eighth of their
+// capacity one of the latter would else be first for a fifth of all duties.
+func Order(duty string, all []Peer) int {
+	rendezvous.Sort(duty, all, weigh)
 	greatest := 0
 	for _, p := range all {
 		greatest = max(greatest, p.Capacity)
--- a/pool/alone_test.go
+++ b/pool/alone_test.go
@@ -63,3 +63,33 @@
 		is.True(n <= slots) // 300 at one engine with one order for all
 	}
 }
+
+// TestOwnerAble looks that pools are owned by instances that are able to, and that the
+// next in line is, whatever the names of their services: a weak one that owns a pool is
+// late with its decisions under a burst.
+func TestOwnerAble(t *testing.T) {
+	is := is.New(t)
+	const pools, able, weak = 60, 15, 280
+	snap := &catalog.Snapshot{
+		Peers: make(map[string]catalog.Peer),
+	}
+	for i := range able + weak {
+		p := catalog.Peer{
+			ID:       fmt.Sprint("n", i),
+			Capacity: 100,
+		}
+		if i < able {
+			p.Capacity = 800
+		}
+		snap.Peers[p.ID] = p
+	}
+	c := NewClient(snap.Peers["n20"], nil, nil, logr.Discard())
+	owned := make(map[string]int)
+	for i := range pools {
+		for _, id := range c.rank(fmt.Sprint("s", i), snap)[:wantedOwners] {
+			is.Equal(snap.Peers[id].Capacity, 800)
+			owned[id]++
+		}
+	}
+	is.Equal(len(owned), able) // they share the pools
+}
--- a/pool/client_links.go
+++ b/pool/client_links.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/linkmast/linkmast/catalog"
-	"github.com/linkmast/linkmast/internal/rendezvous"
 	"github.com/linkmast/linkmast/pool/poolpb"
 )
 
@@ -41,7 +40,7 @@
 			list = append(list, p)
 		}
 	}
-	rendezvous.Sort(service, list, func(p catalog.Peer) (string, int) { return p.ID, p.Capacity })
+	catalog.Order(service, list)
 	ids := make([]string, 0, len(list))
 	for _, p := range list {
 		ids = append(ids, p.ID)
