Take no caller for one that has come back where nothing tells

The lateness from the first try took each time below the route's that no other request had named for what is left to a caller that has come back. On the shifted deployment first tries name all kinds of times, up to a quarter less than the route's: most of them counted as late, were spread over three times as many engines, and long prompts then stood in their way.

The entry learns which part of its requests names a time that others have named. Only from 0.3 on a time of one's own tells of an earlier try; six first tries that name the same reach it, half of the callers coming back keep it, and times spread over some seconds agree by chance in one of twenty. Whether a caller is refused at once or may wait is decided as before.

--- a/relay/admit.go
+++ b/relay/admit.go
@@ -26,7 +26,7 @@
 	arrived  time.Time
 	deadline time.Time
 	// spent is how long before it arrived its caller first asked; zero at a first
-	// try.
+	// try, and when that is not known.
 	spent time.Duration
 	// keyed states that the request needs a key.
 	keyed bool
@@ -47,7 +47,7 @@
 
 // admit checks a request against the configuration in force and reads it.
 func (l *Relay) admit(h Head, r *http.Request, arrived time.Time) (*job, *refusal) {
-	common := l.waits.common(h.Wait)
+	common, returns := l.waits.note(h.Wait)
 	known := l.awaitKnown(r.Context(), h.Wait, common)
 	if known == nil {
 		return nil, unavailable("no configuration yet", l.afterOutage(h.Wait))
@@ -58,8 +58,8 @@
 		return l.unknown("no route", http.StatusNotFound, h, known.Table)
 	}
 	j := newJob(h, r, rt, known.Table, arrived)
-	if !common {
-		j.spent = spent(h.Wait, rt)
+	if returns {
+		j.spent = missing(h.Wait, rt)
 	}
 	if j.keyed {
 		if late := l.tooOldForKeys(h.Wait); late != nil {
@@ -99,9 +99,9 @@
 // first try.
 const returnSlack = 100 * time.Millisecond
 
-// spent returns how long ago a caller first asked that names a time which others don't:
-// a first try has all of the route's time, one that has come back what is left of it.
-func spent(wait time.Duration, rt *route.Route) time.Duration {
+// missing returns how much less than the route's time a caller names: what it has spent
+// already if it has come back. It is zero for one that names as much.
+func missing(wait time.Duration, rt *route.Route) time.Duration {
 	if wait <= 0 || wait >= rt.Timeout-returnSlack {
 		return 0
 	}
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -154,7 +154,7 @@
 		Deadline:  j.left(),
 		Exclude:   j.exclude,
 		Again:     j.sends > 0,
-		Returning: j.spent > 0,
+		Returning: missing(j.head.Wait, j.route) > 0,
 		Spent:     j.spent,
 	}
 	if j.route.Kind == route.Streaming {
--- a/relay/waits.go
+++ b/relay/waits.go
@@ -7,29 +7,48 @@
 	"time"
 )
 
-// waits knows which times callers name at their first try. Those are the same for
-// many requests, while a caller that comes back names what is left of its time. This
+// waits knows which times callers name at their first try. Where those are the same for
+// many requests, a caller that comes back is known by what is left of its time. Where
+// callers name all kinds of times from the start, nothing tells who has come back. This
 // needs no configuration. The zero value is ready for use.
 type waits struct {
 	mu   sync.Mutex
 	seen map[time.Duration]struct{}
+	// share is the recent part of the requests whose time others have named.
+	share float64
 }
 
-// maxWaits bounds the times that are remembered. There are a few for each route; what
-// callers name that come back fills the rest, and then all are learned anew.
-const maxWaits = 256
+// The measures of knowing callers by the time that they name.
+const (
+	// maxWaits bounds the times that are remembered. There are a few for each route;
+	// what callers name that come back fills the rest, and then all are learned anew.
+	maxWaits = 256
+	// shareWeight is the weight of one more request in the share.
+	shareWeight = 1.0 / 16
+	// leastShare is the share from which on a time that no other request has named
+	// tells that its caller has come back. It is reached by six first tries that name
+	// the same time and kept while half of the callers come back; times that are
+	// spread over some seconds agree by chance in one of twenty.
+	leastShare = 0.3
+)
 
-// common states whether another request has named the same time, and remembers it. It
-// is asked once for each request.
-func (w *waits) common(wait time.Duration) bool {
+// note remembers the time that a request names. Common states whether another one has
+// named the same, and returns whether the request is known to come back.
+func (w *waits) note(wait time.Duration) (common, returns bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if _, ok := w.seen[wait]; ok {
-		return true
+	_, common = w.seen[wait]
+	value := 0.0
+	if common {
+		value = 1
+	}
+	w.share += shareWeight * (value - w.share)
+	if common {
+		return true, false
 	}
 	if w.seen == nil || len(w.seen) >= maxWaits {
 		w.seen = make(map[time.Duration]struct{})
 	}
 	w.seen[wait] = struct{}{}
-	return false
+	return false, w.share >= leastShare
 }
--- a/relay/waits_test.go
+++ b/relay/waits_test.go
@@ -3,6 +3,7 @@
 package relay
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -11,20 +12,63 @@
 	"github.com/linkmast/linkmast/route"
 )
 
+// firstTry is the time that first tries name in these tests.
+const firstTry = 10 * time.Second
+
 // TestWaitsLearnAnew looks that what callers name that come back does not keep the
 // waits of first tries from being learned later.
 func TestWaitsLearnAnew(t *testing.T) {
 	is := is.New(t)
 	var w waits
 	for i := range 3 * maxWaits {
-		is.True(!w.common(time.Duration(i)))
+		common, _ := w.note(time.Duration(i))
+		is.True(!common)
 	}
-	is.True(!w.common(time.Minute))
-	is.True(w.common(time.Minute))
+	w.note(firstTry)
+	common, _ := w.note(firstTry)
+	is.True(common)
+}
+
+// TestReturns looks whether callers are known to come back by the time that they name.
+func TestReturns(t *testing.T) {
+	t.Run("first tries name the same", func(t *testing.T) {
+		is := is.New(t)
+		var w waits
+		for range 7 {
+			_, returns := w.note(firstTry)
+			is.True(!returns)
+		}
+		_, returns := w.note(7123 * time.Millisecond)
+		is.True(returns)
+	})
+	t.Run("half of the callers have come back", func(t *testing.T) {
+		is := is.New(t)
+		var w waits
+		for i := range 200 {
+			_, returns := w.note(firstTry)
+			is.True(!returns)
+			if i > 50 {
+				_, returns = w.note(5*time.Second + time.Duration(i)*time.Millisecond)
+				is.True(returns)
+			}
+		}
+	})
+	t.Run("first tries name all kinds of times", func(t *testing.T) {
+		is := is.New(t)
+		var w waits
+		r := rand.New(rand.NewPCG(1, 1))
+		known := 0
+		for range 2000 {
+			if _, returns := w.note(7500*time.Millisecond + time.Duration(r.IntN(2500))*time.Millisecond); returns {
+				known++
+			}
+		}
+		is.True(known < 20) // all but the first when each other time counts
+	})
 }
 
-// TestSpent looks how long ago callers first asked, as far as they tell.
-func TestSpent(t *testing.T) {
+// TestMissing looks how much less than the route allows callers name.
+func TestMissing(t *testing.T) {
 	for _, row := range []struct {
 		name    string
 		wait    time.Duration
@@ -39,7 +83,7 @@
 		{"route without a time", 10 * time.Second, 0, 0},
 	} {
 		t.Run(row.name, func(t *testing.T) {
-			got := spent(row.wait, &route.Route{
+			got := missing(row.wait, &route.Route{
 				Timeout: row.timeout,
 			})
 			is.New(t).Equal(got, row.want)
