Let no request yield its place that an endpoint has worked on

Read as a newcomer: what is left of the target of a request whose first endpoint was silent or failed is negative, so that it counted as short and late and had to wait while most slots were in use, whatever its length. A stream would have stayed at its dead engine just when all are busy, and a long prompt gone free of the price.

Only callers that have come back yield. TestYields is red for two rows without it.

--- a/pool/decide.go
+++ b/pool/decide.go
@@ -105,15 +105,16 @@
 	return keeps > spoilsPrice*plan.Spoils
 }
 
-// yields states whether a request is short and was late when it came. It gets slots
-// while not most of them are in use, and then displaces nobody, whatever the price. It
+// yields states whether a request is short and was late when its caller came back. It
+// gets slots while not most of them are in use, and then displaces nobody, whatever the
+// price; one whose endpoint failed has been worked on, and does not yield. It
 // guards against the backlog of an outage keeping the slots from all who come after it:
 // of as many new callers as the slots can take, 0.88 of those that came in the four
 // seconds after an outage of 4 s were in time with it and 62 others served late, 0.49
 // and 169 when callers that have come back counted as new ones (emulated pool of the
 // tests).
 func (w *waiter) yields() bool {
-	return w.lateFromStart() && w.ask.Target <= shedTarget
+	return w.lateFromStart() && !w.ask.Again && w.ask.Target <= shedTarget
 }
 
 // lost returns what a request loses for want of room by a plan that makes it late. One
--- a/pool/decide_test.go
+++ b/pool/decide_test.go
@@ -120,3 +120,29 @@
 		})
 	}
 }
+
+// TestYields looks who leaves room for those that can still be in time.
+func TestYields(t *testing.T) {
+	for _, row := range []struct {
+		name   string
+		target time.Duration
+		spent  time.Duration
+		again  bool
+		want   bool
+	}{
+		{"first try", 300 * time.Millisecond, 0, false, false},
+		{"came back", 300 * time.Millisecond, 2 * time.Second, false, true},
+		{"came back in time", 300 * time.Millisecond, 200 * time.Millisecond, false, false},
+		{"came back with a long prompt", 3 * time.Second, 4 * time.Second, false, false},
+		{"its endpoint failed", -time.Second, 0, true, false},
+		{"came back and its endpoint failed", -time.Second, 2 * time.Second, true, false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			w := waiting(5000, row.target-row.spent)
+			w.ask.Target = row.target
+			w.ask.Spent = row.spent
+			w.ask.Again = row.again
+			is.New(t).Equal(w.yields(), row.want)
+		})
+	}
+}
