--- a/internal/days/main.go
+++ b/internal/days/main.go
@@ -6,6 +6,7 @@
 //
 //	go run ./internal/days --player PROGRAM --site FILE --day NAME --seed 1 --seed 2
 //
+// With --small they are the small twins of days of large deployments, some seconds each.
 // A mean over the days comes last. Seeds that give the same figures before a
 // change differ after it by the change alone, as processor time is not charged.
 package main
@@ -30,6 +31,7 @@
 	Site   string   `long:"site" required:"true" description:"file of the deployment"`
 	Days   []string `long:"day" required:"true" description:"name of a day; may be repeated"`
 	Seeds  []int64  `long:"seed" required:"true" description:"a seed; may be repeated"`
+	Small  bool     `long:"small" description:"play the small twins of large days"`
 	Jobs   int      `long:"jobs" default:"4" description:"days played at once"`
 	Why    string   `long:"why" default:"round" description:"a line for the journal"`
 }
@@ -86,8 +88,14 @@
 // its exit code, does not matter: the report has it.
 func play(ctx context.Context, o *options, dir, day string, seed int64) (report, error) {
 	name := filepath.Join(dir, filepath.Base(day)+"-"+strconv.FormatInt(seed, 10)+".json")
-	cmd := exec.CommandContext(ctx, o.Player, "run", o.Site, day, "--no-cpu", "--jobs", "1",
-		"--seed", strconv.FormatInt(seed, 10), "--report", name, "--why", o.Why)
+	args := []string{
+		"run", o.Site, day, "--no-cpu", "--jobs", "1",
+		"--seed", strconv.FormatInt(seed, 10), "--report", name, "--why", o.Why,
+	}
+	if o.Small {
+		args = append(args, "--small")
+	}
+	cmd := exec.CommandContext(ctx, o.Player, args...)
 	said, failed := cmd.CombinedOutput()
 	data, err := os.ReadFile(name)
 	if err != nil {
