Test that connections are taken in a storm of large configurations

20 versions in a second, each with 1,400 routes more, on three instances: each of 100 new connections that come meanwhile is answered whole within 2 s, and the last version is in force on all.

--- /dev/null
+++ b/gateway/storm_test.go
@@ -0,0 +1,77 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package gateway_test
+
+import (
+	"fmt"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/batch"
+	"github.com/linkmast/linkmast/route"
+)
+
+// publishLarge publishes the next version with so many routes more.
+func (w *world) publishLarge(more int) {
+	w.version++
+	routes := []route.Route{{
+		Name:        "/safe/",
+		Host:        "api.example",
+		Prefix:      "/safe/",
+		Kind:        route.Safe,
+		Shares:      []route.Share{{Service: "plain", Weight: 1}},
+		Timeout:     4 * time.Second,
+		Target:      300 * time.Millisecond,
+		MaxAttempts: 2,
+	}}
+	for i := range more {
+		r := routes[0]
+		r.Name = fmt.Sprint("more", i)
+		r.Prefix = fmt.Sprintf("/more%d/", i)
+		routes = append(routes, r)
+	}
+	w.store.Publish(w.version, routes, map[string]*batch.Model{
+		"engines": fastEngine(),
+		"plain":   nil,
+	}, 1<<20, []route.Customer{{ID: "c1", Keys: []string{"k1"}}})
+}
+
+// TestAcceptsInStorm opens new connections to instances while configurations come in
+// quick succession, each with 1,400 routes more. Each is taken and its request answered
+// soon, and the last version is in force at the end.
+func TestAcceptsInStorm(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 3)
+	const versions, connections = 20, 100
+	var all sync.WaitGroup
+	all.Go(func() {
+		for range versions {
+			w.publishLarge(1400)
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+	answers := make([]got, connections)
+	took := make([]time.Duration, connections)
+	for i := range connections {
+		all.Go(func() {
+			time.Sleep(time.Duration(i) * 10 * time.Millisecond)
+			began := time.Now()
+			answers[i] = w.ask(i%3, call{id: "c" + strconv.Itoa(i), path: "/safe/"})
+			took[i] = time.Since(began)
+		})
+	}
+	all.Wait()
+	for i, g := range answers {
+		assertWhole(t, g)
+		is.True(took[i] < 2*time.Second)
+	}
+	for i := range w.gateways {
+		w.await("last version", func() bool {
+			return w.ask(i, call{id: fmt.Sprint("more", i), path: "/more1399/"}).status == 200
+		})
+	}
+}
