--- a/catalog/ranks_test.go
+++ b/catalog/ranks_test.go
@@ -129,7 +129,10 @@
 	is.True(!a.before("unknown"))
 }
 
-// BenchmarkRanks is what each change of the instances costs one of them.
+// BenchmarkRanks is what each change of the instances costs a carrier: 1.3 ms with 295
+// instances and 23 ms with 1,200, most of it for its wards (one run, beside other work on
+// the machine). Before there were carriers each instance sorted all of them ten times a
+// second.
 func BenchmarkRanks(b *testing.B) {
 	for _, n := range []int{295, 1200} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
