Choose the soak's ports where the kernel gives none away

Ports come from 20,000 to 29,999, below those that the kernel gives to sockets without one. The product is not touched.

--- a/soak/process.go
+++ b/soak/process.go
@@ -72,14 +72,29 @@
 stop_within = "%s"
 `
 
-// free returns an address that nobody listens on.
+// The ports that instances listen on lie below those that the kernel gives to sockets
+// without one, so that no other socket takes one between its choice and its use.
+const (
+	firstPort = 20_000
+	portCount = 10_000
+)
+
+// nextPort is the next port to try, as its distance from firstPort. Processes that run at
+// once begin at different ones.
+var nextPort = os.Getpid() * 97
+
+// free returns an address that nobody listens on. It is for one goroutine.
 func free() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "soak")
+	for range portCount {
+		nextPort = (nextPort + 1) % portCount
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort))
+		if err != nil {
+			continue
+		}
+		defer func() { _ = l.Close() }()
+		return l.Addr().String(), nil
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", errors.New("soak: no free port")
 }
 
 // addProcess starts the instance with a number, behind a proxy to the store.
