Let a scheduler be driven in virtual time

Cause: the emulator that decisions are to be compared in needs the real scheduler with a clock of its own and without goroutines.

Change: Submit, Decision, Review and Withdraw are what Place and Run are made of; Settings has the clock and the generator; reports may name who makes them. The rule for silent streams moves from relay to pool, so that the emulator has no copy. No decision changes.

--- a/pool/adopt.go
+++ b/pool/adopt.go
@@ -3,8 +3,6 @@
 package pool
 
 import (
-	"time"
-
 	"github.com/linkmast/linkmast/placement"
 )
 
@@ -18,7 +16,7 @@
 		at.orphan = 0
 		return
 	}
-	now := time.Now()
+	now := s.settings.Now()
 	if !a.Again {
 		p.retry.first(now)
 	}
--- a/pool/decide.go
+++ b/pool/decide.go
@@ -33,7 +33,7 @@
 
 // try places a request if this is the moment for it: its best plan covers what it
 // costs others, and no later moment is likely to be better. The caller holds the lock.
-func (s *Scheduler) try(p *state, w *waiter, now time.Time) (Grant, bool) {
+func (s *Scheduler) try(p *state, w *Waiter, now time.Time) (Grant, bool) {
 	list := p.usable(&w.ask, now)
 	if len(list) == 0 {
 		return Grant{}, false
@@ -72,7 +72,7 @@
 // betterLater states whether a request should wait for a better moment: it would be
 // late now and may still be in time, or costs others something now and has time left.
 // With a short target no such moment comes early enough.
-func (w *waiter) betterLater(plan *placement.Plan, list []*placement.Engine, now time.Time) bool {
+func (w *Waiter) betterLater(plan *placement.Plan, list []*placement.Engine, now time.Time) bool {
 	left := w.request.TargetAt.Sub(now)
 	if w.ask.Target <= shedTarget || left <= 0 {
 		return false
@@ -85,13 +85,13 @@
 
 // lateFromStart states whether a request was late when it came: its caller has come
 // back, or its first endpoint failed.
-func (w *waiter) lateFromStart() bool {
+func (w *Waiter) lateFromStart() bool {
 	return !w.request.TargetAt.After(w.arrived)
 }
 
 // covers states whether what a request keeps covers what others lose by its plan, and
 // the price of the engines' time that it takes.
-func (p *state) covers(w *waiter, plan *placement.Plan, now time.Time) bool {
+func (p *state) covers(w *Waiter, plan *placement.Plan, now time.Time) bool {
 	keeps := w.request.Worth - plan.Loses
 	if !w.yields() && keeps < p.priceNow(now)*p.work(w).Seconds() {
 		return false
@@ -113,13 +113,13 @@
 // seconds after an outage of 4 s were in time with it and 62 others served late, 0.49
 // and 169 when callers that have come back counted as new ones (emulated pool of the
 // tests).
-func (w *waiter) yields() bool {
+func (w *Waiter) yields() bool {
 	return w.lateFromStart() && !w.ask.Again && w.ask.Target <= shedTarget
 }
 
 // lost returns what a request loses for want of room by a plan that makes it late. One
 // that was late when it came, like one whose first engine failed, loses nothing more.
-func (w *waiter) lost(plan *placement.Plan) float64 {
+func (w *Waiter) lost(plan *placement.Plan) float64 {
 	if !w.late || w.lateFromStart() {
 		return 0
 	}
--- a/pool/decide_test.go
+++ b/pool/decide_test.go
@@ -16,8 +16,8 @@
 var moment = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 // waiting returns a request that came at moment.
-func waiting(prompt int, target time.Duration) *waiter {
-	return &waiter{
+func waiting(prompt int, target time.Duration) *Waiter {
+	return &Waiter{
 		ask: Ask{
 			Prompt:   prompt,
 			Target:   target,
--- a/pool/grant.go
+++ b/pool/grant.go
@@ -9,7 +9,7 @@
 )
 
 // grant notes a place and returns it.
-func (s *Scheduler) grant(p *state, w *waiter, plan *placement.Plan, now time.Time) Grant {
+func (s *Scheduler) grant(p *state, w *Waiter, plan *placement.Plan, now time.Time) Grant {
 	at := &placed{
 		instance: plan.Engine.Instance,
 		at:       now,
--- a/pool/plain.go
+++ b/pool/plain.go
@@ -15,7 +15,7 @@
 // its own: with one order for all, 300 instances that had nothing running all sent to
 // the same of twelve endpoints, now to each at most twice its share (TestPlainSpread).
 // An instance goes where it has a connection as long as it has little to do.
-func (s *Scheduler) tryPlain(p *state, w *waiter, list []*placement.Engine, now time.Time) (Grant, bool) {
+func (s *Scheduler) tryPlain(p *state, w *Waiter, list []*placement.Engine, now time.Time) (Grant, bool) {
 	best := slices.MinFunc(list, func(a, b *placement.Engine) int {
 		return cmp.Or(cmp.Compare(p.load(a), p.load(b)),
 			cmp.Compare(p.health[b.Instance].preference, p.health[a.Instance].preference))
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -9,10 +9,11 @@
 	"time"
 )
 
-// review looks at all waiting requests. It returns whether any still wait.
-func (s *Scheduler) review(now time.Time) bool {
+// Review looks at all waiting requests, as Run does. It returns whether any still wait.
+func (s *Scheduler) Review() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.settings.Now()
 	waiting := false
 	for _, p := range s.pools {
 		s.reviewPool(p, now)
@@ -27,7 +28,7 @@
 	if len(p.queue) == 0 {
 		return
 	}
-	slices.SortStableFunc(p.queue, func(a, b *waiter) int {
+	slices.SortStableFunc(p.queue, func(a, b *Waiter) int {
 		return cmp.Compare(a.urgency(now), b.urgency(now))
 	})
 	work := p.unread()
@@ -53,7 +54,7 @@
 // urgency orders waiting requests; the lowest goes first. It is the time in
 // seconds until the request is late, and more for customers of a lower priority.
 // What is late already comes after all others.
-func (w *waiter) urgency(now time.Time) float64 {
+func (w *Waiter) urgency(now time.Time) float64 {
 	left := w.request.TargetAt.Sub(now)
 	if left <= 0 {
 		left += lateSeconds * time.Second
@@ -70,16 +71,16 @@
 	rankSeconds = 0.3
 )
 
-// queueTick is how often waiting requests are looked at anew: a fraction of a
+// QueueTick is how often waiting requests are looked at anew: a fraction of a
 // pass.
-const queueTick = 15 * time.Millisecond
+const QueueTick = 15 * time.Millisecond
 
 // Run looks at waiting requests until ctx ends.
 func (s *Scheduler) Run(ctx context.Context) {
-	tick := time.NewTicker(queueTick)
+	tick := time.NewTicker(QueueTick)
 	defer tick.Stop()
 	for {
-		if s.review(time.Now()) {
+		if s.Review() {
 			select {
 			case <-ctx.Done():
 				return
@@ -103,10 +104,11 @@
 	}
 }
 
-// withdraw takes back a request that no longer waits for its place.
-func (s *Scheduler) withdraw(p *state, w *waiter) {
+// Withdraw takes back a request that no longer waits for its place.
+func (s *Scheduler) Withdraw(w *Waiter) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	p := s.pool(w.ask.Service)
 	if i := slices.Index(p.queue, w); i >= 0 {
 		p.queue = slices.Delete(p.queue, i, i+1)
 		return
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -26,6 +27,11 @@
 	// WorthPerToken is what each token of the prompt adds; the default is
 	// 1.1e-4.
 	WorthPerToken float64
+	// Now returns the time; the default is time.Now.
+	Now func() time.Time
+	// Draw returns a random time below one that is greater than zero; the default is
+	// that of the process's generator.
+	Draw func(below time.Duration) time.Duration
 }
 
 // The defaults of Settings. Both sites' sheets are met within a tenth by
@@ -50,20 +56,6 @@
 	marks int64
 }
 
-// waiter is a request that waits for a better moment.
-type waiter struct {
-	ask     Ask
-	request placement.Request
-	arrived time.Time
-	// reply or refuse gets the decision.
-	reply  chan Grant
-	refuse chan *Refusal
-	// late states that the last plan made the request late.
-	late bool
-	// alone states that no owner of the pool could be asked.
-	alone bool
-}
-
 // NewScheduler returns a scheduler without endpoints.
 func NewScheduler(s Settings, log logr.Logger) *Scheduler {
 	if s.WorthBase == 0 {
@@ -72,6 +64,12 @@
 	if s.WorthPerToken == 0 {
 		s.WorthPerToken = defaultWorthPerToken
 	}
+	if s.Now == nil {
+		s.Now = time.Now
+	}
+	if s.Draw == nil {
+		s.Draw = rand.N[time.Duration]
+	}
 	return &Scheduler{
 		settings: s,
 		log:      log,
@@ -120,41 +118,53 @@
 // place returns a place. An instance that is alone because no owner of the pool
 // is in touch has only its part of the retry budget.
 func (s *Scheduler) place(ctx context.Context, a Ask, alone bool) (Grant, error) {
+	w := s.submit(a, alone)
+	select {
+	case g := <-w.reply:
+		return g, nil
+	case r := <-w.refuse:
+		return Grant{}, r
+	case <-ctx.Done():
+		s.Withdraw(w)
+		return Grant{}, ctx.Err()
+	}
+}
+
+// Submit takes a request without waiting for the decision, which may be there at once or
+// after a Review.
+func (s *Scheduler) Submit(a Ask) *Waiter {
+	return s.submit(a, false)
+}
+
+// submit takes a request: it is placed or refused at once, or waits in the queue.
+func (s *Scheduler) submit(a Ask, alone bool) *Waiter {
 	s.mu.Lock()
-	now := time.Now()
+	defer s.mu.Unlock()
+	now := s.settings.Now()
 	p := s.pool(a.Service)
+	w := s.waiter(a, now)
 	if r := p.admit(a, alone, now); r != nil {
-		s.mu.Unlock()
-		return Grant{}, r
+		w.refuse <- r
+		return w
 	}
-	w := s.waiter(a, now)
 	w.alone = alone
 	w.request.Travel = p.travel.length
 	if g, ok := s.try(p, w, now); ok {
-		s.mu.Unlock()
-		return g, nil
+		w.reply <- g
+		return w
 	}
 	if r := s.refuse(p, w, p.unread()+p.before(w, now), now); r != nil {
 		s.refused(p, w, r, now)
-		s.mu.Unlock()
-		return Grant{}, r
+		w.refuse <- r
+		return w
 	}
 	p.queue = append(p.queue, w)
-	s.mu.Unlock()
 	s.poke()
-	select {
-	case g := <-w.reply:
-		return g, nil
-	case r := <-w.refuse:
-		return Grant{}, r
-	case <-ctx.Done():
-		s.withdraw(p, w)
-		return Grant{}, ctx.Err()
-	}
+	return w
 }
 
 // refused notes a refusal and writes its line.
-func (s *Scheduler) refused(p *state, w *waiter, r *Refusal, now time.Time) {
+func (s *Scheduler) refused(p *state, w *Waiter, r *Refusal, now time.Time) {
 	work := p.work(w)
 	p.price.note(work, w.request.Worth, now)
 	usable := p.usable(&w.ask, now)
@@ -165,44 +175,13 @@
 		"work_ms", work.Milliseconds(), "price", p.priceNow(now))
 }
 
-// Callers give a stream up after a silence of the longest of these: a time, so
-// many targets, or so many of the longest pauses in time.
-const (
-	// giveUpLeast is that time.
-	giveUpLeast = 2 * time.Second
-	// giveUpTargets counts targets.
-	giveUpTargets = 4
-	// giveUpGaps counts pauses.
-	giveUpGaps = 8
-)
-
-// waiter makes the state of an ask.
-func (s *Scheduler) waiter(a Ask, now time.Time) *waiter {
-	return &waiter{
-		ask: a,
-		request: placement.Request{
-			ID:       a.ID,
-			Prompt:   a.Prompt,
-			Output:   a.Output,
-			Gap:      a.Gap,
-			TargetAt: now.Add(a.Target - a.Spent),
-			GiveUpAt: now.Add(max(giveUpLeast, giveUpTargets*a.Target, giveUpGaps*a.Gap)),
-			Worth:    s.settings.WorthBase + s.settings.WorthPerToken*float64(a.Prompt),
-			Exclude:  a.Exclude,
-		},
-		arrived: now,
-		reply:   make(chan Grant, 1),
-		refuse:  make(chan *Refusal, 1),
-	}
-}
-
 // First implements Placer.
 func (s *Scheduler) First(id, service string) {
-	s.first(id, service, s.settings.Self)
+	s.FirstBy(id, service, s.settings.Self)
 }
 
-// first takes over the first event of an attempt, as an instance reports it.
-func (s *Scheduler) first(id, service, reporter string) {
+// FirstBy takes over the first event of an attempt, as an instance reports it.
+func (s *Scheduler) FirstBy(id, service, reporter string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.pool(service)
@@ -210,7 +189,7 @@
 	if !ok || at.begun {
 		return
 	}
-	now := time.Now()
+	now := s.settings.Now()
 	at.begun = true
 	p.errors.add(at.first, now.Sub(at.at))
 	p.travel.note(now.Sub(at.at) - at.first)
@@ -224,11 +203,11 @@
 
 // End implements Placer.
 func (s *Scheduler) End(id, service string, o Outcome, culprit string) {
-	s.end(id, service, o, culprit, s.settings.Self)
+	s.EndBy(id, service, o, culprit, s.settings.Self)
 }
 
-// end takes over how an attempt ended, as an instance reports it.
-func (s *Scheduler) end(id, service string, o Outcome, culprit, reporter string) {
+// EndBy takes over how an attempt ended, as an instance reports it.
+func (s *Scheduler) EndBy(id, service string, o Outcome, culprit, reporter string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.pool(service)
@@ -245,7 +224,7 @@
 	if h == nil {
 		return
 	}
-	now := time.Now()
+	now := s.settings.Now()
 	if h.note(o, reporter, reporter == s.settings.Self, now) {
 		s.log.Info("endpoint set aside", "service", service, "endpoint", instance, "outcome", o.String(),
 			"failures", h.all.failures, "for_ms", h.all.until.Sub(now).Milliseconds(), "attempt", id,
@@ -260,7 +239,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.pool(service)
-	now := time.Now()
+	now := s.settings.Now()
 	var out []string
 	for name, h := range p.health {
 		if !h.own.usable(now) {
--- a/pool/server.go
+++ b/pool/server.go
@@ -135,10 +135,10 @@
 		x.note(a.ID, a.Service)
 		s.Adopt(a, decodeGrant(k.Running.GetGrant()), k.Running.GetBegun())
 	case *poolpb.FromEntry_First:
-		s.first(k.First.GetId(), k.First.GetService(), x.entry)
+		s.FirstBy(k.First.GetId(), k.First.GetService(), x.entry)
 	case *poolpb.FromEntry_End:
 		x.drop(k.End.GetId())
-		s.end(k.End.GetId(), k.End.GetService(), Outcome(k.End.GetOutcome()), k.End.GetCulprit(), x.entry)
+		s.EndBy(k.End.GetId(), k.End.GetService(), Outcome(k.End.GetOutcome()), k.End.GetCulprit(), x.entry)
 	case *poolpb.FromEntry_Ping:
 		return x.send(&poolpb.FromOwner{
 			Kind: &poolpb.FromOwner_Pong{
--- a/pool/shed.go
+++ b/pool/shed.go
@@ -3,7 +3,6 @@
 package pool
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/linkmast/linkmast/placement"
@@ -40,13 +39,13 @@
 // Refusing long prompts at once raised the worth of bursts of them from 0.683 to 0.705
 // (18 engines, fifteen plays of days with faults, same seeds): late readings no longer
 // take the engines from those that are in time.
-func (s *Scheduler) refuse(p *state, w *waiter, work time.Duration, now time.Time) *Refusal {
+func (s *Scheduler) refuse(p *state, w *Waiter, work time.Duration, now time.Time) *Refusal {
 	list := p.usable(&w.ask, now)
 	if p.plain || len(list) == 0 {
-		return w.waitedOut(now)
+		return s.waitedOut(w, now)
 	}
 	if w.outOfSlots(list) {
-		return refusal("no endpoint can answer in time now", 0)
+		return s.refusal("no endpoint can answer in time now", 0)
 	}
 	ahead := time.Duration(0)
 	if w.ask.Target > shedTarget {
@@ -56,24 +55,24 @@
 	ready := now.Add(ahead + placement.Soonest(list, w.request))
 	switch {
 	case w.firstTry() && w.late && w.ask.Target > shedTarget && ready.After(w.request.TargetAt):
-		return refusal("no endpoint can read it in time", ahead)
+		return s.refusal("no endpoint can read it in time", ahead)
 	case ready.After(w.gone()):
-		return refusal("no endpoint can read it before its caller goes", ahead)
+		return s.refusal("no endpoint can read it before its caller goes", ahead)
 	}
-	return w.waitedOut(now)
+	return s.waitedOut(w, now)
 }
 
 // refusal returns a refusal for a caller that may come back once the work ahead is
 // done.
-func refusal(reason string, ahead time.Duration) *Refusal {
+func (s *Scheduler) refusal(reason string, ahead time.Duration) *Refusal {
 	return &Refusal{
 		Reason: reason,
-		After:  max(shedAfter, ahead) + rand.N(max(shedSpread, ahead)),
+		After:  max(shedAfter, ahead) + s.settings.Draw(max(shedSpread, ahead)),
 	}
 }
 
 // gone returns when the caller no longer waits for the first event.
-func (w *waiter) gone() time.Time {
+func (w *Waiter) gone() time.Time {
 	deadline := w.arrived.Add(w.ask.Deadline)
 	if w.request.GiveUpAt.Before(deadline) {
 		return w.request.GiveUpAt
@@ -82,11 +81,11 @@
 }
 
 // waitedOut returns a refusal for a request that waited too long, or nil.
-func (w *waiter) waitedOut(now time.Time) *Refusal {
+func (s *Scheduler) waitedOut(w *Waiter, now time.Time) *Refusal {
 	if now.Sub(w.arrived) < time.Duration(float64(w.ask.Deadline)*waitedShare) {
 		return nil
 	}
-	return refusal("no endpoint can take the request now", 0)
+	return s.refusal("no endpoint can take the request now", 0)
 }
 
 // readShare is the part of their time that engines under load are taken to read; in the
@@ -107,7 +106,7 @@
 
 // before returns the time of reading the waiting requests that are more urgent than
 // one, on one engine each.
-func (p *state) before(w *waiter, now time.Time) time.Duration {
+func (p *state) before(w *Waiter, now time.Time) time.Duration {
 	sum := time.Duration(0)
 	urgency := w.urgency(now)
 	for _, q := range p.queue {
@@ -119,7 +118,7 @@
 }
 
 // reading returns the time that one engine needs to read a request's prompt.
-func (p *state) reading(w *waiter) time.Duration {
+func (p *state) reading(w *Waiter) time.Duration {
 	if len(p.list) == 0 {
 		return 0
 	}
@@ -127,7 +126,7 @@
 }
 
 // work returns the time of one engine that a request takes.
-func (p *state) work(w *waiter) time.Duration {
+func (p *state) work(w *Waiter) time.Duration {
 	if len(p.list) == 0 {
 		return 0
 	}
@@ -136,13 +135,13 @@
 
 // firstTry states whether the caller asks for the first time and no endpoint had the
 // request: it can be told to come back.
-func (w *waiter) firstTry() bool {
+func (w *Waiter) firstTry() bool {
 	return !w.ask.Returning && !w.ask.Again && w.ask.Target > 0
 }
 
 // outOfSlots states whether a short request would be late for want of slots, so that it
 // should be refused.
-func (w *waiter) outOfSlots(list []*placement.Engine) bool {
+func (w *Waiter) outOfSlots(list []*placement.Engine) bool {
 	return w.firstTry() && w.late && w.ask.Target <= shedTarget && crowded(list)
 }
 
--- a/pool/state.go
+++ b/pool/state.go
@@ -27,7 +27,7 @@
 	// placed are the attempts that have a place, by id.
 	placed map[string]*placed
 	// queue are the requests that wait.
-	queue []*waiter
+	queue []*Waiter
 	// retry is the budget of the pool's owner, and alone what an instance may
 	// spend that has no owner to ask.
 	retry  spender
--- /dev/null
+++ b/pool/waiter.go
@@ -0,0 +1,67 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package pool
+
+import (
+	"time"
+
+	"github.com/linkmast/linkmast/placement"
+)
+
+// Waiter is a request that has been submitted and waits for its decision.
+type Waiter struct {
+	ask     Ask
+	request placement.Request
+	arrived time.Time
+	// reply or refuse gets the decision.
+	reply  chan Grant
+	refuse chan *Refusal
+	// late states that the last plan made the request late.
+	late bool
+	// alone states that no owner of the pool could be asked.
+	alone bool
+}
+
+// Decision returns the decision once: a place, or a refusal. It returns false while
+// there is none.
+func (w *Waiter) Decision() (Grant, *Refusal, bool) {
+	select {
+	case g := <-w.reply:
+		return g, nil, true
+	case r := <-w.refuse:
+		return Grant{}, r, true
+	default:
+		return Grant{}, nil, false
+	}
+}
+
+// Callers give a stream up after a silence of the longest of these: a time, so
+// many targets, or so many of the longest pauses in time.
+const (
+	// giveUpLeast is that time.
+	giveUpLeast = 2 * time.Second
+	// giveUpTargets counts targets.
+	giveUpTargets = 4
+	// giveUpGaps counts pauses.
+	giveUpGaps = 8
+)
+
+// waiter makes the state of an ask.
+func (s *Scheduler) waiter(a Ask, now time.Time) *Waiter {
+	return &Waiter{
+		ask: a,
+		request: placement.Request{
+			ID:       a.ID,
+			Prompt:   a.Prompt,
+			Output:   a.Output,
+			Gap:      a.Gap,
+			TargetAt: now.Add(a.Target - a.Spent),
+			GiveUpAt: now.Add(max(giveUpLeast, giveUpTargets*a.Target, giveUpGaps*a.Gap)),
+			Worth:    s.settings.WorthBase + s.settings.WorthPerToken*float64(a.Prompt),
+			Exclude:  a.Exclude,
+		},
+		arrived: now,
+		reply:   make(chan Grant, 1),
+		refuse:  make(chan *Refusal, 1),
+	}
+}
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -11,24 +11,6 @@
 	"github.com/linkmast/linkmast/route"
 )
 
-// The measures of noticing a silent endpoint.
-const (
-	// minSilence is the shortest silence that counts: longer than passes that
-	// read a long prompt usually take, and early enough for another endpoint to
-	// go on before callers give up, after two seconds.
-	minSilence = 1300 * time.Millisecond
-	// gapSilence is how many of the longest pauses in time a silence lasts
-	// before it counts. Callers give up after eight.
-	gapSilence = 4
-	// firstFactor times the predicted time and firstSilence is how long the
-	// first event may take.
-	firstFactor  = 2
-	firstSilence = 700 * time.Millisecond
-	// replaceWithin bounds the search for another place. Longer than that and
-	// the silent endpoint may as well be waited for.
-	replaceWithin = 300 * time.Millisecond
-)
-
 // place is a place for the next attempt, found before the present one is ended.
 type place struct {
 	ask   pool.Ask
@@ -65,8 +47,9 @@
 	if r.Kind != route.Streaming || !r.Resumable || t.job.attemptsLeft() <= 0 {
 		return w
 	}
-	w.limit = max(minSilence, gapSilence*r.GapTarget)
-	w.timer = time.AfterFunc(max(w.limit, firstFactor*t.grant.First+firstSilence), w.replace)
+	limit, first := pool.Silence(r.GapTarget, t.grant.First)
+	w.limit = limit
+	w.timer = time.AfterFunc(first, w.replace)
 	return w
 }
 
@@ -80,7 +63,7 @@
 	t := w.try
 	a := t.relay.ask(t.job)
 	a.Exclude = append(a.Exclude[:len(a.Exclude):len(a.Exclude)], t.grant.Instance)
-	ctx, cancel := context.WithTimeout(w.stopped, replaceWithin)
+	ctx, cancel := context.WithTimeout(w.stopped, pool.ReplaceWithin)
 	defer cancel()
 	g, err := t.relay.parts.Placer.Place(ctx, a)
 	if err != nil {
