Keep a silent stream whose engine is known to read

Change: an ask that is to replace a silent attempt names it, for how long it has been silent and how long its caller will wait. The owner plays the engine's model forward; if it knows the reason for the silence and the engine is done in time, the stream is kept and the entry told when to look again. Such a silence doesn't count as a failure of the engine. What isn't known to the model is replaced as before.

--- a/placement/engine.go
+++ b/placement/engine.go
@@ -70,6 +70,8 @@
 
 	// passEnd is when the present pass ends; zero when the engine rests.
 	passEnd time.Time
+	// passBegan is when it began.
+	passBegan time.Time
 }
 
 // idleSteps is how many steps without writers are taken for one pass of the
@@ -144,6 +146,7 @@
 		length += j.read(j.inPass)
 	}
 	if length > 0 {
+		e.passBegan = at
 		e.passEnd = at.Add(length)
 	}
 }
--- a/placement/observe.go
+++ b/placement/observe.go
@@ -49,3 +49,23 @@
 		return j.Memory == 0
 	})
 }
+
+// Expects returns when a job that has been silent for a while gives a sign, and whether
+// the engine is known to have a reason for the silence: it still reads the job's prompt,
+// or is in a pass that began no later than the silence did.
+func (e *Engine) Expects(id string, silence time.Duration, now time.Time) (time.Duration, bool) {
+	e.Advance(now)
+	for i, j := range e.Jobs {
+		switch {
+		case j.ID != id:
+		case j.Tokens > 0:
+			var f foresight
+			return f.play(e, nil, now)[i].first, true
+		case e.passEnd.IsZero() || j.Part:
+			return 0, false
+		default:
+			return e.passEnd.Sub(now), now.Sub(e.passBegan) >= silence
+		}
+	}
+	return 0, false
+}
--- a/pool/link_session.go
+++ b/pool/link_session.go
@@ -152,6 +152,7 @@
 			err: &Refusal{
 				Reason: k.Refusal.GetReason(),
 				After:  microseconds(k.Refusal.GetAfterUs()),
+				Kept:   k.Refusal.GetKept(),
 			},
 		})
 	case *poolpb.FromOwner_Pong:
--- a/pool/messages.go
+++ b/pool/messages.go
@@ -25,6 +25,11 @@
 		Returning:  a.Returning,
 		SpentUs:    a.Spent.Microseconds(),
 		Avoid:      a.Avoid,
+		Replaces: &poolpb.Replaced{
+			Attempt:    a.Replaces.Attempt,
+			ForUs:      a.Replaces.For.Microseconds(),
+			PatienceUs: a.Replaces.Patience.Microseconds(),
+		},
 	}
 }
 
@@ -45,6 +50,11 @@
 		Returning: m.GetReturning(),
 		Spent:     microseconds(m.GetSpentUs()),
 		Avoid:     m.GetAvoid(),
+		Replaces: Replaced{
+			Attempt:  m.GetReplaces().GetAttempt(),
+			For:      microseconds(m.GetReplaces().GetForUs()),
+			Patience: microseconds(m.GetReplaces().GetPatienceUs()),
+		},
 	}
 }
 
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -143,6 +143,10 @@
 	now := s.settings.Now()
 	p := s.pool(a.Service)
 	w := s.waiter(a, now)
+	if r := p.keeps(a.Replaces, now); r != nil {
+		w.refuse <- r
+		return w
+	}
 	if r := p.admit(a, alone, now); r != nil {
 		w.refuse <- r
 		return w
@@ -215,6 +219,10 @@
 	if !ok {
 		return
 	}
+	now := s.settings.Now()
+	if o == Silent && p.asPlanned(id, at, now) {
+		o = Abandoned
+	}
 	p.end(id)
 	instance := at.instance
 	if culprit != "" {
@@ -224,7 +232,6 @@
 	if h == nil {
 		return
 	}
-	now := s.settings.Now()
 	if h.note(o, reporter, reporter == s.settings.Self, now) {
 		s.log.Info("endpoint set aside", "service", service, "endpoint", instance, "outcome", o.String(),
 			"failures", h.all.failures, "for_ms", h.all.until.Sub(now).Milliseconds(), "attempt", id,
--- a/pool/server.go
+++ b/pool/server.go
@@ -217,6 +217,7 @@
 					Id:      a.ID,
 					Reason:  r.Reason,
 					AfterUs: r.After.Microseconds(),
+					Kept:    r.Kept,
 				},
 			},
 		})
--- a/pool/silence.go
+++ b/pool/silence.go
@@ -29,3 +29,69 @@
 	silence = max(minSilence, gapSilence*gap)
 	return silence, max(silence, firstFactor*predicted+firstSilence)
 }
+
+// Patience returns how long a caller waits in silence before it leaves, by its target for
+// the first event, which no longer counts once that has come, and its longest pause in
+// time.
+func Patience(target, gap time.Duration) time.Duration {
+	return max(giveUpLeast, giveUpTargets*target, giveUpGaps*gap)
+}
+
+// Replaced is an attempt that an ask is to replace, as it is r.
+type Replaced struct {
+	// Attempt names it; empty when the ask replaces none.
+	Attempt string
+	// For is how long it has been r.
+	For time.Duration
+	// Patience is how long its caller waits still before it leaves.
+	Patience time.Duration
+}
+
+// silenceSlack is what a sign of life may take longer than the engine's model says: the
+// way of an event, and most errors of predictions.
+const silenceSlack = 150 * time.Millisecond
+
+// keeps returns a refusal for an ask that is to replace an attempt which is silent as
+// planned: its engine reads, and is done while the caller still waits. A zero Replaced
+// is none.
+//
+// It guards against streams that leave an engine which reads a long prompt, to be read
+// again elsewhere, and against setting that engine aside.
+func (p *state) keeps(r Replaced, now time.Time) *Refusal {
+	at := p.placed[r.Attempt]
+	if at == nil {
+		return nil
+	}
+	left, ok := p.expects(r.Attempt, at, r.For, now)
+	if !ok || left+silenceSlack > r.Patience {
+		return nil
+	}
+	return &Refusal{
+		Reason: "its endpoint is reading",
+		After:  left + silenceSlack,
+		Kept:   true,
+	}
+}
+
+// expects returns when an attempt that has been silent for a while gives a sign by the
+// model of its engines, and false when the model doesn't know of a reason for the silence.
+func (p *state) expects(id string, at *placed, silence time.Duration, now time.Time) (time.Duration, bool) {
+	left, known := time.Duration(0), false
+	for _, name := range at.endpoints() {
+		e := p.engines[name]
+		if e == nil {
+			return 0, false
+		}
+		wait, reason := e.Expects(id, silence-silenceSlack, now)
+		left = max(left, wait)
+		known = known || reason
+	}
+	return left, known
+}
+
+// asPlanned states whether an attempt that ended as silent was so for a reason that the
+// model knows.
+func (p *state) asPlanned(id string, at *placed, now time.Time) bool {
+	_, ok := p.expects(id, at, minSilence, now)
+	return ok
+}
--- /dev/null
+++ b/pool/silence_test.go
@@ -0,0 +1,81 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package pool_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/pool"
+)
+
+// replacing returns an ask that is to replace a silent attempt.
+func replacing(attempt string, silence, patience time.Duration) pool.Ask {
+	a := prompt("again", 1000, time.Second)
+	a.Again = true
+	a.Replaces = pool.Replaced{
+		Attempt:  attempt,
+		For:      silence,
+		Patience: patience,
+	}
+	return a
+}
+
+// TestKeepsPlannedSilence looks that a stream whose engine is known to read is kept until
+// that has been read, while its caller is patient enough, and that others are replaced.
+func TestKeepsPlannedSilence(t *testing.T) {
+	for _, row := range []struct {
+		name     string
+		silence  time.Duration
+		patience time.Duration
+		kept     bool
+	}{
+		{"planned", 1300 * time.Millisecond, 5 * time.Second, true},
+		{"planned, but the caller goes before", 1300 * time.Millisecond, time.Second, false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			withSlowEngine(t, func(ctx context.Context, is *is.I, s *pool.Scheduler) {
+				_, err := s.Place(ctx, prompt("silent", 300_000, 10*time.Second))
+				is.NoErr(err)
+				time.Sleep(row.silence)
+				_, r, ok := s.Submit(replacing("silent", row.silence, row.patience)).Decision()
+				is.Equal(ok && r != nil && r.Kept, row.kept)
+				if row.kept {
+					is.True(r.After > 1500*time.Millisecond && r.After < 2500*time.Millisecond)
+				}
+			})
+		})
+	}
+}
+
+// TestPlannedSilenceIsNoFault looks that an engine is not set aside as some streams end
+// there as silent that wait for a prompt which it is known to read, and that it is when
+// there is no such reason.
+func TestPlannedSilenceIsNoFault(t *testing.T) {
+	for _, row := range []struct {
+		name   string
+		prompt int
+		aside  bool
+	}{
+		{"reads", 150_000, false},
+		{"has nothing to read", 100, true},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			withSlowEngine(t, func(ctx context.Context, is *is.I, s *pool.Scheduler) {
+				ids := []string{"a", "b", "c", "d"}
+				for _, id := range ids {
+					_, err := s.Place(ctx, prompt(id, row.prompt, 30*time.Second))
+					is.NoErr(err)
+				}
+				time.Sleep(1500 * time.Millisecond)
+				for _, id := range ids {
+					s.End(id, "engines", pool.Silent, "")
+				}
+				is.Equal(len(s.Shunned("engines")) > 0, row.aside)
+			})
+		})
+	}
+}
--- a/pool/types.go
+++ b/pool/types.go
@@ -43,6 +43,8 @@
 	Spent time.Duration
 	// Again states that the request was sent to an endpoint before.
 	Again bool
+	// Replaces is the silent attempt that the ask is to replace, if any.
+	Replaces Replaced
 }
 
 // Reader is an endpoint that helps to read a prompt.
@@ -79,6 +81,8 @@
 	Reason string
 	// After is when coming back makes sense.
 	After time.Duration
+	// Kept states that the attempt which the ask was to replace goes on after that.
+	Kept bool
 }
 
 // Error returns the reason.
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/linkmast/linkmast/pool"
 	"github.com/linkmast/linkmast/route"
 )
@@ -29,6 +31,9 @@
 	stop    func()
 
 	mu sync.Mutex
+	// heard is when the last sign of life came, and begun states that it was an event.
+	heard time.Time
+	begun bool
 	// timer ends with the silence; nil for an attempt that is not watched.
 	timer *time.Timer
 	// next is the place that the attempt was ended for.
@@ -49,6 +54,7 @@
 	}
 	limit, first := pool.Silence(r.GapTarget, t.grant.First)
 	w.limit = limit
+	w.heard = time.Now()
 	w.timer = time.AfterFunc(first, w.replace)
 	return w
 }
@@ -63,13 +69,14 @@
 	t := w.try
 	a := t.relay.ask(t.job)
 	a.Exclude = append(a.Exclude[:len(a.Exclude):len(a.Exclude)], t.grant.Instance)
+	a.Replaces = w.silent()
 	ctx, cancel := context.WithTimeout(w.stopped, pool.ReplaceWithin)
 	defer cancel()
 	g, err := t.relay.parts.Placer.Place(ctx, a)
 	if err != nil {
 		t.relay.parts.Log.Info("silent endpoint kept", "request", t.job.head.ID, "attempt", t.ask.ID,
 			"endpoint", t.grant.Instance, "reason", err.Error())
-		w.timer.Reset(w.limit)
+		w.timer.Reset(w.nextLook(err))
 		return
 	}
 	w.next = &place{
@@ -79,11 +86,40 @@
 	w.cancel()
 }
 
+// silent describes the attempt. The caller holds the lock.
+func (w *watch) silent() pool.Replaced {
+	r := w.try.job.route
+	patience := pool.Patience(r.Target, r.GapTarget)
+	if w.begun {
+		patience = pool.Patience(0, r.GapTarget)
+	}
+	silence := time.Since(w.heard)
+	return pool.Replaced{
+		Attempt:  w.try.ask.ID,
+		For:      silence,
+		Patience: patience - silence,
+	}
+}
+
+// nextLook returns when to look for another place again after there was none.
+func (w *watch) nextLook(err error) time.Duration {
+	var r *pool.Refusal
+	if errors.As(err, &r) && r.Kept {
+		return r.After
+	}
+	return w.limit
+}
+
 // touch notes a sign of life.
 func (w *watch) touch() {
-	if w.timer != nil {
-		w.timer.Reset(w.limit)
+	if w.timer == nil {
+		return
 	}
+	w.timer.Reset(w.limit)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.heard = time.Now()
+	w.begun = true
 }
 
 // end ends the watch. It returns the place for the next attempt if the endpoint
