Add an emulator of engines and callers, and a tool that compares decisions on it

Change: package emulator plays the requests of a sheet against engines by their published arithmetic, with the real scheduler in virtual time; package experiment and linkmastctl experiment compare variants on the same seeds with the interval of the paired difference, a table, JSON and pictures; a bound that no way to decide exceeds (fluid relaxation, solved exactly). Not emulated: preemption, reports, the platform, several instances; a lost instance is a moment at which streams are cut.

--- a/cmd/linkmastctl/main.go
+++ b/cmd/linkmastctl/main.go
@@ -27,17 +27,18 @@
 type root struct {
 	Version func() `long:"version" description:"print the version and exit"`
 
-	Check   checkCommand   `command:"check" description:"check a configuration file"`
-	Publish publishCommand `command:"publish" description:"publish a configuration file"`
-	Diff    diffCommand    `command:"diff" description:"compare a file with the configuration in force"`
-	Show    showCommand    `command:"show" description:"print the configuration in force"`
-	Status  statusCommand  `command:"status" description:"show nodes, endpoints, queues and generations"`
-	Explain explainCommand `command:"explain" description:"tell why a request went where it went"`
-	Demo    demoCommand    `command:"demo" description:"run a whole deployment in this process"`
-	Standin standinCommand `command:"standin" description:"run a stand-in for an outside system"`
-	Load    loadCommand    `command:"load" description:"send requests and measure the answers"`
-	Soak    soakCommand    `command:"soak" description:"run the real programs under drawn faults and check the promises"`
-	Fit     fitCommand     `command:"fit" description:"fit lines to the output of go test -bench, from standard input"`
+	Check      checkCommand      `command:"check" description:"check a configuration file"`
+	Publish    publishCommand    `command:"publish" description:"publish a configuration file"`
+	Diff       diffCommand       `command:"diff" description:"compare a file with the configuration in force"`
+	Show       showCommand       `command:"show" description:"print the configuration in force"`
+	Status     statusCommand     `command:"status" description:"show nodes, endpoints, queues and generations"`
+	Explain    explainCommand    `command:"explain" description:"tell why a request went where it went"`
+	Demo       demoCommand       `command:"demo" description:"run a whole deployment in this process"`
+	Standin    standinCommand    `command:"standin" description:"run a stand-in for an outside system"`
+	Load       loadCommand       `command:"load" description:"send requests and measure the answers"`
+	Soak       soakCommand       `command:"soak" description:"run the real programs under drawn faults and check the promises"`
+	Experiment experimentCommand `command:"experiment" description:"compare ways to decide on emulated days"`
+	Fit        fitCommand        `command:"fit" description:"fit lines to the output of go test -bench, from standard input"`
 }
 
 func main() {
--- /dev/null
+++ b/emulator/clock.go
@@ -0,0 +1,85 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package emulator
+
+import (
+	"container/heap"
+	"time"
+)
+
+// clock is the virtual time: what is due is done in order, what is due at one moment in
+// the order in which it was set.
+type clock struct {
+	start time.Time
+	now   time.Time
+	due   timers
+	count int
+}
+
+// timer is something that is due.
+type timer struct {
+	at    time.Time
+	order int
+	do    func()
+}
+
+// timers is a heap of them.
+type timers []timer
+
+// Len implements heap.Interface.
+func (t timers) Len() int { return len(t) }
+
+// Less implements heap.Interface.
+func (t timers) Less(i, j int) bool {
+	if !t[i].at.Equal(t[j].at) {
+		return t[i].at.Before(t[j].at)
+	}
+	return t[i].order < t[j].order
+}
+
+// Swap implements heap.Interface.
+func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+
+// Push implements heap.Interface.
+func (t *timers) Push(x any) { *t = append(*t, x.(timer)) }
+
+// Pop implements heap.Interface.
+func (t *timers) Pop() any {
+	last := len(*t) - 1
+	x := (*t)[last]
+	(*t)[last] = timer{}
+	*t = (*t)[:last]
+	return x
+}
+
+// newClock returns a clock at the start.
+func newClock() *clock {
+	start := time.Unix(0, 0)
+	return &clock{
+		start: start,
+		now:   start,
+	}
+}
+
+// after sets something that is due in a while.
+func (c *clock) after(d time.Duration, do func()) {
+	c.count++
+	heap.Push(&c.due, timer{
+		at:    c.now.Add(max(d, 0)),
+		order: c.count,
+		do:    do,
+	})
+}
+
+// run does what is due until nothing is left or a time is over.
+func (c *clock) run(until time.Duration) {
+	end := c.start.Add(until)
+	for len(c.due) > 0 && !c.due[0].at.After(end) {
+		t := heap.Pop(&c.due).(timer)
+		c.now = t.at
+		t.do()
+	}
+}
+
+// since returns the time since the start.
+func (c *clock) since() time.Duration { return c.now.Sub(c.start) }
--- /dev/null
+++ b/emulator/emulator_test.go
@@ -0,0 +1,194 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package emulator_test
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/config"
+	"github.com/linkmast/linkmast/emulator"
+	"github.com/linkmast/linkmast/pool"
+)
+
+// readSheet returns one of the sheets that come with the package.
+func readSheet(t *testing.T, name string) *emulator.Sheet {
+	t.Helper()
+	data, err := os.ReadFile(filepath.Join("sheets", name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := emulator.ParseSheet(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// shortSheet returns six engines and short prompts, read in 34 ms and written in 1.7 s, of
+// which so many come a second.
+func shortSheet(perSecond float64, length time.Duration) *emulator.Sheet {
+	return &emulator.Sheet{
+		Name:   "short",
+		Length: config.Duration(length),
+		Delay:  config.Duration(time.Millisecond),
+		Engines: emulator.Engines{
+			Count:           6,
+			Slots:           16,
+			Capacity:        400_000,
+			Stride:          34,
+			Chunk:           2048,
+			Step:            config.Duration(1310 * time.Microsecond),
+			ReadPerSecond:   154_000,
+			PerMillionPairs: config.Duration(162 * time.Microsecond),
+		},
+		Kinds: []emulator.Kind{
+			{
+				Name:      "short",
+				PerSecond: perSecond,
+				Prompt:    emulator.Spread{Mean: 5000, Most: 5000},
+				Events:    emulator.Spread{Mean: 38, Most: 38},
+				Target:    config.Duration(300 * time.Millisecond),
+				Gap:       config.Duration(250 * time.Millisecond),
+				Deadline:  config.Duration(10 * time.Second),
+				Worth:     1,
+				LateWorth: 0.25,
+			},
+		},
+		Weights: emulator.Weights{Day: 1},
+	}
+}
+
+// TestSheets reads all sheets, and looks that as much comes as they say.
+func TestSheets(t *testing.T) {
+	for _, name := range []string{"shifted", "shifted-short", "grown", "worst-seconds", "large", "few", "few-grown"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := readSheet(t, name+".toml")
+			s.Bursts = nil
+			s.Wave = emulator.Wave{}
+			s.Length = config.Duration(200 * time.Second)
+			counts := make([]float64, len(s.Kinds))
+			for _, q := range emulator.Draw(s, 1) {
+				counts[q.Kind]++
+			}
+			for i, k := range s.Kinds {
+				want := 200 * k.PerSecond
+				is.True(counts[i] > 0.85*want-10 && counts[i] < 1.15*want+10)
+			}
+		})
+	}
+}
+
+// TestSheetErrors names the field that makes no sense.
+func TestSheetErrors(t *testing.T) {
+	for _, row := range []struct {
+		name   string
+		change func(*emulator.Sheet)
+	}{
+		{"engines.count", func(s *emulator.Sheet) { s.Engines.Count = 0 }},
+		{"target", func(s *emulator.Sheet) { s.Kinds[0].Target = 0 }},
+		{"worth", func(s *emulator.Sheet) { s.Kinds[0].LateWorth = 2 * s.Kinds[0].Worth }},
+		{"unknown kind", func(s *emulator.Sheet) { s.Bursts = []emulator.Burst{{Kind: "none", For: 1}} }},
+		{"trouble", func(s *emulator.Sheet) { s.Troubles = []emulator.Trouble{{Engines: 1000}} }},
+		{"wave", func(s *emulator.Sheet) { s.Wave = emulator.Wave{Swing: 0.2} }},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			s := readSheet(t, "few.toml")
+			row.change(s)
+			err := s.Check()
+			is.True(err != nil)
+			is.True(strings.Contains(err.Error(), row.name))
+		})
+	}
+}
+
+// TestPlayRepeats plays a day twice: all comes out the same.
+func TestPlayRepeats(t *testing.T) {
+	is := is.New(t)
+	s := readSheet(t, "few.toml")
+	requests := emulator.Draw(s, 7)
+	one, two := emulator.Play(s, requests, pool.Settings{}, 7), emulator.Play(s, requests, pool.Settings{}, 7)
+	is.True(reflect.DeepEqual(one.Outcomes, two.Outcomes))
+}
+
+// calm returns a sheet of few requests, so that none waits for another.
+func calm() *emulator.Sheet {
+	s := shortSheet(2, 20*time.Second)
+	s.Kinds[0].Prompt = emulator.Spread{Mean: 20_000, Most: 20_000}
+	return s
+}
+
+// TestArithmetic compares a lone request with what the page of the engines says: 20 000
+// tokens at 154 000 a second and 200 million pairs at 162 µs a million, and 34 steps of
+// 1.31 ms between events. On the way are five messages of half to two and a half ms.
+func TestArithmetic(t *testing.T) {
+	is := is.New(t)
+	s := calm()
+	requests := emulator.Draw(s, 1)[:1]
+	o := emulator.Play(s, requests, pool.Settings{}, 1).Outcomes[0]
+	read := 20_000.0/154_000 + 200*162e-6
+	is.Equal(o.Cause, emulator.Kept)
+	is.True(o.First.Seconds() > read+0.002 && o.First.Seconds() < read+0.015)
+	is.Equal(o.Pause.Round(time.Millisecond), 45*time.Millisecond)
+}
+
+// TestTroubles looks that troubles do what they say.
+func TestTroubles(t *testing.T) {
+	at, long := config.Duration(5*time.Second), config.Duration(10*time.Second)
+	for _, row := range []struct {
+		name    string
+		trouble emulator.Trouble
+		// cause is one that comes up with the trouble, and none without it.
+		cause emulator.Cause
+	}{
+		{"dark engines", emulator.Trouble{At: at, For: long, Engines: 6}, emulator.CauseGone},
+		{"slow engines", emulator.Trouble{At: at, For: long, Engines: 6, Slow: 8}, emulator.CauseFirst},
+		{"streams cut", emulator.Trouble{At: at, For: long, Slow: 1, Cut: 1}, emulator.CauseReturned},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			s := calm()
+			requests := emulator.Draw(s, 3)
+			causes := func() map[emulator.Cause]int {
+				n := make(map[emulator.Cause]int)
+				for _, o := range emulator.Play(s, requests, pool.Settings{}, 3).Outcomes {
+					n[o.Cause]++
+				}
+				return n
+			}
+			is.Equal(causes()[row.cause], 0)
+			s.Troubles = []emulator.Trouble{row.trouble}
+			is.True(causes()[row.cause] > 0)
+		})
+	}
+}
+
+// TestBound looks that no play of a day keeps more than its bound, that it is all where
+// little comes, and that it falls where more comes than can be served.
+func TestBound(t *testing.T) {
+	for _, row := range []struct {
+		load float64
+		all  bool
+	}{
+		{0.3, true},
+		{1, true},
+		{3, false},
+	} {
+		is := is.New(t)
+		s := readSheet(t, "few.toml").Scaled(row.load)
+		requests := emulator.Draw(s, 1)
+		bound := emulator.Bounded(s, requests).Day()
+		played := emulator.Play(s, requests, pool.Settings{}, 1).Day()
+		t.Log("load", row.load, "bound", bound, "played", played)
+		is.True(played <= bound)
+		is.Equal(bound > 0.9999, row.all)
+	}
+}
--- /dev/null
+++ b/emulator/play.go
@@ -0,0 +1,223 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package emulator
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/linkmast/linkmast/catalog"
+	"github.com/linkmast/linkmast/pool"
+	"github.com/linkmast/linkmast/route"
+)
+
+// service names the emulated pool.
+const service = "engines"
+
+// settle is how long a play goes on after the last request came: longer than any caller
+// waits on the sheets.
+const settle = 40 * time.Second
+
+// forgetAfter is how long the owner of a pool counts what an entry had running that was
+// lost, as it may be back.
+const forgetAfter = 2 * time.Second
+
+// retryBudget is the budget of repeats: a fifth of the requests and 220 in 10 s.
+var retryBudget = pool.Budget{
+	Ratio:  0.2,
+	Extra:  220,
+	Window: 10 * time.Second,
+}
+
+// play is one run of a sheet.
+type play struct {
+	sheet   *Sheet
+	clock   *clock
+	draw    *rand.Rand
+	pool    *pool.Scheduler
+	engines map[string]*engine
+	// names are the engines in order.
+	names   []string
+	callers []*caller
+	// pending are what has been submitted and is not decided.
+	pending []*pending
+	// reviewing states that a review is set.
+	reviewing bool
+	asks      int
+	silent    int
+}
+
+// pending is a submitted request with what its decision does.
+type pending struct {
+	waiter *pool.Waiter
+	grant  func(pool.Grant)
+	refuse func(*pool.Refusal)
+}
+
+// Play runs requests by a scheduler with some settings, and returns what became of each.
+// Settings.Now and Settings.Draw are the emulator's. The same seed, requests and settings
+// give the same result.
+func Play(s *Sheet, requests []Request, settings pool.Settings, seed uint64) *Result {
+	p := &play{
+		sheet:   s,
+		clock:   newClock(),
+		draw:    rand.New(rand.NewPCG(seed, 1)),
+		engines: make(map[string]*engine),
+	}
+	settings.Self = "n0"
+	settings.Retries = retryBudget
+	settings.Now = func() time.Time { return p.clock.now }
+	settings.Draw = func(below time.Duration) time.Duration { return time.Duration(p.draw.Int64N(int64(below))) }
+	p.pool = pool.NewScheduler(settings, logr.Discard())
+	p.addEngines()
+	for i := range requests {
+		c := newCaller(p, i, &requests[i])
+		p.callers = append(p.callers, c)
+		p.clock.after(c.request.At, c.arrive)
+	}
+	for i := range s.Troubles {
+		p.trouble(&s.Troubles[i])
+	}
+	p.clock.run(time.Duration(s.Length) + settle)
+	return p.result()
+}
+
+// addEngines makes the engines, and tells the scheduler of them.
+func (p *play) addEngines() {
+	e := &p.sheet.Engines
+	model := e.Model()
+	snap := &catalog.Snapshot{
+		Table: route.New(1, nil, []route.Service{
+			{Name: service, Engine: model},
+		}, nil, false, route.Limits{}),
+		Endpoints: make(map[string]catalog.Endpoint),
+	}
+	for i := range e.Count {
+		name := fmt.Sprintf("e%04d", i)
+		p.names = append(p.names, name)
+		snap.Endpoints[name] = catalog.Endpoint{
+			Instance: name,
+			Service:  service,
+			Address:  name,
+			Slots:    e.Slots,
+		}
+		p.engines[name] = &engine{
+			clock: p.clock,
+			model: model,
+			slow:  1,
+		}
+	}
+	p.pool.Update(snap)
+}
+
+// trouble sets what happens to engines or streams.
+func (p *play) trouble(t *Trouble) {
+	pace := func(slow float64) func() {
+		return func() {
+			for _, name := range p.names[:t.Engines] {
+				p.engines[name].setSlow(slow)
+			}
+		}
+	}
+	p.clock.after(time.Duration(t.At), pace(t.Slow))
+	p.clock.after(time.Duration(t.At)+time.Duration(t.For), pace(1))
+	p.clock.after(time.Duration(t.At), func() {
+		for _, c := range p.callers {
+			if c.attempt != nil && p.draw.Float64() < t.Cut {
+				c.cut()
+			}
+		}
+	})
+}
+
+// hops returns the time of some messages, one after the other.
+func (p *play) hops(n int) time.Duration {
+	return time.Duration(n) * time.Duration(p.sheet.Delay)
+}
+
+// ways returns the time of some messages of which each takes up to twice as long as it
+// need, or as little as half.
+func (p *play) ways(n int) time.Duration {
+	return time.Duration((jitterLeast + (jitterMost-jitterLeast)*p.draw.Float64()) * float64(p.hops(n)))
+}
+
+// The bounds of how long a message is on its way, in parts of the sheet's delay.
+const (
+	jitterLeast = 0.5
+	jitterMost  = 2.5
+)
+
+// submit asks the scheduler, and calls grant or refuse once it has decided. It returns nil
+// when that is at once.
+func (p *play) submit(a pool.Ask, grant func(pool.Grant), refuse func(*pool.Refusal)) *pending {
+	q := &pending{
+		waiter: p.pool.Submit(a),
+		grant:  grant,
+		refuse: refuse,
+	}
+	if q.decided() {
+		return nil
+	}
+	p.pending = append(p.pending, q)
+	p.review(0)
+	return q
+}
+
+// decided takes the decision over if there is one.
+func (q *pending) decided() bool {
+	g, r, ok := q.waiter.Decision()
+	switch {
+	case !ok:
+		return false
+	case r != nil:
+		q.refuse(r)
+	default:
+		q.grant(g)
+	}
+	return true
+}
+
+// withdraw takes a request back that nobody waits for.
+func (p *play) withdraw(q *pending) {
+	if q == nil {
+		return
+	}
+	p.pool.Withdraw(q.waiter)
+	p.pending = slices.DeleteFunc(p.pending, func(o *pending) bool { return o == q })
+}
+
+// review sets a look at the waiting requests in a while, and again while any wait.
+func (p *play) review(in time.Duration) {
+	if p.reviewing {
+		return
+	}
+	p.reviewing = true
+	p.clock.after(in, func() {
+		p.reviewing = false
+		waiting := p.pool.Review()
+		left := p.pending[:0]
+		for _, q := range slices.Clone(p.pending) {
+			if !q.decided() {
+				left = append(left, q)
+			}
+		}
+		p.pending = left
+		if waiting {
+			p.review(pool.QueueTick)
+		}
+	})
+}
+
+// end tells the scheduler how an attempt ended.
+func (p *play) end(c *caller, id string, o pool.Outcome, in time.Duration) {
+	p.clock.after(in, func() {
+		p.pool.EndBy(id, service, o, "", c.entry())
+		if len(p.pending) > 0 {
+			p.review(0)
+		}
+	})
+}
--- /dev/null
+++ b/experiment/picture.go
@@ -0,0 +1,74 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package experiment
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+
+	"github.com/go-faster/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"github.com/linkmast/linkmast/emulator"
+)
+
+// The size of pictures.
+const (
+	pictureWidth  = 18 * vg.Centimeter
+	pictureHeight = 10 * vg.Centimeter
+)
+
+// WriteTimes writes a picture, in SVG, of what each row keeps of the worth that comes in
+// each window of the day.
+func WriteTimes(out io.Writer, rows []Row) error {
+	lines := make(map[string]plotter.XYs)
+	for _, r := range rows {
+		name := fmt.Sprintf("%s %s ×%g", r.Sheet, r.Variant, r.Load)
+		for i, kept := range r.Windows {
+			lines[name] = append(lines[name], plotter.XY{X: float64(i) * emulator.Window.Seconds(), Y: kept})
+		}
+	}
+	return picture(out, "Worth kept over the day", "seconds", lines)
+}
+
+// WriteLoads writes a picture, in SVG, of the figure of each variant over the load.
+func WriteLoads(out io.Writer, rows []Row) error {
+	lines := make(map[string]plotter.XYs)
+	for _, r := range rows {
+		name := r.Sheet + " " + r.Variant
+		lines[name] = append(lines[name], plotter.XY{X: r.Load, Y: r.Figure})
+	}
+	return picture(out, "Worth kept over load", "times the usual load", lines)
+}
+
+// picture draws named lines.
+func picture(out io.Writer, title, x string, lines map[string]plotter.XYs) error {
+	p := plot.New()
+	p.Title.Text = title
+	p.X.Label.Text = x
+	p.Y.Label.Text = "part of the worth"
+	p.Legend.Top = false
+	for i, name := range slices.Sorted(maps.Keys(lines)) {
+		l, err := plotter.NewLine(lines[name])
+		if err != nil {
+			return errors.Wrap(err, name)
+		}
+		l.Color = plotutil.Color(i)
+		l.Dashes = plotutil.Dashes(i)
+		p.Add(l)
+		p.Legend.Add(name, l)
+	}
+	w, err := p.WriterTo(pictureWidth, pictureHeight, "svg")
+	if err != nil {
+		return errors.Wrap(err, "picture")
+	}
+	if _, err := w.WriteTo(out); err != nil {
+		return errors.Wrap(err, "picture")
+	}
+	return nil
+}
--- /dev/null
+++ b/experiment/run.go
@@ -0,0 +1,161 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package experiment
+
+import (
+	"context"
+	"math"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/linkmast/linkmast/emulator"
+)
+
+// Row is the result of one variant on one sheet at one load.
+type Row struct {
+	// Sheet, Load and Variant name what was played.
+	Sheet   string  `json:"sheet"`
+	Load    float64 `json:"load"`
+	Variant string  `json:"variant"`
+	// Figure is the mean of the days' figures, and Spread their standard deviation.
+	Figure float64 `json:"figure"`
+	Spread float64 `json:"spread"`
+	// Gain is the mean of the difference to the first variant on the same seeds, and
+	// Error the half width of its interval of 95 in 100.
+	Gain  float64 `json:"gain"`
+	Error float64 `json:"error"`
+	// Day is the part of all worth that is kept, and Kinds that of each kind.
+	Day   float64   `json:"day"`
+	Kinds []float64 `json:"kinds"`
+	// Windows is the part that is kept of what came in each window of emulator.Window.
+	Windows []float64 `json:"windows"`
+	// Silent is the part of requests that went elsewhere after a silence.
+	Silent float64 `json:"silent"`
+	// Lost is, for each kind and cause, the part of the day's worth that is lost.
+	Lost [][]float64 `json:"lost"`
+}
+
+// BoundName names the rows of the bound.
+const BoundName = "bound"
+
+// normal95 is the quantile of the normal distribution for an interval of 95 in 100.
+const normal95 = 1.96
+
+// Run plays a plan, so many days at once.
+func Run(ctx context.Context, p *Plan, sheets []*emulator.Sheet, jobs int) ([]Row, error) {
+	var rows []Row
+	for _, s := range sheets {
+		for _, load := range p.Loads {
+			more, err := compare(ctx, p, s.Scaled(load), load, jobs)
+			if err != nil {
+				return nil, err
+			}
+			rows = append(rows, more...)
+		}
+	}
+	return rows, nil
+}
+
+// compare plays all variants of a plan on one sheet, and its bound.
+func compare(ctx context.Context, p *Plan, s *emulator.Sheet, load float64, jobs int) ([]Row, error) {
+	names := make([]string, 0, len(p.Variants)+1)
+	for _, v := range p.Variants {
+		names = append(names, v.Name)
+	}
+	if p.Bound {
+		names = append(names, BoundName)
+	}
+	days := make([][]*emulator.Result, len(names))
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(max(jobs, 1))
+	for i := range names {
+		days[i] = make([]*emulator.Result, p.Seeds)
+		for k := range p.Seeds {
+			g.Go(func() error {
+				if err := ctx.Err(); err != nil {
+					return err
+				}
+				days[i][k] = p.day(s, i, uint64(k+1))
+				return nil
+			})
+		}
+	}
+	if err := g.Wait(); err != nil {
+		return nil, err
+	}
+	rows := make([]Row, 0, len(names))
+	for i, name := range names {
+		rows = append(rows, summary(s, load, name, days[i], days[0]))
+	}
+	return rows, nil
+}
+
+// day plays a seed by the variant with an index; behind them comes the bound.
+func (p *Plan) day(s *emulator.Sheet, variant int, seed uint64) *emulator.Result {
+	requests := emulator.Draw(s, seed)
+	if variant == len(p.Variants) {
+		return emulator.Bounded(s, requests)
+	}
+	return emulator.Play(s, requests, p.Variants[variant].settings(), seed)
+}
+
+// summary makes the row of some days beside those of the first variant.
+func summary(s *emulator.Sheet, load float64, name string, days, first []*emulator.Result) Row {
+	row := Row{
+		Sheet:   s.Name,
+		Load:    load,
+		Variant: name,
+		Kinds:   make([]float64, len(s.Kinds)),
+	}
+	figures := make([]float64, len(days))
+	gains := make([]float64, len(days))
+	n := float64(len(days))
+	for k, d := range days {
+		figures[k] = d.Figure()
+		gains[k] = figures[k] - first[k].Figure()
+		row.Day += d.Day() / n
+		row.Silent += float64(d.Silent) / float64(max(len(d.Outcomes), 1)) / n
+		for i := range row.Kinds {
+			row.Kinds[i] += d.Kind(i) / n
+		}
+		row.Windows = addTo(row.Windows, d.Windows(), n)
+		for i, lost := range d.Lost() {
+			if len(row.Lost) <= i {
+				row.Lost = append(row.Lost, nil)
+			}
+			row.Lost[i] = addTo(row.Lost[i], lost, n)
+		}
+	}
+	row.Figure, row.Spread = mean(figures)
+	spread := 0.0
+	row.Gain, spread = mean(gains)
+	row.Error = normal95 * spread / math.Sqrt(n)
+	return row
+}
+
+// addTo adds each value's part of n to a sum.
+func addTo(sum, values []float64, n float64) []float64 {
+	if sum == nil {
+		sum = make([]float64, len(values))
+	}
+	for i, v := range values {
+		sum[i] += v / n
+	}
+	return sum
+}
+
+// mean returns the mean and the standard deviation of some figures.
+func mean(figures []float64) (float64, float64) {
+	n := float64(len(figures))
+	m, squares := 0.0, 0.0
+	for _, v := range figures {
+		m += v / n
+	}
+	for _, v := range figures {
+		squares += (v - m) * (v - m)
+	}
+	if n < 2 {
+		return m, 0
+	}
+	return m, math.Sqrt(squares / (n - 1))
+}
