Take a joint part for read once its first event has come

Cause: an engine reads the latest joint part first. A part that came 6 ms after the model's end of another one, while that had one step left, put its end off by 3.4 s; its request was late, its caller's stream silent.

--- a/placement/engine.go
+++ b/placement/engine.go
@@ -44,6 +44,8 @@
 	inPass int
 	// wroteAt is when the model let the job begin to write.
 	wroteAt time.Time
+	// confirmed states that the first event has come.
+	confirmed bool
 }
 
 // read returns the time of reading n tokens of the job.
@@ -112,21 +114,29 @@
 	return first.ReachesAt
 }
 
-// finishPass ends the present pass: what has been read writes from now on, and
-// parts that have been read are done unless they hold memory.
+// finishPass ends the present pass: what has been read writes from now on.
 func (e *Engine) finishPass(at time.Time) {
 	e.passEnd = time.Time{}
-	e.Jobs = slices.DeleteFunc(e.Jobs, func(j *Job) bool {
+	for _, j := range e.Jobs {
 		if j.inPass == 0 {
-			return false
+			continue
 		}
 		j.Tokens -= j.inPass
 		j.inPass = 0
 		if j.Tokens == 0 {
 			j.wroteAt = at
 		}
-		return j.Tokens == 0 && j.Part && j.Memory == 0
-	})
+	}
+}
+
+// confirmWithin is how long after the model's end of a joint part the engine counts as
+// reading it while the first event has not come. A new part would go before what is left
+// of it: one that came 6 ms too early put the end of another off by 3.4 s.
+const confirmWithin = 100 * time.Millisecond
+
+// isRead states whether the job's prompt, or its part of it, has been read for certain.
+func (j *Job) isRead(now time.Time) bool {
+	return j.Tokens == 0 && (j.confirmed || j.wroteAt.IsZero() || now.Sub(j.wroteAt) > confirmWithin)
 }
 
 // startPass begins a pass if there is anything to do.
--- a/placement/foresee_test.go
+++ b/placement/foresee_test.go
@@ -168,6 +168,48 @@
 	}
 }
 
+// TestUnconfirmedPart looks that an engine on which a joint part has been read by the
+// model gets no other one before the first event has come, or is overdue: the new part
+// would go before what may be left.
+func TestUnconfirmedPart(t *testing.T) {
+	for _, row := range []struct {
+		name      string
+		after     time.Duration
+		confirmed bool
+		used      bool
+	}{
+		{"just read", 10 * time.Millisecond, false, false},
+		{"confirmed", 10 * time.Millisecond, true, true},
+		{"overdue", 2 * confirmWithin, false, true},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			e := &Engine{
+				Model: readingModel(),
+				Slots: 8,
+			}
+			j := readingJob("before", 1000)
+			j.Joint = true
+			e.Add(j, foreseen)
+			e.Advance(foreseen.Add(10 * time.Millisecond))
+			if row.confirmed {
+				e.Observe("before", foreseen.Add(10*time.Millisecond))
+			}
+			now := foreseen.Add(10*time.Millisecond + row.after)
+			r := Request{
+				TargetAt: now.Add(time.Minute),
+			}
+			o := newOutlook(1, now)
+			cands := r.candidates([]*Engine{e}, part{
+				tokens: 1000,
+				time:   10 * time.Millisecond,
+				joint:  true,
+			}, o, nil)
+			is.Equal(len(cands) == 1, row.used)
+		})
+	}
+}
+
 // TestExpects asks when a silent job gives a sign, and whether the engine has a reason for
 // the silence.
 func TestExpects(t *testing.T) {
--- a/placement/judge.go
+++ b/placement/judge.go
@@ -98,7 +98,7 @@
 		if !j.Part {
 			l.running++
 		}
-		l.reading = l.reading || j.Joint && j.Tokens > 0
+		l.reading = l.reading || j.Joint && !j.isRead(now)
 		switch left := j.Tokens - j.inPass; {
 		case left == 0:
 			l.context += j.Context
--- a/placement/observe.go
+++ b/placement/observe.go
@@ -19,6 +19,7 @@
 		if j.ID != id || j.Part {
 			continue
 		}
+		j.confirmed = true
 		if j.Tokens == 0 {
 			late := now.Sub(j.wroteAt)
 			if !e.passEnd.IsZero() {
@@ -46,6 +47,7 @@
 			return false
 		}
 		j.Tokens, j.inPass = 0, 0
+		j.confirmed = true
 		return j.Memory == 0
 	})
 }
