Keep engines open for long readings

Cause: streams of short and medium prompts went to the engine that was soonest, so that while long prompts came there was a stream on nearly each engine; a long reading made it pause, 0.5 s and more.

Change: a plan counts what its stream closes its engine to: by the part of engines that read long prompts now, the time of writing, and the pauses that streams there allow, against the longest that any request has allowed. Streams gather where such streams run; none is late for it. Nothing is closed while nothing long is read.

The share of pauses is learned and not set.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -47,7 +47,7 @@
 		c.order = i
 		c.cost = spoilsWeight*c.spoils + r.loses(c.first, o.now)
 		c.crowded = c.isCrowded(r.TargetAt.Sub(o.now))
-		c.heads = r.pauses(c.pause)
+		c.heads = r.closes(e) + r.pauses(c.pause)
 		if !p.joint {
 			c.cost += c.heads
 		}
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -30,6 +30,8 @@
 	Travel time.Duration
 	// Exclude are engines that must not be used.
 	Exclude []string
+	// Readings is what long prompts want of the engines.
+	Readings Readings
 }
 
 // Work returns the time of one engine that a request takes: that of reading its prompt,
@@ -64,7 +66,8 @@
 	Spoils float64
 	// Loses is what the request itself loses, in units of worth.
 	Loses float64
-	// Heads is what its stream costs there where it writes, by pauses of its own.
+	// Heads is what its stream costs there where it writes: by pauses of its own, and by
+	// closing the engine to readings that come.
 	Heads float64
 }
 
--- a/pool/state.go
+++ b/pool/state.go
@@ -35,6 +35,8 @@
 	errors errorStats
 	// price is what a second of the engines costs.
 	price price
+	// longestGap is the longest pause that any request has allowed.
+	longestGap time.Duration
 	// travel is how long requests are on their way to the engines.
 	travel travel
 	// plain states that the service's endpoints are no engines.
