Look at each engine's load once for all widths of a plan

Cause: a plan tries eight widths and took each engine's load anew for each; where it plays an engine forward it judged the next pass for nothing.

Change: loads are taken once; the next pass is judged alone or not at all.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -36,7 +36,7 @@
 // the best first. Out is room for them.
 func (r *Request) candidates(engines []*Engine, p part, o *outlook, out []candidate) []candidate {
 	for i, e := range engines {
-		c := e.judge(p, o.now)
+		c := e.judge(&o.loads[i], p)
 		if p.joint && c.reading {
 			// The new part would go before the one that is being read.
 			continue
--- a/placement/foresee.go
+++ b/placement/foresee.go
@@ -169,17 +169,21 @@
 type outlook struct {
 	now time.Time
 	f   foresight
+	// loads are what the engines have before them.
+	loads []load
 	// lost is what the jobs of each engine lose without a part; NaN until it is known.
 	lost []float64
 }
 
 // newOutlook returns one for some engines.
-func newOutlook(engines int, now time.Time) *outlook {
+func newOutlook(engines []*Engine, now time.Time) *outlook {
 	o := &outlook{
-		now:  now,
-		lost: make([]float64, engines),
+		now:   now,
+		loads: make([]load, len(engines)),
+		lost:  make([]float64, len(engines)),
 	}
-	for i := range o.lost {
+	for i, e := range engines {
+		o.loads[i] = e.load(now)
 		o.lost[i] = math.NaN()
 	}
 	return o
--- a/placement/foresee_test.go
+++ b/placement/foresee_test.go
@@ -199,8 +199,9 @@
 			r := Request{
 				TargetAt: now.Add(time.Minute),
 			}
-			o := newOutlook(1, now)
-			cands := r.candidates([]*Engine{e}, part{
+			list := []*Engine{e}
+			o := newOutlook(list, now)
+			cands := r.candidates(list, part{
 				tokens: 1000,
 				time:   10 * time.Millisecond,
 				joint:  true,
--- a/placement/judge.go
+++ b/placement/judge.go
@@ -114,9 +114,9 @@
 	return l
 }
 
-// judge returns what reading a part on an engine would do.
-func (e *Engine) judge(p part, now time.Time) candidate {
-	l := e.load(now)
+// judge returns what reading a part on an engine with a load would do, as far as the next
+// pass tells.
+func (e *Engine) judge(l *load, p part) candidate {
 	pass := time.Duration(0)
 	if l.writers > 0 {
 		pass = e.Model.Pass(l.writers, l.context)
@@ -141,10 +141,13 @@
 	if p.joint || l.writers > 0 && with.tokens <= budget {
 		c.delay = p.time
 	}
+	c.ahead = waiting.tokens > 0 || p.tokens > budget
+	if c.ahead {
+		return c
+	}
 	for _, j := range e.Jobs {
 		c.spoils += j.harm(before, after, c.delay)
 	}
-	c.ahead = waiting.tokens > 0 || p.tokens > budget
 	return c
 }
 
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -91,7 +91,7 @@
 	}
 	best, found := Plan{}, false
 	cands := make([]candidate, 0, len(usable))
-	o := newOutlook(len(usable), now)
+	o := newOutlook(usable, now)
 	for _, n := range widths {
 		if n > len(usable) || n > 1 && usable[0].Model.Read(r.Prompt, n) < leastPart {
 			break
