--- a/emulator/caller.go
+++ b/emulator/caller.go
@@ -233,8 +233,7 @@
 		For:      silence,
 		Patience: patience - silence,
 	}
-	var q *pending
-	q = c.play.submit(ask, func(g pool.Grant) {
+	q := c.play.submit(ask, func(g pool.Grant) {
 		c.pending = nil
 		if c.done || c.attempt != a {
 			c.play.end(c, ask.ID, pool.Abandoned, 0)
--- a/emulator/clock.go
+++ b/emulator/clock.go
@@ -80,6 +80,3 @@
 		t.do()
 	}
 }
-
-// since returns the time since the start.
-func (c *clock) since() time.Duration { return c.now.Sub(c.start) }
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -127,8 +127,8 @@
 		}
 	}
 	row.Figure, row.Spread = mean(figures)
-	spread := 0.0
-	row.Gain, spread = mean(gains)
+	gain, spread := mean(gains)
+	row.Gain = gain
 	row.Error = normal95 * spread / math.Sqrt(n)
 	return row
 }
--- a/placement/foresee.go
+++ b/placement/foresee.go
@@ -127,7 +127,7 @@
 // pass plays one pass. Without writers those are short: they are played together until a
 // prompt is read, or for so long.
 func (f *foresight) pass(long time.Duration) {
-	length := time.Duration(0)
+	var length time.Duration
 	if n := len(f.writing); n > 0 {
 		length = f.engine.Model.Pass(n, f.context) + f.read(f.engine.Model.Budget(n))
 	} else {
--- a/placement/foresee_test.go
+++ b/placement/foresee_test.go
@@ -50,11 +50,11 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			is := is.New(t)
 			r := rand.New(rand.NewPCG(seed, 0))
-			planned, real := newReading(), newReading()
+			planned, played := newReading(), newReading()
 			for i := range 2 + r.IntN(4) {
 				tokens := 1 + r.IntN(30_000)
 				joint := r.IntN(3) == 0
-				for _, e := range []*Engine{planned, real} {
+				for _, e := range []*Engine{planned, played} {
 					j := readingJob(fmt.Sprint(i), tokens)
 					j.Joint = joint
 					e.Add(j, foreseen)
@@ -62,7 +62,7 @@
 			}
 			var f foresight
 			jobs := f.play(planned, nil, foreseen)
-			done := readAt(real)
+			done := readAt(played)
 			for _, c := range jobs {
 				if c.job.ID != "writer" {
 					is.Equal(c.first, done[c.job.ID])
