Tell from log lines what became of requests

Change: package account and linkmastctl account read the lines of all instances and count requests by kind (target and longest pause) and cause, with the seconds on request. The line of an attempt now tells its route's target and longest pause.

--- a/cmd/linkmastctl/main.go
+++ b/cmd/linkmastctl/main.go
@@ -37,6 +37,7 @@
 	Standin    standinCommand    `command:"standin" description:"run a stand-in for an outside system"`
 	Load       loadCommand       `command:"load" description:"send requests and measure the answers"`
 	Soak       soakCommand       `command:"soak" description:"run the real programs under drawn faults and check the promises"`
+	Account    accountCommand    `command:"account" description:"tell from log lines what became of requests, by kind and cause"`
 	Experiment experimentCommand `command:"experiment" description:"compare ways to decide on emulated days"`
 	Fit        fitCommand        `command:"fit" description:"fit lines to the output of go test -bench, from standard input"`
 }
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -212,5 +212,6 @@
 		"waited_ms", t.grant.Waited.Milliseconds(), "first_predicted_ms", t.grant.First.Milliseconds(),
 		"first_ms", t.firstAfter.Milliseconds(), "ms", time.Since(t.began).Milliseconds(),
 		"outcome", res.outcome.String(), "reason", res.reason, "status", res.status, "events", j.out.events.count,
-		"longest_gap_ms", t.longestGap.Milliseconds())
+		"longest_gap_ms", t.longestGap.Milliseconds(), "target_ms", j.route.Target.Milliseconds(),
+		"gap_ms", j.route.GapTarget.Milliseconds())
 }
