Let no request count double for having waited

Cause: what a request keeps counted twice after three tenths of its deadline, so that it would not be put off for ever. What puts it off at all ends at its target, and it is refused at six tenths of the deadline.

--- a/pool/decide.go
+++ b/pool/decide.go
@@ -25,10 +25,6 @@
 	// reading its prompt may take for it to be put off when there is no plan in
 	// time: the rest is for engines to become free.
 	soonShare = 0.7
-	// forceShare is the part of its deadline after which what a request keeps
-	// counts forceFactor times, so that it is not put off for ever.
-	forceShare  = 0.3
-	forceFactor = 2
 )
 
 // try places a request if this is the moment for it: its best plan covers what it
@@ -100,9 +96,6 @@
 	if plan.Spoils <= spoilsTolerated {
 		return true
 	}
-	if now.Sub(w.arrived) > time.Duration(forceShare*float64(w.ask.Deadline)) {
-		keeps *= forceFactor
-	}
 	return keeps > spoilsPrice*plan.Spoils
 }
 
