--- a/pool/waiter.go
+++ b/pool/waiter.go
@@ -35,17 +35,6 @@
 	}
 }
 
-// Callers give a stream up after a silence of the longest of these: a time, so
-// many targets, or so many of the longest pauses in time.
-const (
-	// giveUpLeast is that time.
-	giveUpLeast = 2 * time.Second
-	// giveUpTargets counts targets.
-	giveUpTargets = 4
-	// giveUpGaps counts pauses.
-	giveUpGaps = 8
-)
-
 // waiter makes the state of an ask.
 func (s *Scheduler) waiter(a Ask, now time.Time) *Waiter {
 	return &Waiter{
@@ -56,7 +45,7 @@
 			Output:   a.Output,
 			Gap:      a.Gap,
 			TargetAt: now.Add(a.Target - a.Spent),
-			GiveUpAt: now.Add(max(giveUpLeast, giveUpTargets*a.Target, giveUpGaps*a.Gap)),
+			GiveUpAt: now.Add(Patience(a.Target, a.Gap)),
 			Worth:    s.settings.WorthBase + s.settings.WorthPerToken*float64(a.Prompt),
 			Exclude:  a.Exclude,
 		},
