--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -24,7 +24,7 @@
 
 // world is a platform with instances of the system on it.
 type world struct {
-	t         *testing.T
+	t         testing.TB
 	store     *platformtest.Store
 	storeAddr string
 	endpoints map[string]*platformtest.Endpoint
@@ -55,19 +55,19 @@
 
 // newWorld starts a store with a configuration, two engines, two plain endpoints
 // and some instances.
-func newWorld(t *testing.T, instances int) *world {
+func newWorld(t testing.TB, instances int) *world {
 	t.Helper()
 	return startWorld(t, instances, false)
 }
 
 // newLenientWorld starts the same with instances that serve keys on by the newest
 // configuration that they know.
-func newLenientWorld(t *testing.T, instances int) *world {
+func newLenientWorld(t testing.TB, instances int) *world {
 	t.Helper()
 	return startWorld(t, instances, true)
 }
 
-func startWorld(t *testing.T, instances int, lenient bool) *world {
+func startWorld(t testing.TB, instances int, lenient bool) *world {
 	t.Helper()
 	w := &world{
 		t:         t,
@@ -93,7 +93,7 @@
 	return w
 }
 
-func serve(t *testing.T, h http.Handler) string {
+func serve(t testing.TB, h http.Handler) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
