--- a/emulator/caller.go
+++ b/emulator/caller.go
@@ -53,10 +53,12 @@
 	// turn counts what ends the wait for a sign.
 	turn int
 
-	done   bool
-	fate   Fate
+	// done states that it has ended, with its fate.
+	done bool
+	fate Fate
+	// moved states that it went elsewhere after a silence, and waited is the longest wait
+	// for a place that was given.
 	moved  bool
-	held   time.Duration
 	waited time.Duration
 }
 
@@ -138,7 +140,6 @@
 			c.play.clock.after(c.play.ways(2), func() { c.send(a.ID, g) })
 		}, func(r *pool.Refusal) {
 			c.pending = nil
-			c.held = max(c.held, c.play.clock.now.Sub(entered))
 			c.play.clock.after(c.play.hops(2), func() { c.refused(r) })
 		})
 	})
@@ -290,9 +291,6 @@
 	if c.done {
 		return
 	}
-	if c.attempt == nil {
-		c.held = max(c.held, c.play.clock.now.Sub(c.asked))
-	}
 	c.end(f)
 }
 
