Wait in TestSetAside for the ends of the attempts that found the owner

Cause, traced with the places of a failed run: the owner still counted two attempts of the search for it on e0, their ends on their way, so e0 was filled and the eight requests went to e1, e2 and e3.

Change: the test waits until the owner has nothing placed; what it checks is unchanged.

--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -317,7 +317,11 @@
 func TestSetAside(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t, 3)
-	f.owner("")
+	// The ends of the attempts that found the owner are on their way: while they are, its
+	// first engines count as filled.
+	for owner := f.owner(""); owner.scheduler.Figures()["engines"].Placed > 0; {
+		time.Sleep(time.Millisecond)
+	}
 	fail := func(n *node, i int) {
 		// Each attempt fails at e0, wherever it was placed.
 		id := fmt.Sprintf("%s-%d", n.self.ID, i)
