Test what the watch of a silent stream asks, and say once how long callers wait

Cause: no test noticed when an entry did not name the silent attempt, or did not look again when the owner says; none held the messages of asks and grants; how long callers wait stood in two packages.

Change: relay TestWatchLooksAgain, pool TestMessages (each field set, so that a new one is not forgotten), a row of TestKeepsPlannedSilence for an engine that gives no sign when its plan has ended; placement.Patience is the one formula. No decision changes.

Measured: each of five faults put in by hand (the owner's time not used, the attempt not named, the first event not noted, the patience not sent, each silence explained) turns one of them red.

--- a/emulator/caller.go
+++ b/emulator/caller.go
@@ -7,6 +7,7 @@
 	"math"
 	"time"
 
+	"github.com/linkmast/linkmast/placement"
 	"github.com/linkmast/linkmast/pool"
 )
 
@@ -103,7 +104,7 @@
 
 // patience is how long the caller waits for a sign.
 func (c *caller) patience() time.Duration {
-	return pool.Patience(time.Duration(c.kind.Target), time.Duration(c.kind.Gap))
+	return placement.Patience(time.Duration(c.kind.Target), time.Duration(c.kind.Gap))
 }
 
 // awaitSign lets the caller leave when nothing comes for too long.
@@ -226,7 +227,7 @@
 	ask.Exclude = append(ask.Exclude, a.grant.Instance)
 	patience := c.patience()
 	if c.events > 0 {
-		patience = pool.Patience(0, time.Duration(c.kind.Gap))
+		patience = placement.Patience(0, time.Duration(c.kind.Gap))
 	}
 	silence := c.play.clock.now.Sub(a.heard)
 	ask.Replaces = pool.Replaced{
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -86,15 +86,8 @@
 // pauseLoss returns what a pause costs a stream, in parts of its stake: all of it
 // when the stream is late, and what is left as well when its caller gives up.
 func (j *Job) pauseLoss(pause time.Duration) float64 {
-	if pause >= max(giveUpLeast, giveUpGaps*j.Gap) {
+	if pause >= Patience(0, j.Gap) {
 		return 1 / lateShare
 	}
 	return lateness(pause, j.Gap)
 }
-
-// Callers give a stream up after a silence of two seconds or of so many of the
-// longest pauses in time, whichever is longer.
-const (
-	giveUpLeast = 2 * time.Second
-	giveUpGaps  = 8
-)
--- /dev/null
+++ b/pool/messages_test.go
@@ -0,0 +1,73 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package pool
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestMessages sends an ask and a grant through their messages: nothing is lost, and each
+// field is set, so that a new one is not forgotten.
+func TestMessages(t *testing.T) {
+	t.Run("ask", func(t *testing.T) {
+		is := is.New(t)
+		a := Ask{
+			ID:        "a",
+			Service:   "s",
+			Customer:  "c",
+			Rank:      1,
+			Prompt:    2,
+			Output:    3,
+			Target:    -4 * time.Millisecond,
+			Gap:       5 * time.Millisecond,
+			Deadline:  6 * time.Millisecond,
+			Exclude:   []string{"e"},
+			Avoid:     []string{"f"},
+			Returning: true,
+			Spent:     7 * time.Millisecond,
+			Again:     true,
+			Replaces: Replaced{
+				Attempt:  "b",
+				For:      8 * time.Millisecond,
+				Patience: -9 * time.Millisecond,
+			},
+		}
+		assertSet(t, a)
+		assertSet(t, a.Replaces)
+		is.Equal(decodeAsk(encodeAsk(&a)), a)
+	})
+	t.Run("grant", func(t *testing.T) {
+		is := is.New(t)
+		g := Grant{
+			Instance: "i",
+			Address:  "a:1",
+			Readers: []Reader{
+				{
+					Instance: "j",
+					Address:  "b:1",
+					Reserved: 1,
+				},
+			},
+			First:  time.Millisecond,
+			Waited: 2 * time.Millisecond,
+			By:     "n",
+		}
+		assertSet(t, g)
+		is.Equal(decodeGrant(encodeGrant("x", &g)), g)
+	})
+}
+
+// assertSet looks that no field of a struct is zero.
+func assertSet(t *testing.T, v any) {
+	t.Helper()
+	s := reflect.ValueOf(v)
+	for i := range s.NumField() {
+		if s.Field(i).IsZero() {
+			t.Errorf("%s is not set", s.Type().Field(i).Name)
+		}
+	}
+}
--- a/pool/silence.go
+++ b/pool/silence.go
@@ -30,24 +30,6 @@
 	return silence, max(silence, firstFactor*predicted+firstSilence)
 }
 
-// Callers give a stream up after a silence of the longest of these: a time, so
-// many targets, or so many of the longest pauses in time.
-const (
-	// giveUpLeast is that time.
-	giveUpLeast = 2 * time.Second
-	// giveUpTargets counts targets.
-	giveUpTargets = 4
-	// giveUpGaps counts pauses.
-	giveUpGaps = 8
-)
-
-// Patience returns how long a caller waits in silence before it leaves, by its target for
-// the first event, which no longer counts once that has come, and its longest pause in
-// time.
-func Patience(target, gap time.Duration) time.Duration {
-	return max(giveUpLeast, giveUpTargets*target, giveUpGaps*gap)
-}
-
 // Replaced is an attempt that an ask is to replace, as it is silent.
 type Replaced struct {
 	// Attempt names it; empty when the ask replaces none.
--- a/pool/silence_test.go
+++ b/pool/silence_test.go
@@ -35,6 +35,7 @@
 	}{
 		{"planned", 1300 * time.Millisecond, 5 * time.Second, true},
 		{"planned, but the caller goes before", 1300 * time.Millisecond, time.Second, false},
+		{"no sign when the plan has ended", 3500 * time.Millisecond, 5 * time.Second, false},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			withSlowEngine(t, func(ctx context.Context, is *is.I, s *pool.Scheduler) {
--- a/pool/waiter.go
+++ b/pool/waiter.go
@@ -45,7 +45,7 @@
 			Output:   a.Output,
 			Gap:      a.Gap,
 			TargetAt: now.Add(a.Target - a.Spent),
-			GiveUpAt: now.Add(Patience(a.Target, a.Gap)),
+			GiveUpAt: now.Add(placement.Patience(a.Target, a.Gap)),
 			Worth:    s.settings.WorthBase + s.settings.WorthPerToken*float64(a.Prompt),
 			Exclude:  a.Exclude,
 		},
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/linkmast/linkmast/placement"
 	"github.com/linkmast/linkmast/pool"
 	"github.com/linkmast/linkmast/route"
 )
@@ -89,9 +90,9 @@
 // silent describes the attempt. The caller holds the lock.
 func (w *watch) silent() pool.Replaced {
 	r := w.try.job.route
-	patience := pool.Patience(r.Target, r.GapTarget)
+	patience := placement.Patience(r.Target, r.GapTarget)
 	if w.begun {
-		patience = pool.Patience(0, r.GapTarget)
+		patience = placement.Patience(0, r.GapTarget)
 	}
 	silence := time.Since(w.heard)
 	return pool.Replaced{
--- /dev/null
+++ b/relay/watch_test.go
@@ -0,0 +1,111 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package relay
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/pool"
+	"github.com/linkmast/linkmast/route"
+)
+
+// keeper refuses each place with an error and notes what it was asked.
+type keeper struct {
+	err  error
+	asks []pool.Ask
+	at   []time.Time
+}
+
+// Place implements pool.Placer.
+func (k *keeper) Place(_ context.Context, a pool.Ask) (pool.Grant, error) {
+	k.asks = append(k.asks, a)
+	k.at = append(k.at, time.Now())
+	return pool.Grant{}, k.err
+}
+
+// First implements pool.Placer.
+func (k *keeper) First(string, string) {}
+
+// End implements pool.Placer.
+func (k *keeper) End(string, string, pool.Outcome, string) {}
+
+// TestWatchLooksAgain lets a stream of pauses of 200 ms be silent, before its first event
+// and after it. The watch says which attempt it is to replace, for how long it has been
+// silent and how long its caller will wait, and looks again when the owner says, or else
+// after the usual silence of 1.3 s.
+func TestWatchLooksAgain(t *testing.T) {
+	for _, row := range []struct {
+		name  string
+		err   error
+		begun bool
+		// first is the silence at the first look, left what the caller waits then, and
+		// again the time until the second look.
+		first time.Duration
+		left  time.Duration
+		again time.Duration
+	}{
+		{"kept", &pool.Refusal{Kept: true, After: 400 * time.Millisecond}, true, 1300 * time.Millisecond, 700 * time.Millisecond, 400 * time.Millisecond},
+		{"refused", &pool.Refusal{After: 400 * time.Millisecond}, true, 1300 * time.Millisecond, 700 * time.Millisecond, 1300 * time.Millisecond},
+		{"no answer", errors.New("none"), true, 1300 * time.Millisecond, 700 * time.Millisecond, 1300 * time.Millisecond},
+		{"kept before the first event", &pool.Refusal{Kept: true, After: time.Second}, false, 2700 * time.Millisecond, 3300 * time.Millisecond, time.Second},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				k := &keeper{err: row.err}
+				w := watched(t, k)
+				if row.begun {
+					w.touch()
+				}
+				began := time.Now()
+				time.Sleep(5 * time.Second)
+				w.end()
+				is.True(len(k.asks) >= 2)
+				r := k.asks[0].Replaces
+				is.Equal(r.Attempt, "attempt")
+				is.Equal(r.For, row.first)
+				is.Equal(r.Patience, row.left)
+				is.Equal(k.at[0].Sub(began), row.first)
+				is.Equal(k.at[1].Sub(k.at[0]), row.again)
+			})
+		})
+	}
+}
+
+// watched returns the watch of an attempt with a first event predicted after a second.
+func watched(t *testing.T, placer pool.Placer) *watch {
+	l := &Relay{
+		parts: Parts{
+			Placer: placer,
+			Log:    logr.Discard(),
+		},
+	}
+	a := &try{
+		relay: l,
+		job: &job{
+			route: &route.Route{
+				Kind:        route.Streaming,
+				Resumable:   true,
+				MaxAttempts: 2,
+				Target:      1500 * time.Millisecond,
+				GapTarget:   200 * time.Millisecond,
+			},
+			arrived: time.Now(),
+		},
+		ask: pool.Ask{
+			ID: "attempt",
+		},
+		grant: pool.Grant{
+			Instance: "e0",
+			First:    time.Second,
+		},
+	}
+	return a.watch(t.Context(), func() {})
+}
