Send nothing new to the endpoints of an emptied failure domain

Cause: the operator's request in the store was read by nobody, so requests went on to the domain's engines and plain endpoints until it was taken back. Change: the request is part of the feed of configurations; followers say by sums what they have of that feed, so that requests that ended while they were away end there too. The owner places nothing in the domain, an ask names the domains that its entry knows, and the entry checks each place before it sends. A service all of whose domains are emptied refuses at once. Ruled out: a feed of its own (a poll more for each reader), excluding endpoints one by one, taking them for leaving ones, which don't come back.

--- a/catalog/apply.go
+++ b/catalog/apply.go
@@ -53,7 +53,12 @@
 	}
 	switch v := c.store.Decode(f, r).(type) {
 	case *TableChange:
+		c.tableKey = r.Key
 		c.applyTable(v)
+	case *DomainEmptied:
+		c.empty(v.Domain)
+	case *DomainRestored:
+		c.restore(v.Domain)
 	case *EndpointChange:
 		c.applyEndpoint(v.Endpoint)
 	case *EndpointGone:
@@ -162,11 +167,11 @@
 }
 
 // dropMissing removes what a whole read of some parts of a feed up to an offset did not
-// show. It returns whether that changed anything.
+// show; the configuration stays in force. It returns whether that changed anything.
 func (c *Catalog) dropMissing(f Feed, whole parts, seen map[string]bool, next int64, from source) bool {
 	changed := false
 	for key, old := range c.records[f] {
-		if seen[key] || !whole.has(key) || len(old.Value) == 0 || old.Offset >= next || f == Configurations {
+		if seen[key] || !whole.has(key) || len(old.Value) == 0 || old.Offset >= next || c.isTable(f, key) {
 			continue
 		}
 		// The record that ended the key is gone too; it lay before next.
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -101,8 +101,10 @@
 	joined atomic.Bool
 
 	mu sync.Mutex
-	// table, endpoints and peers are what the records say.
+	// table, endpoints and peers are what the records say, and tableKey is the key of
+	// the record that the table is of.
 	table     *route.Table
+	tableKey  string
 	endpoints map[string]Endpoint
 	peers     map[string]Peer
 	// records are the newest records by feed and key, as far as they took
@@ -122,6 +124,9 @@
 	// departed are the endpoints that leave or are gone, with when this became
 	// known.
 	departed map[string]time.Time
+	// emptied are the failure domains that get nothing new, with when this became
+	// known.
+	emptied map[string]time.Time
 	// changed is closed at the next change.
 	changed chan struct{}
 }
@@ -166,6 +171,7 @@
 		next:       make(map[Feed]int64),
 		vanished:   make(map[string]removal),
 		departed:   make(map[string]time.Time),
+		emptied:    make(map[string]time.Time),
 		changed:    make(chan struct{}),
 		sums:       make(map[Feed]*sums),
 		long:       make(map[longKey]*packed),
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -57,6 +57,9 @@
 	s.changed = make(chan struct{})
 }
 
+// emptiedPrefix begins the keys of emptied failure domains.
+const emptiedPrefix = "emptied/"
+
 // record makes the record of a change. The caller holds the lock.
 func (s *fakeStore) record(f catalog.Feed, c catalog.Change, offset int64) catalog.Record {
 	r := catalog.Record{
@@ -72,6 +75,11 @@
 		return r
 	case *catalog.PeerChange:
 		r.Key = v.Peer.ID
+	case *catalog.DomainEmptied:
+		r.Key = emptiedPrefix + v.Domain
+	case *catalog.DomainRestored:
+		r.Key = emptiedPrefix + v.Domain
+		return r
 	case *catalog.Malformed:
 		r.Key = v.Key
 	}
@@ -86,6 +94,11 @@
 
 // Decode implements catalog.Store.
 func (s *fakeStore) Decode(_ catalog.Feed, r catalog.Record) catalog.Change {
+	if domain, ok := strings.CutPrefix(r.Key, emptiedPrefix); ok && len(r.Value) == 0 {
+		return &catalog.DomainRestored{
+			Domain: domain,
+		}
+	}
 	if len(r.Value) == 0 {
 		return &catalog.EndpointGone{
 			Instance: r.Key,
--- a/catalog/doc.go
+++ b/catalog/doc.go
@@ -23,6 +23,10 @@
 // after all changes that it covers. A caller compares
 // the age with how soon keys that were taken away must be refused.
 //
+// The operator's requests to empty a failure domain stand beside the configuration, in one
+// feed: they come as soon and as widely as it does, and their age is that of the
+// configuration. One that a whole read no longer shows is over.
+//
 // Endpoints that vanish from the store while it is, or has just been, out of
 // reach are kept for Hold after it is back: their entries lapse when they can't
 // renew them.
--- /dev/null
+++ b/catalog/emptied.go
@@ -0,0 +1,42 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package catalog
+
+import "time"
+
+// empty notes that the endpoints of a failure domain get nothing new. The caller holds the
+// lock, as for the functions below.
+func (c *Catalog) empty(domain string) {
+	if _, known := c.emptied[domain]; known {
+		return
+	}
+	c.emptied[domain] = time.Now()
+	c.log.Info("failure domain is emptied", "failure_domain", domain, "endpoints", c.endpointsIn(domain))
+}
+
+// restore notes that the endpoints of a failure domain may get requests again.
+func (c *Catalog) restore(domain string) {
+	since, known := c.emptied[domain]
+	if !known {
+		return
+	}
+	delete(c.emptied, domain)
+	c.log.Info("failure domain is restored", "failure_domain", domain, "endpoints", c.endpointsIn(domain),
+		"emptied_ms", time.Since(since).Milliseconds())
+}
+
+// endpointsIn counts the endpoints of a failure domain.
+func (c *Catalog) endpointsIn(domain string) int {
+	n := 0
+	for _, e := range c.endpoints {
+		if e.FailureDomain == domain {
+			n++
+		}
+	}
+	return n
+}
+
+// isTable states whether a key is that of the configuration's record.
+func (c *Catalog) isTable(f Feed, key string) bool {
+	return f == Configurations && key == c.tableKey
+}
--- a/catalog/figures.go
+++ b/catalog/figures.go
@@ -2,6 +2,11 @@
 
 package catalog
 
+import (
+	"maps"
+	"slices"
+)
+
 // Figures are an instance's place among those that hand on what the store says.
 type Figures struct {
 	// Role is "reader", "carrier" or "follower", by the order of all instances.
@@ -17,6 +22,8 @@
 	// AnsweredMS is how long ago the store answered the root, in ms; an hour when
 	// it never did.
 	AnsweredMS int64 `json:"answered_ms"`
+	// Emptied are the failure domains that get nothing new, in order.
+	Emptied []string `json:"emptied"`
 }
 
 // Figures returns the figures of now.
@@ -29,9 +36,17 @@
 		Hops:       now.hops,
 		Root:       now.root,
 		AnsweredMS: now.answered.Milliseconds(),
+		Emptied:    c.emptiedDomains(),
 	}
 }
 
+// emptiedDomains returns the failure domains that are emptied, in order.
+func (c *Catalog) emptiedDomains() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Sorted(maps.Keys(c.emptied))
+}
+
 // role returns what an instance is meant to do.
 func (r *ranks) role() string {
 	switch {
--- /dev/null
+++ b/catalog/handed_test.go
@@ -0,0 +1,96 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package catalog
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/route"
+)
+
+// operatorStore reads a configuration from the record of the key "config", and emptied
+// failure domains from the others. Only Decode may be called.
+type operatorStore struct {
+	Store
+}
+
+func (operatorStore) Decode(f Feed, r Record) Change {
+	domain, emptied := strings.CutPrefix(r.Key, "empty/")
+	switch {
+	case f != Configurations:
+		return nil
+	case emptied && len(r.Value) == 0:
+		return &DomainRestored{
+			Domain: domain,
+		}
+	case emptied:
+		return &DomainEmptied{
+			Domain: domain,
+		}
+	}
+	return &TableChange{
+		Table: route.New(r.Offset+1, nil, nil, nil, false, route.Limits{}),
+	}
+}
+
+// written returns a record of the feed of configurations.
+func written(key, value string, offset int64) Record {
+	return Record{
+		Key:    key,
+		Value:  []byte(value),
+		Offset: offset,
+	}
+}
+
+// newOperated returns a catalog that knows a configuration and an emptied failure domain.
+func newOperated() *Catalog {
+	c := New(Settings{}, operatorStore{}, nil, logr.Discard())
+	c.apply(Configurations, []Record{written("config", "a", 0), written("empty/d1", "{}", 1)}, 2, allParts, fromStore)
+	return c
+}
+
+// assertHanded checks what a follower knows, and that it was sent so many records.
+func assertHanded(is *is.I, from, to *Catalog, records int) {
+	is.Helper()
+	is.Equal(hand(from, to), records)
+	is.Equal(to.emptiedDomains(), from.emptiedDomains())
+	is.Equal(to.table.Version, from.table.Version)
+	is.Equal(*to.sums[Configurations], *from.sums[Configurations])
+	is.Equal(hand(from, to), 0)
+}
+
+// TestEmptiedHandedOn hands what is known of failure domains on to a follower that was away
+// meanwhile.
+func TestEmptiedHandedOn(t *testing.T) {
+	for _, row := range []struct {
+		name    string
+		change  func(from *Catalog)
+		records int
+	}{
+		{"nothing new", func(*Catalog) {}, 0},
+		{"another one emptied", func(c *Catalog) {
+			c.apply(Configurations, []Record{written("empty/d2", "{}", 2)}, 3, 0, fromStore)
+		}, 1},
+		{"restored", func(c *Catalog) {
+			c.apply(Configurations, []Record{written("empty/d1", "", 2)}, 3, 0, fromStore)
+		}, 1},
+		{"restored, which the store forgot", func(c *Catalog) {
+			c.apply(Configurations, []Record{written("config", "a", 0)}, 3, allParts, fromStore)
+		}, 1},
+		{"another configuration", func(c *Catalog) {
+			c.apply(Configurations, []Record{written("config", "b", 2)}, 3, 0, fromStore)
+		}, 1},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			from, to := newOperated(), New(Settings{}, operatorStore{}, nil, logr.Discard())
+			assertHanded(is, from, to, 2)
+			row.change(from)
+			assertHanded(is, from, to, row.records)
+		})
+	}
+}
--- a/catalog/missing.go
+++ b/catalog/missing.go
@@ -16,10 +16,10 @@
 		Has: noOffset,
 		Id:  c.settings.Self.ID,
 	}
-	for _, r := range c.records[Configurations] {
-		p.Has = r.Offset
+	if c.table != nil {
+		p.Has = c.records[Configurations][c.tableKey].Offset
 	}
-	for _, f := range [...]Feed{Endpoints, Peers} {
+	for _, f := range feeds {
 		p.Have = append(p.Have, &catalogpb.Have{
 			Feed: int32(f),
 			Sums: slices.Clone(c.sums[f][:]),
@@ -53,12 +53,10 @@
 			continue
 		}
 		l := lack{
-			feed: f,
-			next: next,
-			long: make(map[string]*packed),
-		}
-		if f != Configurations {
-			l.parts = c.sums[f].differ(said[f])
+			feed:  f,
+			next:  next,
+			parts: c.sums[f].differ(said[f]),
+			long:  make(map[string]*packed),
 		}
 		c.collect(&l, first.GetHas())
 		out = append(out, l)
@@ -66,11 +64,11 @@
 	return out
 }
 
-// collect adds the records of a feed that are lacking; of the configuration, the one
-// at another offset. The caller holds the lock.
+// collect adds the records of a feed that are lacking; the configuration only where the
+// follower has the one at another offset. The caller holds the lock.
 func (c *Catalog) collect(l *lack, has int64) {
 	for key, r := range c.records[l.feed] {
-		if l.feed == Configurations && r.Offset == has || l.feed != Configurations && !l.parts.has(key) {
+		if !l.parts.has(key) || c.isTable(l.feed, key) && r.Offset == has {
 			continue
 		}
 		l.records = append(l.records, r)
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -18,6 +18,9 @@
 	// Departed are the endpoints that leave or are gone, for departedFor after
 	// this became known. Another instance may not know of it yet.
 	Departed map[string]time.Time
+	// Emptied are the failure domains whose endpoints get nothing new, with when this
+	// became known.
+	Emptied map[string]time.Time
 	// Peers are all instances by id, this one included.
 	Peers map[string]Peer
 }
@@ -41,6 +44,16 @@
 	return gone
 }
 
+// Barred states whether an endpoint must get nothing new, by itself or as its failure
+// domain is emptied.
+func (s *Snapshot) Barred(instance string) bool {
+	if s.Gone(instance) {
+		return true
+	}
+	_, emptied := s.Emptied[s.Endpoints[instance].FailureDomain]
+	return emptied
+}
+
 // publish makes what is known visible. The caller holds the lock.
 func (c *Catalog) publish() {
 	close(c.changed)
@@ -52,6 +65,7 @@
 		Table:     c.table,
 		Endpoints: make(map[string]Endpoint, len(c.endpoints)),
 		Departed:  make(map[string]time.Time, len(c.departed)),
+		Emptied:   maps.Clone(c.emptied),
 		Peers:     make(map[string]Peer, len(c.peers)),
 	}
 	for k, at := range c.departed {
--- a/catalog/types.go
+++ b/catalog/types.go
@@ -44,7 +44,8 @@
 
 // The feeds.
 const (
-	// Configurations has the whole configuration.
+	// Configurations has the whole configuration, and the failure domains that are
+	// emptied.
 	Configurations Feed = iota
 	// Endpoints has an entry for each endpoint.
 	Endpoints
@@ -64,7 +65,7 @@
 }
 
 // Change is a record of a feed: *TableChange, *EndpointChange, *EndpointGone,
-// *PeerChange, *PeerGone or *Malformed.
+// *PeerChange, *PeerGone, *DomainEmptied, *DomainRestored or *Malformed.
 type Change interface {
 	change()
 }
@@ -99,6 +100,19 @@
 	ID string
 }
 
+// DomainEmptied asks that nothing new be sent to the endpoints of a failure domain. It is
+// a record of the feed of configurations.
+type DomainEmptied struct {
+	// Domain names the failure domain.
+	Domain string
+}
+
+// DomainRestored ends what DomainEmptied asked for.
+type DomainRestored struct {
+	// Domain names the failure domain.
+	Domain string
+}
+
 // Malformed is a record that can't be read. It changes nothing.
 type Malformed struct {
 	// Key is the record's key.
@@ -112,6 +126,8 @@
 func (*EndpointGone) change()   {}
 func (*PeerChange) change()     {}
 func (*PeerGone) change()       {}
+func (*DomainEmptied) change()  {}
+func (*DomainRestored) change() {}
 func (*Malformed) change()      {}
 
 // ErrCompacted means that the records asked for are no longer kept; the feed
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -414,3 +414,35 @@
 		return w.endpoints["e1"].Held()+w.endpoints["e2"].Held() == 0
 	})
 }
+
+// TestDomainEmptied empties the failure domain of an endpoint, with instances that read the
+// store and that follow others, and restores it.
+func TestDomainEmptied(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 3)
+	w.store.Enter("p2", "plain", w.addresses["p2"], "d2", 8, false)
+	w.store.Enter("e2", "engines", w.addresses["e2"], "d2", 8, false)
+	w.await("the failure domain known", func() bool {
+		w.ask(0, call{id: "x", path: "/safe/"})
+		return len(w.endpoints["p2"].Runs()) > 0
+	})
+	runs := func() int { return len(w.endpoints["p2"].Runs()) + len(w.endpoints["e2"].Runs()) }
+	// ask asks each instance some times and returns how many requests ran in the domain.
+	ask := func() int {
+		before := runs()
+		for i := range w.gateways {
+			for range 6 {
+				assertWhole(t, w.ask(i, call{id: "y", path: "/safe/"}))
+				assertWhole(t, w.ask(i, call{id: "z", path: "/stream/", tokens: 100}))
+			}
+		}
+		return runs() - before
+	}
+	w.store.Empty("d2")
+	w.await("no new work", func() bool { return ask() == 0 })
+	is.Equal(ask(), 0)
+	w.store.Forget(platformtest.TopicOperator)
+	is.Equal(ask(), 0)
+	w.store.Restore("d2")
+	w.await("work again", func() bool { return ask() > 0 })
+}
--- a/pool/client.go
+++ b/pool/client.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -100,7 +101,9 @@
 // Place implements Placer.
 func (c *Client) Place(ctx context.Context, a Ask) (Grant, error) {
 	a.Avoid = c.local.Shunned(a.Service)
-	a.Exclude = append(slices.Clone(a.Exclude), c.leaving()...)
+	leaving, emptied := c.barred()
+	a.Exclude = append(slices.Clone(a.Exclude), leaving...)
+	a.Emptied = emptied
 	owners := c.owners(a.Service)
 	// A pool that has no owners, like one without engines, is each instance's own.
 	alone := len(owners) > 0
@@ -130,15 +133,15 @@
 	return g, err
 }
 
-// leaving returns the endpoints that must get nothing new, as this instance
-// knows: the owner may be cut off from the store.
-func (c *Client) leaving() []string {
+// barred returns the endpoints and the failure domains that must get nothing new, as this
+// instance knows: the owner may be cut off from the store.
+func (c *Client) barred() (leaving, emptied []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.known == nil {
-		return nil
+		return nil, nil
 	}
-	return c.known.Leaving()
+	return c.known.Leaving(), slices.Sorted(maps.Keys(c.known.Emptied))
 }
 
 // note remembers an attempt and tells all but the one who placed it.
--- a/pool/messages.go
+++ b/pool/messages.go
@@ -25,6 +25,7 @@
 		Returning:  a.Returning,
 		SpentUs:    a.Spent.Microseconds(),
 		Avoid:      a.Avoid,
+		Emptied:    a.Emptied,
 		Replaces: &poolpb.Replaced{
 			Attempt:    a.Replaces.Attempt,
 			ForUs:      a.Replaces.For.Microseconds(),
@@ -50,6 +51,7 @@
 		Returning: m.GetReturning(),
 		Spent:     microseconds(m.GetSpentUs()),
 		Avoid:     m.GetAvoid(),
+		Emptied:   m.GetEmptied(),
 		Replaces: Replaced{
 			Attempt:  m.GetReplaces().GetAttempt(),
 			For:      microseconds(m.GetReplaces().GetForUs()),
--- a/pool/messages_test.go
+++ b/pool/messages_test.go
@@ -27,6 +27,7 @@
 			Deadline:  6 * time.Millisecond,
 			Exclude:   []string{"e"},
 			Avoid:     []string{"f"},
+			Emptied:   []string{"g"},
 			Returning: true,
 			Spent:     7 * time.Millisecond,
 			Again:     true,
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -91,6 +91,7 @@
 	}
 	for name, p := range s.pools {
 		p.prune(name, snap)
+		p.emptied = snap.Emptied
 		p.share(s.settings.Retries, len(snap.Peers))
 	}
 }
--- a/pool/shed.go
+++ b/pool/shed.go
@@ -41,6 +41,9 @@
 // take the engines from those that are in time.
 func (s *Scheduler) refuse(p *state, w *Waiter, work time.Duration, now time.Time) *Refusal {
 	list := p.usable(&w.ask, now)
+	if len(list) == 0 && p.emptied.barsAny(&w.ask, p.list) {
+		return s.refusal("failure domains of the service are emptied", emptiedAfter)
+	}
 	if p.plain || len(list) == 0 {
 		return s.waitedOut(w, now)
 	}
--- a/pool/state.go
+++ b/pool/state.go
@@ -39,6 +39,8 @@
 	longestGap time.Duration
 	// travel is how long requests are on their way to the engines.
 	travel travel
+	// emptied are the failure domains that get nothing new.
+	emptied emptied
 	// plain states that the service's endpoints are no engines.
 	plain bool
 }
@@ -165,7 +167,7 @@
 	var rest []*placement.Engine
 	for _, e := range p.list {
 		switch {
-		case e.Closed || slices.Contains(a.Exclude, e.Instance):
+		case e.Closed || slices.Contains(a.Exclude, e.Instance) || p.emptied.bars(a, e):
 		case slices.Contains(a.Avoid, e.Instance) || !p.health[e.Instance].all.usable(now):
 			rest = append(rest, e)
 		default:
--- a/pool/types.go
+++ b/pool/types.go
@@ -35,6 +35,8 @@
 	// Avoid are endpoints that failed the entry's requests of late. They are
 	// used when there is no other.
 	Avoid []string
+	// Emptied are the failure domains that get nothing new, as the entry knows.
+	Emptied []string
 	// Returning states that the caller has come back after a refusal, or tries
 	// again.
 	Returning bool
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -65,7 +65,7 @@
 	if gone := l.departed(&p.grant); gone != "" {
 		l.giveBack(p)
 		l.parts.Log.Info("place declined", "request", j.head.ID, "attempt", p.ask.ID, "endpoint", gone,
-			"reason", "it is leaving", "by", p.grant.By)
+			"reason", "it is leaving or its failure domain is emptied", "by", p.grant.By)
 		j.exclude = append(j.exclude, gone)
 		return true, nil
 	}
@@ -125,16 +125,16 @@
 	return again, final
 }
 
-// departed returns an endpoint of a grant that must get nothing new, or nothing:
+// departed returns an endpoint of a grant that must get nothing new, or "" for none:
 // it may have begun to leave while the request waited, or the one who placed it
 // may know less.
 func (l *Relay) departed(g *pool.Grant) string {
 	known := l.parts.Known()
-	if known.Gone(g.Instance) {
+	if known.Barred(g.Instance) {
 		return g.Instance
 	}
 	for _, r := range g.Readers {
-		if known.Gone(r.Instance) {
+		if known.Barred(r.Instance) {
 			return r.Instance
 		}
 	}
