Wait in the tests of leaving for what instances tell, not for chance

Cause: TestLeaving/entry_removed failed once beside load (1 != 0): it took four requests without one to the leaving endpoint for the sign that the instance knows, which an instance that prefers the other endpoint shows from the start. TestDomainEmptied waited the same way. Change: the admin address tells how many endpoints leave or have gone of late; both tests wait for what each instance tells there. From then on not one request may reach the endpoint, as before; the waiting is stricter. Ruled out: a slow removal; the entry is removed by the first answer of the store.

--- a/gateway/admin.go
+++ b/gateway/admin.go
@@ -37,7 +37,9 @@
 	// AgeMS is how old it may be, in ms.
 	AgeMS     int64 `json:"age_ms"`
 	Endpoints int   `json:"endpoints"`
-	Peers     int   `json:"peers"`
+	// Departed counts the endpoints that leave or have gone of late.
+	Departed int `json:"departed"`
+	Peers    int `json:"peers"`
 	// Following is the instance's place among those that hand on what the store says.
 	Following catalog.Figures `json:"following"`
 }
@@ -50,6 +52,7 @@
 	if s := g.catalog.Snapshot(); s != nil {
 		f.Version = s.Table.Version
 		f.Endpoints = len(s.Endpoints)
+		f.Departed = len(s.Departed)
 		f.Peers = len(s.Peers)
 	}
 	if age, ok := g.catalog.Age(); ok {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -279,13 +279,7 @@
 			is := is.New(t)
 			w := newWorld(t, 1)
 			row.leave(w)
-			w.await("no new work", func() bool {
-				before := len(w.endpoints["p1"].Runs())
-				for range 4 {
-					w.ask(0, call{id: "x", path: "/safe/"})
-				}
-				return len(w.endpoints["p1"].Runs()) == before
-			})
+			w.awaitAll("that it leaves", func(f figures) bool { return f.Store.Departed == 1 })
 			before := len(w.endpoints["p1"].Runs())
 			for range 20 {
 				assertWhole(t, w.ask(0, call{id: "y", path: "/safe/"}))
@@ -415,34 +409,35 @@
 	})
 }
 
-// TestDomainEmptied empties the failure domain of an endpoint, with instances that read the
-// store and that follow others, and restores it.
+// TestDomainEmptied empties a failure domain, with instances that read the store and that
+// follow others, and restores it.
 func TestDomainEmptied(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 3)
-	w.store.Enter("p2", "plain", w.addresses["p2"], "d2", 8, false)
-	w.store.Enter("e2", "engines", w.addresses["e2"], "d2", 8, false)
-	w.await("the failure domain known", func() bool {
-		w.ask(0, call{id: "x", path: "/safe/"})
-		return len(w.endpoints["p2"].Runs()) > 0
-	})
-	runs := func() int { return len(w.endpoints["p2"].Runs()) + len(w.endpoints["e2"].Runs()) }
-	// ask asks each instance some times and returns how many requests ran in the domain.
+	w.addEndpointIn("d2", "e3", "engines", fastEngine())
+	w.addEndpointIn("d2", "p3", "plain", nil)
+	w.awaitAll("all endpoints known", func(f figures) bool { return f.Store.Endpoints == 6 })
+	// ask asks each instance some times, and returns how many requests ran in the domain.
 	ask := func() int {
-		before := runs()
+		before := w.ran("e1", "e2", "p1", "p2")
 		for i := range w.gateways {
 			for range 6 {
 				assertWhole(t, w.ask(i, call{id: "y", path: "/safe/"}))
 				assertWhole(t, w.ask(i, call{id: "z", path: "/stream/", tokens: 100}))
 			}
 		}
-		return runs() - before
+		return w.ran("e1", "e2", "p1", "p2") - before
+	}
+	emptied := func(n int) func(f figures) bool {
+		return func(f figures) bool { return len(f.Store.Following.Emptied) == n }
 	}
-	w.store.Empty("d2")
-	w.await("no new work", func() bool { return ask() == 0 })
+	is.True(ask() > 0)
+	w.store.Empty("d1")
+	w.awaitAll("the failure domain emptied", emptied(1))
 	is.Equal(ask(), 0)
 	w.store.Forget(platformtest.TopicOperator)
 	is.Equal(ask(), 0)
-	w.store.Restore("d2")
-	w.await("work again", func() bool { return ask() > 0 })
+	w.store.Restore("d1")
+	w.awaitAll("the failure domain restored", emptied(0))
+	is.True(ask() > 0)
 }
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -3,6 +3,7 @@
 package gateway_test
 
 import (
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -18,6 +19,7 @@
 	"github.com/linkmast/linkmast/config"
 	"github.com/linkmast/linkmast/gateway"
 	"github.com/linkmast/linkmast/platform/platformtest"
+	"github.com/linkmast/linkmast/pool"
 	"github.com/linkmast/linkmast/route"
 	"github.com/linkmast/linkmast/settings"
 )
@@ -108,6 +110,11 @@
 }
 
 func (w *world) addEndpoint(name, service string, m *batch.Model) {
+	w.addEndpointIn("d1", name, service, m)
+}
+
+// addEndpointIn adds an endpoint in a failure domain.
+func (w *world) addEndpointIn(domain, name, service string, m *batch.Model) {
 	e := &platformtest.Endpoint{
 		Instance: name,
 		Engine:   m,
@@ -116,7 +123,7 @@
 	}
 	w.endpoints[name] = e
 	w.addresses[name] = serve(w.t, e)
-	w.entry(name, service, false)
+	w.store.Enter(name, service, w.addresses[name], domain, 8, false)
 }
 
 // entry writes the entry of an endpoint.
@@ -196,6 +203,41 @@
 	return res.StatusCode == http.StatusOK
 }
 
+// figures are some of what an instance tells on its admin address.
+type figures struct {
+	Pools map[string]pool.Figures `json:"pools"`
+	Store struct {
+		Endpoints int `json:"endpoints"`
+		Departed  int `json:"departed"`
+		Following struct {
+			Emptied []string `json:"emptied"`
+		} `json:"following"`
+	} `json:"store"`
+}
+
+// figures returns what an instance tells.
+func (w *world) figures(g *gateway.Gateway) figures {
+	w.t.Helper()
+	res, err := http.Get("http://" + g.AdminListen + "/metrics")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	defer res.Body.Close()
+	var f figures
+	if err := json.NewDecoder(res.Body).Decode(&f); err != nil {
+		w.t.Fatal(err)
+	}
+	return f
+}
+
+// awaitAll waits until what each instance tells is as it should be.
+func (w *world) awaitAll(what string, ok func(f figures) bool) {
+	w.t.Helper()
+	for _, g := range w.gateways {
+		w.await(what, func() bool { return ok(w.figures(g)) })
+	}
+}
+
 // await waits until something holds.
 func (w *world) await(what string, ok func() bool) {
 	w.t.Helper()
@@ -290,6 +332,15 @@
 	return n
 }
 
+// ran returns how many requests some endpoints ran.
+func (w *world) ran(names ...string) int {
+	n := 0
+	for _, name := range names {
+		n += len(w.endpoints[name].Runs())
+	}
+	return n
+}
+
 // assertWhole checks a whole answer with a proof of origin.
 func assertWhole(t *testing.T, g got) {
 	t.Helper()
--- a/gateway/leave_test.go
+++ b/gateway/leave_test.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
@@ -14,7 +13,6 @@
 	"github.com/matryer/is"
 
 	"github.com/linkmast/linkmast/platform/platformtest"
-	"github.com/linkmast/linkmast/pool"
 )
 
 // leftWithin is how soon nothing may run for a caller that has left.
@@ -195,19 +193,7 @@
 	w.t.Helper()
 	running := w.endpoints["e1"].Running() + w.endpoints["e2"].Running()
 	for i, g := range w.gateways {
-		res, err := http.Get("http://" + g.AdminListen + "/metrics")
-		if err != nil {
-			w.t.Fatal(err)
-		}
-		var m struct {
-			Pools map[string]pool.Figures `json:"pools"`
-		}
-		err = json.NewDecoder(res.Body).Decode(&m)
-		res.Body.Close()
-		if err != nil {
-			w.t.Fatal(err)
-		}
-		f := m.Pools["engines"]
+		f := w.figures(g).Pools["engines"]
 		if f.Queued > 0 || f.Placed > running {
 			w.t.Errorf("instance %d counts %d waiting and %d placed, %d run", i, f.Queued, f.Placed, running)
 		}
