Tell the lives of an endpoint apart, and take no entry that names none to use

Cause: an entry without an address, with fields of another type or in an unknown state was taken for an endpoint, one record without a readable key kept the whole feed from being read, and a restart under the same name stayed leaving for good. Change: an entry needs all fields that every endpoint writes, each of its type; any other is malformed and ends what was known under its key until there is a good entry, as the newest entry of the key names none to use. Records without a key count for the offsets only. Born orders the lives: a later one is not leaving, an entry of an older one that comes late is ignored. Cold counts from when the entry is first known.

--- a/catalog/apply.go
+++ b/catalog/apply.go
@@ -60,7 +60,9 @@
 	case *DomainRestored:
 		c.restore(v.Domain)
 	case *EndpointChange:
-		c.applyEndpoint(v.Endpoint)
+		if !c.applyEndpoint(v.Endpoint) {
+			return false
+		}
 	case *EndpointGone:
 		return c.remove(r, from)
 	case *PeerChange:
@@ -73,7 +75,7 @@
 		delete(c.peers, v.ID)
 	case *Malformed:
 		c.log.Error(v.Err, "record ignored", "key", v.Key)
-		return false
+		return f == Endpoints && v.Key != "" && c.applyUnusable(r)
 	}
 	c.note(f, r)
 	return true
@@ -110,22 +112,43 @@
 	c.log.Info("configuration in force", "version", v.Table.Version, "before", before, "routes", len(v.Table.Routes))
 }
 
-// applyEndpoint takes over an entry. An endpoint that said that it leaves does
-// not come back under the same name.
-func (c *Catalog) applyEndpoint(e Endpoint) {
+// applyEndpoint takes over an entry, and returns false for one of an older life that came
+// late. An endpoint that said that it leaves does not come back in the same life.
+func (c *Catalog) applyEndpoint(e Endpoint) bool {
+	if !c.lives.note(e) {
+		c.log.Info("entry of an older life ignored", "endpoint", e.Instance, "born", e.Born)
+		return false
+	}
 	old, known := c.endpoints[e.Instance]
-	e.Leaving = e.Leaving || old.Leaving
+	e.Leaving = e.Leaving || old.Leaving && !e.Succeeds(old)
+	if e.Cold > 0 {
+		e.ColdUntil = time.Now().Add(e.Cold)
+	}
 	delete(c.vanished, e.Instance)
-	if !known || old != e {
-		c.log.Info("endpoint known", "endpoint", e.Instance, "service", e.Service, "address", e.Address, "leaving", e.Leaving)
+	if !known || !old.says(e) {
+		c.log.Info("endpoint known", "endpoint", e.Instance, "service", e.Service, "address", e.Address,
+			"leaving", e.Leaving, "born", e.Born, "cold_ms", e.Cold.Milliseconds())
 	}
 	c.endpoints[e.Instance] = e
 	if e.Leaving {
 		c.depart(e.Instance)
 	} else {
-		// An entry that had lapsed is back.
+		// An entry that had lapsed is back, or the endpoint has started again.
 		delete(c.departed, e.Instance)
 	}
+	return true
+}
+
+// applyUnusable takes over a record of an endpoint that names none to use: what was known
+// under its key gets nothing new until the key has a good entry. It returns whether
+// anything was known.
+func (c *Catalog) applyUnusable(r Record) bool {
+	if _, known := c.endpoints[r.Key]; known {
+		c.removeNow(r, "its entry names no endpoint to use")
+		return true
+	}
+	c.note(Endpoints, r)
+	return false
 }
 
 // depart notes that an endpoint leaves or is gone.
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -127,6 +127,8 @@
 	// emptied are the failure domains that get nothing new, with when this became
 	// known.
 	emptied map[string]time.Time
+	// lives tells late entries of older lives apart.
+	lives lives
 	// changed is closed at the next change.
 	changed chan struct{}
 }
@@ -172,6 +174,7 @@
 		vanished:   make(map[string]removal),
 		departed:   make(map[string]time.Time),
 		emptied:    make(map[string]time.Time),
+		lives:      make(lives),
 		changed:    make(chan struct{}),
 		sums:       make(map[Feed]*sums),
 		long:       make(map[longKey]*packed),
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -71,6 +71,7 @@
 	for k, at := range c.departed {
 		if time.Since(at) > departedFor {
 			delete(c.departed, k)
+			c.lives.forget(k, c.endpoints)
 			continue
 		}
 		s.Departed[k] = at
--- a/catalog/types.go
+++ b/catalog/types.go
@@ -11,9 +11,9 @@
 	"github.com/linkmast/linkmast/route"
 )
 
-// Endpoint is one start of an endpoint.
+// Endpoint is one life of an endpoint.
 type Endpoint struct {
-	// Instance names this start; a restart has another name.
+	// Instance names the endpoint; a restart may have the same name.
 	Instance string
 	// Service names what the endpoint answers for.
 	Service string
@@ -25,6 +25,31 @@
 	Slots int
 	// Leaving endpoints get no new request.
 	Leaving bool
+	// Born is when this life of the endpoint started, by the platform's clock; zero
+	// when it does not say. A later one under the same name holds and knows nothing
+	// of before.
+	Born time.Time
+	// Cold is how much longer the endpoint bears only a limited rate of requests, as
+	// its entry says.
+	Cold time.Duration
+	// ColdUntil is when that ends, counted from when the entry was first known here,
+	// so that it is never too early; zero for an endpoint that is not cold.
+	ColdUntil time.Time
+}
+
+// says states whether two entries of an endpoint say the same, but for how much longer
+// it is cold.
+func (e Endpoint) says(other Endpoint) bool {
+	if e.Cold > 0 && other.Cold > 0 {
+		e.Cold, e.ColdUntil = other.Cold, other.ColdUntil
+	}
+	return e == other
+}
+
+// Succeeds states whether the endpoint is a later life of another one under the same
+// name.
+func (e Endpoint) Succeeds(old Endpoint) bool {
+	return !old.Born.IsZero() && e.Born.After(old.Born)
 }
 
 // Peer is another instance of the system.
@@ -113,7 +138,8 @@
 	Domain string
 }
 
-// Malformed is a record that can't be read. It changes nothing.
+// Malformed is a record that can't be read, or that names nothing to use. That of an
+// endpoint ends what was known under its key; others change nothing.
 type Malformed struct {
 	// Key is the record's key.
 	Key string
