End what ran at an endpoint that starts again under its name

Cause: an endpoint with the name it had was taken for the same life: it kept the requests, the memory and the failures of before, and stayed full or set aside. Change: a later start (Born) in its entry ends the attempts of the life before and the parts it read for others, and its record of failures begins anew. A place says at which life it was given, so that one reported late by an entry is told apart, and one at a life not yet known here stays. Lines: "endpoint has started again". Ruled out: ending the request whose prompt the endpoint helped to read, as its own engine's answer decides on it.

--- a/pool/adopt.go
+++ b/pool/adopt.go
@@ -21,11 +21,12 @@
 		p.retry.first(now)
 	}
 	e := p.engines[g.Instance]
-	if e == nil {
+	if e == nil || p.outlived(&g) {
 		return
 	}
 	at := &placed{
 		instance: g.Instance,
+		born:     g.Born,
 		at:       now,
 		first:    g.First,
 		begun:    begun,
--- a/pool/aside.go
+++ b/pool/aside.go
@@ -55,6 +55,9 @@
 	// preference is higher for a plain endpoint that the instance prefers among
 	// equals.
 	preference float64
+	// born is when the endpoint's life started that this is about; zero when it does
+	// not say.
+	born time.Time
 }
 
 // rateWeight is the weight of one more outcome in an endpoint's failure rate.
--- a/pool/grant.go
+++ b/pool/grant.go
@@ -10,14 +10,17 @@
 
 // grant notes a place and returns it.
 func (s *Scheduler) grant(p *state, w *Waiter, plan *placement.Plan, now time.Time) Grant {
+	born := p.health[plan.Engine.Instance].born
 	at := &placed{
 		instance: plan.Engine.Instance,
+		born:     born,
 		at:       now,
 		first:    plan.First,
 	}
 	g := Grant{
 		Instance: plan.Engine.Instance,
 		Address:  plan.Engine.Address,
+		Born:     born,
 		First:    plan.First,
 		Waited:   now.Sub(w.arrived),
 		By:       s.settings.Self,
--- /dev/null
+++ b/pool/lives.go
@@ -0,0 +1,62 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"github.com/linkmast/linkmast/catalog"
+	"github.com/linkmast/linkmast/placement"
+)
+
+// renew takes over that an endpoint may have started again under its name. What was
+// thought to run, to hold or to be reserved there has ended, and its record of failures
+// is that of another life. It returns how many attempts ended, and whether the endpoint
+// has started again.
+func (p *state) renew(c catalog.Endpoint) (ended int, again bool) {
+	e, known := p.engines[c.Instance]
+	if !known {
+		return 0, false
+	}
+	h := p.health[c.Instance]
+	again = !h.born.IsZero() && c.Born.After(h.born)
+	if again {
+		ended = p.endLives(c.Instance, c.Born)
+		*e = placement.Engine{
+			Instance: e.Instance,
+			Jobs:     e.Jobs,
+		}
+		*h = health{
+			preference: h.preference,
+		}
+	}
+	if c.Born.After(h.born) {
+		h.born = c.Born
+	}
+	return ended, again
+}
+
+// endLives ends the attempts at the lives of an endpoint before the one that started at a
+// moment, and the parts of prompts that it read for others: their requests fail, as
+// those notice. It returns how many attempts ended.
+func (p *state) endLives(instance string, born time.Time) int {
+	n := 0
+	for id, at := range p.placed {
+		switch {
+		case at.instance == instance && at.born.Before(born):
+			p.end(id)
+			n++
+		case slices.Contains(at.readers, instance):
+			p.engines[instance].Remove(id)
+		}
+	}
+	return n
+}
+
+// outlived states whether a place was given at a life of an endpoint that is over. One
+// that does not say counts as given at the present life.
+func (p *state) outlived(g *Grant) bool {
+	h := p.health[g.Instance]
+	return h != nil && !g.Born.IsZero() && g.Born.Before(h.born)
+}
--- a/pool/messages.go
+++ b/pool/messages.go
@@ -65,6 +65,23 @@
 	return time.Duration(n) * time.Microsecond
 }
 
+// bornMessage returns the start of an endpoint's life as a Unix time in ms; zero when it
+// does not say.
+func bornMessage(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
+
+// bornOf returns the start of an endpoint's life that was sent as a number.
+func bornOf(ms int64) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(ms)
+}
+
 // encodeGrant returns the message of an attempt's grant. Reservations are not in it,
 // as the entry makes them.
 func encodeGrant(id string, g *Grant) *poolpb.Grant {
@@ -75,6 +92,7 @@
 		FirstUs:  g.First.Microseconds(),
 		WaitedUs: g.Waited.Microseconds(),
 		By:       g.By,
+		BornMs:   bornMessage(g.Born),
 	}
 	for _, r := range g.Readers {
 		m.Readers = append(m.Readers, &poolpb.Reader{
@@ -94,6 +112,7 @@
 		First:    microseconds(m.GetFirstUs()),
 		Waited:   microseconds(m.GetWaitedUs()),
 		By:       m.GetBy(),
+		Born:     bornOf(m.GetBornMs()),
 	}
 	for _, r := range m.GetReaders() {
 		g.Readers = append(g.Readers, Reader{
--- a/pool/messages_test.go
+++ b/pool/messages_test.go
@@ -46,6 +46,7 @@
 		g := Grant{
 			Instance: "i",
 			Address:  "a:1",
+			Born:     time.UnixMilli(1796256000123),
 			Readers: []Reader{
 				{
 					Instance: "j",
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -87,7 +87,11 @@
 		if svc == nil {
 			continue
 		}
-		s.pool(e.Service).upsert(e, svc)
+		p := s.pool(e.Service)
+		if ended, again := p.renew(e); again {
+			s.log.Info("endpoint has started again", "service", e.Service, "endpoint", e.Instance, "born", e.Born, "ended", ended)
+		}
+		p.upsert(e, svc)
 	}
 	for name, p := range s.pools {
 		p.prune(name, snap)
--- a/pool/state.go
+++ b/pool/state.go
@@ -48,6 +48,9 @@
 // placed is an attempt that has a place.
 type placed struct {
 	instance string
+	// born is when the life of the endpoint started that the place is at; zero when
+	// that is not known.
+	born time.Time
 	// readers are the endpoints that help to read the prompt.
 	readers []string
 	// at is when the place was given, and first the predicted time from then to
@@ -76,6 +79,7 @@
 		p.engines[c.Instance] = e
 		p.health[c.Instance] = &health{
 			preference: rendezvous.Score(p.self, c.Instance, 1),
+			born:       c.Born,
 		}
 		p.list = append(p.list, e)
 		slices.SortFunc(p.list, func(a, b *placement.Engine) int {
--- a/pool/types.go
+++ b/pool/types.go
@@ -67,6 +67,9 @@
 	Instance string
 	// Address is its host and port.
 	Address string
+	// Born is when the endpoint's life started that the place is at, as the one who
+	// decided knows it; zero when it does not say.
+	Born time.Time
 	// Readers are the endpoints that read the prompt together with it.
 	Readers []Reader
 	// First is the predicted time to the first event.
