Keep the requests to each cold endpoint under its bound, over all instances

Cause: nothing read how long an endpoint is cold, nor the rate that it bears; an owner fills an engine that has just returned as any other, and instances that place alone add to it without a bound. Change: a ledger for each endpoint counts the places given in the last 1.25 s, by whomever they were heard of. Of the bound (rate x overage + slack) an owner gives 3/8 at most, so that two may act at a time, and instances that place alone share 1/4, each with a whole number, another order of them for each endpoint; without an owner all share the whole. An endpoint that has none left gets no request, may help to read, and counts as full; a request that none may get before it has waited too long is refused at once. What returns from an emptied domain or after failing counts as cold as well. [cold] of the settings and cold_per_s of the configuration switch it on; figures cold, cold_passed_over.

--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -53,6 +53,10 @@
 			Extra:  f.Retries.Extra,
 			Window: time.Duration(f.Retries.Window),
 		},
+		Cold: pool.ColdLimit{
+			Overage: f.Cold.Overage,
+			Slack:   f.Cold.Slack,
+		},
 	}, log)
 	g.placer = pool.NewClient(g.self, g.pools, g.peers, log)
 }
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -67,6 +67,8 @@
 	Slots int
 	// Closed engines get nothing new.
 	Closed bool
+	// Full engines get no request now, but may help to read the prompts of others.
+	Full bool
 	// Jobs are what the engine works on, in the order in which they came.
 	Jobs []*Job
 
--- a/placement/judge.go
+++ b/placement/judge.go
@@ -133,7 +133,7 @@
 		engine:  e,
 		first:   l.starts(p, before) + l.first(p, pass, budget),
 		free:    e.room(),
-		slots:   l.running < e.Slots,
+		slots:   l.running < e.Slots && !e.Full,
 		left:    e.Slots - l.running,
 		pass:    after,
 		reading: l.reading,
--- a/pool/adopt.go
+++ b/pool/adopt.go
@@ -31,6 +31,9 @@
 		first:    g.First,
 		begun:    begun,
 	}
+	if !begun {
+		p.cold.give(g.Instance, now)
+	}
 	if p.plain {
 		addPlain(e, a.ID)
 		p.placed[a.ID] = at
--- a/pool/decide.go
+++ b/pool/decide.go
@@ -37,6 +37,7 @@
 	if p.plain {
 		return s.tryPlain(p, w, list, now)
 	}
+	p.cold.mark(list, p.decider(w), now)
 	if w.alone {
 		list = s.turned(list)
 	}
--- a/pool/figures.go
+++ b/pool/figures.go
@@ -18,6 +18,11 @@
 	Predicted int `json:"predicted"`
 	// Within counts those that were off by a fifth of the prediction or less.
 	Within int `json:"within"`
+	// Cold is how many endpoints are cold, or taken to be.
+	Cold int `json:"cold"`
+	// ColdPassedOver counts how often a decision found a cold endpoint that had been
+	// given all that it may get.
+	ColdPassedOver int64 `json:"cold_passed_over"`
 }
 
 // Figures returns the state of all pools by service.
@@ -32,6 +37,9 @@
 			Queued:    len(p.queue),
 			Predicted: p.errors.count,
 			Within:    p.errors.within,
+
+			Cold:           p.cold.count(s.settings.Now()),
+			ColdPassedOver: p.cold.passedOver,
 		}
 	}
 	return out
--- a/pool/grant.go
+++ b/pool/grant.go
@@ -33,7 +33,8 @@
 			Reserved: o.Hold,
 		})
 	}
-	p.probe(at)
+	p.probe(at, now)
+	p.cold.give(at.instance, now)
 	p.placed[w.ask.ID] = at
 	s.log.Info("place", "attempt", w.ask.ID, "service", w.ask.Service, "prompt", w.ask.Prompt, "endpoint", g.Instance,
 		"readers", at.readers, "first_ms", g.First.Milliseconds(), "read_ms", plan.Read.Milliseconds(),
@@ -43,10 +44,15 @@
 }
 
 // probe notes that an attempt tries endpoints that had failed.
-func (p *state) probe(at *placed) {
+func (p *state) probe(at *placed, now time.Time) {
 	for _, name := range at.endpoints() {
-		if h := p.health[name]; h != nil {
-			h.all.probing = h.all.failures > failuresTolerated
+		h := p.health[name]
+		if h == nil {
+			continue
+		}
+		h.all.probing = h.all.failures > failuresTolerated
+		if h.all.probing {
+			p.cold.returns(name, now)
 		}
 	}
 }
--- a/pool/plain.go
+++ b/pool/plain.go
@@ -16,6 +16,10 @@
 // the same of twelve endpoints, now to each at most twice its share (TestPlainSpread).
 // An instance goes where it has a connection as long as it has little to do.
 func (s *Scheduler) tryPlain(p *state, w *Waiter, list []*placement.Engine, now time.Time) (Grant, bool) {
+	list = p.cold.open(list, byEach, now)
+	if len(list) == 0 {
+		return Grant{}, false
+	}
 	best := slices.MinFunc(list, func(a, b *placement.Engine) int {
 		return cmp.Or(cmp.Compare(p.load(a), p.load(b)),
 			cmp.Compare(p.health[b.Instance].preference, p.health[a.Instance].preference))
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -21,6 +21,8 @@
 	// Retries bounds how many requests are sent again; the zero value allows
 	// none.
 	Retries Budget
+	// Cold bounds what endpoints get that are cold; the zero value sets no bound.
+	Cold ColdLimit
 	// WorthBase is what an answer in time is worth without the part for its
 	// prompt; the default is 0.8.
 	WorthBase float64
@@ -95,6 +97,8 @@
 	}
 	for name, p := range s.pools {
 		p.prune(name, snap)
+		p.cold.configure(s.settings.Cold, snap.Table.Services[name], s.settings.Self, snap.Peers)
+		p.cold.restored(p.list, p.emptied, snap.Emptied, s.settings.Now())
 		p.emptied = snap.Emptied
 		p.share(s.settings.Retries, len(snap.Peers))
 	}
--- a/pool/shed.go
+++ b/pool/shed.go
@@ -44,6 +44,9 @@
 	if len(list) == 0 && p.emptied.barsAny(&w.ask, p.list) {
 		return s.refusal("failure domains of the service are emptied", emptiedAfter)
 	}
+	if r := s.coldUntil(p, w, list, now); r != nil {
+		return r
+	}
 	if p.plain || len(list) == 0 {
 		return s.waitedOut(w, now)
 	}
@@ -154,11 +157,16 @@
 	return float64(used) >= crowdedShare*float64(all)
 }
 
-// slotsOf returns how many slots engines have in use, and how many they have in all.
+// slotsOf returns how many slots engines have in use, and how many they have in all. Those
+// of engines that get nothing now count as used.
 func slotsOf(list []*placement.Engine) (used, all int) {
 	for _, e := range list {
-		used += e.Running()
 		all += e.Slots
+		if e.Full {
+			used += e.Slots
+			continue
+		}
+		used += e.Running()
 	}
 	return used, all
 }
--- a/pool/state.go
+++ b/pool/state.go
@@ -41,6 +41,8 @@
 	travel travel
 	// emptied are the failure domains that get nothing new.
 	emptied emptied
+	// cold counts what endpoints get that have just started.
+	cold cold
 	// plain states that the service's endpoints are no engines.
 	plain bool
 }
@@ -90,6 +92,7 @@
 	e.FailureDomain = c.FailureDomain
 	e.Slots = max(c.Slots, 1)
 	e.Closed = c.Leaving
+	p.cold.tell(c.Instance, c.ColdUntil)
 	e.Model = svc.Engine
 	if e.Model == nil {
 		p.plain = true
@@ -110,6 +113,7 @@
 		}
 		delete(p.engines, e.Instance)
 		delete(p.health, e.Instance)
+		p.cold.forget(e.Instance)
 		return true
 	})
 }
--- a/route/route.go
+++ b/route/route.go
@@ -112,6 +112,11 @@
 	// Engine is the cost model of the service's engines; nil for a plain
 	// service.
 	Engine *batch.Model
+	// ColdPerSecond is the rate of requests that an endpoint bears while it is cold;
+	// zero when it is not bounded.
+	ColdPerSecond float64
+	// ColdStart is how long an endpoint stays cold that has started.
+	ColdStart time.Duration
 }
 
 // Customer is a holder of keys.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -48,6 +48,8 @@
 	LinkMbps float64 `toml:"link_mbps"`
 	// Retries bounds how many requests are sent to endpoints again.
 	Retries Retries `toml:"retries"`
+	// Cold bounds what endpoints get that have just started.
+	Cold Cold `toml:"cold"`
 	// Peers are peer addresses of other instances, asked at a start while the
 	// platform does not answer. None is needed.
 	Peers []string `toml:"peers"`
@@ -89,6 +91,15 @@
 	Window config.Duration `toml:"window"`
 }
 
+// Cold bounds what an endpoint that is cold gets in any second, over all instances:
+// Overage times the rate that the configuration says such an endpoint bears, plus Slack.
+type Cold struct {
+	// Overage is a factor of the rate; zero means that there is no bound.
+	Overage float64 `toml:"overage"`
+	// Slack is a number of requests.
+	Slack float64 `toml:"slack"`
+}
+
 // TLS are the files for mutual authentication between instances.
 type TLS struct {
 	// Certificate is the instance's certificate, in PEM.
@@ -287,6 +298,8 @@
 		"link_mbps":       f.LinkMbps,
 		"retries.ratio":   f.Retries.Ratio,
 		"retries.extra":   f.Retries.Extra,
+		"cold.overage":    f.Cold.Overage,
+		"cold.slack":      f.Cold.Slack,
 	} {
 		if v < 0 {
 			wrong = append(wrong, name+" must not be below zero")
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -70,6 +70,9 @@
 ratio = 0.2
 extra = 100
 window = "10s"
+[cold]
+overage = 1.5
+slack = 5
 [times]
 revoke = "5000ms"
 revoke_strict = false
@@ -82,6 +85,8 @@
 		is.Equal(f.Platform.Store, "10.0.0.1:7000")
 		is.Equal(f.ReadyListen, defaultReady)
 		is.Equal(f.Retries.Extra, 100.0)
+		is.Equal(f.Cold.Overage, 1.5)
+		is.Equal(f.Cold.Slack, 5.0)
 		is.Equal(time.Duration(f.Times.Revoke), 5*time.Second)
 		is.True(!*f.Times.RevokeStrict)
 	})
@@ -91,6 +96,8 @@
 		{"no port", `10.0.0.1:7000`, `10.0.0.1`, "platform.store must be a host and port"},
 		{"negative share", `processor_share = 0.4`, `processor_share = -1`, "processor_share must not be below zero"},
 		{"negative budget", `extra = 100`, `extra = -1`, "retries.extra must not be below zero"},
+		{"negative overage", `overage = 1.5`, `overage = -1.5`, "cold.overage must not be below zero"},
+		{"negative slack", `slack = 5`, `slack = -5`, "cold.slack must not be below zero"},
 		{"strictness is no text", `revoke_strict = false`, `revoke_strict = "no"`, "revoke_strict"},
 		{"negative time", `5000ms`, `-1s`, "times.revoke must not be below zero"},
 	} {
