Scale what an engine is predicted to take by its pace

Cause: an engine that works slower than its model is played forward as if it were not, so that short streams go to it and are late, and joint readings wait for it.

The pause of a stream on an engine with nothing to read counts as well, which bears on slow engines only. Nothing sets the pace yet.

--- a/placement/apply.go
+++ b/placement/apply.go
@@ -80,7 +80,7 @@
 // give adds a job that delays the reads that wait.
 func (e *Engine) give(j Job, delay time.Duration, now time.Time) {
 	e.Advance(now)
-	e.putOff(delay)
+	e.putOff(e.paced(delay))
 	e.Add(&j, now)
 }
 
--- a/placement/closes.go
+++ b/placement/closes.go
@@ -45,7 +45,7 @@
 	if before > 0 {
 		after = min(before, after)
 	}
-	writes := time.Duration(r.Output) * e.Model.Step
+	writes := e.paced(time.Duration(r.Output) * e.Model.Step)
 	cost := closePrice * r.Readings.Share * writes.Seconds() * (r.Readings.open(before) - r.Readings.open(after))
 	return min(cost, closesMost*lateShare*r.Worth)
 }
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -69,6 +69,9 @@
 	Closed bool
 	// Full engines get no request now, but may help to read the prompts of others.
 	Full bool
+	// Pace is how many times as long as by its model the engine takes for all work; zero
+	// counts as 1. SetPace changes it while the engine works.
+	Pace float64
 	// Jobs are what the engine works on, in the order in which they came.
 	Jobs []*Job
 
@@ -159,7 +162,7 @@
 	}
 	if length > 0 {
 		e.passBegan = at
-		e.passEnd = at.Add(length)
+		e.passEnd = at.Add(e.paced(length))
 	}
 }
 
@@ -222,7 +225,7 @@
 	for _, j := range e.Jobs {
 		d += j.read(j.Tokens)
 	}
-	return d
+	return e.paced(d)
 }
 
 // Free returns the memory that no job holds, in tokens.
--- a/placement/judge.go
+++ b/placement/judge.go
@@ -111,15 +111,18 @@
 			l.own.add(j)
 		}
 	}
+	l.joint.time = e.paced(l.joint.time)
+	l.own.time = e.paced(l.own.time)
 	return l
 }
 
 // judge returns what reading a part on an engine with a load would do, as far as the next
 // pass tells.
 func (e *Engine) judge(l *load, p part) candidate {
+	p.time = e.paced(p.time)
 	pass := time.Duration(0)
 	if l.writers > 0 {
-		pass = e.Model.Pass(l.writers, l.context)
+		pass = e.paced(e.Model.Pass(l.writers, l.context))
 	}
 	budget := e.budget(l.writers)
 	waiting := l.waiting()
@@ -137,6 +140,7 @@
 		left:    e.Slots - l.running,
 		pass:    after,
 		reading: l.reading,
+		pause:   e.paced(e.Model.Pass(l.writers+1, l.context+p.tokens)),
 	}
 	if p.joint || l.writers > 0 && with.tokens <= budget {
 		c.delay = p.time
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -104,15 +104,14 @@
 	return best, found
 }
 
-// Soonest returns the least time in which engines of one model can read a request's
-// prompt together if all of them are free, but no less than leastPart; zero when
+// Soonest returns the least time in which engines of one model, each at its pace, can
+// read a request's prompt together if all of them are free, but no less than leastPart; zero when
 // there are none.
 func Soonest(engines []*Engine, r Request) time.Duration {
 	if len(engines) == 0 {
 		return 0
 	}
-	read := engines[0].Model.Read(r.Prompt, min(len(engines), MaxReaders))
-	return max(read, leastPart)
+	return max(soonestRead(engines, r.Prompt), leastPart)
 }
 
 // leastPart is the least time of reading that is split off: with less, one more
--- a/placement/simulate.go
+++ b/placement/simulate.go
@@ -129,10 +129,10 @@
 func (s *simulation) pass(long time.Duration) {
 	var length time.Duration
 	if n := len(s.writing); n > 0 {
-		length = s.engine.Model.Pass(n, s.context) + s.read(s.engine.Model.Budget(n))
+		length = s.engine.paced(s.engine.Model.Pass(n, s.context) + s.read(s.engine.Model.Budget(n)))
 	} else {
 		c := &s.jobs[s.reading[0]]
-		length = c.job.read(c.left)
+		length = s.engine.paced(c.job.read(c.left))
 		left := 0
 		if length > long {
 			left = c.left - int(float64(c.left)*float64(long)/float64(length))
