Notice engines that work slower than their model, and place by that

Cause: nothing was known of an engine's pace but its silences. The owner played slow engines forward as if they were not, gave them short streams that were late there, and let joint readings wait for them.

Change: the owner suspects an engine whose first events come at other times than predicted, or are overdue, less what all engines' events have in common (the way). It asks suspected engines for their report (pool.Reports, platform.Reports), five times a second at the most, slow ones every 0.4 s, and no others; when one tells another pace than before, all others are suspected once. Where engines don't answer, and on instances that place alone, the pace is learned from the events. The pace goes to placement.Engine.Pace and to the refusals, which count what engines have to read by their model and divide by what they do in a second. Late events of slow engines no longer move the estimate of the way. Plain endpoints that take twice the median time or more get a share of requests by that. The emulator lets engines tell their pace 200 ms late, and can spread slow engines over the pool; an experiment can name the way.

--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -171,6 +171,39 @@
 	}
 }
 
+// TestPaceKnown looks that less is lost to engines that work slowly for a while when their
+// pace becomes known, and that which engines these are follows the sheet.
+func TestPaceKnown(t *testing.T) {
+	for _, row := range []struct {
+		name   string
+		spread bool
+	}{
+		{"the first ones", false},
+		{"spread", true},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			s := readSheet(t, "grown.toml")
+			s.Troubles = []emulator.Trouble{{
+				At:      config.Duration(8 * time.Second),
+				For:     config.Duration(10 * time.Second),
+				Engines: 18,
+				Slow:    3,
+				Spread:  row.spread,
+			}}
+			requests := emulator.Draw(s, 1)
+			day := func(way pool.PaceWay) float64 {
+				return emulator.Play(s, requests, pool.Settings{
+					Pace: way,
+				}, 1).Day()
+			}
+			known, ignored := day(pool.PaceBoth), day(pool.PaceIgnored)
+			t.Log("known", known, "ignored", ignored)
+			is.True(known > ignored+0.02)
+		})
+	}
+}
+
 // TestBound looks that no play of a day keeps more than its bound, that it is all where
 // little comes, and that it falls where more comes than can be served.
 func TestBound(t *testing.T) {
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -37,7 +37,9 @@
 	model *batch.Model
 	// slow multiplies the time of all work; zero stops it.
 	slow float64
-	jobs []*job
+	// paces are what slow was set to, and when.
+	paces []paceSince
+	jobs  []*job
 	// waiting are requests without a slot or memory, in order.
 	waiting []*job
 	// passing states that a pass is under way.
@@ -163,5 +165,9 @@
 // setSlow changes the pace from the next pass on. An engine that stood still begins anew.
 func (e *engine) setSlow(slow float64) {
 	e.slow = slow
+	e.paces = append(e.paces, paceSince{
+		at:   e.clock.now,
+		slow: slow,
+	})
 	e.start()
 }
--- a/emulator/play.go
+++ b/emulator/play.go
@@ -59,7 +59,7 @@
 }
 
 // Play runs requests by a scheduler with some settings, and returns what became of each.
-// Settings.Now and Settings.Draw are the emulator's. The same seed, requests and settings
+// Settings.Now, Draw and Reports are the emulator's. The same seed, requests and settings
 // give the same result.
 func Play(s *Sheet, requests []Request, settings pool.Settings, seed uint64) *Result {
 	p := &play{
@@ -72,6 +72,9 @@
 	settings.Retries = retryBudget
 	settings.Now = func() time.Time { return p.clock.now }
 	settings.Draw = func(below time.Duration) time.Duration { return time.Duration(p.draw.Int64N(int64(below))) }
+	settings.Reports = reports{
+		play: p,
+	}
 	p.pool = pool.NewScheduler(settings, logr.Discard())
 	p.addEngines()
 	for i := range requests {
@@ -118,8 +121,11 @@
 func (p *play) trouble(t *Trouble) {
 	pace := func(slow float64) func() {
 		return func() {
-			for _, name := range p.names[:t.Engines] {
-				p.engines[name].setSlow(slow)
+			for i := range t.Engines {
+				if t.Spread {
+					i = i * len(p.names) / t.Engines
+				}
+				p.engines[p.names[i]].setSlow(slow)
 			}
 		}
 	}
--- /dev/null
+++ b/emulator/reports.go
@@ -0,0 +1,46 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package emulator
+
+import (
+	"time"
+)
+
+// reportLag is how old what engines tell of themselves is: the lag that both sites' sheets
+// state.
+const reportLag = 200 * time.Millisecond
+
+// paceSince is a pace that holds from a moment on.
+type paceSince struct {
+	at   time.Time
+	slow float64
+}
+
+// paceAt returns the pace that an engine had at a moment.
+func (e *engine) paceAt(at time.Time) float64 {
+	slow := 1.0
+	for _, p := range e.paces {
+		if !p.at.After(at) {
+			slow = p.slow
+		}
+	}
+	return slow
+}
+
+// reports lets engines tell their pace. It implements pool.Reports.
+type reports struct {
+	play *play
+}
+
+// Pace implements pool.Reports. An engine that stands still doesn't answer.
+func (r reports) Pace(address string, told func(pace float64)) {
+	p := r.play
+	e := p.engines[address]
+	p.clock.after(p.ways(1), func() {
+		if e.slow == 0 {
+			return
+		}
+		pace := e.paceAt(p.clock.now.Add(-reportLag))
+		p.clock.after(p.ways(1), func() { told(pace) })
+	})
+}
--- a/emulator/sheet.go
+++ b/emulator/sheet.go
@@ -145,6 +145,8 @@
 	// they do nothing.
 	Engines int     `toml:"engines"`
 	Slow    float64 `toml:"slow"`
+	// Spread states that these are spread over all engines, in place of the first ones.
+	Spread bool `toml:"spread"`
 	// Cut is the part of the running requests whose entries are lost at that moment.
 	Cut float64 `toml:"cut"`
 }
--- a/experiment/plan.go
+++ b/experiment/plan.go
@@ -35,6 +35,9 @@
 	// defaults.
 	WorthBase     float64 `toml:"worth_base"`
 	WorthPerToken float64 `toml:"worth_per_token"`
+	// Pace is how the pace of engines becomes known: "learned", "told" or "ignored"; empty
+	// means both.
+	Pace string `toml:"pace"`
 }
 
 // settings returns the scheduler's settings.
@@ -42,9 +45,18 @@
 	return pool.Settings{
 		WorthBase:     v.WorthBase,
 		WorthPerToken: v.WorthPerToken,
+		Pace:          paceWays[v.Pace],
 	}
 }
 
+// paceWays are the ways in which the pace of engines becomes known, by name.
+var paceWays = map[string]pool.PaceWay{
+	"":        pool.PaceBoth,
+	"learned": pool.PaceLearned,
+	"told":    pool.PaceTold,
+	"ignored": pool.PaceIgnored,
+}
+
 // Load reads a plan and its sheets.
 func Load(path string) (*Plan, []*emulator.Sheet, error) {
 	data, err := os.ReadFile(path)
@@ -97,6 +109,9 @@
 			return errors.Errorf("variant %q: names must be given, each once", v.Name)
 		}
 		names[v.Name] = true
+		if _, ok := paceWays[v.Pace]; !ok {
+			return errors.Errorf("variant %q: pace %q is not known", v.Name, v.Pace)
+		}
 	}
 	for _, l := range p.Loads {
 		if l <= 0 {
--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -36,14 +36,14 @@
 		FirstStart: f.FirstStart,
 		Poll:       time.Duration(f.Times.Revoke) / pollsPerRevoke,
 	}, platform.NewStore(wirehttp.Client(), f.Platform.Store), g.peers, g.log.WithName("catalog"))
-	g.assemblePools()
+	g.assemblePools(client)
 	g.assembleServer()
 	g.assembleRelay(client)
 }
 
 // assemblePools makes the scheduler of pools and the client that asks other
-// instances.
-func (g *Gateway) assemblePools() {
+// instances. The HTTP client carries questions to engines.
+func (g *Gateway) assemblePools(client *http.Client) {
 	f := g.settings
 	log := g.log.WithName("pool")
 	g.pools = pool.NewScheduler(pool.Settings{
@@ -57,6 +57,7 @@
 			Overage: f.Cold.Overage,
 			Slack:   f.Cold.Slack,
 		},
+		Reports: platform.NewReports(client, g.log.WithName("reports")),
 	}, log)
 	g.placer = pool.NewClient(g.self, g.pools, g.peers, log)
 }
--- a/pool/figures.go
+++ b/pool/figures.go
@@ -23,6 +23,12 @@
 	// ColdPassedOver counts how often a decision found a cold endpoint that had been
 	// given all that it may get.
 	ColdPassedOver int64 `json:"cold_passed_over"`
+	// Slow is how many endpoints are taken to work slower than their model.
+	Slow int `json:"slow"`
+	// PaceAsked counts the questions to endpoints for their pace, and PaceChanges how
+	// often one was taken to change.
+	PaceAsked   int `json:"pace_asked"`
+	PaceChanges int `json:"pace_changes"`
 }
 
 // Figures returns the state of all pools by service.
@@ -32,11 +38,14 @@
 	out := make(map[string]Figures, len(s.pools))
 	for name, p := range s.pools {
 		out[name] = Figures{
-			Endpoints: len(p.list),
-			Placed:    len(p.placed),
-			Queued:    len(p.queue),
-			Predicted: p.errors.count,
-			Within:    p.errors.within,
+			Endpoints:   len(p.list),
+			Placed:      len(p.placed),
+			Queued:      len(p.queue),
+			Predicted:   p.errors.count,
+			Within:      p.errors.within,
+			Slow:        p.slow(),
+			PaceAsked:   p.paces.asked,
+			PaceChanges: p.paces.changes,
 
 			Cold:           p.cold.count(s.settings.Now()),
 			ColdPassedOver: p.cold.passedOver,
--- a/pool/grant.go
+++ b/pool/grant.go
@@ -35,6 +35,7 @@
 	}
 	p.probe(at, now)
 	p.cold.give(at.instance, now)
+	p.paces.decided, p.paces.alone = now, w.alone
 	p.placed[w.ask.ID] = at
 	s.log.Info("place", "attempt", w.ask.ID, "service", w.ask.Service, "prompt", w.ask.Prompt, "endpoint", g.Instance,
 		"readers", at.readers, "first_ms", g.First.Milliseconds(), "read_ms", plan.Read.Milliseconds(),
--- a/pool/plain.go
+++ b/pool/plain.go
@@ -20,8 +20,9 @@
 	if len(list) == 0 {
 		return Grant{}, false
 	}
+	paces := p.plainPaces(now)
 	best := slices.MinFunc(list, func(a, b *placement.Engine) int {
-		return cmp.Or(cmp.Compare(p.load(a), p.load(b)),
+		return cmp.Or(cmp.Compare(p.load(a, paces), p.load(b, paces)),
 			cmp.Compare(p.health[b.Instance].preference, p.health[a.Instance].preference))
 	})
 	addPlain(best, w.ask.ID)
@@ -40,7 +41,12 @@
 // failureLoad is what a failure rate of one adds to the load of an endpoint.
 const failureLoad = 4
 
-// load returns how busy a plain endpoint is, in requests for each of its slots.
-func (p *state) load(e *placement.Engine) float64 {
-	return float64(len(e.Jobs))/float64(e.Slots) + failureLoad*p.health[e.Instance].rate
+// load returns how busy a plain endpoint would be beside one more request, in requests for
+// each of its slots. Those of one that is slow, by its pace, count for more.
+func (p *state) load(e *placement.Engine, paces map[string]float64) float64 {
+	busy := float64(len(e.Jobs))
+	if pace, slow := paces[e.Instance]; slow {
+		busy = (busy+1)*pace - 1
+	}
+	return busy/float64(e.Slots) + failureLoad*p.health[e.Instance].rate
 }
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -29,6 +29,10 @@
 	// WorthPerToken is what each token of the prompt adds; the default is
 	// 1.1e-4.
 	WorthPerToken float64
+	// Reports asks engines for their pace; without it that is learned alone.
+	Reports Reports
+	// Pace is how the pace of engines becomes known; for comparisons.
+	Pace PaceWay
 	// Now returns the time; the default is time.Now.
 	Now func() time.Time
 	// Draw returns a random time below one that is greater than zero; the default is
@@ -162,6 +166,7 @@
 	}
 	w.alone = alone
 	w.request.Travel = p.travel.length
+	s.lookAtPaces(p, now)
 	if g, ok := s.try(p, w, now); ok {
 		w.reply <- g
 		return w
@@ -205,8 +210,11 @@
 	now := s.settings.Now()
 	at.begun = true
 	p.errors.add(at.first, now.Sub(at.at))
-	p.travel.note(now.Sub(at.at) - at.first)
-	p.begin(id, at, now)
+	if p.steady(at) {
+		p.travel.note(now.Sub(at.at) - at.first)
+	}
+	late := p.begin(id, at, now)
+	s.noteFirst(p, at, late, now)
 	for _, name := range at.endpoints() {
 		if h := p.health[name]; h != nil {
 			h.alive(reporter == s.settings.Self)
--- a/pool/shed.go
+++ b/pool/shed.go
@@ -56,7 +56,7 @@
 	ahead := time.Duration(0)
 	if w.ask.Target > shedTarget {
 		// Short ones are read beside long ones, in the next pass of some engine.
-		ahead = time.Duration(float64(work) / float64(len(list)) / readShare)
+		ahead = time.Duration(float64(work) / speed(list) / readShare)
 	}
 	ready := now.Add(ahead + placement.Soonest(list, w.request))
 	switch {
@@ -101,11 +101,11 @@
 const readShare = 0.8
 
 // unread returns the time of reading what the engines have before them, summed over
-// them.
+// them, if they work as their model says.
 func (p *state) unread() time.Duration {
 	sum := time.Duration(0)
 	for _, e := range p.list {
-		sum += e.Unread()
+		sum += time.Duration(float64(e.Unread()) * e.Speed())
 	}
 	return sum
 }
--- a/pool/state.go
+++ b/pool/state.go
@@ -43,6 +43,8 @@
 	emptied emptied
 	// cold counts what endpoints get that have just started.
 	cold cold
+	// paces is how quickly the engines work.
+	paces paces
 	// plain states that the service's endpoints are no engines.
 	plain bool
 }
@@ -114,6 +116,7 @@
 		delete(p.engines, e.Instance)
 		delete(p.health, e.Instance)
 		p.cold.forget(e.Instance)
+		delete(p.paces.of, e.Instance)
 		return true
 	})
 }
@@ -212,17 +215,20 @@
 // retryAfter is when to come back when nothing better is known.
 const retryAfter = 500 * time.Millisecond
 
-// begin corrects the model by an attempt's first event.
-func (p *state) begin(id string, at *placed, now time.Time) {
+// begin corrects the model by an attempt's first event. It returns how much later that
+// was than the model said.
+func (p *state) begin(id string, at *placed, now time.Time) time.Duration {
 	if p.plain {
-		return
+		return 0
 	}
+	late := time.Duration(0)
 	if e := p.engines[at.instance]; e != nil {
-		e.Observe(id, now)
+		late = e.Observe(id, now)
 	}
 	for _, name := range at.readers {
 		if e := p.engines[name]; e != nil {
 			e.FinishPart(id, now)
 		}
 	}
+	return late
 }
