--- a/pool/pace_test.go
+++ b/pool/pace_test.go
@@ -31,6 +31,7 @@
 	lines   int
 	engines int
 	count   int
+	snap    *catalog.Snapshot
 }
 
 // Pace implements pool.Reports.
@@ -71,13 +72,15 @@
 	for i := range engines {
 		name := fmt.Sprint("e", i)
 		snap.Endpoints[name] = catalog.Endpoint{
-			Instance: name,
-			Service:  "engines",
-			Address:  name,
-			Slots:    4,
+			Instance:      name,
+			Service:       "engines",
+			Address:       name,
+			FailureDomain: "d-" + name,
+			Slots:         4,
 		}
 		f.tells[name] = 1
 	}
+	f.snap = snap
 	f.pool.Update(snap)
 	return f
 }
@@ -365,3 +368,34 @@
 		})
 	}
 }
+
+// TestNotAsked looks that engines which get nothing new aren't asked either.
+func TestNotAsked(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		bar  func(s *catalog.Snapshot, e *catalog.Endpoint)
+		// asked is how often the engine is.
+		asked int
+	}{
+		{"nothing said", func(*catalog.Snapshot, *catalog.Endpoint) {}, 1},
+		{"leaving", func(_ *catalog.Snapshot, e *catalog.Endpoint) { e.Leaving = true }, 0},
+		{"failure domain emptied", func(s *catalog.Snapshot, e *catalog.Endpoint) {
+			s.Emptied = map[string]time.Time{
+				e.FailureDomain: time.Now(),
+			}
+		}, 0},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newPacePool(t, 2, pool.PaceBoth)
+			g, id := f.place(ownPrompt())
+			e := f.snap.Endpoints[g.Instance]
+			row.bar(f.snap, &e)
+			f.snap.Endpoints[g.Instance] = e
+			f.pool.Update(f.snap)
+			f.rest(3 * g.First)
+			f.pool.First(id, "engines")
+			is.Equal(f.asked[g.Instance], row.asked)
+		})
+	}
+}
