--- a/soak/play.go
+++ b/soak/play.go
@@ -97,6 +97,8 @@
 	storeDelay = 400 * time.Millisecond
 	// linkDelay holds back each piece of data to and from an endpoint.
 	linkDelay = 100 * time.Millisecond
+	// slowTimes is how many times as long a slow endpoint takes.
+	slowTimes = 6
 	// cutAfter is the number of events after which streams are cut.
 	cutAfter = 3
 )
@@ -108,6 +110,7 @@
 	"endpoint cuts streams":  {CutAfter: cutAfter},
 	"endpoint silent":        {Silent: true},
 	"endpoint loses answers": {LoseAnswer: true},
+	"endpoint slow":          {Slow: slowTimes},
 }
 
 // storeLinks are the kinds of link between an instance and the store.
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -35,7 +35,7 @@
 	{"store link silent", 1}, {"store link one way", 1}, {"store link reset", 1},
 	{"endpoint rejects", 1}, {"endpoint fails", 1}, {"endpoint cuts streams", 2}, {"endpoint silent", 1},
 	{"endpoint loses answers", 2}, {"endpoint link slow", 1}, {"endpoint link reset", 1}, {"endpoint link one way", 1},
-	{"endpoint leaves", 2}, {"key taken away", 3},
+	{"endpoint slow", 1}, {"endpoint leaves", 2}, {"key taken away", 3},
 	{"store connections silent", 2}, {endpointsSilent, 2}, {"all lost in an outage", 1},
 }
 
