End what is known of an engine's pace when it starts again under its name

Cause: a new start reset the engine's model, but its record of events stood, and an answer of the life before set the new one's pace (test red before: told late).

Change: the record ends with the life, and an answer counts only for the record that asked.

--- a/pool/lives.go
+++ b/pool/lives.go
@@ -30,6 +30,7 @@
 		*h = health{
 			preference: h.preference,
 		}
+		delete(p.paces.of, c.Instance)
 	}
 	if c.Born.After(h.born) {
 		h.born = c.Born
--- a/pool/pace.go
+++ b/pool/pace.go
@@ -308,7 +308,8 @@
 	s.settings.Reports.Pace(address, func(pace float64) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		if e := p.engines[instance]; e != nil && e.Address == address {
+		// After a new start under the name the record is another one.
+		if e := p.engines[instance]; e != nil && e.Address == address && p.paces.of[instance] == r {
 			s.told(p, e, pace)
 		}
 	})
--- a/pool/pace_test.go
+++ b/pool/pace_test.go
@@ -399,3 +399,41 @@
 		})
 	}
 }
+
+// TestPaceOfAnotherLife looks that an engine that starts again under its name begins anew,
+// and that what its life before told, or tells late, doesn't count.
+func TestPaceOfAnotherLife(t *testing.T) {
+	born := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	start := func(f *pacePool, at time.Time) {
+		e := f.snap.Endpoints["e0"]
+		e.Born = at
+		f.snap.Endpoints["e0"] = e
+		f.pool.Update(f.snap)
+	}
+	for _, row := range []struct {
+		name string
+		// late states that the answer comes after the new start.
+		late bool
+	}{
+		{"told before", false},
+		{"told late", true},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newPacePool(t, 2, pool.PaceBoth)
+			start(f, born)
+			f.tells["e0"] = 3
+			_, id := f.place(f.on("e0"))
+			f.rest(400 * time.Millisecond)
+			f.pool.First(id, "engines")
+			is.Equal(f.asked["e0"], 1)
+			if !row.late {
+				f.answer()
+				is.Equal(f.figures().Slow, 1)
+			}
+			start(f, born.Add(time.Minute))
+			f.answer()
+			is.Equal(f.figures().Slow, 0)
+		})
+	}
+}
