End what an entry no longer has as soon as it is back

An owner kept what an entry had running for two seconds after the session broke off, also when the entry was back at once and had said all that it still has: after a reset it took the engines for filled with streams that the same reset had cut. The greeting tells all; what is not in it has ended.

--- a/pool/returning_test.go
+++ b/pool/returning_test.go
@@ -76,3 +76,35 @@
 	}
 	is.Equal(by[owner.self.ID], 40*len(f.nodes))
 }
+
+// TestCutAttemptsAreEnded ends attempts while the link to the owner is reset: the owner
+// knows as soon as the entry is back what still runs, and what does not.
+func TestCutAttemptsAreEnded(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 2)
+	owner := f.owner("")
+	entry := f.nodes[0]
+	if entry == owner {
+		entry = f.nodes[1]
+	}
+	for owner.scheduler.Figures()["engines"].Placed > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	const attempts, ended = 10, 7
+	for i := range attempts {
+		entry.place(t, ask(fmt.Sprint("cut-", i)))
+	}
+	time.Sleep(longOpen)
+	owner.listener.reset()
+	// The link is down for a round trip or more after the reset.
+	for i := range ended {
+		entry.client.End(fmt.Sprint("cut-", i), "engines", pool.Abandoned, "")
+	}
+	began := time.Now()
+	for owner.scheduler.Figures()["engines"].Placed != attempts-ended && time.Since(began) < time.Second {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(owner.scheduler.Figures()["engines"].Placed, attempts-ended)
+	time.Sleep(2500 * time.Millisecond)
+	is.Equal(owner.scheduler.Figures()["engines"].Placed, attempts-ended)
+}
--- a/pool/server.go
+++ b/pool/server.go
@@ -28,6 +28,11 @@
 	known <-chan struct{}
 	// closing ends all sessions.
 	closing <-chan struct{}
+
+	mu sync.Mutex
+	// sessions are the newest ones, by entry, and cut what the ended ones had running.
+	sessions map[string]*session
+	cut      map[string][]cutSession
 }
 
 // NewServer returns a server. Sessions begin once known is closed, and end when closing
@@ -37,6 +42,8 @@
 		scheduler: s,
 		known:     known,
 		closing:   closing,
+		sessions:  make(map[string]*session),
+		cut:       make(map[string][]cutSession),
 	}
 }
 
@@ -94,17 +101,9 @@
 	for _, cancel := range x.asked {
 		cancel()
 	}
-	left := x.attempts
-	x.attempts = nil
 	x.mu.Unlock()
 	x.wait.Wait()
-	if len(left) == 0 {
-		return
-	}
-	s := x.server.scheduler
-	s.log.Info("session of an entry ended", "entry", x.entry, "running", len(left))
-	mark := s.orphan(left)
-	time.AfterFunc(forgetAfter, func() { s.forget(left, mark) })
+	x.server.ended(x)
 }
 
 // receive takes the entry's messages.
@@ -126,6 +125,7 @@
 	switch k := m.GetKind().(type) {
 	case *poolpb.FromEntry_Hello:
 		x.entry = k.Hello.GetEntry()
+		x.server.began(x)
 	case *poolpb.FromEntry_Ask:
 		x.place(ctx, decodeAsk(k.Ask))
 	case *poolpb.FromEntry_Withdraw:
@@ -140,6 +140,9 @@
 		x.drop(k.End.GetId())
 		s.EndBy(k.End.GetId(), k.End.GetService(), Outcome(k.End.GetOutcome()), k.End.GetCulprit(), x.entry)
 	case *poolpb.FromEntry_Ping:
+		if k.Ping.GetSeq() == 0 {
+			x.server.greeted(x)
+		}
 		return x.send(&poolpb.FromOwner{
 			Kind: &poolpb.FromOwner_Pong{
 				Pong: &poolpb.Pong{
@@ -158,13 +161,15 @@
 	return x.stream.Send(m)
 }
 
-// note adds to what the entry has running.
-func (x *session) note(id, service string) {
+// note adds to what the entry has running. It returns false when the session has ended.
+func (x *session) note(id, service string) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.attempts != nil {
-		x.attempts[id] = service
+	if x.attempts == nil {
+		return false
 	}
+	x.attempts[id] = service
+	return true
 }
 
 // drop takes from what the entry has running.
@@ -204,7 +209,10 @@
 	var r *Refusal
 	switch {
 	case err == nil:
-		x.note(a.ID, a.Service)
+		if !x.note(a.ID, a.Service) {
+			x.server.scheduler.EndBy(a.ID, a.Service, Abandoned, "", x.entry)
+			return
+		}
 		err = x.send(&poolpb.FromOwner{
 			Kind: &poolpb.FromOwner_Grant{
 				Grant: encodeGrant(a.ID, &g),
