Take up cut streams by when they are due, before long readings

They counted like first tries with all of their target: engines were filled up to it, and readings of some seconds began in front of them.

The owner notes what was cut, for a second, by customer and lengths; an ask says that it goes on with a stream and when its next event is due, and the owner corrects that by the cut. While a quarter as many streams as engines can still be taken up in time, long readings wait that are in time later, too, are late anyway, or are worth less than their engines' part of the crowd.

--- a/pool/adopt.go
+++ b/pool/adopt.go
@@ -20,6 +20,8 @@
 	if !a.Again {
 		p.retry.first(now)
 	}
+	w := s.waiter(a, now)
+	p.returning.claim(w, now)
 	e := p.engines[g.Instance]
 	if e == nil || p.outlived(&g) {
 		return
@@ -30,6 +32,7 @@
 		at:       now,
 		first:    g.First,
 		begun:    begun,
+		work:     w.work(),
 	}
 	if !begun {
 		p.cold.give(g.Instance, now)
@@ -43,7 +46,7 @@
 	for _, o := range plan.Others {
 		at.readers = append(at.readers, o.Engine.Instance)
 	}
-	plan.Apply(s.waiter(a, now).request, now)
+	plan.Apply(w.request, now)
 	p.placed[a.ID] = at
 	if begun {
 		p.begin(a.ID, at, now)
@@ -77,9 +80,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.marks++
+	now := s.settings.Now()
 	for id, service := range attempts {
 		if at := s.pool(service).placed[id]; at != nil {
-			at.orphan = s.marks
+			at.orphan, at.cutAt = s.marks, now
 		}
 	}
 	return s.marks
@@ -92,6 +96,7 @@
 	for id, service := range attempts {
 		p := s.pool(service)
 		if at := p.placed[id]; at != nil && at.orphan == mark {
+			p.returning.note(at, at.cutAt)
 			p.end(id)
 		}
 	}
--- a/pool/decide.go
+++ b/pool/decide.go
@@ -49,6 +49,7 @@
 	case now.Add(plan.First).After(w.gone()):
 	case w.outOfSlots(list) || w.yields() && crowded(list):
 	case w.betterLater(&plan, list, now):
+	case s.crowdGoesFirst(p, w, &plan, len(list), now):
 	case !p.covers(w, &plan, now):
 	default:
 		p.price.note(p.work(w), w.lost(&plan), now)
--- a/pool/figures.go
+++ b/pool/figures.go
@@ -29,6 +29,11 @@
 	// often one was taken to change.
 	PaceAsked   int `json:"pace_asked"`
 	PaceChanges int `json:"pace_changes"`
+	// Cut counts the attempts that their callers or their engines cut, Returned those of
+	// them that came back within a second, and Crowds how often many did at once.
+	Cut      int `json:"cut"`
+	Returned int `json:"returned"`
+	Crowds   int `json:"crowds"`
 }
 
 // Figures returns the state of all pools by service.
@@ -49,6 +54,9 @@
 
 			Cold:           p.cold.count(s.settings.Now()),
 			ColdPassedOver: p.cold.passedOver,
+			Cut:            p.returning.cuts,
+			Returned:       p.returning.returned,
+			Crowds:         p.returning.crowds,
 		}
 	}
 	return out
--- a/pool/grant.go
+++ b/pool/grant.go
@@ -16,6 +16,7 @@
 		born:     born,
 		at:       now,
 		first:    plan.First,
+		work:     w.work(),
 	}
 	g := Grant{
 		Instance: plan.Engine.Instance,
@@ -40,7 +41,8 @@
 	s.log.Info("place", "attempt", w.ask.ID, "service", w.ask.Service, "prompt", w.ask.Prompt, "endpoint", g.Instance,
 		"readers", at.readers, "first_ms", g.First.Milliseconds(), "read_ms", plan.Read.Milliseconds(),
 		"spoils", plan.Spoils, "loses", plan.Loses, "waited_ms", g.Waited.Milliseconds(), "queue", len(p.queue),
-		"work_ms", p.work(w).Milliseconds(), "price", p.priceNow(now))
+		"work_ms", p.work(w).Milliseconds(), "price", p.priceNow(now),
+		"due_ms", w.request.TargetAt.Sub(now).Milliseconds(), "resumed", w.ask.Resumed)
 	return g
 }
 
--- a/pool/messages.go
+++ b/pool/messages.go
@@ -31,6 +31,8 @@
 			ForUs:      a.Replaces.For.Microseconds(),
 			PatienceUs: a.Replaces.Patience.Microseconds(),
 		},
+		Resumed: a.Resumed,
+		DueUs:   a.Due.Microseconds(),
 	}
 }
 
@@ -57,6 +59,8 @@
 			For:      microseconds(m.GetReplaces().GetForUs()),
 			Patience: microseconds(m.GetReplaces().GetPatienceUs()),
 		},
+		Resumed: m.GetResumed(),
+		Due:     microseconds(m.GetDueUs()),
 	}
 }
 
--- a/pool/messages_test.go
+++ b/pool/messages_test.go
@@ -36,6 +36,8 @@
 				For:      8 * time.Millisecond,
 				Patience: -9 * time.Millisecond,
 			},
+			Resumed: true,
+			Due:     -10 * time.Millisecond,
 		}
 		assertSet(t, a)
 		assertSet(t, a.Replaces)
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -165,6 +165,7 @@
 		return w
 	}
 	w.alone = alone
+	p.returning.claim(w, now)
 	w.request.Travel = p.travel.length
 	s.lookAtPaces(p, now)
 	if g, ok := s.try(p, w, now); ok {
@@ -240,6 +241,9 @@
 	if o == Silent && p.asPlanned(id, at, now) {
 		o = Abandoned
 	}
+	if o == Abandoned || o == Failed {
+		p.returning.note(at, now)
+	}
 	p.end(id)
 	instance := at.instance
 	if culprit != "" {
--- a/pool/shed.go
+++ b/pool/shed.go
@@ -142,7 +142,7 @@
 // firstTry states whether the caller asks for the first time and no endpoint had the
 // request: it can be told to come back.
 func (w *Waiter) firstTry() bool {
-	return !w.ask.Returning && !w.ask.Again && w.ask.Target > 0
+	return !w.ask.Returning && !w.ask.Again && !w.ask.Resumed && w.ask.Target > 0
 }
 
 // outOfSlots states whether a short request would be late for want of slots, so that it
--- a/pool/state.go
+++ b/pool/state.go
@@ -45,6 +45,8 @@
 	cold cold
 	// paces is how quickly the engines work.
 	paces paces
+	// returning is the work that was cut and comes back.
+	returning returning
 	// plain states that the service's endpoints are no engines.
 	plain bool
 }
@@ -63,9 +65,12 @@
 	first time.Duration
 	// begun states that the first event has come.
 	begun bool
+	// work is what comes back if the attempt is cut.
+	work work
 	// orphan is the mark of the ended session that the attempt came through;
-	// zero while its entry is in touch.
+	// zero while its entry is in touch. CutAt is when that session ended.
 	orphan int64
+	cutAt  time.Time
 }
 
 // endpoints returns all endpoints of the attempt, the one that answers last.
--- a/pool/types.go
+++ b/pool/types.go
@@ -47,6 +47,11 @@
 	Again bool
 	// Replaces is the silent attempt that the ask is to replace, if any.
 	Replaces Replaced
+	// Resumed states that the caller has events of the stream already.
+	Resumed bool
+	// Due is the time that is left until the next event of a resumed stream would be
+	// late. It may be negative.
+	Due time.Duration
 }
 
 // Reader is an endpoint that helps to read a prompt.
--- a/pool/waiter.go
+++ b/pool/waiter.go
@@ -44,7 +44,7 @@
 			Prompt:   a.Prompt,
 			Output:   a.Output,
 			Gap:      a.Gap,
-			TargetAt: now.Add(a.Target - a.Spent),
+			TargetAt: now.Add(a.due()),
 			GiveUpAt: now.Add(placement.Patience(a.Target, a.Gap)),
 			Worth:    s.settings.WorthBase + s.settings.WorthPerToken*float64(a.Prompt),
 			Exclude:  a.Exclude,
--- /dev/null
+++ b/relay/resume_test.go
@@ -0,0 +1,90 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package relay
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/route"
+)
+
+// TestResumes looks how long a stream has that goes on elsewhere, by what its caller has.
+func TestResumes(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		// had is the last event that the caller had when it came, got states that it got
+		// another one here 100 ms ago, and gap is the longest pause.
+		had     string
+		got     bool
+		gap     time.Duration
+		resumes bool
+		due     time.Duration
+	}{
+		{"no event", "", false, 250 * time.Millisecond, false, 0},
+		{"taken up with another instance", "12", false, 250 * time.Millisecond, true, 50 * time.Millisecond},
+		{"broke off here", "", true, 250 * time.Millisecond, true, 150 * time.Millisecond},
+		{"taken up, and broke off here", "12", true, 250 * time.Millisecond, true, 150 * time.Millisecond},
+		{"no pause counts", "", true, 0, false, 0},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				j := &job{
+					route: &route.Route{
+						GapTarget: row.gap,
+					},
+					arrived: time.Now(),
+					out: &answer{
+						events: events{
+							last: row.had,
+						},
+					},
+				}
+				time.Sleep(100 * time.Millisecond)
+				if row.got {
+					j.out.events.note([]byte("id: 13\n\n"))
+				}
+				time.Sleep(100 * time.Millisecond)
+				resumes, due := j.resumes()
+				is.Equal(resumes, row.resumes)
+				is.Equal(due, row.due)
+			})
+		})
+	}
+}
+
+// TestWatchSaysWhenDue looks that a silent stream which has begun is asked a place for by
+// its next event, and one that has not by its first.
+func TestWatchSaysWhenDue(t *testing.T) {
+	for _, row := range []struct {
+		name  string
+		begun bool
+		due   time.Duration
+	}{
+		{"begun", true, 200*time.Millisecond - 1300*time.Millisecond},
+		{"not begun", false, 0},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				k := &keeper{
+					err: errors.New("none"),
+				}
+				w := watched(t, k)
+				if row.begun {
+					w.touch()
+				}
+				time.Sleep(5 * time.Second)
+				w.end()
+				is.True(len(k.asks) > 0)
+				is.Equal(k.asks[0].Resumed, row.begun)
+				is.Equal(k.asks[0].Due, row.due)
+			})
+		})
+	}
+}
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -94,6 +94,7 @@
 		return p, nil
 	}
 	a := l.ask(j)
+	a.Resumed, a.Due = j.resumes()
 	g, err := l.parts.Placer.Place(ctx, a)
 	if err != nil {
 		return nil, err
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -85,6 +85,8 @@
 	// before.
 	last  string
 	count int
+	// at is when the caller got the last event; zero before the first one.
+	at time.Time
 }
 
 // idField begins the line with an event's id (HTML Standard, 9.2).
@@ -99,5 +101,6 @@
 		}
 		e.last = string(bytes.TrimSpace(value))
 		e.count++
+		e.at = time.Now()
 	}
 }
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -71,6 +71,9 @@
 	a := t.relay.ask(t.job)
 	a.Exclude = append(a.Exclude[:len(a.Exclude):len(a.Exclude)], t.grant.Instance)
 	a.Replaces = w.silent()
+	if w.begun && a.Gap > 0 {
+		a.Resumed, a.Due = true, a.Gap-a.Replaces.For
+	}
 	ctx, cancel := context.WithTimeout(w.stopped, pool.ReplaceWithin)
 	defer cancel()
 	g, err := t.relay.parts.Placer.Place(ctx, a)
