--- a/pool/link_session.go
+++ b/pool/link_session.go
@@ -7,6 +7,7 @@
 	"io"
 	"time"
 
+	"github.com/go-faster/errors"
 	"google.golang.org/grpc"
 
 	"github.com/linkmast/linkmast/pool/poolpb"
@@ -140,7 +141,7 @@
 			return
 		case m := <-out:
 			err := stream.Send(m)
-			if err == io.EOF {
+			if errors.Is(err, io.EOF) {
 				// The session has broken off, and receive says why.
 				return
 			}
