Tell resumed streams of long prompts by their pauses

Cause: an ask for a stream that goes on has little or nothing left of its target, so that one of 45 k tokens counted as short: it never waited for a better moment, and was placed late at once where a joint reading a moment later would have been in time. Seen in traces of a crash of half the engines.

Such streams are told apart by their longest pauses. TestHurried red before (no such rule).

--- a/pool/crowd_test.go
+++ b/pool/crowd_test.go
@@ -209,3 +209,23 @@
 		})
 	}
 }
+
+// TestHurried looks which asks wait for slots rather than for reading: what is left of the
+// target of a stream that goes on says nothing of its prompt.
+func TestHurried(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		ask  Ask
+		want bool
+	}{
+		{"short target", Ask{Target: 250 * time.Millisecond}, true},
+		{"long target", Ask{Target: 1500 * time.Millisecond}, false},
+		{"goes on with short pauses", Ask{Target: 8 * time.Second, Gap: 250 * time.Millisecond, Resumed: true}, true},
+		{"goes on with long pauses", Ask{Target: -2 * time.Second, Gap: time.Second, Resumed: true}, false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(row.ask.hurried(), row.want)
+		})
+	}
+}
--- a/pool/decide.go
+++ b/pool/decide.go
@@ -73,7 +73,7 @@
 // With a short target no such moment comes early enough.
 func (w *Waiter) betterLater(plan *placement.Plan, list []*placement.Engine, now time.Time) bool {
 	left := w.request.TargetAt.Sub(now)
-	if w.ask.Target <= shedTarget || left <= 0 {
+	if w.ask.hurried() || left <= 0 {
 		return false
 	}
 	if w.late && placement.Soonest(list, w.request) < time.Duration(soonShare*float64(left)) {
@@ -110,7 +110,7 @@
 // and 169 when callers that have come back counted as new ones (emulated pool of the
 // tests).
 func (w *Waiter) yields() bool {
-	return w.lateFromStart() && !w.ask.Again && w.ask.Target <= shedTarget
+	return w.lateFromStart() && !w.ask.Again && w.ask.hurried()
 }
 
 // lost returns what a request loses for want of room by a plan that makes it late. One
--- a/pool/returning.go
+++ b/pool/returning.go
@@ -91,6 +91,19 @@
 	return a.Target - a.Spent
 }
 
+// hurried states whether an ask waits for slots rather than for reading: its prompt is read
+// within a pass. What is left of the target of a stream that goes on says nothing of its
+// prompt; such streams are told apart by their longest pauses.
+func (a *Ask) hurried() bool {
+	if a.Resumed {
+		return a.Gap <= resumedGap
+	}
+	return a.Target <= shedTarget
+}
+
+// resumedGap is the longest pause of streams whose prompts are read within a pass.
+const resumedGap = 400 * time.Millisecond
+
 // work returns what an attempt of the request does.
 func (w *Waiter) work() work {
 	return work{
--- a/pool/shed.go
+++ b/pool/shed.go
@@ -54,7 +54,7 @@
 		return s.refusal("no endpoint can answer in time now", 0)
 	}
 	ahead := time.Duration(0)
-	if w.ask.Target > shedTarget {
+	if !w.ask.hurried() {
 		// Short ones are read beside long ones, in the next pass of some engine.
 		ahead = time.Duration(float64(work) / speed(list) / readShare)
 	}
