Leave out engines that have stopped by what several instances see

Cause: each entry waited for its own stream's time limit, 1.3 s at least; until then new requests went to engines that had stopped, idle ones among them, and joint readings of which one engine had stopped kept the others standing still. When their rest was over, requests tried all of them again at one moment.

Entries tell the owner of streams that are silent for four usual pauses. When two agree, nobody has a sign of life, the model knows no reason, and the engine takes no connection, it is left out at once and its attempts are told to move: those that can be in time first, those that are late over 0.6 s. Two engines within 0.3 s have all others checked by a connection. Who is left out is checked each 0.3 s until it answers. First events that are overdue the owner notices itself: their engine gets nothing new for the while, if several instances see it. One instance's link does none of that.

Ruled out: to believe majorities in place of no sign of life (45 false ones in a play), not to move what is late.

--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -3,6 +3,8 @@
 package gateway
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -58,10 +60,21 @@
 			Slack:   f.Cold.Slack,
 		},
 		Reports: platform.NewReports(client, g.log.WithName("reports")),
+		Check:   checkEndpoint,
 	}, log)
 	g.placer = pool.NewClient(g.self, g.pools, g.peers, log)
 }
 
+// checkEndpoint opens a connection to an endpoint and closes it again.
+func checkEndpoint(ctx context.Context, address string) error {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
 // assembleServer makes what serves other instances.
 func (g *Gateway) assembleServer() {
 	g.rpc = grpc.NewServer(grpc.ReadBufferSize(rpcBuffer), grpc.WriteBufferSize(rpcBuffer))
@@ -77,13 +90,14 @@
 		MaxAge:     time.Duration(float64(f.Times.Revoke) * maxAgeShare),
 		StrictKeys: *f.Times.RevokeStrict,
 	}, relay.Parts{
-		Known:    g.catalog.Snapshot,
-		Age:      g.catalog.Age,
-		Placer:   g.placer,
-		Wire:     platform.Wire{},
-		Memory:   platform.NewOrders(client),
-		Upstream: g.upstream,
-		Log:      g.log.WithName("relay"),
+		Known:      g.catalog.Snapshot,
+		Age:        g.catalog.Age,
+		Placer:     g.placer,
+		Suspicions: g.placer,
+		Wire:       platform.Wire{},
+		Memory:     platform.NewOrders(client),
+		Upstream:   g.upstream,
+		Log:        g.log.WithName("relay"),
 	})
 }
 
--- a/pool/adopt.go
+++ b/pool/adopt.go
@@ -9,6 +9,11 @@
 // Adopt takes over an attempt that another instance placed. It changes nothing
 // when the attempt is known.
 func (s *Scheduler) Adopt(a Ask, g Grant, begun bool) {
+	s.adoptFor(a, g, s.settings.Self, begun)
+}
+
+// adoptFor takes over an entry's attempt.
+func (s *Scheduler) adoptFor(a Ask, g Grant, entry string, begun bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.pool(a.Service)
@@ -33,6 +38,8 @@
 		first:    g.First,
 		begun:    begun,
 		work:     w.work(),
+		entry:    entry,
+		watched:  a.Gap > 0 && !a.Again,
 	}
 	if !begun {
 		p.cold.give(g.Instance, now)
--- a/pool/aside.go
+++ b/pool/aside.go
@@ -52,6 +52,12 @@
 	// when it did.
 	reporter string
 	reported time.Time
+	// absentSince is when the endpoint was found not to be there; zero once it answers.
+	absentSince time.Time
+	// verifiedAt is when it was last looked whether the endpoint is there, as instances agree
+	// that it is silent, and answeredAt when it last was.
+	verifiedAt time.Time
+	answeredAt time.Time
 	// preference is higher for a plain endpoint that the instance prefers among
 	// equals.
 	preference float64
@@ -99,6 +105,7 @@
 // alive notes a sign of life. Own states that this instance's own request had it.
 func (h *health) alive(own bool) {
 	h.all = record{}
+	h.absentSince = time.Time{}
 	h.reporter = ""
 	if own {
 		h.own = record{}
--- /dev/null
+++ b/pool/check.go
@@ -0,0 +1,261 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package pool
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/linkmast/linkmast/placement"
+)
+
+// The measures of checking all endpoints of a pool.
+const (
+	// massLeast is how many endpoints must be found to have stopped within massWithin for
+	// the others to be checked: more than one at a moment has a cause in common, and those
+	// on which nobody waits for an event show nothing.
+	massLeast  = 2
+	massWithin = 300 * time.Millisecond
+	// checkWithin bounds a check: many round trips. checkEvery bounds how often all are
+	// checked.
+	checkWithin = 50 * time.Millisecond
+	checkEvery  = time.Second
+	// verifyEvery bounds how often it is looked whether a silent endpoint is there, and how
+	// long it is taken to be busy once it was.
+	verifyEvery = time.Second
+	// recheckEvery is how often an endpoint is checked that is not there, and absentMost how
+	// long it is left out for that: the link of this instance may be at fault.
+	recheckEvery = 300 * time.Millisecond
+	absentMost   = 5 * time.Second
+	// checkTrusted is the part of the endpoints that may leave a check unanswered for it
+	// to count. With more, this instance's own links are at fault.
+	checkTrusted = 0.75
+)
+
+// Checker opens a connection to an endpoint and closes it again.
+type Checker func(ctx context.Context, address string) error
+
+// checks are how the endpoints of a pool are checked. The zero value is ready for use.
+type checks struct {
+	// found are when endpoints were found to have stopped, by instance.
+	found map[string]time.Time
+	// at is when all were last checked, and again states that those are checked again that
+	// are not there.
+	at    time.Time
+	again bool
+	// checked counts the endpoints that were checked, and failed those that did not answer.
+	checked int
+	failed  int
+}
+
+// due notes that an endpoint was found to have stopped, and states whether the others are
+// to be checked.
+func (c *checks) due(instance string, now time.Time) bool {
+	if c.found == nil {
+		c.found = make(map[string]time.Time)
+	}
+	c.found[instance] = now
+	maps.DeleteFunc(c.found, func(_ string, at time.Time) bool { return now.Sub(at) > massWithin })
+	if len(c.found) < massLeast || !c.at.IsZero() && now.Sub(c.at) < checkEvery {
+		return false
+	}
+	c.at = now
+	return true
+}
+
+// checkAll checks the endpoints of a pool that have not been set aside, if one was found to
+// have stopped soon after another. The caller holds the lock.
+func (s *Scheduler) checkAll(p *state, service, found string, now time.Time) {
+	if s.settings.Check == nil || !p.checks.due(found, now) {
+		return
+	}
+	addresses := make(map[string]string)
+	for _, e := range p.list {
+		if !e.Closed && !p.emptied.bars(&Ask{}, e) && p.health[e.Instance].usable(now) {
+			addresses[e.Instance] = e.Address
+		}
+	}
+	p.checks.checked += len(addresses)
+	go s.check(service, addresses)
+}
+
+// check checks endpoints, given by instance with their address.
+func (s *Scheduler) check(service string, addresses map[string]string) {
+	failed := s.unanswered(addresses)
+	lost := 0
+	for _, err := range failed {
+		if !errors.Is(err, syscall.ECONNREFUSED) {
+			lost++
+		}
+	}
+	trusted := float64(lost) <= checkTrusted*float64(len(addresses))
+	if !trusted {
+		s.log.Info("check of endpoints not trusted", "service", service, "checked", len(addresses), "failed", len(failed))
+	}
+	for instance, err := range failed {
+		if trusted || errors.Is(err, syscall.ECONNREFUSED) {
+			s.failedCheck(service, instance, err)
+		}
+	}
+}
+
+// verify looks whether an endpoint is there of which instances agree that it is silent: one
+// that is busy takes connections still. Without it, passes that grew long as callers came
+// back had up to twenty streams move from engines that worked. The caller holds the lock.
+func (s *Scheduler) verify(p *state, service string, e *placement.Engine, silent int, now time.Time) {
+	h := p.health[e.Instance]
+	switch {
+	case !h.usable(now) || now.Sub(h.verifiedAt) < verifyEvery:
+		return
+	case s.settings.Check == nil:
+		s.stopped(p, service, e.Instance, silent, now)
+		return
+	case e.Closed || p.emptied.bars(&Ask{}, e):
+		return
+	}
+	h.verifiedAt = now
+	p.checks.checked++
+	instance := e.Instance
+	addresses := map[string]string{
+		instance: e.Address,
+	}
+	go func() {
+		failed := s.unanswered(addresses)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		now := s.settings.Now()
+		if failed[instance] != nil {
+			s.stopped(p, service, instance, silent, now)
+			return
+		}
+		h.answeredAt = now
+	}()
+}
+
+// answered states whether the endpoint is busy rather than gone, as it took a connection
+// just now.
+func (h *health) answered(now time.Time) bool {
+	return !h.answeredAt.IsZero() && now.Sub(h.answeredAt) < verifyEvery
+}
+
+// unanswered returns the endpoints that don't answer, with the cause.
+func (s *Scheduler) unanswered(addresses map[string]string) map[string]error {
+	var (
+		mu     sync.Mutex
+		failed = make(map[string]error)
+		wait   sync.WaitGroup
+	)
+	for instance, address := range addresses {
+		wait.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), checkWithin)
+			defer cancel()
+			if err := s.settings.Check(ctx, address); err != nil {
+				mu.Lock()
+				defer mu.Unlock()
+				failed[instance] = err
+			}
+		})
+	}
+	wait.Wait()
+	return failed
+}
+
+// failedCheck leaves an endpoint out that did not answer a check, unless a stream there has
+// a sign of life, and has its attempts move.
+func (s *Scheduler) failedCheck(service, instance string, cause error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.pool(service)
+	now := s.settings.Now()
+	h := p.health[instance]
+	if h == nil || !h.usable(now) || p.hasLife(instance, now) {
+		return
+	}
+	p.checks.failed++
+	s.leaveOut(p, service, instance, now)
+	n := s.moveAway(p, service, instance, now)
+	s.log.Info("endpoint does not answer", "service", service, "endpoint", instance, "cause", cause.Error(), "moved", n)
+}
+
+// usable states whether the endpoint may get a request.
+func (h *health) usable(now time.Time) bool {
+	if !h.absentSince.IsZero() && now.Sub(h.absentSince) < absentMost {
+		return false
+	}
+	return h.all.usable(now)
+}
+
+// leaveOut leaves an endpoint out that has stopped: until it answers a check, or for a
+// while where endpoints are not checked. The caller holds the lock.
+func (s *Scheduler) leaveOut(p *state, service, instance string, now time.Time) {
+	h := p.health[instance]
+	if s.settings.Check == nil {
+		h.all.note(Unreachable, now)
+		return
+	}
+	h.absentSince = now
+	if !p.checks.again {
+		p.checks.again = true
+		time.AfterFunc(recheckEvery, func() { s.recheck(service) })
+	}
+}
+
+// recheck checks the endpoints that are not there, and again while there are any.
+func (s *Scheduler) recheck(service string) {
+	s.mu.Lock()
+	p := s.pool(service)
+	addresses := make(map[string]string)
+	for _, e := range p.list {
+		if !e.Closed && !p.emptied.bars(&Ask{}, e) && !p.health[e.Instance].absentSince.IsZero() {
+			addresses[e.Instance] = e.Address
+		}
+	}
+	p.checks.again = len(addresses) > 0
+	p.checks.checked += len(addresses)
+	s.mu.Unlock()
+	if len(addresses) == 0 {
+		return
+	}
+	failed := s.unanswered(addresses)
+	for instance := range addresses {
+		if failed[instance] == nil {
+			s.answers(service, instance)
+		}
+	}
+	time.AfterFunc(recheckEvery, func() { s.recheck(service) })
+}
+
+// answers takes an endpoint back that answers a check.
+func (s *Scheduler) answers(service, instance string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.pool(service)
+	h := p.health[instance]
+	if h == nil || h.absentSince.IsZero() {
+		return
+	}
+	now := s.settings.Now()
+	s.log.Info("endpoint answers again", "service", service, "endpoint", instance,
+		"after_ms", now.Sub(h.absentSince).Milliseconds())
+	h.absentSince = time.Time{}
+	h.all = record{}
+	s.poke()
+}
+
+// hasLife states whether a stream that an endpoint answers has a sign of life.
+func (p *state) hasLife(instance string, now time.Time) bool {
+	for id, at := range p.placed {
+		if at.instance != instance {
+			continue
+		}
+		if _, _, alive := p.shows(id, at, now); alive {
+			return true
+		}
+	}
+	return false
+}
--- a/pool/client.go
+++ b/pool/client.go
@@ -35,6 +35,8 @@
 	links map[string]*linked
 	// book is what this instance has running, by attempt.
 	book map[string]*running
+	// moves are what makes attempts move, by attempt.
+	moves map[string]func()
 	// turn gets a value when a link breaks off or comes about.
 	turn chan struct{}
 	// ctx is that of Run; nil before.
@@ -62,11 +64,13 @@
 		turn:   make(chan struct{}, 1),
 		links:  make(map[string]*linked),
 		book:   make(map[string]*running),
+		moves:  make(map[string]func()),
 	}
 }
 
 // Run keeps the links until ctx ends.
 func (c *Client) Run(ctx context.Context) {
+	defer c.local.onMoves(c.self.ID, c.moveOwn)()
 	tick := time.NewTicker(lookEvery)
 	defer tick.Stop()
 	for {
--- a/pool/client_links.go
+++ b/pool/client_links.go
@@ -108,6 +108,7 @@
 		dialer: c.dialer,
 		book:   c.running,
 		turn:   c.turned,
+		move:   c.moveAttempt,
 		log:    c.log,
 		began:  time.Now(),
 	}
--- a/pool/figures.go
+++ b/pool/figures.go
@@ -34,6 +34,14 @@
 	Cut      int `json:"cut"`
 	Returned int `json:"returned"`
 	Crowds   int `json:"crowds"`
+	// Suspected counts the suspicions of entries, Agreed the endpoints that were left out by
+	// them, Moved the attempts that were told to move, Checked the checks of endpoints, and
+	// Absent those that failed and had the endpoint left out.
+	Suspected int `json:"suspected"`
+	Agreed    int `json:"agreed"`
+	Moved     int `json:"moved"`
+	Checked   int `json:"checked"`
+	Absent    int `json:"absent"`
 }
 
 // Figures returns the state of all pools by service.
@@ -57,6 +65,11 @@
 			Cut:            p.returning.cuts,
 			Returned:       p.returning.returned,
 			Crowds:         p.returning.crowds,
+			Suspected:      p.suspicion.suspected,
+			Agreed:         p.suspicion.agreed,
+			Moved:          p.suspicion.moved,
+			Checked:        p.checks.checked,
+			Absent:         p.checks.failed,
 		}
 	}
 	return out
--- a/pool/grant.go
+++ b/pool/grant.go
@@ -17,6 +17,8 @@
 		at:       now,
 		first:    plan.First,
 		work:     w.work(),
+		entry:    w.entry,
+		watched:  w.ask.Gap > 0 && !w.ask.Again,
 	}
 	g := Grant{
 		Instance: plan.Engine.Instance,
--- a/pool/link.go
+++ b/pool/link.go
@@ -56,6 +56,9 @@
 	book func() []*poolpb.FromEntry
 	// turn is called when the session opens or breaks off.
 	turn func()
+	// move is called with an attempt that is to move, the endpoint that has stopped, and
+	// who says so.
+	move func(id, endpoint, by string)
 	log  logr.Logger
 	mu   sync.Mutex
 	// began is when the link was made, or broke off, and the first try to open it began.
--- a/pool/link_session.go
+++ b/pool/link_session.go
@@ -182,6 +182,8 @@
 				Kept:   k.Refusal.GetKept(),
 			},
 		})
+	case *poolpb.FromOwner_Move:
+		go l.move(k.Move.GetId(), k.Move.GetEndpoint(), l.peer)
 	case *poolpb.FromOwner_Pong:
 	}
 }
--- a/pool/messages.go
+++ b/pool/messages.go
@@ -167,6 +167,31 @@
 	}
 }
 
+// suspicionMessage tells an owner of an attempt that is silent.
+func suspicionMessage(id, service string, silence time.Duration) *poolpb.FromEntry {
+	return &poolpb.FromEntry{
+		Kind: &poolpb.FromEntry_Suspicion{
+			Suspicion: &poolpb.Suspicion{
+				Id:        id,
+				Service:   service,
+				SilenceUs: silence.Microseconds(),
+			},
+		},
+	}
+}
+
+// moveMessage tells an entry that an attempt is to move.
+func moveMessage(m *move) *poolpb.FromOwner {
+	return &poolpb.FromOwner{
+		Kind: &poolpb.FromOwner_Move{
+			Move: &poolpb.Move{
+				Id:       m.id,
+				Endpoint: m.endpoint,
+			},
+		},
+	}
+}
+
 // pingMessage asks an owner for a sign of life.
 func pingMessage(seq int64) *poolpb.FromEntry {
 	return &poolpb.FromEntry{
--- a/pool/returning_test.go
+++ b/pool/returning_test.go
@@ -108,3 +108,43 @@
 	time.Sleep(2500 * time.Millisecond)
 	is.Equal(owner.scheduler.Figures()["engines"].Placed, attempts-ended)
 }
+
+// TestOwnerTellsToMove lets two entries suspect streams of one engine: the owner tells
+// those that are to move, also its own.
+func TestOwnerTellsToMove(t *testing.T) {
+	f := newFleet(t, 0)
+	for _, name := range []string{"e1", "e2", "e3"} {
+		delete(f.snap.Endpoints, name)
+	}
+	for i := range 3 {
+		f.add(i)
+	}
+	for _, n := range f.nodes {
+		n.learn(f.snap)
+	}
+	owner := f.owner("")
+	for owner.scheduler.Figures()["engines"].Placed > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	moved := make(chan string, 10)
+	for i, n := range f.nodes {
+		a := ask(fmt.Sprint("move-", i))
+		a.Gap = 5 * time.Second
+		n.place(t, a)
+		n.client.First(a.ID, "engines")
+		n.client.OnMove(a.ID, func() { moved <- a.ID })
+	}
+	time.Sleep(400 * time.Millisecond)
+	for i, n := range f.nodes {
+		n.client.Suspect(fmt.Sprint("move-", i), "engines", 300*time.Millisecond)
+	}
+	got := make(map[string]bool)
+	for len(got) < len(f.nodes) {
+		select {
+		case id := <-moved:
+			got[id] = true
+		case <-time.After(time.Second):
+			t.Fatalf("told to move: %v", got)
+		}
+	}
+}
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -33,6 +33,9 @@
 	Reports Reports
 	// Pace is how the pace of engines becomes known; for comparisons.
 	Pace PaceWay
+	// Check opens a connection to an endpoint, to see whether it is there; nil means that
+	// endpoints are not checked.
+	Check Checker
 	// Now returns the time; the default is time.Now.
 	Now func() time.Time
 	// Draw returns a random time below one that is greater than zero; the default is
@@ -60,6 +63,8 @@
 	wake chan struct{}
 	// marks counts the sessions that ended.
 	marks int64
+	// tell are what tells entries which of their attempts are to move.
+	tell map[string]*func(move)
 }
 
 // NewScheduler returns a scheduler without endpoints.
@@ -81,6 +86,7 @@
 		log:      log,
 		pools:    make(map[string]*state),
 		wake:     make(chan struct{}, 1),
+		tell:     make(map[string]*func(move)),
 	}
 }
 
@@ -131,7 +137,12 @@
 // place returns a place. An instance that is alone because no owner of the pool
 // is in touch has only its part of the retry budget.
 func (s *Scheduler) place(ctx context.Context, a Ask, alone bool) (Grant, error) {
-	w := s.submit(a, alone)
+	return s.placeFor(ctx, a, s.settings.Self, alone)
+}
+
+// placeFor returns a place for an entry's request.
+func (s *Scheduler) placeFor(ctx context.Context, a Ask, entry string, alone bool) (Grant, error) {
+	w := s.submitFor(a, entry, alone)
 	select {
 	case g := <-w.reply:
 		return g, nil
@@ -151,11 +162,18 @@
 
 // submit takes a request: it is placed or refused at once, or waits in the queue.
 func (s *Scheduler) submit(a Ask, alone bool) *Waiter {
+	return s.submitFor(a, s.settings.Self, alone)
+}
+
+// submitFor takes an entry's request.
+func (s *Scheduler) submitFor(a Ask, entry string, alone bool) *Waiter {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.settings.Now()
 	p := s.pool(a.Service)
+	s.lookForStopped(p, a.Service, now)
 	w := s.waiter(a, now)
+	w.entry = entry
 	if r := p.keeps(a.Replaces, now); r != nil {
 		w.refuse <- r
 		return w
@@ -238,7 +256,8 @@
 		return
 	}
 	now := s.settings.Now()
-	if o == Silent && p.asPlanned(id, at, now) {
+	if o == Silent && (at.moved || p.asPlanned(id, at, now)) {
+		// What showed that the endpoint is silent has been counted, or is no fault.
 		o = Abandoned
 	}
 	if o == Abandoned || o == Failed {
@@ -257,6 +276,9 @@
 		s.log.Info("endpoint set aside", "service", service, "endpoint", instance, "outcome", o.String(),
 			"failures", h.all.failures, "for_ms", h.all.until.Sub(now).Milliseconds(), "attempt", id,
 			"reporter", reporter)
+		if o == Unreachable {
+			s.unreachable(p, service, instance, now)
+		}
 	}
 	s.poke()
 }
--- a/pool/server.go
+++ b/pool/server.go
@@ -51,8 +51,10 @@
 type session struct {
 	server *Server
 	stream grpc.BidiStreamingServer[poolpb.FromEntry, poolpb.FromOwner]
-	// entry names the instance at the other end.
-	entry string
+	// entry names the instance at the other end, and stopMoves ends telling it of attempts
+	// that are to move; nil until it has said its name.
+	entry     string
+	stopMoves func()
 
 	// sending guards the stream, which takes one message at a time.
 	sending sync.Mutex
@@ -133,12 +135,14 @@
 	case *poolpb.FromEntry_Running:
 		a := decodeAsk(k.Running.GetAsk())
 		x.note(a.ID, a.Service)
-		s.Adopt(a, decodeGrant(k.Running.GetGrant()), k.Running.GetBegun())
+		s.adoptFor(a, decodeGrant(k.Running.GetGrant()), x.entry, k.Running.GetBegun())
 	case *poolpb.FromEntry_First:
 		s.FirstBy(k.First.GetId(), k.First.GetService(), x.entry)
 	case *poolpb.FromEntry_End:
 		x.drop(k.End.GetId())
 		s.EndBy(k.End.GetId(), k.End.GetService(), Outcome(k.End.GetOutcome()), k.End.GetCulprit(), x.entry)
+	case *poolpb.FromEntry_Suspicion:
+		s.Suspect(k.Suspicion.GetId(), k.Suspicion.GetService(), microseconds(k.Suspicion.GetSilenceUs()))
 	case *poolpb.FromEntry_Ping:
 		if k.Ping.GetSeq() == 0 {
 			x.server.greeted(x)
@@ -196,7 +200,7 @@
 	x.mu.Unlock()
 	x.wait.Go(func() {
 		defer cancel()
-		g, err := x.server.scheduler.Place(ctx, a)
+		g, err := x.server.scheduler.placeFor(ctx, a, x.entry, false)
 		x.mu.Lock()
 		delete(x.asked, a.ID)
 		x.mu.Unlock()
--- a/pool/server_cut.go
+++ b/pool/server_cut.go
@@ -33,10 +33,21 @@
 	if old != nil {
 		s.orphan(old)
 	}
+	x.stopMoves = s.scheduler.onMoves(x.entry, x.sendMove)
+}
+
+// sendMove tells the entry of an attempt that is to move.
+func (x *session) sendMove(m move) {
+	if err := x.send(moveMessage(&m)); err != nil {
+		x.server.scheduler.log.V(1).Info("move not told", "entry", x.entry, "attempt", m.id, "cause", err.Error())
+	}
 }
 
 // ended forgets an entry's session.
 func (s *Server) ended(x *session) {
+	if x.stopMoves != nil {
+		x.stopMoves()
+	}
 	s.mu.Lock()
 	if s.sessions[x.entry] == x {
 		delete(s.sessions, x.entry)
--- a/pool/silence.go
+++ b/pool/silence.go
@@ -52,7 +52,7 @@
 // again elsewhere, and against setting that engine aside.
 func (p *state) keeps(r Replaced, now time.Time) *Refusal {
 	at := p.placed[r.Attempt]
-	if at == nil {
+	if at == nil || at.moved {
 		return nil
 	}
 	left, ok := p.expects(r.Attempt, at, r.For, now)
--- a/pool/state.go
+++ b/pool/state.go
@@ -45,6 +45,10 @@
 	cold cold
 	// paces is how quickly the engines work.
 	paces paces
+	// suspicion is what shows that endpoints have stopped.
+	suspicion suspicion
+	// checks are how all endpoints are checked when some have stopped.
+	checks checks
 	// returning is the work that was cut and comes back.
 	returning returning
 	// plain states that the service's endpoints are no engines.
@@ -67,6 +71,15 @@
 	begun bool
 	// work is what comes back if the attempt is cut.
 	work work
+	// entry names the instance that has the attempt.
+	entry string
+	// suspectedAt is when its entry last said that it is silent, and silentSince since
+	// when it is. Moved states that the entry was told to move it.
+	suspectedAt time.Time
+	silentSince time.Time
+	moved       bool
+	// watched states that its entry suspects it when it is silent.
+	watched bool
 	// orphan is the mark of the ended session that the attempt came through;
 	// zero while its entry is in touch. CutAt is when that session ended.
 	orphan int64
@@ -184,7 +197,7 @@
 	for _, e := range p.list {
 		switch {
 		case e.Closed || slices.Contains(a.Exclude, e.Instance) || p.emptied.bars(a, e):
-		case slices.Contains(a.Avoid, e.Instance) || !p.health[e.Instance].all.usable(now):
+		case slices.Contains(a.Avoid, e.Instance) || !p.health[e.Instance].usable(now) || p.suspicion.doubted[e.Instance]:
 			rest = append(rest, e)
 		default:
 			out = append(out, e)
--- /dev/null
+++ b/pool/suspicion.go
@@ -0,0 +1,369 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package pool
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/linkmast/linkmast/placement"
+)
+
+// The measures of suspecting an endpoint.
+const (
+	// SuspectLeast is the shortest silence of a stream that is suspected: passes that read
+	// prompts take as long. SuspectPasses is how many of its usual pauses a silence lasts
+	// before it is suspected: an engine that works at a third of its pace is slow, not dead.
+	SuspectLeast  = 200 * time.Millisecond
+	SuspectPasses = 4
+	// suspicionHolds is how long a suspicion counts that is not repeated: entries repeat it
+	// each SuspectLeast while the silence lasts.
+	suspicionHolds = 300 * time.Millisecond
+	// silentLeast and silentFactor times its predicted time is how much longer than
+	// predicted a first event takes that is suspected; after doubtLeast, and its predicted
+	// time once more, its endpoint gets nothing new if others are in doubt as well.
+	silentLeast  = 400 * time.Millisecond
+	silentFactor = 2
+	doubtLeast   = 150 * time.Millisecond
+	// silentLong is the predicted time from which on a first event waits for a long
+	// reading, during which other streams of the engine are silent.
+	silentLong = 250 * time.Millisecond
+	// agreeing is how many instances must suspect an endpoint for it to be set aside, and
+	// doubting how many must have some endpoint in doubt for one that a single instance
+	// doubts, and none has a sign of life of, to get nothing new. The link of a single
+	// instance is no ground for either.
+	agreeing = 2
+	doubting = 3
+	// suspectEvery bounds how often the attempts are looked at.
+	suspectEvery = 10 * time.Millisecond
+	// lateMovesWithin is how long moves are spread over that are late already: their callers
+	// wait for two seconds at least, and a fourth of that has passed.
+	lateMovesWithin = 600 * time.Millisecond
+)
+
+// Suspecter hears of streams that are silent for longer than usual, and tells which
+// attempts are to move to another endpoint.
+type Suspecter interface {
+	// Suspect notes the silence of an attempt.
+	Suspect(id, service string, silence time.Duration)
+	// OnMove has a function called, at any time until stop is, when an attempt is to move.
+	OnMove(id string, move func()) (stop func())
+}
+
+// suspicion is what attempts show of endpoints that have stopped. The zero value is ready
+// for use.
+type suspicion struct {
+	// lookedAt is when the attempts were last looked at, and doubted are the endpoints
+	// that were in doubt then.
+	lookedAt time.Time
+	doubted  map[string]bool
+	// suspected counts suspicions, agreed the endpoints that were set aside by them, and
+	// moved the attempts that were told to move.
+	suspected int
+	agreed    int
+	moved     int
+}
+
+// move tells an entry that an attempt is to move.
+type move struct {
+	entry   string
+	id      string
+	service string
+	// endpoint is the one that has stopped, and due how long until the attempt's next
+	// event is late.
+	endpoint string
+	due      time.Duration
+	// joint states that several endpoints read for it.
+	joint bool
+}
+
+// testimony is what the attempts on an endpoint show of it.
+type testimony struct {
+	// silent are the entries of attempts that are overdue, doubting those of attempts that
+	// are overdue by less, and alive those of streams that are not.
+	silent   map[string]bool
+	doubting map[string]bool
+	alive    map[string]bool
+}
+
+// Suspect notes the silence of an attempt, as its entry reports it.
+func (s *Scheduler) Suspect(id, service string, silence time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.pool(service)
+	at := p.placed[id]
+	if at == nil || p.plain {
+		return
+	}
+	now := s.settings.Now()
+	at.suspectedAt = now
+	at.silentSince = now.Add(-silence)
+	p.suspicion.suspected++
+	s.suspect(p, service, now)
+}
+
+// suspect looks which endpoints have stopped, sets them aside and has their attempts move.
+// The caller holds the lock.
+func (s *Scheduler) suspect(p *state, service string, now time.Time) {
+	p.suspicion.lookedAt = now
+	seen, entries := p.testimonies(now)
+	p.suspicion.doubted = nil
+	for _, e := range p.list {
+		t := seen[e.Instance]
+		if t == nil {
+			continue
+		}
+		switch {
+		case p.health[e.Instance].answered(now):
+		case t.stopped():
+			s.verify(p, service, e, len(t.silent), now)
+			p.suspicion.doubt(e.Instance)
+		case t.inDoubt(entries):
+			p.suspicion.doubt(e.Instance)
+		}
+	}
+}
+
+// lookForStopped does what suspect does, unless that was done just now. The caller holds
+// the lock.
+func (s *Scheduler) lookForStopped(p *state, service string, now time.Time) {
+	if p.plain || now.Sub(p.suspicion.lookedAt) < suspectEvery {
+		return
+	}
+	s.suspect(p, service, now)
+}
+
+// testimonies returns what the attempts show of each endpoint, and how many entries have
+// some endpoint in doubt.
+func (p *state) testimonies(now time.Time) (map[string]*testimony, int) {
+	seen := make(map[string]*testimony)
+	entries := make(map[string]bool)
+	for id, at := range p.placed {
+		silent, doubt, alive := p.shows(id, at, now)
+		if !silent && !doubt && !alive || at.entry == "" {
+			continue
+		}
+		t := seen[at.instance]
+		if t == nil {
+			t = &testimony{
+				silent:   make(map[string]bool),
+				doubting: make(map[string]bool),
+				alive:    make(map[string]bool),
+			}
+			seen[at.instance] = t
+		}
+		switch {
+		case silent:
+			t.silent[at.entry] = true
+		case doubt:
+			t.doubting[at.entry] = true
+		default:
+			t.alive[at.entry] = true
+		}
+		if silent || doubt {
+			entries[at.entry] = true
+		}
+	}
+	return seen, len(entries)
+}
+
+// shows returns what an attempt shows of the endpoint that answers it.
+func (p *state) shows(id string, at *placed, now time.Time) (silent, doubt, alive bool) {
+	if at.begun {
+		if now.Sub(at.suspectedAt) > suspicionHolds {
+			return false, false, at.watched
+		}
+		return !p.reads(id, at, now.Sub(at.silentSince), now), false, false
+	}
+	late := now.Sub(at.at) - at.first
+	if late < doubtLeast || late < at.first || len(at.readers) > 0 {
+		return false, false, false
+	}
+	if p.reads(id, at, late, now) {
+		return false, false, false
+	}
+	silent = late >= max(silentLeast, silentFactor*at.first)
+	return silent, !silent, false
+}
+
+// reads states whether an endpoint of an attempt has a reason for its silence: by its model
+// it reads, or is in a pass that long, or a long reading there has not ended for certain.
+func (p *state) reads(id string, at *placed, silence time.Duration, now time.Time) bool {
+	if _, reason := p.expects(id, at, silence, now); reason {
+		return true
+	}
+	for _, name := range at.endpoints() {
+		e := p.engines[name]
+		if e == nil {
+			continue
+		}
+		for _, j := range e.Jobs {
+			if p.mayRead(j, now) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// mayRead states whether a long reading is under way, or not known to have ended though it
+// should have: predictions of long ones are off by half at most.
+func (p *state) mayRead(j *placement.Job, now time.Time) bool {
+	at := p.placed[j.ID]
+	if at == nil || at.begun || at.first < silentLong {
+		return false
+	}
+	return now.Before(at.at.Add(at.first + max(silentLeast, at.first/2)))
+}
+
+// stopped states whether independent instances agree that the endpoint has stopped: two
+// at least, and none has a sign of life.
+func (t *testimony) stopped() bool {
+	return len(t.silent) >= agreeing && len(t.alive) == 0
+}
+
+// inDoubt states whether the endpoint is to get nothing new for now. Entries is how many
+// have some endpoint in doubt.
+func (t *testimony) inDoubt(entries int) bool {
+	if len(t.alive) > 0 {
+		return false
+	}
+	n := len(t.silent)
+	for entry := range t.doubting {
+		if !t.silent[entry] {
+			n++
+		}
+	}
+	return n >= agreeing || n > 0 && entries >= doubting
+}
+
+// doubt notes that an endpoint is in doubt.
+func (x *suspicion) doubt(instance string) {
+	if x.doubted == nil {
+		x.doubted = make(map[string]bool)
+	}
+	x.doubted[instance] = true
+}
+
+// stopped leaves an endpoint out that has stopped, and has its attempts move. Silent is how
+// many instances agree. The caller holds the lock.
+func (s *Scheduler) stopped(p *state, service, instance string, silent int, now time.Time) {
+	h := p.health[instance]
+	if h == nil || !h.usable(now) || p.hasLife(instance, now) {
+		return
+	}
+	s.leaveOut(p, service, instance, now)
+	p.suspicion.agreed++
+	s.checkAll(p, service, instance, now)
+	n := s.moveAway(p, service, instance, now)
+	s.log.Info("endpoint suspected", "service", service, "endpoint", instance, "silent_for", silent, "moved", n)
+}
+
+// unreachable has the attempts of an endpoint move that instances agree they can't reach,
+// unless a stream there has a sign of life: an endpoint turns connections away that are
+// too many, too. The caller holds the lock.
+func (s *Scheduler) unreachable(p *state, service, instance string, now time.Time) {
+	if p.plain {
+		return
+	}
+	if p.hasLife(instance, now) {
+		return
+	}
+	s.leaveOut(p, service, instance, now)
+	s.checkAll(p, service, instance, now)
+	if n := s.moveAway(p, service, instance, now); n > 0 {
+		s.log.Info("endpoint unreachable", "service", service, "endpoint", instance, "moved", n)
+	}
+}
+
+// moveAway has all attempts move that an endpoint answers or reads for, those first that
+// are due first and can still be in time. It returns how many. The caller holds the lock.
+func (s *Scheduler) moveAway(p *state, service, instance string, now time.Time) int {
+	var out []move
+	for id, at := range p.placed {
+		if at.moved || at.entry == "" || !slices.Contains(at.endpoints(), instance) {
+			continue
+		}
+		at.moved = true
+		out = append(out, move{
+			entry:    at.entry,
+			id:       id,
+			service:  service,
+			endpoint: instance,
+			due:      at.dueIn(now),
+			joint:    len(at.readers) > 0 && !at.begun,
+		})
+	}
+	slices.SortFunc(out, func(a, b move) int {
+		return cmp.Or(cmp.Compare(a.order(), b.order()), cmp.Compare(a.id, b.id))
+	})
+	p.suspicion.moved += len(out)
+	s.tellMoves(out)
+	return len(out)
+}
+
+// order sorts moves: those that are due first go first, and those that are late already
+// after all others.
+func (m *move) order() time.Duration {
+	if m.due <= 0 {
+		return math.MaxInt64
+	}
+	return m.due
+}
+
+// dueIn returns how long it is until the attempt's next event is late.
+func (at *placed) dueIn(now time.Time) time.Duration {
+	if !at.begun {
+		return at.work.targetAt.Sub(now)
+	}
+	if now.Sub(at.suspectedAt) > suspicionHolds {
+		return at.work.gap
+	}
+	return at.silentSince.Add(at.work.gap).Sub(now)
+}
+
+// tellMoves tells the entries: at once of those that can be in time, and of those that
+// engines still read for; of the others, which are late already, one after the other, so
+// that their prompts are not all read in front of the streams of other engines. The caller
+// holds the lock.
+func (s *Scheduler) tellMoves(moves []move) {
+	now := make(map[*func(move)][]move)
+	late := 0
+	for _, m := range moves {
+		tell := s.tell[m.entry]
+		switch {
+		case tell == nil:
+		case m.due > 0 || m.joint:
+			now[tell] = append(now[tell], m)
+		default:
+			late++
+			wait := lateMovesWithin * time.Duration(late) / time.Duration(len(moves))
+			time.AfterFunc(wait, func() { (*tell)(m) })
+		}
+	}
+	for tell, list := range now {
+		// An entry that does not take what it is told holds up nobody else.
+		go func() {
+			for _, m := range list {
+				(*tell)(m)
+			}
+		}()
+	}
+}
+
+// onMoves has a function called with the attempts of an entry that are to move, until
+// stop is called or another function takes its place.
+func (s *Scheduler) onMoves(entry string, tell func(move)) (stop func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tell[entry] = &tell
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.tell[entry] == &tell {
+			delete(s.tell, entry)
+		}
+	}
+}
--- a/pool/waiter.go
+++ b/pool/waiter.go
@@ -18,6 +18,8 @@
 	refuse chan *Refusal
 	// late states that the last plan made the request late.
 	late bool
+	// entry names the instance that asks.
+	entry string
 	// alone states that no owner of the pool could be asked.
 	alone bool
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -35,6 +35,9 @@
 	Age func() (time.Duration, bool)
 	// Placer finds places.
 	Placer pool.Placer
+	// Suspicions hears of silent streams and says which attempts are to move; nil means
+	// that each is watched by itself.
+	Suspicions pool.Suspecter
 	// Wire reads and writes headers.
 	Wire Wire
 	// Memory reserves memory.
--- /dev/null
+++ b/relay/suspect_test.go
@@ -0,0 +1,168 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package relay
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/pool"
+	"github.com/linkmast/linkmast/route"
+)
+
+// suspecter keeps the suspicions, and what has the attempt move.
+type suspecter struct {
+	at      []time.Time
+	silence []time.Duration
+	move    func()
+}
+
+// Suspect implements pool.Suspecter.
+func (s *suspecter) Suspect(_, _ string, silence time.Duration) {
+	s.at = append(s.at, time.Now())
+	s.silence = append(s.silence, silence)
+}
+
+// OnMove implements pool.Suspecter.
+func (s *suspecter) OnMove(_ string, move func()) func() {
+	s.move = move
+	return func() { s.move = nil }
+}
+
+// suspected returns the watch of a stream of pauses of a second, and what ends when the
+// attempt does.
+func suspected(t *testing.T, placer pool.Placer, s *suspecter) (*watch, context.Context) {
+	l := &Relay{
+		Metrics: newMetrics(),
+		parts: Parts{
+			Placer:     placer,
+			Suspicions: s,
+			Log:        logr.Discard(),
+		},
+	}
+	a := &try{
+		relay: l,
+		job: &job{
+			route: &route.Route{
+				Kind:        route.Streaming,
+				Resumable:   true,
+				MaxAttempts: 2,
+				Target:      1500 * time.Millisecond,
+				GapTarget:   time.Second,
+			},
+			arrived: time.Now(),
+		},
+		ask: pool.Ask{
+			ID: "attempt",
+		},
+		grant: pool.Grant{
+			Instance: "e0",
+			First:    time.Second,
+		},
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	return a.watch(t.Context(), cancel), ctx
+}
+
+// TestSuspectsSilence looks when a stream is suspected: after four of its usual pauses, or
+// 200 ms, and again while it is silent; never before its first event.
+func TestSuspectsSilence(t *testing.T) {
+	for _, row := range []struct {
+		name   string
+		pause  time.Duration
+		events int
+		first  time.Duration
+	}{
+		{"quick stream", 20 * time.Millisecond, 10, 200 * time.Millisecond},
+		{"slow stream", 100 * time.Millisecond, 10, 400 * time.Millisecond},
+		{"no event", 0, 0, 0},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := &suspecter{}
+				w, _ := suspected(t, &keeper{err: errors.New("none")}, s)
+				for range row.events {
+					time.Sleep(row.pause)
+					w.touch()
+				}
+				last := time.Now()
+				time.Sleep(time.Second)
+				if row.events == 0 {
+					is.Equal(len(s.at), 0)
+					w.end()
+					return
+				}
+				is.True(len(s.at) >= 3)
+				is.Equal(s.at[0].Sub(last), row.first)
+				is.Equal(s.silence[0], row.first)
+				is.Equal(s.at[1].Sub(s.at[0]), pool.SuspectLeast)
+				w.touch()
+				n := len(s.at)
+				time.Sleep(row.first - time.Millisecond)
+				is.Equal(len(s.at), n)
+				w.end()
+				time.Sleep(time.Second)
+				is.Equal(len(s.at), n)
+			})
+		})
+	}
+}
+
+// finder finds a place.
+type finder struct {
+	keeper
+}
+
+// Place implements pool.Placer.
+func (f *finder) Place(_ context.Context, a pool.Ask) (pool.Grant, error) {
+	f.asks = append(f.asks, a)
+	return pool.Grant{
+		Instance: "e1",
+	}, nil
+}
+
+// TestMoves looks what an attempt does that is to move: it leaves with a place if it has
+// begun, at once if not, and stays while there is no place for its stream.
+func TestMoves(t *testing.T) {
+	for _, row := range []struct {
+		name  string
+		begun bool
+		found bool
+		// ends states that the attempt ends at once, and next that it has a place then.
+		ends bool
+		next bool
+	}{
+		{"stream with a place", true, true, true, true},
+		{"stream without a place", true, false, false, false},
+		{"no event yet", false, true, true, false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				var placer pool.Placer = &keeper{err: errors.New("none")}
+				if row.found {
+					placer = &finder{}
+				}
+				s := &suspecter{}
+				w, ctx := suspected(t, placer, s)
+				if row.begun {
+					w.touch()
+				}
+				time.Sleep(50 * time.Millisecond)
+				s.move()
+				is.Equal(ctx.Err() != nil, row.ends)
+				is.Equal(w.expired(), row.ends)
+				next := w.end()
+				is.Equal(next != nil, row.next)
+				is.True(s.move == nil) // nothing moves an attempt that has ended
+			})
+		})
+	}
+}
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -39,6 +39,14 @@
 	timer *time.Timer
 	// next is the place that the attempt was ended for.
 	next *place
+	// left states that it was ended without one, as its endpoint has stopped.
+	left bool
+	// usual is the usual pause between events, and early ends with the silence that is
+	// suspected; nil where nobody hears of suspicions.
+	usual time.Duration
+	early *time.Timer
+	// stopMoves ends that the owner of the pool may have the attempt move.
+	stopMoves func()
 }
 
 // watch starts the watch of an attempt. Only streams that can be continued at
@@ -57,6 +65,7 @@
 	w.limit = limit
 	w.heard = time.Now()
 	w.timer = time.AfterFunc(first, w.replace)
+	w.listen()
 	return w
 }
 
@@ -122,7 +131,9 @@
 	w.timer.Reset(w.limit)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.heard = time.Now()
+	now := time.Now()
+	w.notePause(now)
+	w.heard = now
 	w.begun = true
 }
 
@@ -136,6 +147,7 @@
 	w.timer.Stop()
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.unlisten()
 	return w.next
 }
 
@@ -143,5 +155,5 @@
 func (w *watch) expired() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.next != nil
+	return w.next != nil || w.left
 }
