--- a/cmd/linkmast/deploy_test.go
+++ b/cmd/linkmast/deploy_test.go
@@ -145,6 +145,44 @@
 	if err := p.cmd.Process.Signal(s); err != nil {
 		p.t.Fatal(err)
 	}
+	if s == syscall.SIGSTOP {
+		p.awaitFrozen()
+	}
+}
+
+// awaitFrozen waits until no thread of the process runs. A stop reaches one of them, which
+// stops the others once it is given a processor; beside load they go on until then.
+func (p *process) awaitFrozen() {
+	p.t.Helper()
+	for end := time.Now().Add(frozenWithin); !p.frozen(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			p.t.Fatal("process does not stop")
+		}
+	}
+}
+
+// frozenWithin bounds the wait for a process to stop; on a busy machine it takes some tens
+// of milliseconds.
+const frozenWithin = 5 * time.Second
+
+// frozen states whether all threads of the process are stopped.
+func (p *process) frozen() bool {
+	stats, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	for _, name := range stats {
+		stat, err := os.ReadFile(name)
+		if err != nil {
+			return false
+		}
+		// The state follows the command's name, which is in parentheses (proc(5)).
+		_, rest, _ := strings.Cut(string(stat), ") ")
+		if !strings.HasPrefix(rest, "T") {
+			return false
+		}
+	}
+	return len(stats) > 0
 }
 
 // deploy starts a deployment of n nodes.
