--- a/route/route.go
+++ b/route/route.go
@@ -117,6 +117,14 @@
 	ColdPerSecond float64
 	// ColdStart is how long an endpoint stays cold that has started.
 	ColdStart time.Duration
+	// Usual is the mean size of its requests; zero when it is not known.
+	Usual Size
+}
+
+// Size is the length of a request in tokens.
+type Size struct {
+	Prompt int
+	Answer int
 }
 
 // Customer is a holder of keys.
