Let requests be worth what who pays for them pays

Cause: one line over the length of the prompt, 0.8 + 1.1e-4 a token, stood for all requests; priority moved only the order of the queue. With three ranks of which the shortest prompts are the most urgent, those paid for the long ones under load.

Change: package worth tells what an answer in time and a late one are worth, from the ranks of customer and route, what the requests of the route usually ask for, and the size; placement, the price, refusals and the order of return work with both values (the late share was a constant of placement). An ask carries the route's name and rank. Operators may set [worth]; lines place and refuse and the metrics show it. Tests of placement that state a worth state a late worth of a quarter of it now, which was the constant before.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -77,3 +77,11 @@
 	}
 	return m.Chunk * max(m.Stride, 1)
 }
+
+// Work returns the time of one engine that a request takes: that of reading its prompt,
+// however many engines share it, and its part of the steps that write, which the
+// requests of all slots share.
+func (m *Model) Work(prompt, output int) time.Duration {
+	write := time.Duration(output) * m.Step / time.Duration(max(m.Slots, 1))
+	return m.Read(prompt, 1) + write
+}
--- a/emulator/caller.go
+++ b/emulator/caller.go
@@ -151,16 +151,17 @@
 	now := c.play.clock.now
 	c.play.asks++
 	a := pool.Ask{
-		ID:       fmt.Sprintf("r%d.%d", c.index, c.play.asks),
-		Service:  service,
-		Rank:     c.kind.Rank,
-		Prompt:   c.request.Prompt,
-		Output:   c.hint,
-		Target:   time.Duration(c.kind.Target) - now.Sub(entered),
-		Gap:      time.Duration(c.kind.Gap),
-		Deadline: time.Duration(c.kind.Deadline) - now.Sub(c.began),
-		Exclude:  c.exclude,
-		Again:    c.sends > 0,
+		ID:        fmt.Sprintf("r%d.%d", c.index, c.play.asks),
+		Service:   service,
+		Route:     c.kind.Name,
+		RouteRank: c.kind.Rank,
+		Prompt:    c.request.Prompt,
+		Output:    c.hint,
+		Target:    time.Duration(c.kind.Target) - now.Sub(entered),
+		Gap:       time.Duration(c.kind.Gap),
+		Deadline:  time.Duration(c.kind.Deadline) - now.Sub(c.began),
+		Exclude:   c.exclude,
+		Again:     c.sends > 0,
 	}
 	if c.tries > 1 {
 		a.Returning = true
--- a/emulator/sheet.go
+++ b/emulator/sheet.go
@@ -12,6 +12,7 @@
 
 	"github.com/linkmast/linkmast/batch"
 	"github.com/linkmast/linkmast/config"
+	"github.com/linkmast/linkmast/route"
 )
 
 // Sheet is what a deployment is asked for, and with what it serves.
@@ -257,3 +258,20 @@
 	}
 	return -1
 }
+
+// usual returns the mean size of requests outside bursts, as a configuration tells it.
+func (s *Sheet) usual() route.Size {
+	all, prompts, answers := 0.0, 0.0, 0.0
+	for _, k := range s.Kinds {
+		all += k.PerSecond
+		prompts += k.PerSecond * k.Prompt.Mean
+		answers += k.PerSecond * k.Events.Mean * float64(s.Engines.Stride)
+	}
+	if all == 0 {
+		return route.Size{}
+	}
+	return route.Size{
+		Prompt: int(prompts / all),
+		Answer: int(answers / all),
+	}
+}
--- /dev/null
+++ b/emulator/worth_test.go
@@ -0,0 +1,70 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package emulator_test
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/config"
+	"github.com/linkmast/linkmast/emulator"
+	"github.com/linkmast/linkmast/pool"
+)
+
+// tiered returns a third of the sheet with three ranks under a load, for some seconds.
+func tiered(t *testing.T, load float64) *emulator.Sheet {
+	t.Helper()
+	data, err := os.ReadFile("sheets/tiers.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := emulator.ParseSheet(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const part = 3
+	s.Engines.Count /= part
+	s.Length = config.Duration(16 * time.Second)
+	return s.Scaled(load / part)
+}
+
+// served returns the part of the requests of a kind that had an answer.
+func served(requests []emulator.Request, r *emulator.Result, kind int) float64 {
+	all, n := 0, 0
+	for i, q := range requests {
+		if q.Kind != kind {
+			continue
+		}
+		all++
+		if r.Outcomes[i].Kept > 0 {
+			n++
+		}
+	}
+	return float64(n) / float64(all)
+}
+
+// TestUrgentFirst plays nearly twice what the engines can do, in three ranks, the shorter
+// the prompts the more urgent. It looks that no kind is served less often than a less
+// urgent one, or keeps a smaller share of its worth, and that the urgent one keeps most.
+func TestUrgentFirst(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			is := is.New(t)
+			s := tiered(t, 2)
+			requests := emulator.Draw(s, seed)
+			r := emulator.Play(s, requests, pool.Settings{}, seed)
+			for kind := range s.Kinds {
+				t.Log(s.Kinds[kind].Name, "served:", served(requests, r, kind), "kept:", r.Kind(kind))
+			}
+			for kind := range s.Kinds[1:] {
+				is.True(served(requests, r, kind) > served(requests, r, kind+1)-0.05)
+				is.True(r.Kind(kind) > r.Kind(kind+1)-0.05)
+			}
+			is.True(r.Kind(0) > 0.8)
+		})
+	}
+}
--- a/experiment/plan.go
+++ b/experiment/plan.go
@@ -11,6 +11,7 @@
 
 	"github.com/linkmast/linkmast/emulator"
 	"github.com/linkmast/linkmast/pool"
+	"github.com/linkmast/linkmast/worth"
 )
 
 // Plan is what is compared.
@@ -31,21 +32,18 @@
 type Variant struct {
 	// Name names the variant in results.
 	Name string `toml:"name"`
-	// WorthBase and WorthPerToken are the settings of the scheduler; zero means its
-	// defaults.
-	WorthBase     float64 `toml:"worth_base"`
-	WorthPerToken float64 `toml:"worth_per_token"`
 	// Pace is how the pace of engines becomes known: "learned", "told" or "ignored"; empty
 	// means both.
 	Pace string `toml:"pace"`
+	// Worth says what answers are worth.
+	Worth worth.Settings `toml:"worth"`
 }
 
 // settings returns the scheduler's settings.
 func (v *Variant) settings() pool.Settings {
 	return pool.Settings{
-		WorthBase:     v.WorthBase,
-		WorthPerToken: v.WorthPerToken,
-		Pace:          paceWays[v.Pace],
+		Pace:  paceWays[v.Pace],
+		Worth: v.Worth,
 	}
 }
 
--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -58,6 +58,7 @@
 			Slack:   f.Cold.Slack,
 		},
 		Reports: platform.NewReports(client, g.log.WithName("reports")),
+		Worth:   f.Worth,
 	}, log)
 	g.placer = pool.NewClient(g.self, g.pools, g.peers, log)
 }
--- a/placement/apply.go
+++ b/placement/apply.go
@@ -48,16 +48,17 @@
 func (p *Plan) Apply(r Request, now time.Time) {
 	n := len(p.Others) + 1
 	job := Job{
-		ID:       r.ID,
-		Tokens:   max(r.Prompt/n, 1),
-		Joint:    n > 1,
-		Memory:   p.Hold,
-		Context:  r.Prompt / n,
-		Gap:      r.Gap,
-		Stake:    lateShare * r.Worth,
-		AskedAt:  now,
-		TargetAt: r.TargetAt,
-		FirstAt:  now.Add(p.First),
+		ID:        r.ID,
+		Tokens:    max(r.Prompt/n, 1),
+		Joint:     n > 1,
+		Memory:    p.Hold,
+		Context:   r.Prompt / n,
+		Gap:       r.Gap,
+		Stake:     r.stake(),
+		LateWorth: r.LateWorth,
+		AskedAt:   now,
+		TargetAt:  r.TargetAt,
+		FirstAt:   now.Add(p.First),
 	}
 	if r.Travel > 0 {
 		job.ReachesAt = now.Add(r.Travel)
--- a/placement/closes.go
+++ b/placement/closes.go
@@ -47,7 +47,7 @@
 	}
 	writes := e.paced(time.Duration(r.Output) * e.Model.Step)
 	cost := closePrice * r.Readings.Share * writes.Seconds() * (r.Readings.open(before) - r.Readings.open(after))
-	return min(cost, closesMost*lateShare*r.Worth)
+	return min(cost, closesMost*r.stake())
 }
 
 // open returns which part of the readings an engine is open to whose streams allow pauses
--- a/placement/closes_test.go
+++ b/placement/closes_test.go
@@ -42,11 +42,12 @@
 				engine("empty", 0),
 				engine("other", 400*time.Millisecond),
 			}, Request{
-				Prompt:   25_000,
-				Output:   1000,
-				Gap:      800 * time.Millisecond,
-				TargetAt: origin.Add(row.target),
-				Worth:    1,
+				Prompt:    25_000,
+				Output:    1000,
+				Gap:       800 * time.Millisecond,
+				TargetAt:  origin.Add(row.target),
+				Worth:     1,
+				LateWorth: 0.25,
 				Readings: Readings{
 					Share: row.share,
 					Gap:   time.Second,
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -17,10 +17,6 @@
 // plan does not see.
 const spoilsWeight = 2
 
-// lateShare is the part of a request's worth that is lost when it is late. The
-// sheets of both sites keep a quarter.
-const lateShare = 0.75
-
 // The part of a bound at which a prediction begins to count as late, and that
 // at which it surely is.
 const (
@@ -52,7 +48,7 @@
 	if !r.GiveUpAt.IsZero() && now.Add(first).After(r.GiveUpAt) {
 		return r.Worth
 	}
-	return lateShare * r.Worth * lateness(first, r.TargetAt.Sub(now))
+	return r.stake() * lateness(first, r.TargetAt.Sub(now))
 }
 
 // pauses returns what the request's stream loses when its longest pause takes a time.
@@ -60,7 +56,7 @@
 	if r.Gap == 0 {
 		return 0
 	}
-	return lateShare * r.Worth * lateness(longest, r.Gap)
+	return r.stake() * lateness(longest, r.Gap)
 }
 
 // harm returns what a job loses when the next pass takes after rather than
@@ -80,14 +76,14 @@
 	if j.Gap == 0 {
 		return 0
 	}
-	return j.Stake * (j.pauseLoss(after) - j.pauseLoss(before))
+	return j.pauseLoss(after) - j.pauseLoss(before)
 }
 
-// pauseLoss returns what a pause costs a stream, in parts of its stake: all of it
-// when the stream is late, and what is left as well when its caller gives up.
+// pauseLoss returns what a pause costs a stream: its stake when the stream is late, and
+// what is left as well when its caller gives up.
 func (j *Job) pauseLoss(pause time.Duration) float64 {
 	if pause >= Patience(0, j.Gap) {
-		return 1 / lateShare
+		return j.Stake + j.LateWorth
 	}
-	return lateness(pause, j.Gap)
+	return j.Stake * lateness(pause, j.Gap)
 }
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -29,8 +29,10 @@
 	Context int
 	// Gap is the longest pause between events in time; zero means none counts.
 	Gap time.Duration
-	// Stake is what is lost when the request is late.
-	Stake float64
+	// Stake is what is lost when the request is late, and LateWorth what is lost beside
+	// that when its caller goes.
+	Stake     float64
+	LateWorth float64
 	// AskedAt is when the request was placed.
 	AskedAt time.Time
 	// TargetAt is when the first event would be late.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -46,23 +46,25 @@
 // short and long are typical requests.
 func short(id string, now time.Time) placement.Request {
 	return placement.Request{
-		ID:       id,
-		Prompt:   5_000,
-		Output:   1_300,
-		Gap:      250 * time.Millisecond,
-		TargetAt: now.Add(300 * time.Millisecond),
-		Worth:    1.3,
+		ID:        id,
+		Prompt:    5_000,
+		Output:    1_300,
+		Gap:       250 * time.Millisecond,
+		TargetAt:  now.Add(300 * time.Millisecond),
+		Worth:     1.3,
+		LateWorth: 1.3 / 4,
 	}
 }
 
 func long(prompt int, now time.Time) placement.Request {
 	return placement.Request{
-		ID:       "long",
-		Prompt:   prompt,
-		Output:   700,
-		Gap:      time.Second,
-		TargetAt: now.Add(2500 * time.Millisecond),
-		Worth:    0.8 + 1.1e-4*float64(prompt),
+		ID:        "long",
+		Prompt:    prompt,
+		Output:    700,
+		Gap:       time.Second,
+		TargetAt:  now.Add(2500 * time.Millisecond),
+		Worth:     0.8 + 1.1e-4*float64(prompt),
+		LateWorth: (0.8 + 1.1e-4*float64(prompt)) / 4,
 	}
 }
 
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -24,8 +24,9 @@
 	// GiveUpAt is when the caller goes if there is no event; zero when that is
 	// not known.
 	GiveUpAt time.Time
-	// Worth is what an answer in time is worth.
-	Worth float64
+	// Worth is what an answer in time is worth, and LateWorth what a late one is.
+	Worth     float64
+	LateWorth float64
 	// Travel is how long it takes until an engine has the request.
 	Travel time.Duration
 	// Exclude are engines that must not be used.
@@ -34,12 +35,14 @@
 	Readings Readings
 }
 
-// Work returns the time of one engine that a request takes: that of reading its prompt,
-// however many engines share it, and its part of the steps that write, which the
-// requests of all slots share.
+// stake returns what is lost when the request is late.
+func (r *Request) stake() float64 {
+	return r.Worth - r.LateWorth
+}
+
+// Work returns the time of one engine that a request takes.
 func (r *Request) Work(m *batch.Model) time.Duration {
-	write := time.Duration(r.Output) * m.Step / time.Duration(max(m.Slots, 1))
-	return m.Read(r.Prompt, 1) + write
+	return m.Work(r.Prompt, r.Output)
 }
 
 // Share is the part of a plan on an engine that helps.
--- a/placement/simulate_test.go
+++ b/placement/simulate_test.go
@@ -116,9 +116,10 @@
 			}
 			e.Add(readingJob("before", 20_000), origin)
 			p, ok := Make([]*Engine{e}, Request{
-				Prompt:   row.prompt,
-				TargetAt: origin.Add(time.Minute),
-				Worth:    1,
+				Prompt:    row.prompt,
+				TargetAt:  origin.Add(time.Minute),
+				Worth:     1,
+				LateWorth: 0.25,
 			}, origin.Add(time.Millisecond))
 			is.True(ok)
 			is.Equal(p.Spoils > 0, row.spoils)
@@ -155,11 +156,12 @@
 			}
 			slices.Reverse(engines)
 			p, ok := Make(engines, Request{
-				Prompt:   120_000,
-				Output:   100,
-				Gap:      row.gap,
-				TargetAt: origin.Add(900 * time.Millisecond),
-				Worth:    1,
+				Prompt:    120_000,
+				Output:    100,
+				Gap:       row.gap,
+				TargetAt:  origin.Add(900 * time.Millisecond),
+				Worth:     1,
+				LateWorth: 0.25,
 			}, origin.Add(50*time.Millisecond))
 			is.True(ok)
 			is.Equal(len(p.Others), 1)
--- a/pool/adopt.go
+++ b/pool/adopt.go
@@ -43,7 +43,7 @@
 	for _, o := range plan.Others {
 		at.readers = append(at.readers, o.Engine.Instance)
 	}
-	plan.Apply(s.waiter(a, now).request, now)
+	plan.Apply(s.waiter(p, a, now).request, now)
 	p.placed[a.ID] = at
 	if begun {
 		p.begin(a.ID, at, now)
--- a/pool/figures.go
+++ b/pool/figures.go
@@ -4,6 +4,8 @@
 
 import (
 	"time"
+
+	"github.com/linkmast/linkmast/worth"
 )
 
 // Figures are the state of one pool.
@@ -29,6 +31,8 @@
 	// often one was taken to change.
 	PaceAsked   int `json:"pace_asked"`
 	PaceChanges int `json:"pace_changes"`
+	// Routes tells what is usual for each route that had requests, and its worth.
+	Routes map[string]worth.Usual `json:"routes,omitempty"`
 }
 
 // Figures returns the state of all pools by service.
@@ -49,6 +53,7 @@
 
 			Cold:           p.cold.count(s.settings.Now()),
 			ColdPassedOver: p.cold.passedOver,
+			Routes:         p.worth.Routes(),
 		}
 	}
 	return out
--- a/pool/messages_test.go
+++ b/pool/messages_test.go
@@ -20,6 +20,8 @@
 			Service:   "s",
 			Customer:  "c",
 			Rank:      1,
+			Route:     "r",
+			RouteRank: 8,
 			Prompt:    2,
 			Output:    3,
 			Target:    -4 * time.Millisecond,
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -12,6 +12,7 @@
 
 	"github.com/linkmast/linkmast/catalog"
 	"github.com/linkmast/linkmast/placement"
+	"github.com/linkmast/linkmast/worth"
 )
 
 // Settings are the measures of a Scheduler.
@@ -23,16 +24,12 @@
 	Retries Budget
 	// Cold bounds what endpoints get that are cold; the zero value sets no bound.
 	Cold ColdLimit
-	// WorthBase is what an answer in time is worth without the part for its
-	// prompt; the default is 0.8.
-	WorthBase float64
-	// WorthPerToken is what each token of the prompt adds; the default is
-	// 1.1e-4.
-	WorthPerToken float64
 	// Reports asks engines for their pace; without it that is learned alone.
 	Reports Reports
 	// Pace is how the pace of engines becomes known; for comparisons.
 	Pace PaceWay
+	// Worth says what answers are worth.
+	Worth worth.Settings
 	// Now returns the time; the default is time.Now.
 	Now func() time.Time
 	// Draw returns a random time below one that is greater than zero; the default is
@@ -40,13 +37,6 @@
 	Draw func(below time.Duration) time.Duration
 }
 
-// The defaults of Settings. Both sites' sheets are met within a tenth by
-// 0.8 + 1.1e-4 for each prompt token.
-const (
-	defaultWorthBase     = 0.8
-	defaultWorthPerToken = 1.1e-4
-)
-
 // Scheduler places requests by what was placed through it. It implements
 // Placer. Run must be running.
 type Scheduler struct {
@@ -64,12 +54,6 @@
 
 // NewScheduler returns a scheduler without endpoints.
 func NewScheduler(s Settings, log logr.Logger) *Scheduler {
-	if s.WorthBase == 0 {
-		s.WorthBase = defaultWorthBase
-	}
-	if s.WorthPerToken == 0 {
-		s.WorthPerToken = defaultWorthPerToken
-	}
 	if s.Now == nil {
 		s.Now = time.Now
 	}
@@ -117,6 +101,7 @@
 			engines: make(map[string]*placement.Engine),
 			health:  make(map[string]*health),
 			placed:  make(map[string]*placed),
+			worth:   worth.New(s.settings.Worth),
 		}
 		s.pools[service] = p
 	}
@@ -155,7 +140,8 @@
 	defer s.mu.Unlock()
 	now := s.settings.Now()
 	p := s.pool(a.Service)
-	w := s.waiter(a, now)
+	p.worth.Note(a.kind())
+	w := s.waiter(p, a, now)
 	if r := p.keeps(a.Replaces, now); r != nil {
 		w.refuse <- r
 		return w
@@ -190,6 +176,7 @@
 	s.log.Info("refuse", "attempt", w.ask.ID, "service", w.ask.Service, "prompt", w.ask.Prompt, "reason", r.Reason,
 		"after_ms", r.After.Milliseconds(), "waited_ms", now.Sub(w.arrived).Milliseconds(), "queue", len(p.queue),
 		"endpoints", len(usable), "running", used, "slots", slots, "worth", w.request.Worth,
+		"rank", w.ask.Rank, "route_rank", w.ask.RouteRank,
 		"work_ms", work.Milliseconds(), "price", p.priceNow(now))
 }
 
--- a/pool/state.go
+++ b/pool/state.go
@@ -12,6 +12,7 @@
 	"github.com/linkmast/linkmast/internal/rendezvous"
 	"github.com/linkmast/linkmast/placement"
 	"github.com/linkmast/linkmast/route"
+	"github.com/linkmast/linkmast/worth"
 )
 
 // state is what a scheduler knows of one service.
@@ -33,6 +34,8 @@
 	retry  spender
 	alone  spender
 	errors errorStats
+	// worth tells what requests are worth.
+	worth *worth.Scale
 	// price is what a second of the engines costs.
 	price price
 	// longestGap is the longest pause that any request has allowed.
@@ -96,6 +99,7 @@
 	e.Closed = c.Leaving
 	p.cold.tell(c.Instance, c.ColdUntil)
 	e.Model = svc.Engine
+	p.worth.SetModel(svc.Engine, svc.Usual)
 	if e.Model == nil {
 		p.plain = true
 		e.Model = &batch.Model{}
--- a/pool/types.go
+++ b/pool/types.go
@@ -16,8 +16,12 @@
 	Service string
 	// Customer is who pays.
 	Customer string
-	// Rank is the priority; 0 goes first.
+	// Rank is the priority that the customer bought, or that of the route where none is
+	// known; 0 goes first.
 	Rank int
+	// Route names the route, and RouteRank is its priority.
+	Route     string
+	RouteRank int
 	// Prompt is the length of the prompt, in tokens.
 	Prompt int
 	// Output is the likely length of the answer, in tokens.
--- a/pool/waiter.go
+++ b/pool/waiter.go
@@ -36,18 +36,20 @@
 }
 
 // waiter makes the state of an ask.
-func (s *Scheduler) waiter(a Ask, now time.Time) *Waiter {
+func (s *Scheduler) waiter(p *state, a Ask, now time.Time) *Waiter {
+	v := p.worth.Value(a.kind())
 	return &Waiter{
 		ask: a,
 		request: placement.Request{
-			ID:       a.ID,
-			Prompt:   a.Prompt,
-			Output:   a.Output,
-			Gap:      a.Gap,
-			TargetAt: now.Add(a.Target - a.Spent),
-			GiveUpAt: now.Add(placement.Patience(a.Target, a.Gap)),
-			Worth:    s.settings.WorthBase + s.settings.WorthPerToken*float64(a.Prompt),
-			Exclude:  a.Exclude,
+			ID:        a.ID,
+			Prompt:    a.Prompt,
+			Output:    a.Output,
+			Gap:       a.Gap,
+			TargetAt:  now.Add(a.Target - a.Spent),
+			GiveUpAt:  now.Add(placement.Patience(a.Target, a.Gap)),
+			Worth:     v.InTime,
+			LateWorth: v.Late,
+			Exclude:   a.Exclude,
 		},
 		arrived: now,
 		reply:   make(chan Grant, 1),
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -148,6 +148,8 @@
 		Service:   j.service,
 		Customer:  j.customer,
 		Rank:      j.rank,
+		Route:     j.route.Name,
+		RouteRank: j.route.Rank,
 		Prompt:    j.head.PromptTokens,
 		Output:    j.head.OutputTokens,
 		Target:    j.route.Target - time.Since(j.arrived),
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -17,6 +17,7 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"github.com/linkmast/linkmast/config"
+	"github.com/linkmast/linkmast/worth"
 )
 
 // File is the settings of one process.
@@ -50,6 +51,8 @@
 	Retries Retries `toml:"retries"`
 	// Cold bounds what endpoints get that have just started.
 	Cold Cold `toml:"cold"`
+	// Worth says what answers are worth to who pays for them.
+	Worth worth.Settings `toml:"worth"`
 	// Peers are peer addresses of other instances, asked at a start while the
 	// platform does not answer. None is needed.
 	Peers []string `toml:"peers"`
@@ -290,6 +293,9 @@
 	if t := f.TLS; t != (TLS{}) && (t.Certificate == "" || t.Key == "" || t.Authorities == "") {
 		wrong = append(wrong, "tls needs certificate, key and authorities together")
 	}
+	if err := f.Worth.Check(); err != nil {
+		wrong = append(wrong, "worth."+err.Error())
+	}
 	if f.Times.WatchBytesPerSecond < 0 {
 		wrong = append(wrong, "times.watch_bytes_per_second must not be below zero")
 	}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -95,6 +95,7 @@
 	}{
 		{"no port", `10.0.0.1:7000`, `10.0.0.1`, "platform.store must be a host and port"},
 		{"negative share", `processor_share = 0.4`, `processor_share = -1`, "processor_share must not be below zero"},
+		{"worth that rises", `[retries]`, "[worth]\nroutes = [1, 2]\n[retries]", "worth.routes must be above zero"},
 		{"negative budget", `extra = 100`, `extra = -1`, "retries.extra must not be below zero"},
 		{"negative overage", `overage = 1.5`, `overage = -1.5`, "cold.overage must not be below zero"},
 		{"negative slack", `slack = 5`, `slack = -5`, "cold.slack must not be below zero"},
