Tell at arrival who can't be served, and know callers that come back

Cause, by the owner's traces under twice the load of sixty engines: nearly all first tries with long prompts counted as callers that had come back (103 of 105 refusals), as they name all kinds of times to wait. So none was told in time that it can't be in time; what was late waited for a price that doesn't fall while others come, 15 were placed late and 82 refused after up to 8.6 s.

Change: the owner remembers whom it refused, by customer and a hash of what the prompt consists of (eight more bytes of an ask); less time alone counts as coming back only where callers name the same times at first. A late request for a long prompt is refused as soon as others pay more for the engines' time, or once what was before it has been read. One that was late when it came and is refused counts for the price as a late answer.

--- a/emulator/caller.go
+++ b/emulator/caller.go
@@ -61,6 +61,8 @@
 	// for a place that was given.
 	moved  bool
 	waited time.Duration
+	// held is the longest wait that ended with a refusal.
+	held time.Duration
 }
 
 func newCaller(p *play, i int, r *Request) *caller {
@@ -155,6 +157,7 @@
 		Service:   service,
 		Route:     c.kind.Name,
 		RouteRank: c.kind.Rank,
+		Content:   uint64(c.index) + 1,
 		Prompt:    c.request.Prompt,
 		Output:    c.hint,
 		Target:    time.Duration(c.kind.Target) - now.Sub(entered),
@@ -175,6 +178,7 @@
 	if c.done {
 		return
 	}
+	c.held = max(c.held, c.play.clock.now.Sub(c.asked))
 	left := time.Duration(c.kind.Deadline) - c.play.clock.now.Sub(c.began)
 	if c.tries >= tries || left <= 0 {
 		c.end(Refused)
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -68,6 +68,8 @@
 	First time.Duration
 	// Pause is the longest pause between events.
 	Pause time.Duration
+	// Held is the longest wait for a place that ended with a refusal.
+	Held time.Duration
 }
 
 // Result is what became of the requests of a play.
@@ -104,6 +106,7 @@
 func (c *caller) outcome() Outcome {
 	o := Outcome{
 		Pause: c.gap,
+		Held:  c.held,
 	}
 	if c.events > 0 {
 		o.First = c.first.Sub(c.began)
--- a/emulator/worth_test.go
+++ b/emulator/worth_test.go
@@ -15,10 +15,10 @@
 	"github.com/linkmast/linkmast/pool"
 )
 
-// tiered returns a third of the sheet with three ranks under a load, for some seconds.
-func tiered(t *testing.T, load float64) *emulator.Sheet {
+// third returns a third of a sheet under a load, for some seconds.
+func third(t *testing.T, name string, load float64) *emulator.Sheet {
 	t.Helper()
-	data, err := os.ReadFile("sheets/tiers.toml")
+	data, err := os.ReadFile("sheets/" + name)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -54,7 +54,7 @@
 	for _, seed := range []uint64{1, 2, 3} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			is := is.New(t)
-			s := tiered(t, 2)
+			s := third(t, "tiers.toml", 2)
 			requests := emulator.Draw(s, seed)
 			r := emulator.Play(s, requests, pool.Settings{}, seed)
 			for kind := range s.Kinds {
--- /dev/null
+++ b/pool/arrival_test.go
@@ -0,0 +1,137 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+)
+
+// refusedAsk returns a request of a caller that has ten seconds.
+func refusedAsk(customer string, content uint64) Ask {
+	return Ask{
+		Customer: customer,
+		Content:  content,
+		Target:   3 * time.Second,
+		Deadline: 10 * time.Second,
+	}
+}
+
+// TestRecall looks which callers are known to come back, and since when they wait.
+func TestRecall(t *testing.T) {
+	const back = 4 * time.Second
+	for _, row := range []struct {
+		name  string
+		ask   Ask
+		after time.Duration
+		want  time.Duration
+	}{
+		{"the same", refusedAsk("c", 7), back, back},
+		{"another prompt", refusedAsk("c", 8), back, 0},
+		{"another customer", refusedAsk("d", 7), back, 0},
+		{"prompt not told", refusedAsk("c", 0), back, 0},
+		{"its caller has gone", refusedAsk("c", 7), 11 * time.Second, 0},
+		{"its endpoint failed", Ask{Customer: "c", Content: 7, Again: true}, back, 0},
+		{"its endpoint is silent", Ask{Customer: "c", Content: 7, Replaces: Replaced{Attempt: "a"}}, back, 0},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			var r refusedBefore
+			for _, content := range []uint64{0, 7} {
+				w := waiting(50_000, 3*time.Second)
+				w.ask = refusedAsk("c", content)
+				r.note(w, moment)
+			}
+			r.recall(&row.ask, moment.Add(row.after))
+			is.Equal(row.ask.Returning, row.want > 0)
+			is.Equal(row.ask.Spent, row.want)
+		})
+	}
+	t.Run("refused again", func(t *testing.T) {
+		is := is.New(t)
+		var r refusedBefore
+		w := waiting(50_000, 3*time.Second)
+		w.ask = refusedAsk("c", 7)
+		r.note(w, moment)
+		second := refusedAsk("c", 7)
+		r.recall(&second, moment.Add(back))
+		w.ask, w.arrived = second, moment.Add(back)
+		r.note(w, moment.Add(back))
+		third := refusedAsk("c", 7)
+		r.recall(&third, moment.Add(back+time.Second))
+		is.Equal(third.Spent, back+time.Second)
+	})
+	t.Run("many", func(t *testing.T) {
+		is := is.New(t)
+		var r refusedBefore
+		w := waiting(50_000, 3*time.Second)
+		for i := range mostRefused + 100 {
+			w.ask = refusedAsk("c", uint64(i)+1)
+			r.note(w, moment)
+		}
+		is.Equal(len(r.callers), mostRefused)
+		// Once their callers have gone, there is room for others.
+		w.arrived = moment.Add(time.Minute)
+		r.note(w, w.arrived)
+		is.Equal(len(r.callers), 1)
+	})
+}
+
+// TestGives looks what a request has to lose when it is refused.
+func TestGives(t *testing.T) {
+	for _, row := range []struct {
+		name  string
+		spent time.Duration
+		want  float64
+	}{
+		{"first try", 0, 1},
+		{"came back in time", time.Second, 1},
+		{"came back late", 3 * time.Second, 0.25},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			w := waiting(50_000, 3*time.Second-row.spent)
+			w.request.LateWorth = 0.25
+			assertNear(t, w.gives(), row.want)
+		})
+	}
+}
+
+// TestOverdue looks which late requests are refused rather than held.
+func TestOverdue(t *testing.T) {
+	const target = 3 * time.Second
+	for _, row := range []struct {
+		name   string
+		target time.Duration
+		// price is what a second of engines costs; the request takes half a second and
+		// keeps a quarter of a worth of 1 when it is late.
+		price  float64
+		ready  time.Duration
+		now    time.Duration
+		again  bool
+		refuse bool
+	}{
+		{"may be in time", target, 9, time.Second, time.Second, false, false},
+		{"late, engines are free", target, 0, 5 * time.Second, 4 * time.Second, false, false},
+		{"late, covers the price", target, 0.4, 5 * time.Second, 4 * time.Second, false, false},
+		{"late, others pay more", target, 0.6, 5 * time.Second, 4 * time.Second, false, true},
+		{"late, its time has passed", target, 0, 3500 * time.Millisecond, 4 * time.Second, false, true},
+		{"short", 300 * time.Millisecond, 9, time.Second, 4 * time.Second, false, false},
+		{"its endpoint failed", target, 9, 5 * time.Second, 4 * time.Second, true, false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			s := NewScheduler(Settings{}, logr.Discard())
+			p := busyPool()
+			now := moment.Add(row.now)
+			p.price.note(time.Second, row.price/priceShare, now)
+			w := waiting(50_000, row.target)
+			w.request.LateWorth = 0.25
+			w.ask.Again = row.again
+			r := s.overdue(p, w, moment.Add(row.ready), now)
+			is.Equal(r != nil, row.refuse)
+		})
+	}
+}
--- a/pool/decide.go
+++ b/pool/decide.go
@@ -112,6 +112,15 @@
 	return w.lateFromStart() && !w.ask.Again && w.ask.Target <= shedTarget
 }
 
+// gives returns what a request keeps still if it is served at once: one that was late when
+// it came keeps what a late answer is worth.
+func (w *Waiter) gives() float64 {
+	if w.lateFromStart() {
+		return w.request.LateWorth
+	}
+	return w.request.Worth
+}
+
 // lost returns what a request loses for want of room by a plan that makes it late. One
 // that was late when it came, like one whose first engine failed, loses nothing more.
 func (w *Waiter) lost(plan *placement.Plan) float64 {
--- a/pool/grant.go
+++ b/pool/grant.go
@@ -38,7 +38,7 @@
 	p.paces.decided, p.paces.alone = now, w.alone
 	p.placed[w.ask.ID] = at
 	s.log.Info("place", "attempt", w.ask.ID, "service", w.ask.Service, "prompt", w.ask.Prompt,
-		"rank", w.ask.Rank, "route_rank", w.ask.RouteRank, "worth", w.request.Worth, "endpoint", g.Instance,
+		"returning", w.ask.Returning, "rank", w.ask.Rank, "route_rank", w.ask.RouteRank, "worth", w.request.Worth, "endpoint", g.Instance,
 		"readers", at.readers, "first_ms", g.First.Milliseconds(), "read_ms", plan.Read.Milliseconds(),
 		"spoils", plan.Spoils, "loses", plan.Loses, "waited_ms", g.Waited.Milliseconds(), "queue", len(p.queue),
 		"work_ms", p.work(w).Milliseconds(), "price", p.priceNow(now))
--- a/pool/messages_test.go
+++ b/pool/messages_test.go
@@ -22,6 +22,7 @@
 			Rank:      1,
 			Route:     "r",
 			RouteRank: 8,
+			Content:   9,
 			Prompt:    2,
 			Output:    3,
 			Target:    -4 * time.Millisecond,
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -140,7 +140,10 @@
 	defer s.mu.Unlock()
 	now := s.settings.Now()
 	p := s.pool(a.Service)
-	p.worth.Note(a.kind())
+	p.refusedBefore.recall(&a, now)
+	if !a.Returning && !a.Again {
+		p.worth.Note(a.kind())
+	}
 	w := s.waiter(p, a, now)
 	if r := p.keeps(a.Replaces, now); r != nil {
 		w.refuse <- r
@@ -170,13 +173,14 @@
 // refused notes a refusal and writes its line.
 func (s *Scheduler) refused(p *state, w *Waiter, r *Refusal, now time.Time) {
 	work := p.work(w)
-	p.price.note(work, w.request.Worth, now)
+	p.price.note(work, w.gives(), now)
+	p.refusedBefore.note(w, now)
 	usable := p.usable(&w.ask, now)
 	used, slots := slotsOf(usable)
 	s.log.Info("refuse", "attempt", w.ask.ID, "service", w.ask.Service, "prompt", w.ask.Prompt, "reason", r.Reason,
 		"after_ms", r.After.Milliseconds(), "waited_ms", now.Sub(w.arrived).Milliseconds(), "queue", len(p.queue),
 		"endpoints", len(usable), "running", used, "slots", slots, "worth", w.request.Worth,
-		"rank", w.ask.Rank, "route_rank", w.ask.RouteRank,
+		"returning", w.ask.Returning, "rank", w.ask.Rank, "route_rank", w.ask.RouteRank,
 		"work_ms", work.Milliseconds(), "price", p.priceNow(now))
 }
 
--- a/pool/shed.go
+++ b/pool/shed.go
@@ -65,6 +65,9 @@
 	case ready.After(w.gone()):
 		return s.refusal("no endpoint can read it before its caller goes", ahead)
 	}
+	if r := s.overdue(p, w, ready, now); r != nil {
+		return r
+	}
 	return s.waitedOut(w, now)
 }
 
--- a/pool/state.go
+++ b/pool/state.go
@@ -36,6 +36,8 @@
 	errors errorStats
 	// worth tells what requests are worth.
 	worth *worth.Scale
+	// refusedBefore are callers that may come back.
+	refusedBefore refusedBefore
 	// price is what a second of the engines costs.
 	price price
 	// longestGap is the longest pause that any request has allowed.
--- a/pool/types.go
+++ b/pool/types.go
@@ -24,6 +24,9 @@
 	RouteRank int
 	// Prompt is the length of the prompt, in tokens.
 	Prompt int
+	// Content is a hash of what the prompt consists of, the same each time that its caller
+	// asks; zero when it is not known.
+	Content uint64
 	// Output is the likely length of the answer, in tokens.
 	Output int
 	// Target is the time that is left until the first event would be late. It
--- a/pool/waiter.go
+++ b/pool/waiter.go
@@ -16,6 +16,8 @@
 	// reply or refuse gets the decision.
 	reply  chan Grant
 	refuse chan *Refusal
+	// due is when a late request should have a place; zero while it isn't late.
+	due time.Time
 	// late states that the last plan made the request late.
 	late bool
 	// alone states that no owner of the pool could be asked.
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -152,11 +152,12 @@
 		RouteRank: j.route.Rank,
 		Prompt:    j.head.PromptTokens,
 		Output:    j.head.OutputTokens,
+		Content:   j.head.Content,
 		Target:    j.route.Target - time.Since(j.arrived),
 		Deadline:  j.left(),
 		Exclude:   j.exclude,
 		Again:     j.sends > 0,
-		Returning: missing(j.head.Wait, j.route) > 0,
+		Returning: j.spent > 0,
 		Spent:     j.spent,
 	}
 	if j.route.Kind == route.Streaming {
--- a/relay/types.go
+++ b/relay/types.go
@@ -21,6 +21,9 @@
 	Wait time.Duration
 	// PromptTokens is the length of the prompt.
 	PromptTokens int
+	// Content is a hash of the parts that the prompt consists of; zero when the caller
+	// does not name them.
+	Content uint64
 	// OutputTokens bounds the answer.
 	OutputTokens int
 	// LikelyOutput is the caller's own estimate of the answer's length; zero
