--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -61,6 +61,7 @@
 		},
 		Reports: platform.NewReports(client, g.log.WithName("reports")),
 		Check:   checkEndpoint,
+		Worth:   f.Worth,
 	}, log)
 	g.placer = pool.NewClient(g.self, g.pools, g.peers, log)
 }
--- a/pool/adopt.go
+++ b/pool/adopt.go
@@ -25,7 +25,7 @@
 	if !a.Again {
 		p.retry.first(now)
 	}
-	w := s.waiter(a, now)
+	w := s.waiter(p, a, now)
 	p.returning.claim(w, now)
 	e := p.engines[g.Instance]
 	if e == nil || p.outlived(&g) {
--- a/pool/figures.go
+++ b/pool/figures.go
@@ -4,6 +4,8 @@
 
 import (
 	"time"
+
+	"github.com/linkmast/linkmast/worth"
 )
 
 // Figures are the state of one pool.
@@ -42,6 +44,8 @@
 	Moved     int `json:"moved"`
 	Checked   int `json:"checked"`
 	Absent    int `json:"absent"`
+	// Routes tells what is usual for each route that had requests, and its worth.
+	Routes map[string]worth.Usual `json:"routes,omitempty"`
 }
 
 // Figures returns the state of all pools by service.
@@ -70,6 +74,7 @@
 			Moved:          p.suspicion.moved,
 			Checked:        p.checks.checked,
 			Absent:         p.checks.failed,
+			Routes:         p.worth.Routes(),
 		}
 	}
 	return out
--- a/pool/waiter.go
+++ b/pool/waiter.go
@@ -16,6 +16,8 @@
 	// reply or refuse gets the decision.
 	reply  chan Grant
 	refuse chan *Refusal
+	// due is when a late request should have a place; zero while it isn't late.
+	due time.Time
 	// late states that the last plan made the request late.
 	late bool
 	// entry names the instance that asks.
@@ -38,18 +40,20 @@
 }
 
 // waiter makes the state of an ask.
-func (s *Scheduler) waiter(a Ask, now time.Time) *Waiter {
+func (s *Scheduler) waiter(p *state, a Ask, now time.Time) *Waiter {
+	v := p.worth.Value(a.kind())
 	return &Waiter{
 		ask: a,
 		request: placement.Request{
-			ID:       a.ID,
-			Prompt:   a.Prompt,
-			Output:   a.Output,
-			Gap:      a.Gap,
-			TargetAt: now.Add(a.due()),
-			GiveUpAt: now.Add(placement.Patience(a.Target, a.Gap)),
-			Worth:    s.settings.WorthBase + s.settings.WorthPerToken*float64(a.Prompt),
-			Exclude:  a.Exclude,
+			ID:        a.ID,
+			Prompt:    a.Prompt,
+			Output:    a.Output,
+			Gap:       a.Gap,
+			TargetAt:  now.Add(a.due()),
+			GiveUpAt:  now.Add(placement.Patience(a.Target, a.Gap)),
+			Worth:     v.InTime,
+			LateWorth: v.Late,
+			Exclude:   a.Exclude,
 		},
 		arrived: now,
 		reply:   make(chan Grant, 1),
