Empty failure domains and start endpoints again under their names in the soak

Cause: the soak knew neither; a fault in how a domain's emptying spreads among real processes would not have shown. An entry of the stand-in store is a type. Ruled out: counting each store fault against the whole time of emptying; then hardly a moment was left to judge, and the check found nothing.

--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -125,12 +125,24 @@
 	}
 	w.endpoints[name] = e
 	w.addresses[name] = serve(w.t, e)
-	w.store.Enter(name, service, w.addresses[name], domain, 8, false)
+	w.enter(name, service, domain, false)
 }
 
 // entry writes the entry of an endpoint.
 func (w *world) entry(name, service string, leaving bool) {
-	w.store.Enter(name, service, w.addresses[name], "d1", 8, leaving)
+	w.enter(name, service, "d1", leaving)
+}
+
+// enter writes the entry of an endpoint in a failure domain.
+func (w *world) enter(name, service, domain string, leaving bool) {
+	w.store.Enter(platformtest.Entry{
+		Instance: name,
+		Service:  service,
+		Address:  w.addresses[name],
+		Domain:   domain,
+		Slots:    8,
+		Leaving:  leaving,
+	})
 }
 
 // configure publishes the next version, with one customer that has the keys.
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -31,20 +31,27 @@
 // judge holds what callers and endpoints saw against the promises.
 func (w *World) judge(history []Exchange) []Violation {
 	runs := make(map[string][]platformtest.Run)
+	sent := make(map[string]*Exchange, len(history))
+	for i := range history {
+		sent[history[i].ID] = &history[i]
+	}
+	var out []Violation
 	for _, e := range w.endpoints {
 		for _, r := range e.Runs() {
 			runs[r.ID] = append(runs[r.ID], r)
+			if x := sent[r.ID]; x != nil {
+				if v, wrong := w.judgeEmptied(x, e, &r); wrong {
+					out = append(out, v)
+				}
+			}
 		}
 	}
-	var out []Violation
-	sent := make(map[string]bool, len(history))
 	for i := range history {
 		x := &history[i]
-		sent[x.ID] = true
 		out = append(out, w.judgeOne(x, runs[x.ID])...)
 	}
 	for id := range runs {
-		if !sent[id] {
+		if sent[id] == nil {
 			out = append(out, Violation{
 				Promise: "only what callers sent runs",
 				Detail:  "request " + id + " ran and was not sent",
--- a/soak/play.go
+++ b/soak/play.go
@@ -155,9 +155,25 @@
 		e.proxy.Silence()
 	case "all lost in an outage":
 		w.loseAll(s.For)
+	case "domain emptied":
+		w.empty(domainOf(s.Target), s.For)
+	case "endpoint starts again":
+		w.startAgain(e, s.For)
 	}
 }
 
+// startAgain lets an endpoint start again under its name: all that it had is cut, and its
+// entry tells another start.
+func (w *World) startAgain(e *endpoint, away time.Duration) {
+	e.proxy.Set(tcptest.Link{Reset: true})
+	time.Sleep(away / restartPart)
+	w.mu.Lock()
+	e.born = time.Now()
+	w.mu.Unlock()
+	w.enter(e, false)
+	e.proxy.Set(tcptest.Link{})
+}
+
 // loseAll kills all instances while the store turns everybody away, and starts them
 // before it is back.
 func (w *World) loseAll(outage time.Duration) {
--- a/soak/process.go
+++ b/soak/process.go
@@ -113,7 +113,7 @@
 		}
 	}
 	p.settings = filepath.Join(w.dir, p.name+".toml")
-	text := fmt.Sprintf(settingsText, p.name, domain, p.listen, p.ready, peers, p.store.Address, revoke, w.strict, grace)
+	text := fmt.Sprintf(settingsText, p.name, domainOf(i), p.listen, p.ready, peers, p.store.Address, revoke, w.strict, grace)
 	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
 		return errors.Wrap(err, "soak")
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -171,3 +171,55 @@
 		})
 	}
 }
+
+// TestJudgeEmptied looks which runs at endpoints of an emptied failure domain are held
+// against an instance.
+func TestJudgeEmptied(t *testing.T) {
+	now := time.Now()
+	after := func(d time.Duration) time.Time { return now.Add(emptyWithin + runSlack + d) }
+	for _, row := range []struct {
+		name   string
+		domain string
+		at     time.Time
+		fault  Step
+		wrong  bool
+	}{
+		{"at once", "d-1", now, Step{}, false},
+		{"within the bound", "d-1", after(-time.Millisecond), Step{}, false},
+		{"after it", "d-1", after(time.Millisecond), Step{}, true},
+		{"in another domain", "d-2", after(time.Millisecond), Step{}, false},
+		{"after it was restored", "d-1", after(2 * time.Second), Step{}, false},
+		{"while the store was away", "d-1", after(time.Millisecond), Step{Kind: "store silent", For: time.Second}, false},
+		{"by an instance that stood still", "d-1", after(time.Millisecond), Step{Kind: "freeze", Target: 1, For: time.Second}, false},
+		{"while another one stood still", "d-1", after(time.Millisecond), Step{Kind: "freeze", Target: 2, For: time.Second}, true},
+		{"long after the store was back", "d-1", after(900 * time.Millisecond), Step{Kind: "store silent", For: 500 * time.Millisecond}, true},
+		{"while another one was killed", "d-1", after(time.Millisecond), Step{Kind: "kill", Target: 2, For: time.Second}, true},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			w := &World{
+				processes: make([]*process, 3),
+				played: []playedStep{{
+					step:  row.fault,
+					began: now,
+				}},
+				emptied: []emptying{{
+					domain: "d-1",
+					from:   now,
+					to:     after(time.Second),
+				}},
+			}
+			e := &endpoint{
+				Endpoint: &platformtest.Endpoint{
+					Instance: "e-1",
+				},
+				domain: row.domain,
+			}
+			x := servedAt(now)
+			x.Instance = 1
+			r := runOf("r", "/unsafe/", row.at)
+			_, wrong := w.judgeEmptied(&x, e, &r)
+			is.Equal(wrong, row.wrong)
+		})
+	}
+}
--- a/soak/world.go
+++ b/soak/world.go
@@ -31,8 +31,9 @@
 	plainWork = 10 * time.Millisecond
 	// endpointSlots is how many requests an endpoint works on at once.
 	endpointSlots = 8
-	// domain is the one failure domain of the deployment.
-	domain = "d"
+	// domains is how many failure domains there are, each with a third of the endpoints of
+	// either service.
+	domains = 3
 )
 
 // headerTimeout bounds how long the stand-ins wait for the header of a request;
@@ -44,7 +45,10 @@
 	*platformtest.Endpoint
 
 	service string
+	domain  string
 	proxy   *tcptest.Proxy
+	// born is when its life started; zero until it starts again.
+	born time.Time
 }
 
 // World is a deployment under test.
@@ -67,6 +71,8 @@
 	version int
 	// played are the faults that have begun.
 	played []playedStep
+	// emptied are the times for which failure domains were emptied.
+	emptied []emptying
 	// keys are the customer's keys by name, with when each was taken away.
 	keys map[string]time.Time
 }
@@ -132,6 +138,7 @@
 			Work:     plainWork,
 		},
 		service: plainService,
+		domain:  domainOf(i),
 	}
 	if i < engines {
 		e.service = engineService
@@ -165,10 +172,26 @@
 	}
 }
 
+// domainOf names the failure domain of the thing with a number.
+func domainOf(i int) string {
+	return fmt.Sprintf("d-%d", i%domains)
+}
+
 // enter writes an endpoint's entry to the store. Leaving states that it gets no
 // new request.
 func (w *World) enter(e *endpoint, leaving bool) {
-	w.store.Enter(e.Name(), e.service, e.proxy.Address, domain, endpointSlots, leaving)
+	w.mu.Lock()
+	born := e.born
+	w.mu.Unlock()
+	w.store.Enter(platformtest.Entry{
+		Instance: e.Name(),
+		Service:  e.service,
+		Address:  e.proxy.Address,
+		Domain:   e.domain,
+		Slots:    endpointSlots,
+		Leaving:  leaving,
+		Born:     born,
+	})
 }
 
 // logs says where the instances' logs are.
