Count engines that are left out as none that rest

Cause: the price of the engines' time holds by the part of them in use, and what a stream costs readings by the part that read. Engines that had stopped, and had nothing any more, counted as idle: with half of them gone the price halved when the others were full.

TestLeftOutIsNotIdle.

--- a/pool/check.go
+++ b/pool/check.go
@@ -190,6 +190,14 @@
 	return h.all.usable(now)
 }
 
+// out states whether an engine is left out or set aside: it is none of those that the work
+// of the pool is spread over. Counted as idle, those that had stopped halved the price when
+// the others were full.
+func (p *state) out(e *placement.Engine, now time.Time) bool {
+	h := p.health[e.Instance]
+	return h != nil && !h.usable(now)
+}
+
 // leaveOut leaves an endpoint out that has stopped: until it answers a check, or for a
 // while where endpoints are not checked. The caller holds the lock.
 func (s *Scheduler) leaveOut(p *state, service, instance string, now time.Time) {
--- a/pool/decide.go
+++ b/pool/decide.go
@@ -41,7 +41,7 @@
 	if w.alone {
 		list = s.turned(list)
 	}
-	w.request.Readings = p.readings(w)
+	w.request.Readings = p.readings(w, now)
 	plan, ok := placement.Make(list, w.request, now)
 	w.late = !ok || plan.Loses > lateFrom*w.request.Worth
 	switch {
--- a/pool/price.go
+++ b/pool/price.go
@@ -85,19 +85,23 @@
 
 // priceNow returns what a second of one engine costs now, in units of worth.
 func (p *state) priceNow(now time.Time) float64 {
-	return p.price.perSecond(now) * p.inUse()
+	return p.price.perSecond(now) * p.inUse(now)
 }
 
 // inUse returns the part of the engines that are in use: of each that does not read, the
 // part of its slots that run.
-func (p *state) inUse() float64 {
-	used := 0.0
+func (p *state) inUse(now time.Time) float64 {
+	used, all := 0.0, 0
 	for _, e := range p.list {
+		if p.out(e, now) {
+			continue
+		}
+		all++
 		if e.Unread() > 0 {
 			used++
 			continue
 		}
 		used += float64(e.Running()) / float64(e.Slots)
 	}
-	return used / float64(max(len(p.list), 1))
+	return used / float64(max(all, 1))
 }
--- a/pool/readings.go
+++ b/pool/readings.go
@@ -13,16 +13,20 @@
 const longReading = 150 * time.Millisecond
 
 // readings returns what long prompts want of the engines when a request is decided on.
-func (p *state) readings(w *Waiter) placement.Readings {
+func (p *state) readings(w *Waiter, now time.Time) placement.Readings {
 	p.longestGap = max(p.longestGap, w.ask.Gap)
-	reading := 0
+	reading, all := 0, 0
 	for _, e := range p.list {
+		if p.out(e, now) {
+			continue
+		}
+		all++
 		if e.Unread() > longReading {
 			reading++
 		}
 	}
 	return placement.Readings{
-		Share: float64(reading) / float64(max(len(p.list), 1)),
+		Share: float64(reading) / float64(max(all, 1)),
 		Gap:   p.longestGap,
 	}
 }
--- a/pool/suspicion_test.go
+++ b/pool/suspicion_test.go
@@ -396,3 +396,24 @@
 		})
 	}
 }
+
+// TestLeftOutIsNotIdle looks that an engine that is left out does not count as one that
+// rests: the price of the others' time holds in full, and so does what readings want.
+func TestLeftOutIsNotIdle(t *testing.T) {
+	is := is.New(t)
+	c := checkedPool(2, func(string) error { return errors.New("no answer") })
+	a := patient(0)
+	a.Prompt = 100_000
+	g, _, ok := c.Submit(a).Decision()
+	is.True(ok)
+	other := "e00"
+	if g.Instance == other {
+		other = "e01"
+	}
+	p := c.pools["engines"]
+	is.Equal(p.inUse(c.now), 0.5)
+	is.Equal(p.readings(c.waiter(p, a, c.now), c.now).Share, 0.5)
+	c.stop(other)
+	is.Equal(p.inUse(c.now), 1.0)
+	is.Equal(p.readings(c.waiter(p, a, c.now), c.now).Share, 1.0)
+}
