Say with one value what an attempt shows of its endpoint

shows returned three bools of which at most one was true, and the reader had to find that out; "testimony" named what the glossary calls nothing. shows now returns a sign (none, alive, late or silent), signs counts them by entry, and the part for streams that have begun stands in a function of its own. tellMoves called a map `now` beside the moments of that name; it is atOnce. The Scheduler's stopped kept its name, as a test calls it; the type's method of the same name is agree. Ruled out: folding late and silent into one sign with a degree, as the two have unlike rules. go test ./pool: ok, no test touched.

--- a/pool/check.go
+++ b/pool/check.go
@@ -258,10 +258,7 @@
 // hasLife states whether a stream that an endpoint answers has a sign of life.
 func (p *state) hasLife(instance string, now time.Time) bool {
 	for id, at := range p.placed {
-		if at.instance != instance {
-			continue
-		}
-		if _, _, alive := p.shows(id, at, now); alive {
+		if at.instance == instance && p.shows(id, at, now) == aliveSign {
 			return true
 		}
 	}
--- a/pool/suspicion.go
+++ b/pool/suspicion.go
@@ -79,13 +79,27 @@
 	joint bool
 }
 
-// testimony is what the attempts on an endpoint show of it.
-type testimony struct {
-	// silent are the entries of attempts that are overdue, doubting those of attempts that
-	// are overdue by less, and alive those of streams that are not.
-	silent   map[string]bool
-	doubting map[string]bool
-	alive    map[string]bool
+// sign is what one attempt shows of the endpoint that answers it.
+type sign int
+
+// The signs.
+const (
+	// noSign is that of an attempt that tells nothing, or whose endpoint has a reason for
+	// its silence.
+	noSign sign = iota
+	// aliveSign is that of a stream whose events come.
+	aliveSign
+	// lateSign is that of a first event that is overdue by less than a silent one.
+	lateSign
+	// silentSign is that of an attempt that is overdue.
+	silentSign
+)
+
+// signs are the entries of the attempts on an endpoint, by what these show of it.
+type signs struct {
+	silent map[string]bool
+	late   map[string]bool
+	alive  map[string]bool
 }
 
 // Suspect notes the silence of an attempt, as its entry reports it.
@@ -108,7 +122,7 @@
 // The caller holds the lock.
 func (s *Scheduler) suspect(p *state, service string, now time.Time) {
 	p.suspicion.lookedAt = now
-	seen, entries := p.testimonies(now)
+	seen, entries := p.signs(now)
 	p.suspicion.doubted = nil
 	for _, e := range p.list {
 		t := seen[e.Instance]
@@ -117,7 +131,7 @@
 		}
 		switch {
 		case p.health[e.Instance].answered(now):
-		case t.stopped():
+		case t.agree():
 			s.verify(p, service, e, len(t.silent), now)
 			p.suspicion.doubt(e.Instance)
 		case t.inDoubt(entries):
@@ -135,57 +149,73 @@
 	s.suspect(p, service, now)
 }
 
-// testimonies returns what the attempts show of each endpoint, and how many entries have
-// some endpoint in doubt.
-func (p *state) testimonies(now time.Time) (map[string]*testimony, int) {
-	seen := make(map[string]*testimony)
+// signs returns what the attempts show of each endpoint, and how many entries have some
+// endpoint in doubt.
+func (p *state) signs(now time.Time) (map[string]*signs, int) {
+	seen := make(map[string]*signs)
 	entries := make(map[string]bool)
 	for id, at := range p.placed {
-		silent, doubt, alive := p.shows(id, at, now)
-		if !silent && !doubt && !alive || at.entry == "" {
+		shown := p.shows(id, at, now)
+		if shown == noSign || at.entry == "" {
 			continue
 		}
 		t := seen[at.instance]
 		if t == nil {
-			t = &testimony{
-				silent:   make(map[string]bool),
-				doubting: make(map[string]bool),
-				alive:    make(map[string]bool),
+			t = &signs{
+				silent: make(map[string]bool),
+				late:   make(map[string]bool),
+				alive:  make(map[string]bool),
 			}
 			seen[at.instance] = t
 		}
-		switch {
-		case silent:
-			t.silent[at.entry] = true
-		case doubt:
-			t.doubting[at.entry] = true
-		default:
-			t.alive[at.entry] = true
-		}
-		if silent || doubt {
+		t.note(shown, at.entry)
+		if shown != aliveSign {
 			entries[at.entry] = true
 		}
 	}
 	return seen, len(entries)
 }
 
+// note takes over what an entry's attempt shows.
+func (t *signs) note(shown sign, entry string) {
+	switch shown {
+	case silentSign:
+		t.silent[entry] = true
+	case lateSign:
+		t.late[entry] = true
+	case aliveSign:
+		t.alive[entry] = true
+	case noSign:
+	}
+}
+
 // shows returns what an attempt shows of the endpoint that answers it.
-func (p *state) shows(id string, at *placed, now time.Time) (silent, doubt, alive bool) {
+func (p *state) shows(id string, at *placed, now time.Time) sign {
 	if at.begun {
-		if now.Sub(at.suspectedAt) > suspicionHolds {
-			return false, false, at.watched
-		}
-		return !p.reads(id, at, now.Sub(at.silentSince), now), false, false
+		return p.streamShows(id, at, now)
 	}
 	late := now.Sub(at.at) - at.first
-	if late < doubtLeast || late < at.first || len(at.readers) > 0 {
-		return false, false, false
+	switch {
+	case late < doubtLeast || late < at.first || len(at.readers) > 0:
+		return noSign
+	case p.reads(id, at, late, now):
+		return noSign
+	case late >= max(silentLeast, silentFactor*at.first):
+		return silentSign
 	}
-	if p.reads(id, at, late, now) {
-		return false, false, false
+	return lateSign
+}
+
+// streamShows does what shows does for an attempt whose first event has come.
+func (p *state) streamShows(id string, at *placed, now time.Time) sign {
+	suspected := now.Sub(at.suspectedAt) <= suspicionHolds
+	switch {
+	case suspected && !p.reads(id, at, now.Sub(at.silentSince), now):
+		return silentSign
+	case !suspected && at.watched:
+		return aliveSign
 	}
-	silent = late >= max(silentLeast, silentFactor*at.first)
-	return silent, !silent, false
+	return noSign
 }
 
 // reads states whether an endpoint of an attempt has a reason for its silence: by its model
@@ -218,20 +248,20 @@
 	return now.Before(at.at.Add(at.first + max(silentLeast, at.first/2)))
 }
 
-// stopped states whether independent instances agree that the endpoint has stopped: two
+// agree states whether independent instances agree that the endpoint has stopped: two
 // at least, and none has a sign of life.
-func (t *testimony) stopped() bool {
+func (t *signs) agree() bool {
 	return len(t.silent) >= agreeing && len(t.alive) == 0
 }
 
 // inDoubt states whether the endpoint is to get nothing new for now. Entries is how many
 // have some endpoint in doubt.
-func (t *testimony) inDoubt(entries int) bool {
+func (t *signs) inDoubt(entries int) bool {
 	if len(t.alive) > 0 {
 		return false
 	}
 	n := len(t.silent)
-	for entry := range t.doubting {
+	for entry := range t.late {
 		if !t.silent[entry] {
 			n++
 		}
@@ -265,10 +295,7 @@
 // unless a stream there has a sign of life: an endpoint turns connections away that are
 // too many, too. The caller holds the lock.
 func (s *Scheduler) unreachable(p *state, service, instance string, now time.Time) {
-	if p.plain {
-		return
-	}
-	if p.hasLife(instance, now) {
+	if p.plain || p.hasLife(instance, now) {
 		return
 	}
 	s.leaveOut(p, service, instance, now)
@@ -329,21 +356,21 @@
 // that their prompts are not all read in front of the streams of other engines. The caller
 // holds the lock.
 func (s *Scheduler) tellMoves(moves []move) {
-	now := make(map[*func(move)][]move)
+	atOnce := make(map[*func(move)][]move)
 	late := 0
 	for _, m := range moves {
 		tell := s.tell[m.entry]
 		switch {
 		case tell == nil:
 		case m.due > 0 || m.joint:
-			now[tell] = append(now[tell], m)
+			atOnce[tell] = append(atOnce[tell], m)
 		default:
 			late++
 			wait := lateMovesWithin * time.Duration(late) / time.Duration(len(moves))
 			time.AfterFunc(wait, func() { (*tell)(m) })
 		}
 	}
-	for tell, list := range now {
+	for tell, list := range atOnce {
 		// An entry that does not take what it is told holds up nobody else.
 		go func() {
 			for _, m := range list {
