Say once which endpoints take part

That an endpoint neither leaves nor is in an emptied failure domain stood four times (both checks, the look at a silent one, the questions for the pace), two of them with the same loop over the pool's list. takesPart says it, addresses collects. usable keeps its own test: it also goes by what the ask names, and asks for it with its exclusions. Ruled out: passing an ask to takesPart for its sake. go test ./pool: ok, no test touched.

--- a/pool/check.go
+++ b/pool/check.go
@@ -74,14 +74,28 @@
 	if s.settings.Check == nil || !p.checks.due(found, now) {
 		return
 	}
-	addresses := make(map[string]string)
+	addresses := p.addresses(func(h *health) bool { return h.usable(now) })
+	p.checks.checked += len(addresses)
+	go s.check(service, addresses)
+}
+
+// addresses returns the addresses of the endpoints that take part, of those whose health
+// is as wanted, by instance.
+func (p *state) addresses(wanted func(h *health) bool) map[string]string {
+	out := make(map[string]string)
 	for _, e := range p.list {
-		if !e.Closed && !p.emptied.bars(&Ask{}, e) && p.health[e.Instance].usable(now) {
-			addresses[e.Instance] = e.Address
+		if p.takesPart(e) && wanted(p.health[e.Instance]) {
+			out[e.Instance] = e.Address
 		}
 	}
-	p.checks.checked += len(addresses)
-	go s.check(service, addresses)
+	return out
+}
+
+// takesPart states whether an endpoint gets requests when it is well: it does not leave,
+// and its failure domain is not emptied as far as this instance knows. Others are not
+// asked for anything either.
+func (p *state) takesPart(e *placement.Engine) bool {
+	return !e.Closed && !p.emptied.bars(&Ask{}, e)
 }
 
 // check checks endpoints, given by instance with their address.
@@ -115,7 +129,7 @@
 	case s.settings.Check == nil:
 		s.stopped(p, service, e.Instance, silent, now)
 		return
-	case e.Closed || p.emptied.bars(&Ask{}, e):
+	case !p.takesPart(e):
 		return
 	}
 	h.verifiedAt = now
@@ -217,12 +231,7 @@
 func (s *Scheduler) recheck(service string) {
 	s.mu.Lock()
 	p := s.pool(service)
-	addresses := make(map[string]string)
-	for _, e := range p.list {
-		if !e.Closed && !p.emptied.bars(&Ask{}, e) && !p.health[e.Instance].absentSince.IsZero() {
-			addresses[e.Instance] = e.Address
-		}
-	}
+	addresses := p.addresses(func(h *health) bool { return !h.absentSince.IsZero() })
 	p.checks.again = len(addresses) > 0
 	p.checks.checked += len(addresses)
 	s.mu.Unlock()
--- a/pool/pace.go
+++ b/pool/pace.go
@@ -254,7 +254,7 @@
 			delete(p.paces.of, name)
 			continue
 		}
-		asks := s.asks(p, now) && !e.Closed && !p.emptied.bars(&Ask{}, e)
+		asks := s.asks(p, now) && p.takesPart(e)
 		if asks && r.due(e, now) {
 			s.askPace(p, e, r, now)
 		}
