Name what two methods called "returns" do

cold.returns noted a start that no entry told of, link.returns waited for a session; both stood beside the part on returning callers and the word of the language. They are assume (the field that it sets is `assumed`) and awaitRedial (the channel that it waits for is `redialing`).

--- a/pool/client.go
+++ b/pool/client.go
@@ -149,7 +149,7 @@
 			// Those before are out of touch; others may still ask them.
 			return Grant{}, i > 0, errOwn
 		}
-		if !l.usable() && !l.returns(ctx) {
+		if !l.usable() && !l.awaitRedial(ctx) {
 			continue
 		}
 		g, err := l.ask(ctx, a)
--- a/pool/cold.go
+++ b/pool/cold.go
@@ -143,9 +143,9 @@
 	}
 }
 
-// returns notes that an endpoint may have started just now, without its entry saying so:
+// assume notes that an endpoint may have started just now, without its entry saying so:
 // it failed of late, or its failure domain was emptied.
-func (c *cold) returns(instance string, now time.Time) {
+func (c *cold) assume(instance string, now time.Time) {
 	if c.binds() {
 		c.of(instance).assumed = now.Add(c.start)
 	}
@@ -157,7 +157,7 @@
 		_, was := before[e.FailureDomain]
 		_, is := after[e.FailureDomain]
 		if was && !is {
-			c.returns(e.Instance, now)
+			c.assume(e.Instance, now)
 		}
 	}
 }
--- a/pool/grant.go
+++ b/pool/grant.go
@@ -58,7 +58,7 @@
 		}
 		h.all.probing = h.all.failures > failuresTolerated
 		if h.all.probing {
-			p.cold.returns(name, now)
+			p.cold.assume(name, now)
 		}
 	}
 }
--- a/pool/link_redial.go
+++ b/pool/link_redial.go
@@ -33,9 +33,9 @@
 	}
 }
 
-// returns waits while the session is opened again at once, and states whether the owner
-// can be asked.
-func (l *link) returns(ctx context.Context) bool {
+// awaitRedial waits while the session is opened again at once, and states whether the
+// owner can be asked.
+func (l *link) awaitRedial(ctx context.Context) bool {
 	l.mu.Lock()
 	open, redialing := l.open, l.redialing
 	l.mu.Unlock()
