Say once who decides, what is late and what is in a hurry

Client.Suspect and firstOwner looked through the owners in the same way; now firstOwner returns the link and decides the name. goesFirst told by the plan again what try had just noted as w.late. Two conditions in shed.go compared the target with shedTarget where hurried says the same: both stand behind firstTry, which is false for resumed streams, the only ones for which they differ. Ruled out: the same in overdue, where a resumed stream gets there; that would change what is refused. go test ./pool: ok, no test touched.

--- a/pool/client_moves.go
+++ b/pool/client_moves.go
@@ -6,28 +6,32 @@
 
 // Suspect implements Suspecter: the owner hears of it, who knows what others see.
 func (c *Client) Suspect(id, service string, silence time.Duration) {
-	for _, l := range c.owners(service) {
-		if l == nil {
-			break
-		}
-		if l.usable() {
-			l.tell(suspicionMessage(id, service, silence))
-			return
-		}
+	if l := c.firstOwner(service); l != nil {
+		l.tell(suspicionMessage(id, service, silence))
+		return
 	}
 	c.local.Suspect(id, service, silence)
 }
 
-// firstOwner names the instance that decides for a pool.
-func (c *Client) firstOwner(service string) string {
+// firstOwner returns the link to the instance that decides for a pool, or nil when this one
+// does.
+func (c *Client) firstOwner(service string) *linked {
 	for _, l := range c.owners(service) {
 		if l == nil {
-			break
+			return nil
 		}
 		if l.usable() {
-			return l.peer
+			return l
 		}
 	}
+	return nil
+}
+
+// decides names the instance that decides for a pool.
+func (c *Client) decides(service string) string {
+	if l := c.firstOwner(service); l != nil {
+		return l.peer
+	}
 	return c.self.ID
 }
 
@@ -48,7 +52,7 @@
 	c.mu.Lock()
 	move, r := c.moves[id], c.book[id]
 	c.mu.Unlock()
-	if move == nil || r == nil || by != c.firstOwner(r.ask.Service) {
+	if move == nil || r == nil || by != c.decides(r.ask.Service) {
 		// The standby sees the same, but knows less of where there is room.
 		return
 	}
--- a/pool/returning.go
+++ b/pool/returning.go
@@ -204,7 +204,7 @@
 		return false
 	}
 	left := w.request.TargetAt.Sub(now)
-	if plan.Loses > lateFrom*w.request.Worth || plan.First+wait < left {
+	if w.late || plan.First+wait < left {
 		return true
 	}
 	part := float64(len(plan.Others)+1) / float64(engines)
--- a/pool/shed.go
+++ b/pool/shed.go
@@ -60,7 +60,7 @@
 	}
 	ready := now.Add(ahead + placement.Soonest(list, w.request))
 	switch {
-	case w.firstTry() && w.late && w.ask.Target > shedTarget && ready.After(w.request.TargetAt):
+	case w.firstTry() && w.late && !w.ask.hurried() && ready.After(w.request.TargetAt):
 		return s.refusal("no endpoint can read it in time", ahead)
 	case ready.After(w.gone()):
 		return s.refusal("no endpoint can read it before its caller goes", ahead)
@@ -151,7 +151,7 @@
 // outOfSlots states whether a short request would be late for want of slots, so that it
 // should be refused.
 func (w *Waiter) outOfSlots(list []*placement.Engine) bool {
-	return w.firstTry() && w.late && w.ask.Target <= shedTarget && crowded(list)
+	return w.firstTry() && w.late && w.ask.hurried() && crowded(list)
 }
 
 // crowded states whether most slots are in use.
