Tell engines of unsure pace from those suspected to have stopped

Two parts notice late first events. That of pace called its engines suspected and had suspectLate and suspectShare beside suspicion.go's SuspectLeast, suspectEvery and suspected, which are about endpoints that have stopped. The field's comment left out that another engine's change sets it. Plain endpoints borrowed wayLeast, which counts engines for the delay of the way; they have plainLeast, of the same value.

--- a/pool/pace.go
+++ b/pool/pace.go
@@ -33,14 +33,15 @@
 	PaceIgnored
 )
 
-// The measures of suspecting an engine.
+// The measures of doubting an engine's pace.
 const (
-	// suspectLate and suspectShare are how far the first event of a request must be off
-	// for its engine to be suspected, as a time and in parts of the predicted one: more
+	// offLeast and offShare are how far the first event of a request must be off for the
+	// pace of its engine to be unsure, as a time and in parts of the predicted one: more
 	// than the ways of messages differ, less than what makes streams late.
-	suspectLate  = 30 * time.Millisecond
-	suspectShare = 0.35
-	// overdueLeast and overdueShare are how long a first event is overdue for the same.
+	offLeast = 30 * time.Millisecond
+	offShare = 0.35
+	// overdueLeast and overdueShare are how long a first event that has not come must be
+	// overdue for the same.
 	overdueLeast = 100 * time.Millisecond
 	overdueShare = 0.6
 	// waySeenFor is how long an engine's last event tells how late the way makes events,
@@ -55,9 +56,9 @@
 
 // The measures of asking engines.
 const (
-	// askSuspectedEvery is how long an engine that is suspected isn't asked again: its
+	// askUnsureEvery is how long an engine whose pace is unsure isn't asked again: its
 	// reports are as of some hundred milliseconds earlier.
-	askSuspectedEvery = 200 * time.Millisecond
+	askUnsureEvery = 200 * time.Millisecond
 	// askSlowEvery is how often a slow engine is asked, so that its return is noticed
 	// within half a second and the delay of its reports.
 	askSlowEvery = 400 * time.Millisecond
@@ -109,9 +110,10 @@
 
 // paceRecord is what is known of one engine.
 type paceRecord struct {
-	// suspected states that its events came at other times than predicted since it was
-	// last asked.
-	suspected bool
+	// unsure states that its pace may be another one than is taken: since it was last
+	// asked its events came at other times than predicted, or another engine's pace has
+	// changed.
+	unsure bool
 	// asked is when it was last asked, and unanswered how often since its last answer.
 	asked      time.Time
 	unanswered int
@@ -177,7 +179,7 @@
 	late -= way
 	if isOff(late, predicted) {
 		for _, name := range at.endpoints() {
-			p.paces.record(name).suspected = true
+			p.paces.record(name).unsure = true
 		}
 	}
 	if e := p.engines[at.instance]; e != nil && len(at.readers) == 0 && predicted > predictedLeast {
@@ -206,7 +208,7 @@
 // isOff states whether an event that was predicted to take a time is so late, or early,
 // that this may tell of the engine.
 func isOff(late, predicted time.Duration) bool {
-	return late.Abs() > suspectLate && float64(late.Abs()) > suspectShare*float64(predicted)
+	return late.Abs() > offLeast && float64(late.Abs()) > offShare*float64(predicted)
 }
 
 // learn takes over the pace that an event stands for whose request was placed at a moment.
@@ -227,8 +229,7 @@
 
 // least returns the least pace that the last events stand for, or false when there are too
 // few. Those of requests that waited for others to be read, which the model took to be
-// done, stand for more than the engine's pace: with their median in place of the least the
-// figure of emulated days with slow engines fell below that of taking no notice.
+// done, stand for more than the engine's pace; the least is the one that waited least.
 func (r *paceRecord) least(now time.Time) (float64, bool) {
 	if len(r.seen) < paceSeen || now.Sub(r.seen[0].at) > paceSeenFor {
 		return 0, false
@@ -247,7 +248,7 @@
 		return
 	}
 	p.paces.looked = now
-	p.suspectOverdue(now)
+	p.noteOverdue(now)
 	for name, r := range p.paces.of {
 		e := p.engines[name]
 		if e == nil {
@@ -276,8 +277,8 @@
 	return s.settings.Reports != nil && s.settings.Pace != PaceLearned && !p.paces.alone && p.paces.decides(now)
 }
 
-// suspectOverdue suspects the engines of first events that are overdue.
-func (p *state) suspectOverdue(now time.Time) {
+// noteOverdue notes that the pace of engines is unsure whose first events are overdue.
+func (p *state) noteOverdue(now time.Time) {
 	for _, at := range p.placed {
 		if at.begun || at.orphan != 0 {
 			continue
@@ -287,7 +288,7 @@
 			continue
 		}
 		for _, name := range at.endpoints() {
-			p.paces.record(name).suspected = true
+			p.paces.record(name).unsure = true
 		}
 	}
 }
@@ -295,14 +296,14 @@
 // due states whether an engine is to be asked.
 func (r *paceRecord) due(e *placement.Engine, now time.Time) bool {
 	since := now.Sub(r.asked)
-	return r.suspected && since >= askSuspectedEvery || e.Speed() != 1 && since >= askSlowEvery
+	return r.unsure && since >= askUnsureEvery || e.Speed() != 1 && since >= askSlowEvery
 }
 
 // askPace asks an engine. The caller holds the lock.
 func (s *Scheduler) askPace(p *state, e *placement.Engine, r *paceRecord, now time.Time) {
 	r.asked = now
 	r.unanswered++
-	r.suspected = false
+	r.unsure = false
 	p.paces.asked++
 	instance, address := e.Instance, e.Address
 	s.settings.Reports.Pace(address, func(pace float64) {
@@ -315,8 +316,8 @@
 	})
 }
 
-// told takes over what an engine says of its pace. When it is another one than before, all
-// others are suspected: what slows an engine often slows more of them, and the first
+// told takes over what an engine says of its pace. When it is another one than before, that
+// of all others is unsure: what slows an engine often slows more of them, and the first
 // request that tells of each would be late. The caller holds the lock.
 func (s *Scheduler) told(p *state, e *placement.Engine, pace float64) {
 	now := s.settings.Now()
@@ -327,7 +328,7 @@
 	}
 	for _, o := range p.list {
 		if o != e {
-			p.paces.record(o.Instance).suspected = true
+			p.paces.record(o.Instance).unsure = true
 		}
 	}
 }
--- a/pool/pace_plain.go
+++ b/pool/pace_plain.go
@@ -17,6 +17,9 @@
 	plainSlow = 2
 	// plainMost bounds how much slower an endpoint counts.
 	plainMost = 8
+	// plainLeast is how many endpoints must be known for one of them to be slow beside the
+	// others.
+	plainLeast = 2
 	// plainFor is how long requests tell of an endpoint; then it is tried again.
 	plainFor = 5 * time.Second
 )
@@ -47,7 +50,7 @@
 			all = append(all, r.plain.mean)
 		}
 	}
-	if len(all) < wayLeast {
+	if len(all) < plainLeast {
 		return nil
 	}
 	slices.Sort(all)
