Say once which attempts their entries watch

That a stream has pauses that count and an attempt left was written out where a place is given and where one is adopted; Ask.watched says it. The literal of Figures had a blank line between the parts that wrote it. Ruled out: one constructor for placed, as the two places fill it from unlike sources. go test ./pool: ok, no test touched.

--- a/pool/adopt.go
+++ b/pool/adopt.go
@@ -39,7 +39,7 @@
 		begun:    begun,
 		work:     w.work(),
 		entry:    entry,
-		watched:  a.Gap > 0 && !a.Again,
+		watched:  a.watched(),
 	}
 	if !begun {
 		p.cold.give(g.Instance, now)
--- a/pool/figures.go
+++ b/pool/figures.go
@@ -55,15 +55,14 @@
 	out := make(map[string]Figures, len(s.pools))
 	for name, p := range s.pools {
 		out[name] = Figures{
-			Endpoints:   len(p.list),
-			Placed:      len(p.placed),
-			Queued:      len(p.queue),
-			Predicted:   p.errors.count,
-			Within:      p.errors.within,
-			Slow:        p.slow(),
-			PaceAsked:   p.paces.asked,
-			PaceChanges: p.paces.changes,
-
+			Endpoints:      len(p.list),
+			Placed:         len(p.placed),
+			Queued:         len(p.queue),
+			Predicted:      p.errors.count,
+			Within:         p.errors.within,
+			Slow:           p.slow(),
+			PaceAsked:      p.paces.asked,
+			PaceChanges:    p.paces.changes,
 			Cold:           p.cold.count(s.settings.Now()),
 			ColdPassedOver: p.cold.passedOver,
 			Cut:            p.returning.cuts,
--- a/pool/grant.go
+++ b/pool/grant.go
@@ -18,7 +18,7 @@
 		first:    plan.First,
 		work:     w.work(),
 		entry:    w.entry,
-		watched:  w.ask.Gap > 0 && !w.ask.Again,
+		watched:  w.ask.watched(),
 	}
 	g := Grant{
 		Instance: plan.Engine.Instance,
--- a/pool/suspicion.go
+++ b/pool/suspicion.go
@@ -102,6 +102,12 @@
 	alive  map[string]bool
 }
 
+// watched states whether the entry suspects an attempt of the ask when it is silent: its
+// stream has pauses that count, and the request an attempt left.
+func (a *Ask) watched() bool {
+	return a.Gap > 0 && !a.Again
+}
+
 // Suspect notes the silence of an attempt, as its entry reports it.
 func (s *Scheduler) Suspect(id, service string, silence time.Duration) {
 	s.mu.Lock()
