--- a/emulator/reports.go
+++ b/emulator/reports.go
@@ -2,12 +2,10 @@
 
 package emulator
 
-import (
-	"time"
-)
+import "time"
 
-// reportLag is how old what engines tell of themselves is: the lag that both sites' sheets
-// state.
+// reportLag is how old what engines tell of themselves is: the lag that the sheets of
+// engines state.
 const reportLag = 200 * time.Millisecond
 
 // paceSince is a pace that holds from a moment on.
--- a/pool/arrival.go
+++ b/pool/arrival.go
@@ -2,9 +2,7 @@
 
 package pool
 
-import (
-	"time"
-)
+import "time"
 
 // caller tells a caller that has come back from others: by who pays, and what its prompt
 // consists of.
@@ -99,9 +97,6 @@
 // soon as others pay more for the engines' time, or once what was before it when it became
 // late is read and it has no place still: others come all the time that go first, so that
 // waiting further would be in vain.
-//
-// Of the long prompts that had waited for more than two seconds and were late, 15 were
-// placed and 82 refused in the end, after up to 8.6 s (60 engines, twice their load).
 func (s *Scheduler) overdue(p *state, w *Waiter, ready, now time.Time) *Refusal {
 	if w.ask.Target <= shedTarget || w.ask.Again || w.request.TargetAt.After(now) {
 		return nil
--- a/pool/check.go
+++ b/pool/check.go
@@ -119,8 +119,9 @@
 }
 
 // verify looks whether an endpoint is there of which instances agree that it is silent: one
-// that is busy takes connections still. Without it, passes that grew long as callers came
-// back had up to twenty streams move from engines that worked. The caller holds the lock.
+// that is busy takes connections still. It guards against streams that leave engines which
+// work, but whose passes have grown long as many callers came back. The caller holds the
+// lock.
 func (s *Scheduler) verify(p *state, service string, e *placement.Engine, silent int, now time.Time) {
 	h := p.health[e.Instance]
 	switch {
--- a/pool/link_redial.go
+++ b/pool/link_redial.go
@@ -12,9 +12,9 @@
 
 // redialWithin bounds how long asks wait for a session that broke off to be open again:
 // many round trips, and below the shortest targets of callers. When all connections are
-// reset, all owners are as they were. Instances that did not wait asked others for 0.3 s,
-// which knew nothing of what ran, or placed alone: readings that two of them began kept
-// seven engines from all others for up to 5 s (61 instances, 54 engines, one play).
+// reset, all owners are as they were; an instance that did not wait would ask others,
+// which know less of what runs, or place alone, and start long readings on engines that
+// the owner has filled.
 const redialWithin = 100 * time.Millisecond
 
 // brokeOff states whether the session is to be opened again at once: the other end or the
--- a/pool/server_cut.go
+++ b/pool/server_cut.go
@@ -75,8 +75,8 @@
 }
 
 // greeted forgets what the entry had running before and has no more: it has said all that
-// it has. Without it the owner took the engines for filled with streams that the same
-// reset had cut, for two seconds.
+// it has. It guards against taking engines for filled, until forgetAfter, with streams
+// that have ended with the session.
 func (s *Server) greeted(x *session) {
 	s.mu.Lock()
 	cut := s.cut[x.entry]
--- a/worth/doc.go
+++ b/worth/doc.go
@@ -14,10 +14,8 @@
 // customer's rank goes before its routes'. The mean is over the requests of late: where
 // all are of one rank, tiers change nothing.
 //
-// It guards against urgent requests that pay for long ones. With one line over the length
-// of the prompt for all, a third of 54 engines under twice their load in three ranks let
-// urgent requests keep 0.67 of their worth, and those of the least urgent route 0.78; with
-// it 0.89 and 0.68 (emulated, one seed, the test of urgent requests in the emulator).
+// It guards against urgent requests that are refused for long ones where engines are
+// scarce, as they would be with one line over the length of the prompt for all.
 //
 // Worth is in units of which a short prompt is worth some 1.3. All that decides on a
 // request asks this package: where it is placed, whom it may displace, what the engines'
