Split what takes a request and what finds a crowd, and name three dues apart

submitFor prepared a request and decided on it; decide is the second half. gather found the crowd and kept it; crowdOf finds it. That cut work may still return, and that a kind without any is dropped, stood three times and twice. "due" was a time left (Ask.due beside the field Ask.Due), a moment (Waiter.due), a list (returning.due) and a note with an answer (checks.due); they are left, placeBy, inTime and noteStopped. A waiter knows that it is alone before it may be refused for its retry, which nothing reads then. Ruled out: work as a part of cutWork, as its moments mean other things. go test ./pool: ok, no test touched.

--- a/pool/arrival.go
+++ b/pool/arrival.go
@@ -101,13 +101,13 @@
 	if w.ask.Target <= shedTarget || w.ask.Again || w.request.TargetAt.After(now) {
 		return nil
 	}
-	if w.due.IsZero() {
-		w.due = ready
+	if w.placeBy.IsZero() {
+		w.placeBy = ready
 	}
 	if w.request.LateWorth < p.priceNow(now)*p.work(w).Seconds() {
 		return s.refusal("engines are needed for requests in time", ready.Sub(now))
 	}
-	if now.After(w.due) {
+	if now.After(w.placeBy) {
 		return s.refusal("no endpoint had room for a late request", ready.Sub(now))
 	}
 	return nil
--- a/pool/check.go
+++ b/pool/check.go
@@ -53,9 +53,9 @@
 	failed  int
 }
 
-// due notes that an endpoint was found to have stopped, and states whether the others are
-// to be checked.
-func (c *checks) due(instance string, now time.Time) bool {
+// noteStopped notes that an endpoint was found to have stopped, and states whether the
+// others are to be checked.
+func (c *checks) noteStopped(instance string, now time.Time) bool {
 	if c.found == nil {
 		c.found = make(map[string]time.Time)
 	}
@@ -71,7 +71,7 @@
 // checkAll checks the endpoints of a pool that have not been set aside, if one was found to
 // have stopped soon after another. The caller holds the lock.
 func (s *Scheduler) checkAll(p *state, service, found string, now time.Time) {
-	if s.settings.Check == nil || !p.checks.due(found, now) {
+	if s.settings.Check == nil || !p.checks.noteStopped(found, now) {
 		return
 	}
 	addresses := p.addresses(func(h *health) bool { return h.usable(now) })
--- a/pool/returning.go
+++ b/pool/returning.go
@@ -83,8 +83,8 @@
 	worth float64
 }
 
-// due returns the time left until the next event that an ask waits for would be late.
-func (a *Ask) due() time.Duration {
+// left returns the time left until the next event that an ask waits for would be late.
+func (a *Ask) left() time.Duration {
 	if a.Resumed {
 		return a.Due
 	}
@@ -146,17 +146,14 @@
 func (r *returning) claim(w *Waiter, now time.Time) {
 	id := w.work().id
 	i := slices.IndexFunc(r.cut[id], func(c cutWork) bool {
-		return c.resumes == w.ask.Resumed && now.Sub(c.at) < returnsWithin
+		return c.resumes == w.ask.Resumed && c.mayReturn(now)
 	})
 	if i < 0 {
 		return
 	}
 	r.returned++
 	c := r.cut[id][i]
-	r.cut[id] = slices.Delete(r.cut[id], i, i+1)
-	if len(r.cut[id]) == 0 {
-		delete(r.cut, id)
-	}
+	r.set(id, slices.Delete(r.cut[id], i, i+1))
 	if !w.ask.Again {
 		w.request.TargetAt = c.dueAt
 	}
@@ -169,14 +166,24 @@
 	}
 	r.sweptAt = now
 	for id, list := range r.cut {
-		list = slices.DeleteFunc(list, func(c cutWork) bool { return now.Sub(c.at) >= returnsWithin })
-		r.cut[id] = list
-		if len(list) == 0 {
-			delete(r.cut, id)
-		}
+		r.set(id, slices.DeleteFunc(list, func(c cutWork) bool { return !c.mayReturn(now) }))
 	}
 }
 
+// set keeps the work of one kind that was cut, if there is any.
+func (r *returning) set(id workID, list []cutWork) {
+	if len(list) == 0 {
+		delete(r.cut, id)
+		return
+	}
+	r.cut[id] = list
+}
+
+// mayReturn states whether the work's caller is waited for still.
+func (c *cutWork) mayReturn(now time.Time) bool {
+	return now.Sub(c.at) < returnsWithin
+}
+
 // crowdGoesFirst states whether a crowd that returns goes before a request, and writes a
 // line for each crowd. The caller holds the lock.
 func (s *Scheduler) crowdGoesFirst(p *state, w *Waiter, plan *placement.Plan, engines int, now time.Time) bool {
@@ -211,25 +218,12 @@
 	return part*r.crowd.worth > w.request.Worth
 }
 
-// gather looks whether what was cut and may still be taken up in time is a crowd. Streams
-// that bear much longer pauses than others are not waited for.
+// gather looks whether what was cut and may still be taken up in time is a crowd.
 func (r *returning) gather(engines int, now time.Time) {
 	if len(r.cut) < crowdLeast {
 		return
 	}
-	due := r.due(now)
-	shortest := time.Duration(math.MaxInt64)
-	for _, c := range due {
-		shortest = min(shortest, c.gap)
-	}
-	var found crowd
-	for _, c := range due {
-		if c.gap <= crowdGaps*shortest {
-			found.streams++
-			found.worth += c.worth
-			found.until = later(found.until, c.dueAt)
-		}
-	}
+	found := crowdOf(r.inTime(now))
 	if now.After(r.crowd.until) {
 		r.crowd = crowd{}
 	}
@@ -245,12 +239,30 @@
 	r.crowd.until = later(r.crowd.until, found.until)
 }
 
-// due returns the streams that may still be taken up in time.
-func (r *returning) due(now time.Time) []cutWork {
+// crowdOf returns the crowd that streams are, however few. Those that bear much longer
+// pauses than others are not waited for.
+func crowdOf(streams []cutWork) crowd {
+	shortest := time.Duration(math.MaxInt64)
+	for _, c := range streams {
+		shortest = min(shortest, c.gap)
+	}
+	var out crowd
+	for _, c := range streams {
+		if c.gap <= crowdGaps*shortest {
+			out.streams++
+			out.worth += c.worth
+			out.until = later(out.until, c.dueAt)
+		}
+	}
+	return out
+}
+
+// inTime returns the streams that may still be taken up in time.
+func (r *returning) inTime(now time.Time) []cutWork {
 	var out []cutWork
 	for _, list := range r.cut {
 		for _, c := range list {
-			if c.resumes && c.dueAt.After(now) && now.Sub(c.at) < returnsWithin {
+			if c.resumes && c.dueAt.After(now) && c.mayReturn(now) {
 				out = append(out, c)
 			}
 		}
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -162,7 +162,7 @@
 	}
 	s.lookForStopped(p, a.Service, now)
 	w := s.waiter(p, a, now)
-	w.entry = entry
+	w.entry, w.alone = entry, alone
 	if r := p.keeps(a.Replaces, now); r != nil {
 		w.refuse <- r
 		return w
@@ -171,22 +171,27 @@
 		w.refuse <- r
 		return w
 	}
-	w.alone = alone
 	p.returning.claim(w, now)
 	w.request.Travel = p.travel.length
 	s.lookAtPaces(p, now)
+	s.decide(p, w, now)
+	return w
+}
+
+// decide places or refuses a request that has come, or lets it wait in the queue. The
+// caller holds the lock.
+func (s *Scheduler) decide(p *state, w *Waiter, now time.Time) {
 	if g, ok := s.try(p, w, now); ok {
 		w.reply <- g
-		return w
+		return
 	}
 	if r := s.refuse(p, w, p.unread()+p.before(w, now), now); r != nil {
 		s.refused(p, w, r, now)
 		w.refuse <- r
-		return w
+		return
 	}
 	p.queue = append(p.queue, w)
 	s.poke()
-	return w
 }
 
 // refused notes a refusal and writes its line.
--- a/pool/waiter.go
+++ b/pool/waiter.go
@@ -16,8 +16,8 @@
 	// reply or refuse gets the decision.
 	reply  chan Grant
 	refuse chan *Refusal
-	// due is when a late request should have a place; zero while it isn't late.
-	due time.Time
+	// placeBy is when a late request should have a place; zero while it isn't late.
+	placeBy time.Time
 	// late states that the last plan made the request late.
 	late bool
 	// entry names the instance that asks.
@@ -49,7 +49,7 @@
 			Prompt:    a.Prompt,
 			Output:    a.Output,
 			Gap:       a.Gap,
-			TargetAt:  now.Add(a.due()),
+			TargetAt:  now.Add(a.left()),
 			GiveUpAt:  now.Add(placement.Patience(a.Target, a.Gap)),
 			Worth:     v.InTime,
 			LateWorth: v.Late,
