Name the ping that ends a greeting, and say why a message was lost

The ping of number 0 tells the owner that all has been told that runs; neither the message nor the code said so, and 0 stood on both sides. An error of sending ended the session without a line, and the session's own cause is then "context canceled"; one line says it. The fields that link.mu guards stand apart again.

--- a/pool/link.go
+++ b/pool/link.go
@@ -60,7 +60,8 @@
 	// who says so.
 	move func(id, endpoint, by string)
 	log  logr.Logger
-	mu   sync.Mutex
+
+	mu sync.Mutex
 	// began is when the link was made, or broke off, and the first try to open it began.
 	began time.Time
 	open  bool
--- a/pool/link_session.go
+++ b/pool/link_session.go
@@ -70,7 +70,7 @@
 		},
 	}}
 	first = append(first, l.book()...)
-	first = append(first, pingMessage(0))
+	first = append(first, pingMessage(greetingEnd))
 	for _, m := range first {
 		if err := stream.Send(m); err != nil {
 			return err
@@ -146,6 +146,8 @@
 				return
 			}
 			if err != nil {
+				// What receive says of it then is only that the session was ended.
+				l.log.Info("message to an owner lost", "owner", l.peer, "cause", err.Error())
 				cancel()
 				return
 			}
--- a/pool/messages.go
+++ b/pool/messages.go
@@ -198,6 +198,10 @@
 	}
 }
 
+// greetingEnd is the number of the ping that ends an entry's greeting: by then it has told
+// all that it has running.
+const greetingEnd = 0
+
 // pingMessage asks an owner for a sign of life.
 func pingMessage(seq int64) *poolpb.FromEntry {
 	return &poolpb.FromEntry{
--- a/pool/server.go
+++ b/pool/server.go
@@ -144,7 +144,7 @@
 	case *poolpb.FromEntry_Suspicion:
 		s.Suspect(k.Suspicion.GetId(), k.Suspicion.GetService(), microseconds(k.Suspicion.GetSilenceUs()))
 	case *poolpb.FromEntry_Ping:
-		if k.Ping.GetSeq() == 0 {
+		if k.Ping.GetSeq() == greetingEnd {
 			x.server.greeted(x)
 		}
 		return x.send(&poolpb.FromOwner{
