Give seven constants of pace, worth and suspicion their reasons

Weights and bounds stood without saying what they do for requests: over how many the means are taken and how far off that is, how many requests two thirds of a weight are, why a slow plain endpoint's factor has an end. What the remainder in the watch compares is said where its bound is. The comment on mostRoutes said something of configurations that its value doesn't follow from.

--- a/pool/adopt.go
+++ b/pool/adopt.go
@@ -2,9 +2,7 @@
 
 package pool
 
-import (
-	"github.com/linkmast/linkmast/placement"
-)
+import "github.com/linkmast/linkmast/placement"
 
 // Adopt takes over an attempt that another instance placed. It changes nothing
 // when the attempt is known.
--- a/pool/pace_plain.go
+++ b/pool/pace_plain.go
@@ -10,17 +10,19 @@
 // The measures of slow plain endpoints.
 const (
 	// plainWeight is the weight of one more request in the mean time that an endpoint
-	// takes.
+	// takes: the last three count for two thirds.
 	plainWeight = 0.3
 	// plainSlow is how many times as long as the median endpoint one takes that counts as
 	// slow: less than that, kinds of requests differ as much.
 	plainSlow = 2
-	// plainMost bounds how much slower an endpoint counts.
+	// plainMost bounds how much slower an endpoint counts, so that it gets a request when
+	// its equals have that many.
 	plainMost = 8
 	// plainLeast is how many endpoints must be known for one of them to be slow beside the
 	// others.
 	plainLeast = 2
-	// plainFor is how long requests tell of an endpoint; then it is tried again.
+	// plainFor is how long requests tell of an endpoint that gets no others; then it is
+	// tried again.
 	plainFor = 5 * time.Second
 )
 
--- a/pool/worth.go
+++ b/pool/worth.go
@@ -2,9 +2,7 @@
 
 package pool
 
-import (
-	"github.com/linkmast/linkmast/worth"
-)
+import "github.com/linkmast/linkmast/worth"
 
 // kind returns what the worth of a request depends on.
 func (a *Ask) kind() worth.Kind {
--- a/relay/suspect.go
+++ b/relay/suspect.go
@@ -10,10 +10,11 @@
 
 // The measures of suspecting a silent stream.
 const (
-	// usualWeight is the weight of one more pause in a stream's usual one.
+	// usualWeight is the weight of one more pause in a stream's usual one: the last four
+	// count for two thirds, so that one long pass does not make a pause usual.
 	usualWeight = 0.25
-	// lateTimer is how much later than set a timer may end: with more, this instance
-	// stood still, and not the endpoint.
+	// lateTimer is how much later than set a timer may end, in each pool.SuspectLeast of the
+	// silence: with more, this instance stood still, and not the endpoint.
 	lateTimer = 100 * time.Millisecond
 	// moveAgain is when another place is looked for again after there was none for a
 	// stream whose endpoint has stopped.
--- a/worth/scale.go
+++ b/worth/scale.go
@@ -141,10 +141,11 @@
 	// tiersOver is over how many requests the mean tier is taken: some seconds of them,
 	// so that it follows what is asked for and no single request moves it.
 	tiersOver = 500
-	// sizesOver is over how many requests of a route their mean size is taken.
+	// sizesOver is over how many requests of a route their mean size is taken: so many that
+	// it is off by less than a tenth of what single requests differ by.
 	sizesOver = 100
-	// mostRoutes bounds the routes whose sizes are kept: some of all that a configuration
-	// holds have requests.
+	// mostRoutes bounds the memory for routes whose sizes are kept. Requests of those beyond
+	// it count by their own sizes.
 	mostRoutes = 256
 )
 
