--- a/relay/serve.go
+++ b/relay/serve.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return false, j.unplaced(ctx, err)
 	}
-	if gone := l.departed(&p.grant); gone != "" {
+	if gone := l.barred(&p.grant); gone != "" {
 		l.giveBack(p)
 		l.parts.Log.Info("place declined", "request", j.head.ID, "attempt", p.ask.ID, "endpoint", gone,
 			"reason", "it is leaving or its failure domain is emptied", "by", p.grant.By)
@@ -126,10 +126,10 @@
 	return again, final
 }
 
-// departed returns an endpoint of a grant that must get nothing new, or "" for none:
-// it may have begun to leave while the request waited, or the one who placed it
-// may know less.
-func (l *Relay) departed(g *pool.Grant) string {
+// barred returns an endpoint of a grant that must get nothing new, or "" for none: it may
+// have begun to leave, or its failure domain been emptied, while the request waited, or
+// the one who placed it may know less.
+func (l *Relay) barred(g *pool.Grant) string {
 	known := l.parts.Known()
 	if known.Barred(g.Instance) {
 		return g.Instance
