Split what a first event tells of the pace, and name what stops together

noteFirst chose by the kind of pool, compared and looked at the engines; compare is the middle part and says why joint readings are left out. massLeast and massWithin are togetherLeast and togetherWithin. Ruled out: counting endpoints that can't be reached under `agreed`, where no figure has them; that is for its part to decide. go test ./pool: ok.

--- a/pool/check.go
+++ b/pool/check.go
@@ -16,11 +16,11 @@
 
 // The measures of checking all endpoints of a pool.
 const (
-	// massLeast is how many endpoints must be found to have stopped within massWithin for
-	// the others to be checked: more than one at a moment has a cause in common, and those
-	// on which nobody waits for an event show nothing.
-	massLeast  = 2
-	massWithin = 300 * time.Millisecond
+	// togetherLeast is how many endpoints must be found to have stopped within
+	// togetherWithin for the others to be checked: more than one at a moment has a cause in
+	// common, and those on which nobody waits for an event show nothing.
+	togetherLeast  = 2
+	togetherWithin = 300 * time.Millisecond
 	// checkWithin bounds a check: many round trips. checkEvery bounds how often all are
 	// checked.
 	checkWithin = 50 * time.Millisecond
@@ -60,8 +60,8 @@
 		c.found = make(map[string]time.Time)
 	}
 	c.found[instance] = now
-	maps.DeleteFunc(c.found, func(_ string, at time.Time) bool { return now.Sub(at) > massWithin })
-	if len(c.found) < massLeast || !c.at.IsZero() && now.Sub(c.at) < checkEvery {
+	maps.DeleteFunc(c.found, func(_ string, at time.Time) bool { return now.Sub(at) > togetherWithin })
+	if len(c.found) < togetherLeast || !c.at.IsZero() && now.Sub(c.at) < checkEvery {
 		return false
 	}
 	c.at = now
--- a/pool/pace.go
+++ b/pool/pace.go
@@ -168,6 +168,14 @@
 		p.notePlain(at, now)
 		return
 	}
+	p.compare(at, late, now)
+	s.lookAtPaces(p, now)
+}
+
+// compare learns from how much later the first event of an attempt came than the model
+// said: how late the way makes events, whether the pace of its engines is unsure, and what
+// pace it stands for. Where several engines read, it isn't known which of them was late.
+func (p *state) compare(at *placed, late time.Duration, now time.Time) {
 	took := now.Sub(at.at) - p.travel.length
 	predicted := took - late
 	if len(at.readers) == 0 {
@@ -185,7 +193,6 @@
 	if e := p.engines[at.instance]; e != nil && len(at.readers) == 0 && predicted > predictedLeast {
 		p.learn(e, float64(took)/float64(predicted)/e.Speed(), at.at, now)
 	}
-	s.lookAtPaces(p, now)
 }
 
 // way returns the part of how late events come that their way explains: what the last
