--- a/pool/check.go
+++ b/pool/check.go
@@ -213,10 +213,10 @@
 	return h.all.usable(now)
 }
 
-// out states whether an engine is left out or set aside: it is none of those that the work
-// of the pool is spread over. Counted as idle, those that had stopped halved the price when
-// the others were full.
-func (p *state) out(e *placement.Engine, now time.Time) bool {
+// leftOut states whether an engine is left out or set aside, so that the work of the pool
+// is spread over the others. It guards against a price that engines which have stopped,
+// counted as idle, halve while the others are full.
+func (p *state) leftOut(e *placement.Engine, now time.Time) bool {
 	h := p.health[e.Instance]
 	return h != nil && !h.usable(now)
 }
--- a/pool/readings.go
+++ b/pool/readings.go
@@ -17,7 +17,7 @@
 	p.longestGap = max(p.longestGap, w.ask.Gap)
 	reading, all := 0, 0
 	for _, e := range p.list {
-		if p.out(e, now) {
+		if p.leftOut(e, now) {
 			continue
 		}
 		all++
