Tell tries of the same request by its identity in the line of an attempt

Change: package quarantine with Identity, a hash of target, customer and body; the line of an attempt has it.

--- a/relay/admit.go
+++ b/relay/admit.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/linkmast/linkmast/quarantine"
 	"github.com/linkmast/linkmast/route"
 )
 
@@ -23,6 +24,8 @@
 	host     string
 	header   http.Header
 	body     []byte
+	// identity is the same for all tries of the request, at any instance.
+	identity quarantine.Identity
 	arrived  time.Time
 	deadline time.Time
 	// spent is how long before it arrived its caller first asked; zero at a first
@@ -76,6 +79,7 @@
 	if ref := j.read(r); ref != nil {
 		return nil, ref
 	}
+	j.identity = quarantine.Identify(j.target, j.customer, j.body)
 	return j, nil
 }
 
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -212,6 +212,7 @@
 	age, _ := l.parts.Age()
 	l.parts.Log.Info("attempt", "request", j.head.ID, "attempt", t.ask.ID, "route", j.route.Name,
 		"version", j.table.Version, "age_ms", age.Milliseconds(), "service", j.service, "customer", j.customer, "prompt", j.head.PromptTokens,
+		"identity", j.identity.String(),
 		"endpoint", t.grant.Instance, "by", t.grant.By, "readers", len(t.grant.Readers),
 		"waited_ms", t.grant.Waited.Milliseconds(), "first_predicted_ms", t.grant.First.Milliseconds(),
 		"first_ms", t.firstAfter.Milliseconds(), "ms", time.Since(t.began).Milliseconds(),
