Keep requests from endpoints that crash those which run them

Cause: nothing knew a request again that came with another name or at another instance. Each instance put the end of an answer down to the endpoint, and sent the request, as its caller did, to the next one.

Change: package quarantine. An entry whose attempt broke off looks whether its endpoint still takes connections; if not it reports a crash, with the request's identity, to the owners of the first pool with engines. Three of one identity that follow each other ban it: the owner tells all entries in session with it, and a recorder writes the ban into the instances' own topic, which all instances read. No instance sends a banned request: its callers are told at once that it has not run and when the ban ends. A whole answer ends suspicion and ban.

Ruled out: counting breaks without looking whether the endpoint has ended (resets of connections break many streams); counting crashes that overlap (endpoints that stop together would ban what many ask for at once).

--- a/catalog/apply.go
+++ b/catalog/apply.go
@@ -59,6 +59,10 @@
 		c.empty(v.Domain)
 	case *DomainRestored:
 		c.restore(v.Domain)
+	case *RequestBanned:
+		c.banned[v.Verdict.Identity] = v.Verdict
+	case *RequestReleased:
+		delete(c.banned, v.Identity)
 	case *EndpointChange:
 		if !c.applyEndpoint(v.Endpoint) {
 			return false
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 	"google.golang.org/grpc"
 
+	"github.com/linkmast/linkmast/quarantine"
 	"github.com/linkmast/linkmast/route"
 )
 
@@ -127,6 +128,8 @@
 	// emptied are the failure domains that get nothing new, with when this became
 	// known.
 	emptied map[string]time.Time
+	// banned are the requests that are kept from endpoints.
+	banned map[quarantine.Identity]quarantine.Verdict
 	// lives tells late entries of older lives apart.
 	lives lives
 	// changed is closed at the next change.
@@ -174,6 +177,7 @@
 		vanished:   make(map[string]removal),
 		departed:   make(map[string]time.Time),
 		emptied:    make(map[string]time.Time),
+		banned:     make(map[quarantine.Identity]quarantine.Verdict),
 		lives:      make(lives),
 		changed:    make(chan struct{}),
 		sums:       make(map[Feed]*sums),
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -6,6 +6,7 @@
 	"maps"
 	"time"
 
+	"github.com/linkmast/linkmast/quarantine"
 	"github.com/linkmast/linkmast/route"
 )
 
@@ -21,6 +22,8 @@
 	// Emptied are the failure domains whose endpoints get nothing new, with when this
 	// became known.
 	Emptied map[string]time.Time
+	// Banned are the requests that are kept from endpoints, by their identity.
+	Banned map[quarantine.Identity]quarantine.Verdict
 	// Peers are all instances by id, this one included.
 	Peers map[string]Peer
 }
@@ -66,6 +69,7 @@
 		Endpoints: make(map[string]Endpoint, len(c.endpoints)),
 		Departed:  make(map[string]time.Time, len(c.departed)),
 		Emptied:   maps.Clone(c.emptied),
+		Banned:    maps.Clone(c.banned),
 		Peers:     make(map[string]Peer, len(c.peers)),
 	}
 	for k, at := range c.departed {
--- a/catalog/types.go
+++ b/catalog/types.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/linkmast/linkmast/quarantine"
 	"github.com/linkmast/linkmast/route"
 )
 
@@ -74,7 +75,8 @@
 	Configurations Feed = iota
 	// Endpoints has an entry for each endpoint.
 	Endpoints
-	// Peers has an entry for each instance.
+	// Peers has an entry for each instance, and one for each request that they keep from
+	// endpoints.
 	Peers
 )
 
@@ -90,7 +92,8 @@
 }
 
 // Change is a record of a feed: *TableChange, *EndpointChange, *EndpointGone,
-// *PeerChange, *PeerGone, *DomainEmptied, *DomainRestored or *Malformed.
+// *PeerChange, *PeerGone, *DomainEmptied, *DomainRestored, *RequestBanned,
+// *RequestReleased or *Malformed.
 type Change interface {
 	change()
 }
@@ -138,6 +141,19 @@
 	Domain string
 }
 
+// RequestBanned keeps requests that crash endpoints from them. It is a record of the feed of
+// instances.
+type RequestBanned struct {
+	// Verdict is the ban.
+	Verdict quarantine.Verdict
+}
+
+// RequestReleased ends what RequestBanned asked for.
+type RequestReleased struct {
+	// Identity is that of the requests.
+	Identity quarantine.Identity
+}
+
 // Malformed is a record that can't be read, or that names nothing to use. That of an
 // endpoint ends what was known under its key; others change nothing.
 type Malformed struct {
@@ -147,14 +163,16 @@
 	Err error
 }
 
-func (*TableChange) change()    {}
-func (*EndpointChange) change() {}
-func (*EndpointGone) change()   {}
-func (*PeerChange) change()     {}
-func (*PeerGone) change()       {}
-func (*DomainEmptied) change()  {}
-func (*DomainRestored) change() {}
-func (*Malformed) change()      {}
+func (*TableChange) change()     {}
+func (*EndpointChange) change()  {}
+func (*EndpointGone) change()    {}
+func (*PeerChange) change()      {}
+func (*PeerGone) change()        {}
+func (*DomainEmptied) change()   {}
+func (*DomainRestored) change()  {}
+func (*RequestBanned) change()   {}
+func (*RequestReleased) change() {}
+func (*Malformed) change()       {}
 
 // ErrCompacted means that the records asked for are no longer kept; the feed
 // must be read whole again.
--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -17,6 +17,7 @@
 	"github.com/linkmast/linkmast/platform"
 	"github.com/linkmast/linkmast/pool"
 	"github.com/linkmast/linkmast/pool/poolpb"
+	"github.com/linkmast/linkmast/quarantine"
 	"github.com/linkmast/linkmast/relay"
 	"github.com/linkmast/linkmast/settings"
 )
@@ -33,12 +34,15 @@
 		Capacity:      capacity(f),
 	}
 	g.peers = peer.New(nil)
+	store := platform.NewStore(wirehttp.Client(), f.Platform.Store)
 	g.catalog = catalog.New(catalog.Settings{
 		Self:       g.self,
 		FirstStart: f.FirstStart,
 		Poll:       time.Duration(f.Times.Revoke) / pollsPerRevoke,
-	}, platform.NewStore(wirehttp.Client(), f.Platform.Store), g.peers, g.log.WithName("catalog"))
+	}, store, g.peers, g.log.WithName("catalog"))
+	g.quarantine = quarantine.New(time.Now, g.log.WithName("quarantine"))
 	g.assemblePools(client)
+	g.recorder = quarantine.NewRecorder(g.quarantine, store, g.placer.Counts, g.log.WithName("quarantine"))
 	g.assembleServer()
 	g.assembleRelay(client)
 }
@@ -59,9 +63,10 @@
 			Overage: f.Cold.Overage,
 			Slack:   f.Cold.Slack,
 		},
-		Reports: platform.NewReports(client, g.log.WithName("reports")),
-		Check:   checkEndpoint,
-		Worth:   f.Worth,
+		Reports:    platform.NewReports(client, g.log.WithName("reports")),
+		Check:      checkEndpoint,
+		Worth:      f.Worth,
+		Quarantine: g.quarantine,
 	}, log)
 	g.placer = pool.NewClient(g.self, g.pools, g.peers, log)
 }
@@ -95,6 +100,8 @@
 		Age:        g.catalog.Age,
 		Placer:     g.placer,
 		Suspicions: g.placer,
+		Quarantine: g.placer,
+		Check:      checkEndpoint,
 		Wire:       platform.Wire{},
 		Memory:     platform.NewOrders(client),
 		Upstream:   g.upstream,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -17,6 +18,7 @@
 	"github.com/linkmast/linkmast/internal/upstream"
 	"github.com/linkmast/linkmast/peer"
 	"github.com/linkmast/linkmast/pool"
+	"github.com/linkmast/linkmast/quarantine"
 	"github.com/linkmast/linkmast/relay"
 	"github.com/linkmast/linkmast/settings"
 )
@@ -43,10 +45,14 @@
 	catalog *catalog.Catalog
 	// pools places what this instance owns, and placer finds the owner of the
 	// rest.
-	pools    *pool.Scheduler
-	placer   *pool.Client
-	relay    *relay.Relay
-	upstream *upstream.Pool
+	pools  *pool.Scheduler
+	placer *pool.Client
+	// quarantine is what is known of requests that crash endpoints, and recorder keeps its
+	// bans in the store.
+	quarantine *quarantine.Book
+	recorder   *quarantine.Recorder
+	relay      *relay.Relay
+	upstream   *upstream.Pool
 	// peers are the connections to other instances, and rpc serves theirs.
 	peers *peer.Pool
 	rpc   *grpc.Server
@@ -95,6 +101,7 @@
 	g.parts.Go(func() { g.announce(ctx) })
 	g.parts.Go(func() { g.catalog.Run(ctx) })
 	g.parts.Go(func() { g.pools.Run(ctx) })
+	g.parts.Go(func() { g.recorder.Run(ctx) })
 	g.parts.Go(func() { g.follow(ctx) })
 	g.parts.Go(func() { g.sweep(ctx) })
 	return g, nil
@@ -103,11 +110,16 @@
 // follow hands on what the catalog learns until ctx ends.
 func (g *Gateway) follow(ctx context.Context) {
 	known := false
+	var banned map[quarantine.Identity]quarantine.Verdict
 	for {
 		changed := g.catalog.Changed()
 		if s := g.catalog.Snapshot(); s != nil {
 			g.pools.Update(s)
 			g.placer.Update(s)
+			if !maps.Equal(banned, s.Banned) {
+				g.quarantine.Recorded(banned, s.Banned)
+				banned = s.Banned
+			}
 			if !known {
 				known = true
 				close(g.known)
--- a/pool/client.go
+++ b/pool/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/linkmast/linkmast/catalog"
 	"github.com/linkmast/linkmast/pool/poolpb"
+	"github.com/linkmast/linkmast/quarantine"
 )
 
 // Client finds the owner of each pool and asks it. It implements Placer. The
@@ -37,6 +38,10 @@
 	book map[string]*running
 	// moves are what makes attempts move, by attempt.
 	moves map[string]func()
+	// counts names the pool whose owners count crashes, and crashes are the latest that this
+	// instance saw.
+	counts  string
+	crashes []quarantine.Crash
 	// turn gets a value when a link breaks off or comes about.
 	turn chan struct{}
 	// ctx is that of Run; nil before.
@@ -99,6 +104,7 @@
 			c.order[name] = c.rank(name, snap)
 		}
 	}
+	c.counts = c.counting(snap)
 	c.relink()
 }
 
--- /dev/null
+++ b/pool/client_crashes.go
@@ -0,0 +1,116 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"github.com/linkmast/linkmast/catalog"
+	"github.com/linkmast/linkmast/pool/poolpb"
+	"github.com/linkmast/linkmast/quarantine"
+)
+
+// noEngines is the name under which the instances of a fleet without engines choose who
+// counts crashes. No service has it.
+const noEngines = ""
+
+// The measures of the crashes that an instance tells a new owner of.
+const (
+	// toldAgainFor is how old they may be: callers that come back after minutes are no reason
+	// to count from the start.
+	toldAgainFor = 10 * time.Minute
+	// toldAgain bounds them: those of an instance with some tens of streams that lost most of
+	// its engines.
+	toldAgain = 64
+)
+
+// counting returns the pool whose owners count the crashes of all services, so that no
+// further links are needed: the first one with engines. The caller holds the lock.
+func (c *Client) counting(snap *catalog.Snapshot) string {
+	if len(c.order) == 0 {
+		c.order[noEngines] = c.rank(noEngines, snap)
+		return noEngines
+	}
+	names := make([]string, 0, len(c.order))
+	for name := range c.order {
+		names = append(names, name)
+	}
+	return slices.Min(names)
+}
+
+// counters names the pool whose owners count crashes.
+func (c *Client) counters() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.counts
+}
+
+// Counts states whether this instance is the first of those that count crashes.
+func (c *Client) Counts() bool {
+	return c.decides(c.counters()) == c.self.ID
+}
+
+// Crashed reports an attempt whose endpoint has ended.
+func (c *Client) Crashed(one quarantine.Crash) {
+	c.local.settings.Quarantine.Report(one)
+	now := c.local.settings.Now()
+	c.mu.Lock()
+	c.crashes = slices.DeleteFunc(c.crashes, func(old quarantine.Crash) bool { return now.Sub(old.Ended) > toldAgainFor })
+	if len(c.crashes) >= toldAgain {
+		c.crashes = slices.Delete(c.crashes, 0, 1)
+	}
+	c.crashes = append(c.crashes, one)
+	c.mu.Unlock()
+	c.tell(c.counters(), crashedMessage(one, now), nil)
+}
+
+// Served notes that a request was answered whole.
+func (c *Client) Served(id quarantine.Identity) {
+	if !c.local.settings.Quarantine.Served(id) {
+		return
+	}
+	c.mu.Lock()
+	c.crashes = slices.DeleteFunc(c.crashes, func(old quarantine.Crash) bool { return old.Identity == id })
+	c.mu.Unlock()
+	c.tell(c.counters(), verdictToOwner(quarantine.Verdict{
+		Identity: id,
+		State:    quarantine.Cleared,
+	}), nil)
+}
+
+// Enter gives a request leave to run, as the instance's book does.
+func (c *Client) Enter(id quarantine.Identity) (quarantine.Pass, time.Duration, bool) {
+	return c.local.settings.Quarantine.Enter(id)
+}
+
+// Suspected states whether attempts of an identity have ended with their endpoints of late.
+func (c *Client) Suspected(id quarantine.Identity) bool {
+	return c.local.settings.Quarantine.Suspected(id)
+}
+
+// Barred states whether requests of an identity must not run, and for how much longer.
+func (c *Client) Barred(id quarantine.Identity) (time.Duration, bool) {
+	return c.local.settings.Quarantine.Barred(id)
+}
+
+// learned takes over a verdict of an owner.
+func (c *Client) learned(v quarantine.Verdict) {
+	c.local.settings.Quarantine.Learn(v)
+}
+
+// crashGreeting returns the messages that tell an owner of bans, and of the crashes that this
+// instance saw: an owner that is new counts them anew. The caller holds the lock.
+func (c *Client) crashGreeting() []*poolpb.FromEntry {
+	now := c.local.settings.Now()
+	var out []*poolpb.FromEntry
+	for _, one := range c.crashes {
+		out = append(out, crashedMessage(one, now))
+	}
+	for _, v := range c.local.settings.Quarantine.Verdicts() {
+		if v.State == quarantine.Banned {
+			out = append(out, verdictToOwner(v))
+		}
+	}
+	return out
+}
--- a/pool/client_links.go
+++ b/pool/client_links.go
@@ -105,12 +105,13 @@
 			entry:  c.self.ID,
 			domain: c.self.FailureDomain,
 		},
-		dialer: c.dialer,
-		book:   c.running,
-		turn:   c.turned,
-		move:   c.moveAttempt,
-		log:    c.log,
-		began:  time.Now(),
+		dialer:  c.dialer,
+		book:    c.running,
+		turn:    c.turned,
+		move:    c.moveAttempt,
+		verdict: c.learned,
+		log:     c.log,
+		began:   time.Now(),
 	}
 	c.parts.Go(func() { l.run(ctx) })
 	return &linked{
@@ -128,7 +129,7 @@
 }
 
 // running returns the messages that tell an owner what this instance has
-// running.
+// running, and what it knows of requests that crash endpoints.
 func (c *Client) running() []*poolpb.FromEntry {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -136,7 +137,7 @@
 	for _, r := range c.book {
 		out = append(out, runningMessage(r))
 	}
-	return out
+	return append(out, c.crashGreeting()...)
 }
 
 // owners returns the links of a pool in order; nil stands for this instance.
--- a/pool/link.go
+++ b/pool/link.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/linkmast/linkmast/pool/poolpb"
+	"github.com/linkmast/linkmast/quarantine"
 )
 
 // errLost means that the owner did not answer.
@@ -59,7 +60,9 @@
 	// move is called with an attempt that is to move, the endpoint that has stopped, and
 	// who says so.
 	move func(id, endpoint, by string)
-	log  logr.Logger
+	// verdict is called with what the owner thinks of requests that crash endpoints.
+	verdict func(quarantine.Verdict)
+	log     logr.Logger
 
 	mu sync.Mutex
 	// began is when the link was made, or broke off, and the first try to open it began.
--- a/pool/link_session.go
+++ b/pool/link_session.go
@@ -49,11 +49,13 @@
 		return err
 	}
 	// The first sign of life opens the session.
-	if _, err := stream.Recv(); err != nil {
+	m, err := stream.Recv()
+	if err != nil {
 		return err
 	}
 	opening.Stop()
 	l.opened()
+	l.take(m)
 	go l.send(ctx, cancel, stream, out)
 	go l.keep(ctx, cancel)
 	return l.receive(stream)
@@ -186,6 +188,8 @@
 		})
 	case *poolpb.FromOwner_Move:
 		go l.move(k.Move.GetId(), k.Move.GetEndpoint(), l.peer)
+	case *poolpb.FromOwner_Verdict:
+		l.verdict(decodeVerdict(k.Verdict))
 	case *poolpb.FromOwner_Pong:
 	}
 }
--- a/pool/messages.go
+++ b/pool/messages.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/linkmast/linkmast/pool/poolpb"
+	"github.com/linkmast/linkmast/quarantine"
 )
 
 // encodeAsk returns the message of an ask. Durations are sent in microseconds.
@@ -198,6 +199,67 @@
 	}
 }
 
+// crashedMessage tells an owner of a crash.
+func crashedMessage(c quarantine.Crash, now time.Time) *poolpb.FromEntry {
+	return &poolpb.FromEntry{
+		Kind: &poolpb.FromEntry_Crashed{
+			Crashed: &poolpb.Crashed{
+				Attempt:  c.Attempt,
+				Identity: uint64(c.Identity),
+				BeganUs:  now.Sub(c.Began).Microseconds(),
+				EndedUs:  now.Sub(c.Ended).Microseconds(),
+			},
+		},
+	}
+}
+
+// decodeCrashed returns the crash of a message.
+func decodeCrashed(m *poolpb.Crashed, now time.Time) quarantine.Crash {
+	return quarantine.Crash{
+		Attempt:  m.GetAttempt(),
+		Identity: quarantine.Identity(m.GetIdentity()),
+		Began:    now.Add(-microseconds(m.GetBeganUs())),
+		Ended:    now.Add(-microseconds(m.GetEndedUs())),
+	}
+}
+
+// encodeVerdict returns the message of a verdict.
+func encodeVerdict(v quarantine.Verdict) *poolpb.Verdict {
+	return &poolpb.Verdict{
+		Identity: uint64(v.Identity),
+		State:    int32(v.State),
+		ForUs:    v.For.Microseconds(),
+		Times:    int32(v.Times),
+	}
+}
+
+// decodeVerdict returns the verdict of a message.
+func decodeVerdict(m *poolpb.Verdict) quarantine.Verdict {
+	return quarantine.Verdict{
+		Identity: quarantine.Identity(m.GetIdentity()),
+		State:    quarantine.State(m.GetState()),
+		For:      microseconds(m.GetForUs()),
+		Times:    int(m.GetTimes()),
+	}
+}
+
+// verdictToOwner and verdictToEntry tell the other end of a session of a verdict.
+func verdictToOwner(v quarantine.Verdict) *poolpb.FromEntry {
+	return &poolpb.FromEntry{
+		Kind: &poolpb.FromEntry_Verdict{
+			Verdict: encodeVerdict(v),
+		},
+	}
+}
+
+func verdictToEntry(v quarantine.Verdict) *poolpb.FromOwner {
+	return &poolpb.FromOwner{
+		Kind: &poolpb.FromOwner_Verdict{
+			Verdict: encodeVerdict(v),
+		},
+	}
+}
+
 // greetingEnd is the number of the ping that ends an entry's greeting: by then it has told
 // all that it has running.
 const greetingEnd = 0
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -12,6 +12,7 @@
 
 	"github.com/linkmast/linkmast/catalog"
 	"github.com/linkmast/linkmast/placement"
+	"github.com/linkmast/linkmast/quarantine"
 	"github.com/linkmast/linkmast/worth"
 )
 
@@ -33,6 +34,9 @@
 	Check Checker
 	// Worth says what answers are worth.
 	Worth worth.Settings
+	// Quarantine is what is known of requests that crash endpoints; the default is an empty
+	// book.
+	Quarantine *quarantine.Book
 	// Now returns the time; the default is time.Now.
 	Now func() time.Time
 	// Draw returns a random time below one that is greater than zero; the default is
@@ -65,6 +69,9 @@
 	if s.Draw == nil {
 		s.Draw = rand.N[time.Duration]
 	}
+	if s.Quarantine == nil {
+		s.Quarantine = quarantine.New(s.Now, log)
+	}
 	return &Scheduler{
 		settings: s,
 		log:      log,
--- a/pool/server.go
+++ b/pool/server.go
@@ -55,6 +55,9 @@
 	// that are to move; nil until it has said its name.
 	entry     string
 	stopMoves func()
+	// stopVerdicts ends telling it what is thought of requests that crash endpoints; nil
+	// until it has said its name.
+	stopVerdicts func()
 
 	// sending guards the stream, which takes one message at a time.
 	sending sync.Mutex
@@ -143,6 +146,10 @@
 		s.EndBy(k.End.GetId(), k.End.GetService(), Outcome(k.End.GetOutcome()), k.End.GetCulprit(), x.entry)
 	case *poolpb.FromEntry_Suspicion:
 		s.Suspect(k.Suspicion.GetId(), k.Suspicion.GetService(), microseconds(k.Suspicion.GetSilenceUs()))
+	case *poolpb.FromEntry_Crashed:
+		s.settings.Quarantine.Report(decodeCrashed(k.Crashed, s.settings.Now()))
+	case *poolpb.FromEntry_Verdict:
+		s.settings.Quarantine.Learn(decodeVerdict(k.Verdict))
 	case *poolpb.FromEntry_Ping:
 		if k.Ping.GetSeq() == greetingEnd {
 			x.server.greeted(x)
--- a/pool/server_cut.go
+++ b/pool/server_cut.go
@@ -34,6 +34,7 @@
 		s.orphan(old)
 	}
 	x.stopMoves = s.scheduler.onMoves(x.entry, x.sendMove)
+	x.tellVerdicts()
 }
 
 // sendMove tells the entry of an attempt that is to move.
@@ -48,6 +49,9 @@
 	if x.stopMoves != nil {
 		x.stopMoves()
 	}
+	if x.stopVerdicts != nil {
+		x.stopVerdicts()
+	}
 	s.mu.Lock()
 	if s.sessions[x.entry] == x {
 		delete(s.sessions, x.entry)
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -5,4 +5,17 @@
 // A request is known again by its Identity: its path, who pays for it, and its body. Callers
 // name each try anew, send it to any instance, and try again when an endpoint breaks off,
 // so that nothing else links the crashes.
+//
+// An instance whose attempt broke off and whose endpoint then takes no connection reports a
+// Crash. A Book counts those of one identity that follow each other: an attempt that was under
+// way while the one before crashed its endpoint adds nothing, so that many equal requests
+// under way on endpoints that stop together count once. After three in a row the identity is
+// banned, and no instance sends it to an endpoint. An answer that is whole, of any attempt,
+// ends suspicion and ban.
+//
+// A ban lapses. The next crash of the same identity bans it again, for ten times as long.
+//
+// Each instance has a Book. What one decides it tells others as a Verdict; package pool carries
+// crashes to the owner of a pool and verdicts from there, and a Recorder keeps bans in the
+// platform's store, so that they outlast all instances.
 package quarantine
--- a/quarantine/identity.go
+++ b/quarantine/identity.go
@@ -6,6 +6,8 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"strconv"
+
+	"github.com/go-faster/errors"
 )
 
 // Identity tells requests apart by what they ask for: all tries of one request have the
@@ -27,6 +29,15 @@
 	return Identity(binary.BigEndian.Uint64(h.Sum(nil)))
 }
 
+// ParseIdentity returns the identity that String wrote.
+func ParseIdentity(text string) (Identity, error) {
+	n, err := strconv.ParseUint(text, 16, 64)
+	if err != nil {
+		return 0, errors.Wrap(err, "identity of a request")
+	}
+	return Identity(n), nil
+}
+
 // String returns the identity in hexadecimal, as logs have it.
 func (i Identity) String() string {
 	return strconv.FormatUint(uint64(i), 16)
--- /dev/null
+++ b/quarantine/record.go
@@ -0,0 +1,197 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package quarantine
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-logr/logr"
+)
+
+// Store keeps bans for as long as they are needed, over the end of all instances.
+type Store interface {
+	// RecordBan writes a ban, in place of an earlier one of its identity.
+	RecordBan(ctx context.Context, v Verdict) error
+	// EraseBan removes the ban of an identity.
+	EraseBan(ctx context.Context, id Identity) error
+}
+
+// The times of writing to the store.
+const (
+	// writeTimeout bounds one call.
+	writeTimeout = time.Second
+	// writeRetry is the pause after a call that failed.
+	writeRetry = 500 * time.Millisecond
+	// standbyAfter is how much later an instance writes that does not own the pool: time
+	// for the owner's record to be read by all.
+	standbyAfter = 2 * time.Second
+)
+
+// due is one call of the store that is due: a ban to record, or the identity of one to
+// erase.
+type due struct {
+	verdict Verdict
+	erase   bool
+}
+
+// Recorded takes over all bans that the store has. Former are those of the time before: who is
+// missing now was cleared by another instance or an operator, or is over. A record stays for
+// as long as its ban is remembered, so that the end of one ban isn't taken for that of the
+// next.
+func (b *Book) Recorded(former, bans map[Identity]Verdict) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	for id, v := range bans {
+		if former[id] != v {
+			b.learnBan(v, now)
+		}
+		if one := b.bans[id]; one != nil {
+			one.recorded = true
+		}
+	}
+	for id := range former {
+		if _, kept := bans[id]; kept {
+			continue
+		}
+		one := b.bans[id]
+		switch {
+		case one == nil || !one.recorded:
+		case one.active(now):
+			b.clear(id)
+		default:
+			delete(b.bans, id)
+		}
+		delete(b.erase, id)
+	}
+	b.changes()
+}
+
+// due returns what is to be written to the store now, and when there may be more to do; zero
+// for never. Owner states that this instance writes first.
+func (b *Book) due(owner bool) (calls []due, next time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	wait := standbyAfter
+	if owner {
+		wait = 0
+	}
+	add := func(at time.Time, d due) {
+		switch at = at.Add(wait); {
+		case !at.After(now):
+			calls = append(calls, d)
+		case next.IsZero() || at.Before(next):
+			next = at
+		}
+	}
+	for id, at := range b.erase {
+		add(at, erasure(id))
+	}
+	for id, one := range b.bans {
+		switch {
+		case one.recorded:
+			add(one.forgetAt(), erasure(id))
+		case !one.decided.IsZero() && one.active(now):
+			add(one.decided, due{
+				verdict: Verdict{
+					Identity: id,
+					State:    Banned,
+					For:      one.until.Sub(now),
+					Times:    one.times,
+				},
+			})
+		}
+	}
+	return calls, next
+}
+
+// erasure is the call that removes the ban of an identity.
+func erasure(id Identity) due {
+	return due{
+		verdict: Verdict{
+			Identity: id,
+		},
+		erase: true,
+	}
+}
+
+// wrote notes that a call of the store was made.
+func (b *Book) wrote(d due) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	id := d.verdict.Identity
+	delete(b.erase, id)
+	one := b.bans[id]
+	switch {
+	case one == nil:
+	case !d.erase:
+		one.recorded = true
+	case !one.active(b.now()):
+		delete(b.bans, id)
+	}
+}
+
+// Recorder keeps the bans in the store in line with a book.
+type Recorder struct {
+	book  *Book
+	store Store
+	owner func() bool
+	log   logr.Logger
+}
+
+// NewRecorder returns a recorder. Owner states whether this instance writes first; others
+// write what the first did not.
+func NewRecorder(b *Book, s Store, owner func() bool, log logr.Logger) *Recorder {
+	return &Recorder{
+		book:  b,
+		store: s,
+		owner: owner,
+		log:   log,
+	}
+}
+
+// Run writes to the store until ctx ends.
+func (r *Recorder) Run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.book.changed:
+		case <-timer.C:
+		}
+		if pause, more := r.write(ctx); more {
+			timer.Reset(pause)
+		}
+	}
+}
+
+// write makes the calls that are due. It returns when to look again, or false when there is
+// nothing to wait for.
+func (r *Recorder) write(ctx context.Context) (time.Duration, bool) {
+	calls, next := r.book.due(r.owner())
+	for _, d := range calls {
+		if err := r.call(ctx, d); err != nil {
+			r.log.Info("ban can't be written to the store", "identity", d.verdict.Identity.String(), "erase", d.erase, "cause", err.Error())
+			return writeRetry, true
+		}
+		r.book.wrote(d)
+	}
+	if next.IsZero() {
+		return 0, false
+	}
+	return next.Sub(r.book.now()), true
+}
+
+// call makes one call of the store.
+func (r *Recorder) call(ctx context.Context, d due) error {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	if d.erase {
+		return r.store.EraseBan(ctx, d.verdict.Identity)
+	}
+	return r.store.RecordBan(ctx, d.verdict)
+}
--- /dev/null
+++ b/quarantine/suspect.go
@@ -0,0 +1,47 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// overlapSlack is how long before the end of one attempt the next may have begun to count as
+// one that follows it: reports of two instances reach the one that counts by ways that
+// differ by some milliseconds, and by tens on a busy instance.
+const overlapSlack = 50 * time.Millisecond
+
+// suspect is what is known of an identity whose attempts ended with a crash.
+type suspect struct {
+	// chain are crashes of which each attempt began after the one before had ended, in
+	// order.
+	chain []Crash
+	// at is when this was last heard of.
+	at time.Time
+}
+
+// extend adds a crash to the chain if it fits before, between or after those that are there.
+// It returns whether it did.
+func (s *suspect) extend(c Crash) bool {
+	if slices.ContainsFunc(s.chain, func(one Crash) bool { return one.Attempt == c.Attempt }) {
+		return false
+	}
+	i := slices.IndexFunc(s.chain, func(one Crash) bool { return one.Ended.After(c.Ended) })
+	if i < 0 {
+		i = len(s.chain)
+	}
+	if i > 0 && !follows(s.chain[i-1], c) {
+		return false
+	}
+	if i < len(s.chain) && !follows(c, s.chain[i]) {
+		return false
+	}
+	s.chain = slices.Insert(s.chain, i, c)
+	return true
+}
+
+// follows states whether an attempt began after another one had ended.
+func follows(before, after Crash) bool {
+	return !after.Began.Add(overlapSlack).Before(before.Ended)
+}
--- /dev/null
+++ b/quarantine/types.go
@@ -0,0 +1,54 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package quarantine
+
+import "time"
+
+// Crash is the end of an endpoint while it ran an attempt of a request.
+type Crash struct {
+	// Attempt names the attempt. No other one has its name.
+	Attempt string
+	// Identity is that of the request.
+	Identity Identity
+	// Began is when the request was sent to the endpoint, and Ended when that broke off.
+	Began time.Time
+	Ended time.Time
+}
+
+// State is what is thought of the requests of an identity.
+type State int
+
+// The states.
+const (
+	// Cleared requests may run.
+	Cleared State = iota
+	// Suspected requests may run; the next crash bans them. Who serves one says so.
+	Suspected
+	// Banned requests run nowhere.
+	Banned
+)
+
+// String returns the name of the state.
+func (s State) String() string {
+	switch s {
+	case Cleared:
+		return "cleared"
+	case Suspected:
+		return "suspected"
+	case Banned:
+		return "banned"
+	}
+	return "unknown"
+}
+
+// Verdict is what an instance tells others of an identity.
+type Verdict struct {
+	// Identity is that of the requests.
+	Identity Identity
+	// State is what is thought of them.
+	State State
+	// For is how much longer a ban lasts; clocks need not agree.
+	For time.Duration
+	// Times is how often the identity was banned without being cleared in between.
+	Times int
+}
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -34,6 +34,8 @@
 	// keyed states that the request needs a key.
 	keyed bool
 
+	// once states that it may run at one endpoint only, whatever its route says.
+	once bool
 	// sends counts the endpoints that the request was sent to.
 	sends int
 	// ran states that one of them may have run it.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/linkmast/linkmast/catalog"
 	"github.com/linkmast/linkmast/internal/upstream"
@@ -38,6 +39,11 @@
 	// Suspicions hears of silent streams and says which attempts are to move; nil means
 	// that each is watched by itself.
 	Suspicions pool.Suspecter
+	// Quarantine keeps requests from endpoints that crash these; nil means that none is kept.
+	Quarantine Quarantine
+	// Check opens a connection to an endpoint that broke an answer off, to see whether it
+	// has ended; needed with Quarantine.
+	Check pool.Checker
 	// Wire reads and writes headers.
 	Wire Wire
 	// Memory reserves memory.
@@ -62,6 +68,8 @@
 	// for a first configuration.
 	inFlight atomic.Int64
 	held     atomic.Int64
+	// checks are those of endpoints that are under way, by address.
+	checks singleflight.Group
 	// waits are the times that callers name, and began is when the relay was made.
 	waits waits
 	began time.Time
@@ -102,6 +110,12 @@
 		l.refuse(w, head, refusal)
 		return
 	}
+	leave, refusal := l.enter(j)
+	if refusal != nil {
+		l.refuse(w, head, refusal)
+		return
+	}
+	defer leave()
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
 	defer cancel()
 	l.serve(ctx, j, w)
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -58,10 +58,17 @@
 // attempt finds a place and sends the request there once. It returns true when
 // another attempt makes sense, else the final answer, nil once it was sent.
 func (l *Relay) attempt(ctx context.Context, j *job) (again bool, final *refusal) {
+	if ref := l.banned(j); ref != nil {
+		return false, ref
+	}
 	p, err := l.place(ctx, j)
 	if err != nil {
 		return false, j.unplaced(ctx, err)
 	}
+	if ref := l.banned(j); ref != nil {
+		l.giveBack(p)
+		return false, ref
+	}
 	if gone := l.barred(&p.grant); gone != "" {
 		l.giveBack(p)
 		l.parts.Log.Info("place declined", "request", j.head.ID, "attempt", p.ask.ID, "endpoint", gone,
@@ -84,6 +91,7 @@
 	res := t.run(ctx)
 	l.parts.Placer.End(p.ask.ID, p.ask.Service, res.outcome, res.culprit)
 	l.logTry(j, t, res)
+	l.judge(t, res)
 	return l.after(ctx, j, t, res)
 }
 
@@ -186,7 +194,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return false, j.giveUp("out of time", 0)
-	case j.ran && !j.route.Idempotent():
+	case j.ran && (j.once || !j.route.Idempotent()):
 		return false, j.giveUp(res.reason, 0)
 	case res.outcome == pool.Unreachable && len(j.exclude) <= maxUnreachable:
 		return true, nil
--- a/relay/try.go
+++ b/relay/try.go
@@ -42,6 +42,8 @@
 	final bool
 	// broke states that the endpoint broke its answer off.
 	broke bool
+	// cut states that the connection ended before the answer did.
+	cut bool
 	// status is that of the endpoint's answer; zero without one.
 	status int
 	// reason says why there is no whole answer, for the log and the caller.
@@ -152,7 +154,7 @@
 		res.outcome = pool.Abandoned
 		res.reason = "caller gone"
 	default:
-		res.broke = true
+		res.broke, res.cut = true, true
 	}
 	return res
 }
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -90,6 +90,7 @@
 	if _, err := io.Copy(out.w, x.Response.Body); err != nil {
 		r.final = false
 		r.outcome = pool.Failed
+		r.cut = !out.gone()
 		r.reason = "large answer broke off: " + err.Error()
 		t.job.exhaust()
 		return r
