Tell the request that crashes endpoints from others on the same ones

Change: a request is not banned while another one ran on the same endpoints and had begun later each time, and a ban takes its crashes off all others.

Measured: TestOthersOnTheSameEndpoints, both orders of reports.

--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -169,6 +169,7 @@
 
 // ban bans an identity, for longer than the time before.
 func (b *Book) ban(id Identity, now time.Time) {
+	b.explain(b.suspects[id])
 	length, times := banFirst, 1
 	if old := b.remembered(id, now); old != nil {
 		length, times = min(old.length*banGrowth, banLongest), old.times+1
--- a/quarantine/book_test.go
+++ b/quarantine/book_test.go
@@ -105,6 +105,34 @@
 	}
 }
 
+// TestOthersOnTheSameEndpoints has another request on each endpoint that one crashes, whose
+// attempts were under way before: it is moved to where the next one is sent. Only the request
+// that began last each time is banned, whichever is reported first.
+func TestOthersOnTheSameEndpoints(t *testing.T) {
+	crashes := []run{{"a", "e1", 50, 100, 0}, {"b", "e2", 180, 250, 0}, {"c", "e3", 320, 400, 0}}
+	beside := []run{{"x", "e1", 0, 100, 2}, {"y", "e2", 110, 250, 2}, {"z", "e3", 260, 400, 2}}
+	for _, row := range []struct {
+		name string
+		runs []run
+	}{
+		{"reported after it", slices.Concat(crashes, beside)},
+		{"reported before it", slices.Concat(beside, crashes)},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			virtual(t, func(t *testing.T) {
+				b := newBook()
+				report(b, row.runs...)
+				assertBanned(t, b, true)
+				_, other := b.Barred(2)
+				is.New(t).True(!other)
+				report(b, run{"w", "e4", 0, 100, 2})
+				_, other = b.Barred(2)
+				is.New(t).True(!other)
+			})
+		})
+	}
+}
+
 // TestReportedOutOfOrder tells a book of crashes long after they were, the last one first, as
 // an owner hears of them that is new.
 func TestReportedOutOfOrder(t *testing.T) {
--- a/quarantine/end.go
+++ b/quarantine/end.go
@@ -90,6 +90,9 @@
 	n := s.settled()
 	b.log.Info("request crashed its endpoint", "identity", id.String(), "attempt", attempt, "in_a_row", n, "limit", limit)
 	switch {
+	case n >= limit && b.explained(id, s):
+		b.figures.Common++
+		s.chain = nil
 	case n >= limit:
 		b.ban(id, now)
 	case n == limit-1:
