--- a/quarantine/explain.go
+++ b/quarantine/explain.go
@@ -20,13 +20,17 @@
 }
 
 // explain takes the crashes of a request that is banned off the others that ran on the same
-// endpoints.
+// endpoints and had begun before it.
 func (b *Book) explain(banned *suspect) {
 	for _, s := range b.suspects {
 		if s == banned {
 			continue
 		}
-		s.chain = slices.DeleteFunc(s.chain, func(one link) bool { return banned.ended(one.end) })
+		s.chain = slices.DeleteFunc(s.chain, func(one link) bool {
+			return slices.ContainsFunc(banned.chain, func(cause link) bool {
+				return cause.end == one.end && one.crash.Began.Before(cause.crash.Began)
+			})
+		})
 	}
 }
 
