Measure leases, ages, allowances and grace over suspensions

Cause: a machine may be suspended for seconds. The monotonic clock stands still then, so that the age of the configuration, lent allowances, connections at rest, asides and the time left of a planned stop were younger than they are for all others: a key that was taken away meanwhile was served for up to 1.2 s (revocation bound 1.5 s), an answer that was cut by the platform looked as if there were time.

Change: package internal/steady adds to package time's reading what CLOCK_BOOTTIME has gained on CLOCK_MONOTONIC. The catalog, pools, the relay's deadlines, connections to endpoints, lent allowances, leases of the log path and the stop go by it. The retry budget's window goes by it, too, and no longer by the time of day, whose steps gave it once more or kept it spent.

Ruled out: CLOCK_BOOTTIME alone in place of package time, as tests run in virtual time.

--- a/catalog/apply.go
+++ b/catalog/apply.go
@@ -4,6 +4,8 @@
 
 import (
 	"time"
+
+	"github.com/linkmast/linkmast/internal/steady"
 )
 
 // source is where records come from.
@@ -126,7 +128,7 @@
 	old, known := c.endpoints[e.Instance]
 	e.Leaving = e.Leaving || old.Leaving && !e.Succeeds(old)
 	if e.Cold > 0 {
-		e.ColdUntil = time.Now().Add(e.Cold)
+		e.ColdUntil = steady.Now().Add(e.Cold)
 	}
 	delete(c.vanished, e.Instance)
 	if !known || !old.says(e) {
@@ -158,7 +160,7 @@
 // depart notes that an endpoint leaves or is gone.
 func (c *Catalog) depart(instance string) {
 	if _, known := c.departed[instance]; !known {
-		c.departed[instance] = time.Now()
+		c.departed[instance] = steady.Now()
 	}
 }
 
@@ -169,7 +171,7 @@
 		c.note(Endpoints, r)
 		return false
 	}
-	now := time.Now()
+	now := steady.Now()
 	if from == fromPeer || !now.Before(c.doubt) {
 		c.removeNow(r, "its entry was removed")
 		return true
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 	"google.golang.org/grpc"
 
+	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/quarantine"
 	"github.com/linkmast/linkmast/route"
 )
@@ -215,7 +216,7 @@
 	if at == nil {
 		return 0, false
 	}
-	return time.Since(*at), true
+	return steady.Since(*at), true
 }
 
 // Changed returns a channel that is closed at the next change.
--- a/catalog/clock.go
+++ b/catalog/clock.go
@@ -5,6 +5,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"github.com/linkmast/linkmast/internal/steady"
 )
 
 // clock is a moment that several goroutines mark and read.
@@ -15,7 +17,7 @@
 }
 
 // begin is what moments of a clock count from.
-var begin = time.Now()
+var begin = steady.Now()
 
 // mark sets the clock to a moment.
 func (k *clock) mark(now time.Time) {
@@ -30,7 +32,7 @@
 // since returns how long ago the clock was marked; false when it never was.
 func (k *clock) since() (time.Duration, bool) {
 	at := k.at.Load()
-	return time.Since(begin) - time.Duration(at), at > 0
+	return steady.Since(begin) - time.Duration(at), at > 0
 }
 
 // within states whether the clock was marked at most so long ago.
--- a/catalog/emptied.go
+++ b/catalog/emptied.go
@@ -2,7 +2,9 @@
 
 package catalog
 
-import "time"
+import (
+	"github.com/linkmast/linkmast/internal/steady"
+)
 
 // empty notes that the endpoints of a failure domain get nothing new. The caller holds the
 // lock, as for the functions below.
@@ -10,7 +12,7 @@
 	if _, known := c.emptied[domain]; known {
 		return
 	}
-	c.emptied[domain] = time.Now()
+	c.emptied[domain] = steady.Now()
 	c.log.Info("failure domain is emptied", "failure_domain", domain, "endpoints", c.endpointsIn(domain))
 }
 
@@ -22,7 +24,7 @@
 	}
 	delete(c.emptied, domain)
 	c.log.Info("failure domain is restored", "failure_domain", domain, "endpoints", c.endpointsIn(domain),
-		"emptied_ms", time.Since(since).Milliseconds())
+		"emptied_ms", steady.Since(since).Milliseconds())
 }
 
 // endpointsIn counts the endpoints of a failure domain.
--- a/catalog/following.go
+++ b/catalog/following.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/linkmast/linkmast/catalog/catalogpb"
+	"github.com/linkmast/linkmast/internal/steady"
 )
 
 // The times of following other instances. Round trips between them take a few
@@ -46,7 +47,7 @@
 			continue
 		}
 		p, patient := r.source(try)
-		began := time.Now()
+		began := steady.Now()
 		// Those that start together are all about to know something.
 		patient = patient || c.Snapshot() == nil
 		err := c.followOne(ctx, p, patient)
@@ -56,12 +57,12 @@
 		// With nobody to follow, this instance reads the store after the delay of
 		// its place in the order.
 		c.heard.reset()
-		c.leave(p, err, time.Since(began))
-		if time.Since(began) > openWithin {
+		c.leave(p, err, steady.Since(began))
+		if steady.Since(began) > openWithin {
 			// It worked for a while: the order is tried from its start.
 			try = -1
 		}
-		sleep(ctx, lookPause(patient, time.Since(began)))
+		sleep(ctx, lookPause(patient, steady.Since(began)))
 	}
 }
 
@@ -82,7 +83,7 @@
 	switch status.Code(err) {
 	case codes.FailedPrecondition, codes.ResourceExhausted:
 		// It answered, and would tell when the store is back.
-		c.contact.mark(time.Now())
+		c.contact.mark(steady.Now())
 		c.log.V(1).Info("can't follow", "peer", p.ID, "cause", err.Error(), "ms", after.Milliseconds())
 		return
 	default:
@@ -212,14 +213,14 @@
 	p.Patient = patient
 	f.seq++
 	p.Seq = f.seq
-	f.sent[f.seq] = time.Now()
+	f.sent[f.seq] = steady.Now()
 	return f.stream.Send(p)
 }
 
 // ping asks for the age.
 func (f *following) ping() error {
 	f.seq++
-	f.sent[f.seq] = time.Now()
+	f.sent[f.seq] = steady.Now()
 	return f.stream.Send(&catalogpb.Ping{
 		Seq: f.seq,
 		Has: noOffset,
@@ -246,7 +247,7 @@
 // takeAge takes over an age. It counts from when its ping was sent.
 func (f *following) takeAge(a *catalogpb.Age) error {
 	c := f.catalog
-	c.contact.mark(time.Now())
+	c.contact.mark(steady.Now())
 	sent := f.sent[a.GetSeq()]
 	for seq := range f.sent {
 		if seq <= a.GetSeq() {
--- a/catalog/introducing.go
+++ b/catalog/introducing.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/linkmast/linkmast/catalog/catalogpb"
+	"github.com/linkmast/linkmast/internal/steady"
 )
 
 // The measures of introductions. An instance that starts while the store does not
@@ -49,7 +50,7 @@
 			delete(due, p.ID)
 			continue
 		}
-		now := time.Now()
+		now := steady.Now()
 		if now.Before(due[p.ID]) {
 			continue
 		}
--- a/catalog/outage.go
+++ b/catalog/outage.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/linkmast/linkmast/internal/steady"
 )
 
 // The times of trying a store that can't be read.
@@ -71,7 +73,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	c.troubled(time.Now())
+	c.troubled(steady.Now())
 	if failures == 1 {
 		c.log.Info("store can't be read", "feed", f.String(), "cause", err.Error())
 	}
--- a/catalog/readers.go
+++ b/catalog/readers.go
@@ -5,6 +5,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/linkmast/linkmast/internal/steady"
 )
 
 // lookEvery is how often an instance looks whether it should read the store, or
@@ -66,7 +68,7 @@
 		return c.read.within(c.fresh()) && c.followers.count() > 0 && !r.before(c.via.Load().root)
 	}
 	if _, marked := c.unheard.since(); !marked {
-		c.unheard.mark(time.Now())
+		c.unheard.mark(steady.Now())
 	}
 	return !c.unheard.within(readDelay(r.self))
 }
--- a/catalog/reading.go
+++ b/catalog/reading.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/linkmast/linkmast/internal/steady"
 )
 
 // The times of reading the store.
@@ -30,7 +32,7 @@
 // answered notes that the store showed the newest configuration to a read.
 func (c *Catalog) answered(sent time.Time) {
 	c.confirm(sent)
-	c.read.mark(time.Now())
+	c.read.mark(steady.Now())
 	c.fresher.fire()
 }
 
@@ -122,8 +124,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-tick.C:
-			c.expire(now)
+		case <-tick.C:
+			c.expire(steady.Now())
 		}
 	}
 }
@@ -181,7 +183,7 @@
 func (c *Catalog) readWhole(ctx context.Context, f Feed) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, wholeTimeout)
 	defer cancel()
-	sent := time.Now()
+	sent := steady.Now()
 	records, next, err := c.store.Whole(ctx, f)
 	if err != nil {
 		return unread, err
@@ -219,7 +221,7 @@
 		kicked, stop = retry.watch(cancel)
 		defer stop()
 	}
-	sent := time.Now()
+	sent := steady.Now()
 	records, next, err := c.store.Follow(ctx, f, from, wait)
 	if errors.Is(err, ErrCompacted) {
 		c.log.Info("feed is read whole again", "feed", f.String(), "from", from)
@@ -237,7 +239,7 @@
 	case f == Configurations:
 		c.answered(sent)
 	case len(records) > 0:
-		sleep(ctx, spacing-time.Since(sent))
+		sleep(ctx, spacing-steady.Since(sent))
 	}
 	return next, nil
 }
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -6,6 +6,7 @@
 	"maps"
 	"time"
 
+	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/quarantine"
 	"github.com/linkmast/linkmast/route"
 )
@@ -73,7 +74,7 @@
 		Peers:     make(map[string]Peer, len(c.peers)),
 	}
 	for k, at := range c.departed {
-		if time.Since(at) > departedFor {
+		if steady.Since(at) > departedFor {
 			delete(c.departed, k)
 			c.lives.forget(k, c.endpoints)
 			continue
--- a/entry/answers.go
+++ b/entry/answers.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/linkmast/linkmast/claim/claimpb"
+	"github.com/linkmast/linkmast/internal/steady"
 )
 
 // maxKeptBytes bounds one answer that is kept.
@@ -81,7 +82,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.expire(time.Now())
+	a.expire(steady.Now())
 	a.kept[request] = k
 	return k
 }
@@ -153,7 +154,7 @@
 	}
 	k.ended = true
 	k.outcome = outcome
-	k.endedAt = time.Now()
+	k.endedAt = steady.Now()
 	k.announce()
 }
 
--- a/entry/call.go
+++ b/entry/call.go
@@ -5,10 +5,10 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/go-faster/errors"
 
+	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/owner"
 	"github.com/linkmast/linkmast/plain"
 	"github.com/linkmast/linkmast/problem"
@@ -28,7 +28,7 @@
 			e.release(h, owner.NotStarted, 0)
 			return fail
 		}
-		if !time.Now().Before(h.startBy) {
+		if !steady.Now().Before(h.startBy) {
 			e.release(h, owner.NotStarted, 0)
 			continue
 		}
--- a/entry/complete.go
+++ b/entry/complete.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/linkmast/linkmast/engine"
+	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/owner"
 	"github.com/linkmast/linkmast/policy"
 	"github.com/linkmast/linkmast/problem"
@@ -78,7 +79,7 @@
 		e.disband(t, owner.NotStarted)
 		return false, fail
 	}
-	if !time.Now().Before(t.lead.startBy) {
+	if !steady.Now().Before(t.lead.startBy) {
 		e.disband(t, owner.NotStarted)
 		return true, problem.Busy(problem.CodeBusy, "the lease lapsed before it was used", defaultRetry)
 	}
@@ -257,7 +258,7 @@
 
 // pass hands one token to the caller.
 func (r *run) pass(k engine.Chunk) error {
-	r.last = time.Now()
+	r.last = steady.Now()
 	r.tokens++
 	if r.tokens == 1 {
 		r.first = r.last
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/owner"
 	"github.com/linkmast/linkmast/policy"
 	"github.com/linkmast/linkmast/problem"
@@ -88,7 +89,7 @@
 		p := problem.New(problem.CodeCancelled, statusClosed, "the caller has gone")
 		p.Ran = j.ran()
 		return p
-	case ctx.Err() != nil || !time.Now().Before(j.deadline):
+	case ctx.Err() != nil || !steady.Now().Before(j.deadline):
 		p := problem.New(problem.CodeDeadlinePassed, http.StatusGatewayTimeout, "the deadline has passed")
 		p.Ran = j.ran()
 		p.RetryAfter = defaultRetry
@@ -112,7 +113,7 @@
 // true when another try makes sense.
 func (e *Entry) leaseOnce(ctx context.Context, s *search, w policy.Work) (*held, bool) {
 	j := s.job
-	c := e.fleet.choose(j.group(), &w, j.hit, s.skip, time.Now())
+	c := e.fleet.choose(j.group(), &w, j.hit, s.skip, steady.Now())
 	if c.Index < 0 {
 		return nil, s.startOver(ctx)
 	}
@@ -152,7 +153,7 @@
 			attempt:  attempt,
 			endpoint: c.endpoint,
 			leaser:   leaser,
-			startBy:  time.Now().Add(g.StartWithin),
+			startBy:  steady.Now().Add(g.StartWithin),
 		}, false
 	}
 	e.Registry.drop(attempt)
--- a/entry/http.go
+++ b/entry/http.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/internal/wirehttp"
 	"github.com/linkmast/linkmast/limit"
 	"github.com/linkmast/linkmast/plain"
@@ -44,7 +45,7 @@
 	defer e.inFlight.Add(-1)
 	j := &job{
 		id:      e.newID(),
-		arrived: time.Now(),
+		arrived: steady.Now(),
 	}
 	w.Header().Set(HeaderRequest, j.id)
 	e.metrics.add("requests", 1)
@@ -67,7 +68,7 @@
 		customer = j.customer.ID
 	}
 	e.parts.Log.Info("refused", "request", j.id, "customer", customer, "code", string(p.Code), "ran", string(p.Ran),
-		"detail", p.Detail, "retry_after_ms", p.RetryAfter.Milliseconds(), "after_ms", time.Since(j.arrived).Milliseconds())
+		"detail", p.Detail, "retry_after_ms", p.RetryAfter.Milliseconds(), "after_ms", steady.Since(j.arrived).Milliseconds())
 	e.stories.add(j.id, Event{
 		What:   "refused",
 		Reason: string(p.Code) + ": " + p.Detail,
@@ -181,7 +182,7 @@
 // runs at most once. Then it runs f.
 func (e *Entry) admitted(w http.ResponseWriter, r *http.Request, j *job, f func(context.Context, Writer) *problem.Error) *problem.Error {
 	e.stories.begin(j)
-	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
+	ctx, cancel := context.WithTimeout(r.Context(), steady.Until(j.deadline))
 	defer cancel()
 	giveBack, refusal := e.parts.Borrower.Take(ctx, j.customer.ID, limit.Bounds{
 		Rate:        j.customer.RequestsPerSecond,
--- a/entry/once.go
+++ b/entry/once.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/linkmast/linkmast/claim"
+	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/problem"
 )
 
@@ -41,7 +42,7 @@
 		k.end(errNoAnswer)
 		return e.attach(ctx, j, winner, caller)
 	}
-	run, cancel := context.WithDeadline(context.WithoutCancel(ctx), j.deadline)
+	run, cancel := context.WithTimeout(context.WithoutCancel(ctx), steady.Until(j.deadline))
 	defer cancel()
 	fail := f(run, &teeWriter{
 		caller: caller,
--- a/entry/team.go
+++ b/entry/team.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/linkmast/linkmast/engine"
+	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/owner"
 	"github.com/linkmast/linkmast/problem"
 )
@@ -87,8 +88,8 @@
 // about keeps from others.
 func (e *Entry) gatherTeam(ctx context.Context, s *search, n int) (*team, *problem.Error) {
 	var fail *problem.Error
-	until := time.Now().Add(teamSearch)
-	for try := 0; try == 0 || time.Now().Before(until); try++ {
+	until := steady.Now().Add(teamSearch)
+	for try := 0; try == 0 || steady.Now().Before(until); try++ {
 		if try > 0 {
 			// What refused just now may have another owner in a moment.
 			s.skip = nil
@@ -134,7 +135,7 @@
 		}
 	}
 	// The lead's lease waited for the others.
-	got[0].startBy = time.Now().Add(got[0].StartWithin)
+	got[0].startBy = steady.Now().Add(got[0].StartWithin)
 	return &team{
 		lead:    got[0],
 		members: got[1:],
@@ -156,7 +157,7 @@
 	skip := slices.Clone(s.skip)
 	var out []string
 	for range n {
-		c := e.fleet.choose(s.job.group(), &w, 0, skip, time.Now())
+		c := e.fleet.choose(s.job.group(), &w, 0, skip, steady.Now())
 		if c.Index < 0 {
 			break
 		}
@@ -205,7 +206,7 @@
 		attempt:  attempt,
 		endpoint: id,
 		leaser:   leaser,
-		startBy:  time.Now().Add(g.StartWithin),
+		startBy:  steady.Now().Add(g.StartWithin),
 	}, nil
 }
 
--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -12,6 +12,7 @@
 
 	"github.com/linkmast/linkmast/catalog"
 	"github.com/linkmast/linkmast/catalog/catalogpb"
+	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/internal/wirehttp"
 	"github.com/linkmast/linkmast/peer"
 	"github.com/linkmast/linkmast/platform"
@@ -40,7 +41,7 @@
 		FirstStart: f.FirstStart,
 		Poll:       time.Duration(f.Times.Revoke) / pollsPerRevoke,
 	}, store, g.peers, g.log.WithName("catalog"))
-	g.quarantine = quarantine.New(time.Now, g.log.WithName("quarantine"))
+	g.quarantine = quarantine.New(steady.Now, g.log.WithName("quarantine"))
 	g.assemblePools(client)
 	g.recorder = quarantine.NewRecorder(g.quarantine, store, g.placer.Counts, g.log.WithName("quarantine"))
 	g.assembleServer()
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/linkmast/linkmast/internal/steady"
 )
 
 // The times of a planned stop.
@@ -27,7 +29,9 @@
 		close(g.stopping)
 		g.relay.Stop()
 		within := time.Duration(g.settings.Times.StopWithin) - stopMargin
-		ctx, cancel := context.WithTimeout(ctx, within)
+		// The platform's time goes on while the machine is suspended, and so does what is left
+		// of it here: an answer that is cut at the end of it is cut by this instance.
+		ctx, cancel := steady.WithTimeout(ctx, within)
 		defer cancel()
 		select {
 		case <-ctx.Done():
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/internal/tcp"
 )
 
@@ -73,7 +74,7 @@
 		if c == nil {
 			break
 		}
-		if rest := time.Since(c.rested); rest < fresh && rest < c.keep && c.quiet() {
+		if rest := steady.Since(c.rested); rest < fresh && rest < c.keep && c.quiet() {
 			return c, nil
 		}
 		c.close()
@@ -105,7 +106,7 @@
 		c.close()
 		return
 	}
-	c.rested = time.Now()
+	c.rested = steady.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[c.address]) >= maxIdle {
@@ -120,7 +121,7 @@
 func (p *Pool) Sweep() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
+	now := steady.Now()
 	for address, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/linkmast/linkmast/internal/steady/steadytest"
 	"github.com/linkmast/linkmast/internal/upstream"
 )
 
@@ -151,6 +152,26 @@
 	}
 }
 
+// TestSuspended suspends the machine while a connection rests: its endpoint may have given it
+// up meanwhile, and a request that must not run twice would be lost.
+func TestSuspended(t *testing.T) {
+	is := is.New(t)
+	m := steadytest.New(t)
+	e := newEndpoint(t, func(c net.Conn, r *http.Request, _ int) bool {
+		io.WriteString(c, ok(r.Header.Get("Id"), "hi"))
+		return true
+	})
+	p := upstream.New(upstream.Settings{})
+	for i, rest := range []time.Duration{0, time.Second, 0} {
+		r := e.request(fmt.Sprint(i))
+		r.Fresh = time.Second
+		_, err := do(t, p, r)
+		is.NoErr(err)
+		m.Suspend(rest)
+	}
+	is.Equal(e.conns.Load(), int64(2))
+}
+
 // TestLateExtraAnswer lets the answer to an earlier request come where the next
 // one is due.
 func TestLateExtraAnswer(t *testing.T) {
--- a/limit/borrower.go
+++ b/limit/borrower.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/linkmast/linkmast/internal/steady"
 )
 
 // Keepers asks the keeper of a customer.
@@ -98,7 +100,7 @@
 	w := b.wallet(customer)
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	now := time.Now()
+	now := steady.Now()
 	if w.bounds != bounds {
 		w.bounds = bounds
 		w.starts = 0
@@ -126,7 +128,7 @@
 	w := b.customers[customer]
 	if w == nil {
 		w = &wallet{
-			since: time.Now(),
+			since: steady.Now(),
 		}
 		b.customers[customer] = w
 	}
@@ -232,7 +234,7 @@
 	if w.inUse == 0 || w.bounds.Concurrency <= 0 {
 		return
 	}
-	now := time.Now()
+	now := steady.Now()
 	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
 	defer cancel()
 	loan, err := b.keepers.Borrow(ctx, Ask{
--- a/limit/grpc.go
+++ b/limit/grpc.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"google.golang.org/grpc"
 
+	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/limit/limitpb"
 )
 
@@ -45,7 +46,7 @@
 		Borrower: in.Borrower,
 		Starts:   int(in.Starts),
 		Running:  int(in.Running),
-	}, b, time.Now())
+	}, b, steady.Now())
 	return &limitpb.BorrowReply{
 		Starts:       int32(loan.Starts),
 		Running:      int32(loan.Running),
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -14,6 +14,8 @@
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/linkmast/linkmast/internal/steady/steadytest"
 )
 
 // The seed of the drawn cases is fixed, so that every run has the same verdict;
@@ -148,6 +150,51 @@
 	}
 }
 
+// TestLentOverSuspension has an instance spend what it borrowed while it can't reach the lender,
+// with the machine suspended before that or not. What was lent has lapsed in a suspension, as
+// it has for the lender: what is in use already is all of the instance's share.
+func TestLentOverSuspension(t *testing.T) {
+	for _, row := range []struct {
+		name      string
+		suspended time.Duration
+		refused   bool
+	}{
+		{"not suspended", 0, false},
+		{"suspended", startsValid, true},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			m := steadytest.New(t)
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				k := &keepers{
+					lender: NewLender(time.Minute),
+					nodes:  100,
+				}
+				w := NewBorrower("n0", k)
+				defer w.Close()
+				take := func() (func(), *Refusal) {
+					return w.Take(t.Context(), "club", Bounds{
+						Concurrency: 10,
+					})
+				}
+				held, refusal := take()
+				is.True(refusal == nil)
+				defer held()
+				for range 11 { // often enough that several starts are borrowed at once
+					time.Sleep(5 * time.Millisecond)
+					back, refusal := take()
+					is.True(refusal == nil)
+					back()
+				}
+				k.setCut(true)
+				m.Suspend(row.suspended)
+				_, refusal = take()
+				is.Equal(refusal != nil, row.refused)
+			})
+		})
+	}
+}
+
 // TestConcurrencyHoldsAcrossNodes proves that requests in flight stay within
 // the limit over all nodes, that what a lost node borrowed comes back, and that
 // a node that is cut off goes on with a share.
--- a/member/grpc.go
+++ b/member/grpc.go
@@ -4,11 +4,11 @@
 
 import (
 	"context"
-	"time"
 
 	"google.golang.org/grpc"
 
 	"github.com/linkmast/linkmast/instances"
+	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/member/memberpb"
 )
 
@@ -34,7 +34,7 @@
 // Answer answers a probe.
 func (m *Member) Answer(in *memberpb.ProbeRequest) *memberpb.ProbeReply {
 	m.mu.Lock()
-	m.heard[in.From] = time.Now()
+	m.heard[in.From] = steady.Now()
 	reply := &memberpb.ProbeReply{
 		Instance:   m.settings.Self.ID,
 		Stopping:   m.stopping,
--- a/member/probe.go
+++ b/member/probe.go
@@ -6,9 +6,9 @@
 	"context"
 	"math/rand/v2"
 	"sync"
-	"time"
 
 	"github.com/linkmast/linkmast/instances"
+	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/member/memberpb"
 )
 
@@ -89,13 +89,13 @@
 	defer m.mu.Unlock()
 	m.fails[id]++
 	if m.fails[id] >= failsReport {
-		m.report(id, m.settings.Self.ID, time.Now())
+		m.report(id, m.settings.Self.ID, steady.Now())
 	}
 }
 
 // reached ends the instance's own report of a peer. The caller holds the lock.
 func (m *Member) reached(id string) {
 	m.fails[id] = 0
-	m.heard[id] = time.Now()
+	m.heard[id] = steady.Now()
 	delete(m.reports[id], m.settings.Self.ID)
 }
--- a/member/rebuild.go
+++ b/member/rebuild.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/linkmast/linkmast/instances"
+	"github.com/linkmast/linkmast/internal/steady"
 )
 
 // built is what a view was made from.
@@ -48,7 +49,7 @@
 func (m *Member) rebuild() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := time.Now()
+	now := steady.Now()
 	state := m.state(now)
 	if m.view.Load() != nil && state == m.built {
 		return
--- a/member/report.go
+++ b/member/report.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/member/memberpb"
 )
 
@@ -38,7 +39,7 @@
 func (m *Member) outgoing() []*memberpb.Report {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := time.Now()
+	now := steady.Now()
 	var out []*memberpb.Report
 	for id, by := range m.reports {
 		for reporter, at := range by {
@@ -67,7 +68,7 @@
 func (m *Member) incoming(reports []*memberpb.Report) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := time.Now()
+	now := steady.Now()
 	for _, r := range reports {
 		at := now.Add(-time.Duration(r.AgeMs) * time.Millisecond)
 		if r.Reporter == m.settings.Self.ID || at.Before(m.heard[r.Instance]) {
--- a/node/peers.go
+++ b/node/peers.go
@@ -4,13 +4,13 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/go-faster/errors"
 	"google.golang.org/grpc"
 
 	"github.com/linkmast/linkmast/claim"
 	"github.com/linkmast/linkmast/instances"
+	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/limit"
 	"github.com/linkmast/linkmast/member"
 	"github.com/linkmast/linkmast/owner"
@@ -140,7 +140,7 @@
 		return limit.Loan{}, errors.New("there is no instance")
 	}
 	if i.ID == p.self.ID {
-		return p.local.lender.Lend(a, b, time.Now()), nil
+		return p.local.lender.Lend(a, b, steady.Now()), nil
 	}
 	c, err := p.conn(i)
 	if err != nil {
--- a/order/order.go
+++ b/order/order.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/linkmast/linkmast/engine"
+	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/logsvc"
 	"github.com/linkmast/linkmast/weights"
 )
@@ -154,7 +155,7 @@
 	defer o.mu.Unlock()
 	if p := o.progress[t.Endpoint]; p != nil {
 		p.want = t.Want
-		p.next = time.Now().Add(after)
+		p.next = steady.Now().Add(after)
 	}
 	return out
 }
@@ -163,7 +164,7 @@
 func (o *Orders) due(t *Target, have State) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	now := time.Now()
+	now := steady.Now()
 	p := o.progress[t.Endpoint]
 	if p == nil {
 		p = &progress{
--- a/owner/grpc.go
+++ b/owner/grpc.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/owner/ownerpb"
 	"github.com/linkmast/linkmast/policy"
 )
@@ -46,7 +47,7 @@
 
 // Acquire implements ownerpb.OwnerServer.
 func (s *Server) Acquire(in *ownerpb.AcquireRequest, out grpc.ServerStreamingServer[ownerpb.AcquireUpdate]) error {
-	now := time.Now()
+	now := steady.Now()
 	r := Request{
 		Attempt:  in.Attempt,
 		Holder:   in.Holder,
@@ -172,7 +173,7 @@
 	var last *ownerpb.Summaries
 	var sent time.Time
 	for {
-		now := time.Now()
+		now := steady.Now()
 		next := Encode(s.owner.Summaries())
 		if now.Sub(sent) >= watchRepeat || !proto.Equal(next, last) {
 			if err := out.Send(next); err != nil {
@@ -272,7 +273,7 @@
 	defer cancel()
 	life := time.AfterFunc(silence, cancel)
 	defer life.Stop()
-	now := time.Now()
+	now := steady.Now()
 	stream, err := c.rpc.Acquire(ctx, &ownerpb.AcquireRequest{
 		Attempt:      r.Attempt,
 		Holder:       r.Holder,
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -13,6 +13,7 @@
 
 	"github.com/linkmast/linkmast/config"
 	"github.com/linkmast/linkmast/engine"
+	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/order"
 	"github.com/linkmast/linkmast/plain"
 	"github.com/linkmast/linkmast/policy"
@@ -242,7 +243,7 @@
 func (o *Owner) Summaries() []policy.Summary {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	now := time.Now()
+	now := steady.Now()
 	out := make([]policy.Summary, 0, len(o.owned))
 	for id, e := range o.owned {
 		out = append(out, e.summary(id, now))
--- a/owner/queue.go
+++ b/owner/queue.go
@@ -7,6 +7,7 @@
 	"math"
 	"time"
 
+	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/policy"
 )
 
@@ -69,7 +70,7 @@
 	case e.ledger.Memory > 0 && w.request.Work.Bytes > e.ledger.Memory:
 		return 0, refuse(RefusedSize, "the request is larger than the endpoint", 0)
 	}
-	now := time.Now()
+	now := steady.Now()
 	wait := e.estimate(&w.request.Work, now)
 	_, naive := o.settings.Strategy.(policy.Naive)
 	if !naive {
@@ -155,7 +156,7 @@
 			o.mu.Lock()
 			defer o.mu.Unlock()
 			e.pumping = false
-			o.pump(e, time.Now())
+			o.pump(e, steady.Now())
 		})
 	}
 }
@@ -230,7 +231,7 @@
 
 // end returns what a lease held. The caller holds the lock.
 func (o *Owner) end(e *endpoint, attempt string) {
-	now := time.Now()
+	now := steady.Now()
 	delete(e.leases, attempt)
 	e.ledger.Remove(attempt, now)
 	o.pump(e, now)
@@ -258,7 +259,7 @@
 	if l == nil {
 		return nil
 	}
-	now := time.Now()
+	now := steady.Now()
 	l.confirmed = now
 	if r.Step > 0 {
 		e.ledger.Observe(r.Step)
--- a/owner/sweep.go
+++ b/owner/sweep.go
@@ -11,6 +11,7 @@
 
 	"github.com/linkmast/linkmast/config"
 	"github.com/linkmast/linkmast/engine"
+	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/order"
 )
 
@@ -124,7 +125,7 @@
 	if digest != engine.Digest(maps.Keys(e.leases)) {
 		return true
 	}
-	now := time.Now()
+	now := steady.Now()
 	for _, l := range e.leases {
 		if now.Sub(l.confirmed) > o.settings.ConfirmAfter {
 			return true
@@ -154,7 +155,7 @@
 	e.aside = false
 	e.known = true
 	e.instance = s.Instance
-	o.pump(e, time.Now())
+	o.pump(e, steady.Now())
 }
 
 // suspects returns, by holder, the attempts that the holder must be asked
@@ -162,7 +163,7 @@
 func (o *Owner) suspects(e *endpoint, running map[string]engine.Held) map[string][]string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	now := time.Now()
+	now := steady.Now()
 	ask := make(map[string][]string)
 	foreign := int64(0)
 	for id, h := range running {
@@ -218,7 +219,7 @@
 func (o *Owner) judge(e *endpoint, holder string, ids, held []string, err error, running map[string]engine.Held) []string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	now := time.Now()
+	now := steady.Now()
 	has := make(map[string]bool, len(held))
 	for _, id := range held {
 		has[id] = true
--- a/pool/budget.go
+++ b/pool/budget.go
@@ -28,11 +28,17 @@
 		again int
 	}
 	at int64
+	// began is when the first send was counted.
+	began time.Time
 }
 
-// roll forgets what lies before the window.
+// roll forgets what lies before the window. It goes by the time since the first send: a step
+// of the time of day would else give the budget once more, or keep it spent.
 func (s *spender) roll(now time.Time) int {
-	slot := now.UnixNano() / max(int64(s.budget.Window)/budgetSlots, 1)
+	if s.began.IsZero() {
+		s.began = now
+	}
+	slot := max(int64(now.Sub(s.began)), 0) / max(int64(s.budget.Window)/budgetSlots, 1)
 	if gap := slot - s.at; gap > 0 {
 		for i := range min(gap, budgetSlots) {
 			s.slots[(slot-i)%budgetSlots].first = 0
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/linkmast/linkmast/catalog"
+	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/placement"
 	"github.com/linkmast/linkmast/quarantine"
 	"github.com/linkmast/linkmast/worth"
@@ -37,7 +38,7 @@
 	// Quarantine is what is known of requests that crash endpoints; the default is an empty
 	// book.
 	Quarantine *quarantine.Book
-	// Now returns the time; the default is time.Now.
+	// Now returns the time; the default is steady.Now.
 	Now func() time.Time
 	// Draw returns a random time below one that is greater than zero; the default is
 	// that of the process's generator.
@@ -64,7 +65,7 @@
 // NewScheduler returns a scheduler without endpoints.
 func NewScheduler(s Settings, log logr.Logger) *Scheduler {
 	if s.Now == nil {
-		s.Now = time.Now
+		s.Now = steady.Now
 	}
 	if s.Draw == nil {
 		s.Draw = rand.N[time.Duration]
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/quarantine"
 	"github.com/linkmast/linkmast/route"
 )
@@ -148,7 +149,7 @@
 
 // left returns the time until the deadline.
 func (j *job) left() time.Duration {
-	return time.Until(j.deadline)
+	return steady.Until(j.deadline)
 }
 
 // defaultWait is how long a caller is taken to wait that does not say.
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/pool"
 	"github.com/linkmast/linkmast/quarantine"
 )
@@ -83,7 +84,7 @@
 		Attempt:  t.ask.ID,
 		Identity: t.job.identity,
 		Began:    t.began,
-		Ended:    time.Now(),
+		Ended:    steady.Now(),
 	}
 	if l.parts.Quarantine.Suspected(c.Identity) {
 		if l.report(c, suspects, t.job.head.ID) {
@@ -102,7 +103,7 @@
 	}
 	select {
 	case <-ctx.Done():
-	case <-time.After(time.Until(j.crashed.Add(quarantine.SettleAfter))):
+	case <-time.After(steady.Until(j.crashed.Add(quarantine.SettleAfter))):
 	}
 	j.crashed = time.Time{}
 }
@@ -116,7 +117,7 @@
 			out = append(out, r.Address)
 		}
 		return out
-	case res.outcome == pool.Rejected && res.culprit != "" && res.culprit != t.grant.Address && time.Since(t.began) > metReader:
+	case res.outcome == pool.Rejected && res.culprit != "" && res.culprit != t.grant.Address && steady.Since(t.began) > metReader:
 		return []string{res.culprit}
 	}
 	return nil
--- a/relay/known.go
+++ b/relay/known.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/linkmast/linkmast/catalog"
+	"github.com/linkmast/linkmast/internal/steady"
 )
 
 // The measures of a request that comes to an instance that knows no configuration.
@@ -35,13 +36,13 @@
 	}
 	held := l.held.Add(1)
 	defer l.held.Add(-1)
-	until := time.Now()
+	until := steady.Now()
 	if !common && held <= maxHeld {
 		until = until.Add(time.Duration(startShare * float64(wait)))
 	}
 	for {
 		known, ok := l.knows()
-		if ok || !time.Now().Before(until) {
+		if ok || !steady.Now().Before(until) {
 			return known
 		}
 		select {
@@ -103,7 +104,7 @@
 func (l *Relay) afterOutage(wait time.Duration) time.Duration {
 	lasts, known := l.parts.Age()
 	if !known {
-		lasts = time.Since(l.began)
+		lasts = steady.Since(l.began)
 	}
 	lasts = max(lasts, leastOutage)
 	if wait > 0 {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/linkmast/linkmast/catalog"
+	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/internal/upstream"
 	"github.com/linkmast/linkmast/pool"
 )
@@ -81,7 +82,7 @@
 		Metrics:  newMetrics(),
 		settings: s,
 		parts:    p,
-		began:    time.Now(),
+		began:    steady.Now(),
 	}
 }
 
@@ -98,7 +99,7 @@
 
 // ServeHTTP implements http.Handler.
 func (l *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	arrived := time.Now()
+	arrived := steady.Now()
 	l.inFlight.Add(1)
 	defer l.inFlight.Add(-1)
 	if l.stopping.Load() {
@@ -116,7 +117,7 @@
 		return
 	}
 	defer leave()
-	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
+	ctx, cancel := context.WithTimeout(r.Context(), j.left())
 	defer cancel()
 	l.serve(ctx, j, w)
 }
--- a/relay/resume.go
+++ b/relay/resume.go
@@ -2,7 +2,11 @@
 
 package relay
 
-import "time"
+import (
+	"time"
+
+	"github.com/linkmast/linkmast/internal/steady"
+)
 
 // resumes states whether the caller has events of its stream, and returns the time left
 // until the next one would be late. A caller that takes a stream up again with another
@@ -14,7 +18,7 @@
 		return false, 0
 	}
 	if e.at.IsZero() {
-		return true, gap - time.Since(j.arrived)
+		return true, gap - steady.Since(j.arrived)
 	}
 	return true, gap - time.Since(e.at)
 }
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -6,10 +6,10 @@
 	"context"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/go-faster/errors"
 
+	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/pool"
 	"github.com/linkmast/linkmast/route"
 )
@@ -29,7 +29,7 @@
 
 // finish ends the answer to the caller.
 func (l *Relay) finish(ctx context.Context, j *job, w http.ResponseWriter, final *refusal) {
-	took := time.Since(j.arrived)
+	took := steady.Since(j.arrived)
 	switch {
 	case final == nil:
 		l.Metrics.add("answered")
@@ -163,7 +163,7 @@
 		Prompt:    j.head.PromptTokens,
 		Output:    j.head.OutputTokens,
 		Content:   j.head.Content,
-		Target:    j.route.Target - time.Since(j.arrived),
+		Target:    j.route.Target - steady.Since(j.arrived),
 		Deadline:  j.left(),
 		Exclude:   j.exclude,
 		Again:     j.sends > 0,
@@ -224,7 +224,7 @@
 		"identity", j.identity.String(),
 		"endpoint", t.grant.Instance, "by", t.grant.By, "readers", len(t.grant.Readers),
 		"waited_ms", t.grant.Waited.Milliseconds(), "first_predicted_ms", t.grant.First.Milliseconds(),
-		"first_ms", t.firstAfter.Milliseconds(), "ms", time.Since(t.began).Milliseconds(),
+		"first_ms", t.firstAfter.Milliseconds(), "ms", steady.Since(t.began).Milliseconds(),
 		"outcome", res.outcome.String(), "reason", res.reason, "status", res.status, "events", j.out.events.count,
 		"longest_gap_ms", t.longestGap.Milliseconds(), "target_ms", j.route.Target.Milliseconds(),
 		"gap_ms", j.route.GapTarget.Milliseconds())
--- a/relay/try.go
+++ b/relay/try.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/internal/upstream"
 	"github.com/linkmast/linkmast/pool"
 	"github.com/linkmast/linkmast/route"
@@ -62,7 +63,7 @@
 
 // run sends the request and passes the answer on.
 func (t *try) run(ctx context.Context) result {
-	t.began = time.Now()
+	t.began = steady.Now()
 	t.caller = ctx
 	hold, err := t.reserve(ctx)
 	if err != nil {
@@ -202,10 +203,10 @@
 	if t.firstAfter > 0 {
 		return
 	}
-	t.firstAfter = time.Since(t.began)
+	t.firstAfter = steady.Since(t.began)
 	t.relay.parts.Placer.First(t.ask.ID, t.ask.Service)
 	if t.job.route.Kind == route.Streaming {
-		t.relay.Metrics.first.observe(time.Since(t.job.arrived))
+		t.relay.Metrics.first.observe(steady.Since(t.job.arrived))
 	}
 }
 
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -14,6 +14,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/linkmast/linkmast/config"
+	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/internal/zdelta"
 	"github.com/linkmast/linkmast/logsvc"
 	"github.com/linkmast/linkmast/rollout/rolloutpb"
@@ -189,7 +190,7 @@
 func (r *Rollout) stale() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return time.Since(r.heard) > r.settings.StaleAfter
+	return steady.Since(r.heard) > r.settings.StaleAfter
 }
 
 // read takes over the next records of the log.
@@ -205,7 +206,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.heard = time.Now()
+	r.heard = steady.Now()
 	for _, v := range r.judge.Apply(b) {
 		r.logger.Info("configuration record", "offset", v.Offset, "publication", v.ID, "operator", v.Operator,
 			"outcome", string(v.Outcome), "reason", v.Reason)
@@ -300,7 +301,7 @@
 	if len(reply.Body) == 0 {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		r.heard = time.Now()
+		r.heard = steady.Now()
 		return
 	}
 	if !reply.Delta {
@@ -321,7 +322,7 @@
 func (r *Rollout) take(s State, reply *rolloutpb.PullReply) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.heard = time.Now()
+	r.heard = steady.Now()
 	r.judge.Skip(s, reply.NextOffset, reply.Sure)
 	r.publishView()
 }
