Test bans in the catalog, the store's records and the relay's judgement of attempts

Ruled out by TestJudge: that an attempt counts whose endpoint is still there, was never reached, or whose reader was gone before.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"github.com/linkmast/linkmast/catalog"
+	"github.com/linkmast/linkmast/quarantine"
 	"github.com/linkmast/linkmast/route"
 )
 
@@ -60,6 +61,9 @@
 // emptiedPrefix begins the keys of emptied failure domains.
 const emptiedPrefix = "emptied/"
 
+// bannedPrefix begins the keys of requests that are kept from endpoints.
+const bannedPrefix = "banned/"
+
 // record makes the record of a change. The caller holds the lock.
 func (s *fakeStore) record(f catalog.Feed, c catalog.Change, offset int64) catalog.Record {
 	r := catalog.Record{
@@ -80,6 +84,11 @@
 	case *catalog.DomainRestored:
 		r.Key = emptiedPrefix + v.Domain
 		return r
+	case *catalog.RequestBanned:
+		r.Key = bannedPrefix + v.Verdict.Identity.String()
+	case *catalog.RequestReleased:
+		r.Key = bannedPrefix + v.Identity.String()
+		return r
 	case *catalog.Malformed:
 		r.Key = v.Key
 	}
@@ -99,6 +108,15 @@
 			Domain: domain,
 		}
 	}
+	if text, ok := strings.CutPrefix(r.Key, bannedPrefix); ok && len(r.Value) == 0 {
+		id, err := quarantine.ParseIdentity(text)
+		if err != nil {
+			panic(err)
+		}
+		return &catalog.RequestReleased{
+			Identity: id,
+		}
+	}
 	if len(r.Value) == 0 {
 		return &catalog.EndpointGone{
 			Instance: r.Key,
--- /dev/null
+++ b/relay/crash_test.go
@@ -0,0 +1,232 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package relay
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/internal/steady"
+	"github.com/linkmast/linkmast/pool"
+	"github.com/linkmast/linkmast/quarantine"
+	"github.com/linkmast/linkmast/route"
+)
+
+// ledger notes what is reported of requests, and answers as it is told to.
+type ledger struct {
+	suspected bool
+	barred    bool
+
+	mu      sync.Mutex
+	crashes []quarantine.Crash
+	served  int
+}
+
+// Enter implements Quarantine.
+func (l *ledger) Enter(quarantine.Identity) (quarantine.Pass, time.Duration, bool) {
+	return quarantine.Pass{
+		Once:  l.suspected,
+		Leave: func() {},
+	}, time.Minute, !l.barred
+}
+
+// Barred implements Quarantine.
+func (l *ledger) Barred(quarantine.Identity) (time.Duration, bool) { return time.Minute, l.barred }
+
+// Suspected implements Quarantine.
+func (l *ledger) Suspected(quarantine.Identity) bool { return l.suspected }
+
+// Crashed implements Quarantine.
+func (l *ledger) Crashed(c quarantine.Crash) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.crashes = append(l.crashes, c)
+}
+
+// Served implements Quarantine.
+func (l *ledger) Served(quarantine.Identity) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.served++
+}
+
+// judged returns a relay that goes by a ledger, and to which only the endpoints that are given
+// are there, with an attempt at e1 that e2 reads for.
+func judged(l *ledger, there ...string) (*Relay, *try) {
+	r := New(Settings{}, Parts{
+		Quarantine: l,
+		Check: func(_ context.Context, address string) error {
+			if slices.Contains(there, address) {
+				return nil
+			}
+			return errors.New("refused")
+		},
+		Log: logr.Discard(),
+	})
+	return r, &try{
+		relay: r,
+		job: &job{
+			identity: 9,
+			route: &route.Route{
+				Kind:        route.Streaming,
+				MaxAttempts: 2,
+			},
+		},
+		grant: pool.Grant{
+			Address: "e1",
+			Readers: []pool.Reader{{
+				Address: "e2",
+			}},
+		},
+		began: steady.Now(),
+	}
+}
+
+// TestJudge ends attempts in all ways, with endpoints that have ended or not.
+func TestJudge(t *testing.T) {
+	all := []string{"e1", "e2"}
+	cut := result{
+		outcome: pool.Failed,
+		cut:     true,
+	}
+	blamed := result{
+		outcome: pool.Rejected,
+		culprit: "e2",
+	}
+	for _, row := range []struct {
+		name  string
+		res   result
+		there []string
+		// took is how long the attempt lasted.
+		took time.Duration
+		// crashed is the endpoint whose end is reported; empty for none.
+		crashed string
+		served  int
+	}{
+		{"broke off, its endpoint is gone", cut, []string{"e2"}, time.Second, "e1", 0},
+		{"broke off, who read for it is gone", cut, []string{"e1"}, time.Second, "e2", 0},
+		{"broke off, all are there", cut, all, time.Second, "", 0},
+		{"silent, its endpoint is gone", result{outcome: pool.Silent}, []string{"e2"}, time.Second, "e1", 0},
+		{"silent, all are there", result{outcome: pool.Silent}, all, time.Second, "", 0},
+		{"never reached", result{outcome: pool.Unreachable}, nil, time.Second, "", 0},
+		{"turned away", result{outcome: pool.Rejected}, nil, time.Second, "", 0},
+		{"who read for it ended meanwhile", blamed, []string{"e1"}, time.Second, "e2", 0},
+		{"who should read for it was gone before", blamed, []string{"e1"}, 10 * time.Millisecond, "", 0},
+		{"failed by its endpoint", result{outcome: pool.Failed, status: http.StatusInternalServerError}, nil, time.Second, "", 0},
+		{"its caller left", result{outcome: pool.Abandoned}, nil, time.Second, "", 0},
+		{"answered", result{outcome: pool.Served, final: true}, nil, time.Second, "", 1},
+		{"its endpoint's failure passed on", result{outcome: pool.Failed, final: true}, nil, time.Second, "", 0},
+	} {
+		for _, suspected := range []bool{false, true} {
+			t.Run(row.name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					l := &ledger{
+						suspected: suspected,
+					}
+					r, attempt := judged(l, row.there...)
+					time.Sleep(row.took)
+					r.judge(attempt, row.res)
+					if suspected {
+						is.Equal(len(l.crashes) > 0, row.crashed != "") // known before the next attempt
+					}
+					synctest.Wait()
+					is.Equal(l.served, row.served)
+					if row.crashed == "" {
+						is.Equal(len(l.crashes), 0)
+						return
+					}
+					is.Equal(len(l.crashes), 1)
+					is.Equal(l.crashes[0].Endpoint, row.crashed)
+					is.Equal(l.crashes[0].Identity, quarantine.Identity(9))
+					is.Equal(l.crashes[0].Ended.Sub(l.crashes[0].Began), row.took)
+				})
+			})
+		}
+	}
+}
+
+// TestSettle lets a suspected request wait before its next attempt, and no other.
+func TestSettle(t *testing.T) {
+	for _, row := range []struct {
+		name      string
+		suspected bool
+		waits     time.Duration
+	}{
+		{"suspected before", true, quarantine.SettleAfter},
+		{"its first crash", false, 0},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r, attempt := judged(&ledger{
+					suspected: row.suspected,
+				})
+				r.judge(attempt, result{
+					outcome: pool.Failed,
+					cut:     true,
+				})
+				began := time.Now()
+				r.settle(t.Context(), attempt.job)
+				is.New(t).Equal(time.Since(began), row.waits)
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// TestBannedMeanwhile looks what a request is told that was banned on its way: that it has not
+// run and when to come back, or only that it failed.
+func TestBannedMeanwhile(t *testing.T) {
+	for _, row := range []struct {
+		name   string
+		ran    bool
+		status int
+	}{
+		{"before it was sent", false, http.StatusServiceUnavailable},
+		{"after an attempt", true, http.StatusBadGateway},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			r, attempt := judged(&ledger{
+				barred: true,
+			})
+			attempt.job.ran = row.ran
+			attempt.job.deadline = steady.Now().Add(time.Minute)
+			ref := r.banned(attempt.job)
+			is.Equal(ref.status, row.status)
+			is.Equal(ref.after > 0, !row.ran)
+		})
+	}
+}
+
+// TestOnce sends a request to one endpoint only whose ban is over, although its route allows
+// two.
+func TestOnce(t *testing.T) {
+	is := is.New(t)
+	r, attempt := judged(&ledger{
+		suspected: true,
+	})
+	j := attempt.job
+	j.route.Resumable = true
+	leave, ref := r.enter(j)
+	is.True(ref == nil)
+	defer leave()
+	j.out = newAnswer(nil, j)
+	j.ran, j.sends = true, 1
+	j.deadline = steady.Now().Add(time.Minute)
+	again, _ := r.next(t.Context(), j, attempt, result{
+		outcome: pool.Failed,
+		broke:   true,
+		cut:     true,
+	})
+	is.True(!again)
+}
