--- a/pool/messages_test.go
+++ b/pool/messages_test.go
@@ -8,6 +8,9 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/linkmast/linkmast/quarantine"
 )
 
 // TestMessages sends an ask and a grant through their messages: nothing is lost, and each
@@ -68,6 +71,40 @@
 	})
 }
 
+// TestCrashMessages sends a crash and a verdict through their messages, and looks that they
+// stay small: the loss of a failure domain brings thousands of crashes to an owner, and an
+// instance that starts up to 512 verdicts.
+func TestCrashMessages(t *testing.T) {
+	t.Run("crash", func(t *testing.T) {
+		is := is.New(t)
+		now := time.Now()
+		c := quarantine.Crash{
+			Attempt:  "0123456789abcdef.an-instance-of-a-long-name-17.zz",
+			Endpoint: "10.128.100.100:8080",
+			Identity: 1 << 63,
+			Began:    now.Add(-2 * time.Second),
+			Ended:    now.Add(-time.Second),
+		}
+		assertSet(t, c)
+		m := crashedMessage(c, now)
+		is.Equal(decodeCrashed(m.GetCrashed(), now), c)
+		is.True(proto.Size(m) <= 128)
+	})
+	t.Run("verdict", func(t *testing.T) {
+		is := is.New(t)
+		v := quarantine.Verdict{
+			Identity: 1 << 63,
+			State:    quarantine.Banned,
+			For:      24 * time.Hour,
+			Times:    9,
+		}
+		assertSet(t, v)
+		is.Equal(decodeVerdict(verdictToEntry(v).GetVerdict()), v)
+		is.Equal(decodeVerdict(verdictToOwner(v).GetVerdict()), v)
+		is.True(proto.Size(verdictToEntry(v)) <= 32)
+	})
+}
+
 // assertSet looks that no field of a struct is zero.
 func assertSet(t *testing.T, v any) {
 	t.Helper()
