--- a/internal/tcp/tcptest/proxy.go
+++ b/internal/tcp/tcptest/proxy.go
@@ -30,12 +30,13 @@
 	// Address is where the proxy listens.
 	Address string
 
-	target   string
-	listener net.Listener
+	target string
 
-	mu      sync.Mutex
-	link    Link
-	changed chan struct{}
+	mu       sync.Mutex
+	listener net.Listener
+	closed   bool
+	link     Link
+	changed  chan struct{}
 	// conns are both ends of the connections that are passed on, and silent of those
 	// that went silent for good.
 	conns  map[net.Conn]struct{}
@@ -56,7 +57,7 @@
 		conns:    make(map[net.Conn]struct{}),
 		silent:   make(map[net.Conn]struct{}),
 	}
-	go p.accept()
+	go p.accept(l)
 	return p, nil
 }
 
@@ -72,6 +73,32 @@
 	}
 }
 
+// Refuse refuses connections, and resets those that are open, as the end of the target's
+// process does, until Accept.
+func (p *Proxy) Refuse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	// It may be refusing already.
+	_ = p.listener.Close()
+	p.resetAll()
+}
+
+// Accept ends what Refuse began, at the same address. The error is that of listening there.
+func (p *Proxy) Accept() error {
+	l, err := net.Listen("tcp", p.Address)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return l.Close()
+	}
+	p.listener = l
+	go p.accept(l)
+	return nil
+}
+
 // Silence makes all open connections silent for good: nothing comes through any more, and
 // neither end is told. New ones work.
 func (p *Proxy) Silence() {
@@ -84,10 +111,11 @@
 
 // Close ends the proxy and its connections.
 func (p *Proxy) Close() {
-	// Nothing is left to do about an error.
-	_ = p.listener.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.closed = true
+	// Nothing is left to do about an error.
+	_ = p.listener.Close()
 	p.resetAll()
 }
 
@@ -107,10 +135,10 @@
 	_ = c.Close()
 }
 
-// accept serves connections until the proxy is closed.
-func (p *Proxy) accept() {
+// accept serves the connections of a listener until that is closed.
+func (p *Proxy) accept(l net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/tcp/tcptest/proxy_test.go
+++ b/internal/tcp/tcptest/proxy_test.go
@@ -59,6 +59,19 @@
 	}
 }
 
+// TestRefuse refuses connections for a while, as a process that has ended does.
+func TestRefuse(t *testing.T) {
+	is := is.New(t)
+	p, err := NewProxy(echo(t))
+	is.NoErr(err)
+	defer p.Close()
+	p.Refuse()
+	_, err = net.Dial("tcp", p.Address)
+	is.True(errors.Is(err, syscall.ECONNREFUSED))
+	is.NoErr(p.Accept())
+	is.Equal(heard(t, p.Address), "hello")
+}
+
 // TestSilence makes a connection silent for good. The next one works.
 func TestSilence(t *testing.T) {
 	is := is.New(t)
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -28,7 +28,7 @@
 	suspectFor = 10 * time.Minute
 )
 
-// The bounds of what is remembered. With both reached a book takes 1.5 MB.
+// The bounds of what is remembered. With both reached a book takes 1.6 MB.
 const (
 	// maxSuspects are those of the loss of a failure domain with some hundred engines.
 	maxSuspects = 4096
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -58,7 +59,7 @@
 			})
 		}
 	}
-	return append(out, w.judgeEnd()...)
+	return slices.Concat(out, w.judgeCrashes(), w.judgeEnd())
 }
 
 // judgeOne holds one exchange against the runs of its request.
--- a/soak/play.go
+++ b/soak/play.go
@@ -62,9 +62,9 @@
 		return
 	}
 	if f, ok := endpointFaults[s.Kind]; ok {
-		e.SetFaults(f)
+		e.fail(f)
 		time.Sleep(s.For)
-		e.SetFaults(platformtest.EndpointFaults{})
+		e.fail(platformtest.EndpointFaults{})
 		return
 	}
 	if l, ok := storeLinks[s.Kind]; ok {
@@ -159,6 +159,8 @@
 		w.empty(domainOf(s.Target), s.For)
 	case "endpoint starts again":
 		w.startAgain(e, s.For)
+	case requestCrashes:
+		w.sendCrashing(s)
 	}
 }
 
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -37,7 +37,7 @@
 	{"endpoint loses answers", 2}, {"endpoint link slow", 1}, {"endpoint link reset", 1}, {"endpoint link one way", 1},
 	{"endpoint slow", 1}, {"endpoint leaves", 2}, {"key taken away", 3},
 	{"store connections silent", 2}, {endpointsSilent, 2}, {"all lost in an outage", 1},
-	{"domain emptied", 2}, {"endpoint starts again", 2},
+	{"domain emptied", 2}, {"endpoint starts again", 2}, {requestCrashes, 2},
 }
 
 // endpointsSilent lets the open connections to an endpoint go silent for good.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -88,7 +88,7 @@
 	stop()
 	loading.Wait()
 	wait(ctx, settleFor)
-	return c.all()
+	return append(c.all(), w.sentCrashing()...)
 }
 
 // wait waits for a time, or until ctx ends.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -223,3 +223,40 @@
 		})
 	}
 }
+
+// TestLate counts the runs of a request that crashes endpoints which come too late.
+func TestLate(t *testing.T) {
+	start := time.Now()
+	lost := playedStep{
+		step: Step{
+			Kind: "all lost in an outage",
+			For:  time.Second,
+		},
+		began: start.Add(10 * time.Second),
+	}
+	for _, row := range []struct {
+		name string
+		// runs are in seconds.
+		runs   []float64
+		played []playedStep
+		want   int
+	}{
+		{"three", []float64{0, 1, 2}, nil, 0},
+		{"in time after the third", []float64{0, 1, 2, 3, 4, 5}, nil, 0},
+		{"late", []float64{0, 1, 2, 5.1, 6, 7, 8}, nil, 4},
+		{"as found on several endpoints", []float64{8, 2, 0, 5.1, 1}, nil, 2},
+		{"all known lost in between", []float64{0, 1, 2, 12, 13, 14, 16}, []playedStep{lost}, 0},
+		{"late after that, too", []float64{0, 1, 2, 12, 13, 14, 18}, []playedStep{lost}, 1},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			w := &World{
+				played: row.played,
+			}
+			var at []time.Time
+			for _, s := range row.runs {
+				at = append(at, start.Add(time.Duration(s*float64(time.Second))))
+			}
+			is.New(t).Equal(w.late(at), row.want)
+		})
+	}
+}
--- a/soak/world.go
+++ b/soak/world.go
@@ -73,6 +73,8 @@
 	played []playedStep
 	// emptied are the times for which failure domains were emptied.
 	emptied []emptying
+	// crashing are the exchanges of requests that crash endpoints.
+	crashing []Exchange
 	// keys are the customer's keys by name, with when each was taken away.
 	keys map[string]time.Time
 }
@@ -151,6 +153,8 @@
 	if e.proxy, err = tcptest.NewProxy(address); err != nil {
 		return errors.Wrap(err, "soak")
 	}
+	e.Crash = func() { w.crash(e) }
+	e.fail(platformtest.EndpointFaults{})
 	w.endpoints = append(w.endpoints, e)
 	w.enter(e, false)
 	return nil
