--- a/soak/crash.go
+++ b/soak/crash.go
@@ -127,10 +127,9 @@
 	return n
 }
 
-// allLost states whether all instances ended in an outage of the store between two moments, or
-// within what they need to know from the one before.
+// allLost states whether all instances ended in an outage of the store between two moments.
 func (w *World) allLost(from, to time.Time) bool {
 	return slices.ContainsFunc(w.played, func(p playedStep) bool {
-		return p.step.Kind == "all lost in an outage" && p.began.Before(to) && p.ended().After(from.Add(-crashKnownIn))
+		return p.step.Kind == "all lost in an outage" && p.began.Before(to) && p.ended().After(from)
 	})
 }
