Start many instances together in virtual time

The one that replaces it runs over connections in memory and in virtual time, so that its verdict doesn't hang on the machine, and is as strict: none reads beside the readers when the store answers within 50 ms (six were allowed), eight when it takes 100 ms.

For that the catalog's clocks are plain moments: those that counted from the start of the process could not be marked in virtual time.

--- a/catalog/clock.go
+++ b/catalog/clock.go
@@ -9,30 +9,28 @@
 	"github.com/linkmast/linkmast/internal/steady"
 )
 
-// clock is a moment that several goroutines mark and read.
+// clock is a moment that several goroutines mark and read. The zero value was never marked.
 type clock struct {
-	// at is the time since begin in ns, and one more; zero while it is not
-	// marked.
-	at atomic.Int64
+	at atomic.Pointer[time.Time]
 }
 
-// begin is what moments of a clock count from.
-var begin = steady.Now()
-
 // mark sets the clock to a moment.
 func (k *clock) mark(now time.Time) {
-	k.at.Store(int64(now.Sub(begin)) + 1)
+	k.at.Store(&now)
 }
 
 // reset makes the clock one that was never marked.
 func (k *clock) reset() {
-	k.at.Store(0)
+	k.at.Store(nil)
 }
 
 // since returns how long ago the clock was marked; false when it never was.
 func (k *clock) since() (time.Duration, bool) {
 	at := k.at.Load()
-	return steady.Since(begin) - time.Duration(at), at > 0
+	if at == nil {
+		return 0, false
+	}
+	return steady.Since(*at), true
 }
 
 // within states whether the clock was marked at most so long ago.
--- a/catalog/crowd_test.go
+++ b/catalog/crowd_test.go
@@ -17,26 +17,38 @@
 // the readers, and for delays in a line to show.
 const crowdSize = 120
 
-// nextInLine is how many instances read the store when the readers don't answer for a
-// moment: the first eight of the order but for the two readers.
-const nextInLine = 6
-
 // TestStartTogether starts many instances at one moment. All are ready soon, and call the
-// store for who is there only; but for the readers, and a few that are next in line when
-// the machine is too busy for the readers to be soon enough.
+// store for who is there only; but for the readers, and the few that are next in line when the
+// readers need longer than the shortest delay of a line. It runs in virtual time, so that a
+// busy machine delays nobody.
 func TestStartTogether(t *testing.T) {
-	is := is.New(t)
-	fake, all := group(t, crowdSize)
-	reading := awaitReaders(t, all)
-	more := 0
-	for _, x := range all {
-		if !slices.Contains(reading, x) && x.store.calls.Load() > 2 {
-			more++
-		}
+	for _, row := range []struct {
+		name string
+		// read is how long the store takes for a whole read.
+		read time.Duration
+		// more is how many read it beside the readers; 116 of 120 did without delays.
+		more int
+	}{
+		{"the store answers at once", 0, 0},
+		{"within the shortest delay", 50 * time.Millisecond, 0},
+		{"after twice that", 100 * time.Millisecond, 8},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			virtualGroup(t, crowdSize, row.read, func(t *testing.T, fake *fakeStore, all []*instance) {
+				is := is.New(t)
+				reading := awaitReaders(t, all)
+				more := 0
+				for _, x := range all {
+					if !slices.Contains(reading, x) && x.store.calls.Load() > 2 {
+						more++
+					}
+				}
+				is.True(more <= row.more)
+				fake.put(catalog.Configurations, version(2))
+				assertInForce(t, all, 2)
+			})
+		})
 	}
-	is.True(more <= nextInLine)
-	fake.put(catalog.Configurations, version(2))
-	assertInForce(t, all, 2)
 }
 
 // TestOutageOfMany takes the store away from many instances. They seldom ask it, and
--- a/catalog/readers_test.go
+++ b/catalog/readers_test.go
@@ -113,6 +113,12 @@
 
 func startInstance(t *testing.T, fake *fakeStore, self catalog.Peer, l net.Listener) *instance {
 	conns := peer.New(nil)
+	return startInstanceWith(t, fake, self, l, conns, conns.Close)
+}
+
+// startInstanceWith starts an instance that connects to others by a dialer, which is closed at
+// its end.
+func startInstanceWith(t *testing.T, fake *fakeStore, self catalog.Peer, l net.Listener, d catalog.Dialer, closeAll func()) *instance {
 	x := &instance{
 		self: self,
 		store: &seen{
@@ -123,7 +129,7 @@
 	x.Catalog = catalog.New(catalog.Settings{
 		Self: self,
 		Poll: poll,
-	}, x.store, conns, logr.Discard())
+	}, x.store, d, logr.Discard())
 	catalogpb.RegisterCatalogServer(x.rpc, catalog.NewServer(x.Catalog, nil))
 	ctx, cancel := context.WithCancel(context.Background())
 	go x.rpc.Serve(l)
@@ -135,8 +141,8 @@
 	x.stop = sync.OnceFunc(func() {
 		cancel()
 		x.rpc.Stop()
-		conns.Close()
 		<-done
+		closeAll()
 	})
 	t.Cleanup(x.stop)
 	return x
