--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -43,7 +43,7 @@
 	}, store, g.peers, g.log.WithName("catalog"))
 	g.quarantine = quarantine.New(steady.Now, g.log.WithName("quarantine"))
 	g.assemblePools(client)
-	g.recorder = quarantine.NewRecorder(g.quarantine, store, g.placer.Counts, g.log.WithName("quarantine"))
+	g.recorder = quarantine.NewRecorder(g.quarantine, store, g.placer.CountsCrashes, g.log.WithName("quarantine"))
 	g.assembleServer()
 	g.assembleRelay(client)
 }
--- a/pool/client_crashes.go
+++ b/pool/client_crashes.go
@@ -3,6 +3,7 @@
 package pool
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -25,30 +26,26 @@
 	toldAgain = 64
 )
 
-// counting returns the pool whose owners count the crashes of all services, so that no
+// pickCrashPool returns the pool whose owners count the crashes of all services, so that no
 // further links are needed: the first one with engines. The caller holds the lock.
-func (c *Client) counting(snap *catalog.Snapshot) string {
+func (c *Client) pickCrashPool(snap *catalog.Snapshot) string {
 	if len(c.order) == 0 {
 		c.order[noEngines] = c.rank(noEngines, snap)
 		return noEngines
 	}
-	names := make([]string, 0, len(c.order))
-	for name := range c.order {
-		names = append(names, name)
-	}
-	return slices.Min(names)
+	return slices.Min(slices.Collect(maps.Keys(c.order)))
 }
 
-// counters names the pool whose owners count crashes.
-func (c *Client) counters() string {
+// poolOfCrashes names the pool whose owners count crashes.
+func (c *Client) poolOfCrashes() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.counts
+	return c.crashPool
 }
 
-// Counts states whether this instance is the first of those that count crashes.
-func (c *Client) Counts() bool {
-	return c.decides(c.counters()) == c.self.ID
+// CountsCrashes states whether this instance is the first of those that count crashes.
+func (c *Client) CountsCrashes() bool {
+	return c.decides(c.poolOfCrashes()) == c.self.ID
 }
 
 // Crashed reports an attempt whose endpoint has ended.
@@ -62,7 +59,7 @@
 	}
 	c.crashes = append(c.crashes, one)
 	c.mu.Unlock()
-	c.tell(c.counters(), crashedMessage(one, now), nil)
+	c.tell(c.poolOfCrashes(), crashedMessage(one, now), nil)
 }
 
 // Served notes that a request was answered whole.
@@ -70,10 +67,7 @@
 	if !c.local.settings.Quarantine.Served(id) {
 		return
 	}
-	c.mu.Lock()
-	c.crashes = slices.DeleteFunc(c.crashes, func(old quarantine.Crash) bool { return old.Identity == id })
-	c.mu.Unlock()
-	c.tell(c.counters(), verdictToOwner(quarantine.Verdict{
+	c.tell(c.poolOfCrashes(), verdictToOwner(quarantine.Verdict{
 		Identity: id,
 		State:    quarantine.Cleared,
 	}), nil)
@@ -104,10 +98,14 @@
 func (c *Client) crashGreeting() []*poolpb.FromEntry {
 	now := c.local.settings.Now()
 	var out []*poolpb.FromEntry
+	book := c.local.settings.Quarantine
 	for _, one := range c.crashes {
-		out = append(out, crashedMessage(one, now))
+		// What is banned or was cleared is counted no more.
+		if book.Counting(one.Identity) {
+			out = append(out, crashedMessage(one, now))
+		}
 	}
-	for _, v := range c.local.settings.Quarantine.Verdicts() {
+	for _, v := range book.Verdicts() {
 		if v.State == quarantine.Banned {
 			out = append(out, verdictToOwner(v))
 		}
--- a/pool/crash_test.go
+++ b/pool/crash_test.go
@@ -47,6 +47,11 @@
 	return out
 }
 
+// settle waits until a crash that was reported has counted, and what follows is known.
+func settle() {
+	time.Sleep(2 * quarantine.SettleAfter)
+}
+
 // assertBarred waits until all of some instances keep the request from endpoints, or none
 // does.
 func assertBarred(t *testing.T, nodes []*node, want bool) {
@@ -108,6 +113,7 @@
 			// Its own reports would be gone with an owner that ends.
 			f.without(owner)[0].crash(1)
 			f.without(owner)[4].crash(2)
+			settle()
 			gone := row.between(t, f)
 			left := f.without(gone...)
 			assertBarred(t, left, false)
@@ -143,7 +149,7 @@
 func (f *fleet) counting() int {
 	n := 0
 	for _, one := range f.nodes {
-		if one.client.Counts() {
+		if one.client.CountsCrashes() {
 			n++
 		}
 	}
@@ -172,10 +178,11 @@
 		f.owner("")
 		f.nodes[0].crash(0)
 		f.nodes[1].crash(1)
+		settle()
 		f.nodes[3].client.Served(crashing)
 		time.Sleep(50 * time.Millisecond)
 		f.nodes[2].crash(2)
-		time.Sleep(50 * time.Millisecond)
+		settle()
 		assertBarred(t, f.nodes, false)
 	})
 	t.Run("after the ban", func(t *testing.T) {
@@ -190,6 +197,27 @@
 	})
 }
 
+// TestClearedNotToldAgain has a request cleared that crashed two endpoints, and then another owner
+// come, which hears of crashes anew: these count no more.
+func TestClearedNotToldAgain(t *testing.T) {
+	f := newFleet(t, 6)
+	first := f.owner("")
+	left := f.without(first)
+	left[0].crash(0)
+	left[1].crash(1)
+	settle()
+	left[3].client.Served(crashing)
+	time.Sleep(50 * time.Millisecond)
+	close(first.closing)
+	second := f.owner(first.self.ID)
+	close(second.closing)
+	time.Sleep(600 * time.Millisecond) // sessions with the next two
+	left = f.without(first, second)
+	left[2].crash(2)
+	settle()
+	assertBarred(t, left, false)
+}
+
 // TestOutcomesThatAreNoCrash looks that nothing is thought of requests of which no crash is
 // reported.
 func TestOutcomesThatAreNoCrash(t *testing.T) {
@@ -199,6 +227,7 @@
 		f.nodes[i%3].place(t, ask(id))
 		f.nodes[i%3].client.End(id, "engines", pool.Failed, "")
 	}
+	settle()
 	is.New(t).True(!f.nodes[0].client.Suspected(crashing))
 	assertBarred(t, f.nodes, false)
 }
--- a/pool/server.go
+++ b/pool/server.go
@@ -63,6 +63,8 @@
 	sending sync.Mutex
 
 	mu sync.Mutex
+	// over states that the session ends: its entry may say its name at that moment.
+	over bool
 	// asked are the asks that wait for a place, by attempt, with what ends them.
 	asked map[string]context.CancelFunc
 	// attempts are what the entry has running, by id with their service.
@@ -103,6 +105,7 @@
 // in time.
 func (x *session) end() {
 	x.mu.Lock()
+	x.over = true
 	for _, cancel := range x.asked {
 		cancel()
 	}
@@ -129,16 +132,16 @@
 	s := x.server.scheduler
 	switch k := m.GetKind().(type) {
 	case *poolpb.FromEntry_Hello:
-		x.entry = k.Hello.GetEntry()
-		x.server.began(x)
+		x.begin(k.Hello.GetEntry())
 	case *poolpb.FromEntry_Ask:
 		x.place(ctx, decodeAsk(k.Ask))
 	case *poolpb.FromEntry_Withdraw:
 		x.withdraw(k.Withdraw.GetId())
 	case *poolpb.FromEntry_Running:
 		a := decodeAsk(k.Running.GetAsk())
-		x.note(a.ID, a.Service)
-		s.adoptFor(a, decodeGrant(k.Running.GetGrant()), x.entry, k.Running.GetBegun())
+		if x.note(a.ID, a.Service) {
+			s.adoptFor(a, decodeGrant(k.Running.GetGrant()), x.entry, k.Running.GetBegun())
+		}
 	case *poolpb.FromEntry_First:
 		s.FirstBy(k.First.GetId(), k.First.GetService(), x.entry)
 	case *poolpb.FromEntry_End:
@@ -203,8 +206,12 @@
 func (x *session) place(ctx context.Context, a Ask) {
 	ctx, cancel := context.WithCancel(ctx)
 	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.over {
+		cancel()
+		return
+	}
 	x.asked[a.ID] = cancel
-	x.mu.Unlock()
 	x.wait.Go(func() {
 		defer cancel()
 		g, err := x.server.scheduler.placeFor(ctx, a, x.entry, false)
--- a/pool/server_cut.go
+++ b/pool/server_cut.go
@@ -23,6 +23,18 @@
 	return left
 }
 
+// begin notes who is at the other end, unless the session has ended meanwhile: nobody would
+// end then what is begun here.
+func (x *session) begin(entry string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.over {
+		return
+	}
+	x.entry = entry
+	x.server.began(x)
+}
+
 // began notes the newest session of an entry. An older one of it has ended, even where
 // nothing showed that: what it had running is the entry's again once it says so.
 func (s *Server) began(x *session) {
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -293,6 +293,13 @@
 	return b.suspects[id] != nil || b.bans[id] != nil
 }
 
+// Counting states whether crashes of an identity are being counted.
+func (b *Book) Counting(id Identity) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.suspects[id] != nil
+}
+
 // Barred states whether requests of an identity must not run, and for how much longer.
 func (b *Book) Barred(id Identity) (time.Duration, bool) {
 	b.mu.Lock()
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -122,14 +122,18 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	id := d.verdict.Identity
-	delete(b.erase, id)
 	one := b.bans[id]
 	switch {
-	case one == nil:
-	case !d.erase:
+	case !d.erase && one != nil:
 		one.recorded = true
-	case !one.active(b.now()):
-		delete(b.bans, id)
+	case !d.erase:
+		// It was cleared meanwhile: its record is to go.
+		b.erase[id] = b.now()
+	default:
+		delete(b.erase, id)
+		if one != nil && !one.active(b.now()) {
+			delete(b.bans, id)
+		}
 	}
 }
 
@@ -180,6 +184,10 @@
 		}
 		r.book.wrote(d)
 	}
+	if len(calls) > 0 {
+		// What was written may have changed what is due.
+		return 0, true
+	}
 	if next.IsZero() {
 		return 0, false
 	}
--- a/quarantine/record_test.go
+++ b/quarantine/record_test.go
@@ -19,6 +19,8 @@
 	bans  map[Identity]Verdict
 	calls int
 	away  bool
+	// slow is how long a ban takes to be written.
+	slow time.Duration
 }
 
 // errAway is the error of a store that is away.
@@ -30,6 +32,7 @@
 	if m.away {
 		return errAway
 	}
+	time.Sleep(m.slow)
 	m.bans[v.Identity] = v
 	return nil
 }
@@ -154,6 +157,16 @@
 			time.Sleep(10 * time.Millisecond)
 			is.Equal(len(m.bans), 0)
 		}},
+		{"cleared while it is written", func(t *testing.T, m *memory) {
+			is := is.New(t)
+			k := newKeeper(t, m, true)
+			m.slow = time.Second / 2
+			k.ban()
+			time.Sleep(10 * time.Millisecond)
+			k.book.Served(1)
+			time.Sleep(2 * time.Second)
+			is.Equal(len(m.bans), 0)
+		}},
 		{"removed by an operator", func(t *testing.T, m *memory) {
 			is := is.New(t)
 			k := newKeeper(t, m, true)
