--- a/quarantine/record_test.go
+++ b/quarantine/record_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"maps"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,35 +17,60 @@
 
 // memory is a store that keeps bans.
 type memory struct {
+	// slow is how long a ban takes to be written.
+	slow time.Duration
+
+	mu    sync.Mutex
 	bans  map[Identity]Verdict
 	calls int
 	away  bool
-	// slow is how long a ban takes to be written.
-	slow time.Duration
 }
 
 // errAway is the error of a store that is away.
 var errAway = errors.New("away")
 
-// RecordBan implements Store.
-func (m *memory) RecordBan(_ context.Context, v Verdict) error {
+// call makes a call, unless the store is away.
+func (m *memory) call(change func()) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.calls++
 	if m.away {
 		return errAway
 	}
-	time.Sleep(m.slow)
-	m.bans[v.Identity] = v
+	change()
 	return nil
 }
 
+// RecordBan implements Store.
+func (m *memory) RecordBan(_ context.Context, v Verdict) error {
+	time.Sleep(m.slow)
+	return m.call(func() { m.bans[v.Identity] = v })
+}
+
 // EraseBan implements Store.
 func (m *memory) EraseBan(_ context.Context, id Identity) error {
-	m.calls++
-	if m.away {
-		return errAway
-	}
-	delete(m.bans, id)
-	return nil
+	return m.call(func() { delete(m.bans, id) })
+}
+
+// setAway takes the store away, or back.
+func (m *memory) setAway(away bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.away = away
+}
+
+// made returns how many calls were made.
+func (m *memory) made() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.calls
+}
+
+// all returns what the store has.
+func (m *memory) all() map[Identity]Verdict {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return maps.Clone(m.bans)
 }
 
 // keeper is a book with what keeps its bans in a store, and what it was told of the store.
@@ -64,7 +90,7 @@
 
 // read tells the book what the store has.
 func (k *keeper) read(m *memory) {
-	now := maps.Clone(m.bans)
+	now := m.all()
 	k.book.Recorded(k.known, now)
 	k.known = now
 }
@@ -96,14 +122,14 @@
 			k := newKeeper(t, m, true)
 			k.ban()
 			time.Sleep(10 * time.Millisecond)
-			is.Equal(m.bans[1].For, banFirst)
-			is.Equal(m.calls, 1)
+			is.Equal(m.all()[1].For, banFirst)
+			is.Equal(m.made(), 1)
 		}},
 		{"another instance leaves it to the owner", func(t *testing.T, m *memory) {
 			is := is.New(t)
 			k := newKeeper(t, m, false)
 			k.ban()
-			m.bans[1] = Verdict{
+			m.bans[1] = Verdict{ // no other goroutine has the store
 				Identity: 1,
 				State:    Banned,
 				For:      banFirst,
@@ -111,23 +137,23 @@
 			}
 			k.read(m)
 			time.Sleep(10 * time.Second)
-			is.Equal(m.calls, 0)
+			is.Equal(m.made(), 0)
 		}},
 		{"another instance writes when the owner doesn't", func(t *testing.T, m *memory) {
 			is := is.New(t)
 			newKeeper(t, m, false).ban()
 			time.Sleep(standbyAfter + 10*time.Millisecond)
-			is.Equal(len(m.bans), 1)
+			is.Equal(len(m.all()), 1)
 		}},
 		{"the store is away", func(t *testing.T, m *memory) {
 			is := is.New(t)
-			m.away = true
+			m.setAway(true)
 			newKeeper(t, m, true).ban()
 			time.Sleep(5 * time.Second)
-			is.True(m.calls > 1 && m.calls < 20)
-			m.away = false
+			is.True(m.made() > 1 && m.made() < 20)
+			m.setAway(false)
 			time.Sleep(writeRetry + 10*time.Millisecond)
-			is.Equal(len(m.bans), 1)
+			is.Equal(len(m.all()), 1)
 		}},
 		{"an instance that starts later", func(t *testing.T, m *memory) {
 			newKeeper(t, m, true).ban()
@@ -143,9 +169,9 @@
 			time.Sleep(10 * time.Millisecond)
 			k.read(m)
 			time.Sleep(banFirst + time.Second)
-			is.Equal(len(m.bans), 1)
+			is.Equal(len(m.all()), 1)
 			time.Sleep(banFirst)
-			is.Equal(len(m.bans), 0)
+			is.Equal(len(m.all()), 0)
 		}},
 		{"erased when an answer clears the request", func(t *testing.T, m *memory) {
 			is := is.New(t)
@@ -155,7 +181,7 @@
 			k.read(m)
 			k.book.Served(1)
 			time.Sleep(10 * time.Millisecond)
-			is.Equal(len(m.bans), 0)
+			is.Equal(len(m.all()), 0)
 		}},
 		{"cleared while it is written", func(t *testing.T, m *memory) {
 			is := is.New(t)
@@ -165,7 +191,7 @@
 			time.Sleep(10 * time.Millisecond)
 			k.book.Served(1)
 			time.Sleep(2 * time.Second)
-			is.Equal(len(m.bans), 0)
+			is.Equal(len(m.all()), 0)
 		}},
 		{"removed by an operator", func(t *testing.T, m *memory) {
 			is := is.New(t)
@@ -173,12 +199,12 @@
 			k.ban()
 			time.Sleep(10 * time.Millisecond)
 			k.read(m)
-			delete(m.bans, 1)
+			is.NoErr(m.call(func() { delete(m.bans, 1) }))
 			k.read(m)
 			time.Sleep(10 * time.Second)
 			assertBanned(t, k.book, false)
-			is.Equal(len(m.bans), 0)
-			is.Equal(m.calls, 1)
+			is.Equal(len(m.all()), 0)
+			is.Equal(m.made(), 2) // the operator's is one
 		}},
 		{"banned again", func(t *testing.T, m *memory) {
 			is := is.New(t)
@@ -189,8 +215,8 @@
 			time.Sleep(banFirst)
 			k.ban()
 			time.Sleep(10 * time.Millisecond)
-			is.Equal(m.bans[1].For, banFirst*banGrowth)
-			is.Equal(m.bans[1].Times, 2)
+			is.Equal(m.all()[1].For, banFirst*banGrowth)
+			is.Equal(m.all()[1].Times, 2)
 			k.read(m)
 			assertBanned(t, k.book, true)
 		}},
--- a/relay/suspect_test.go
+++ b/relay/suspect_test.go
@@ -94,6 +94,7 @@
 				}
 				last := time.Now()
 				time.Sleep(time.Second)
+				synctest.Wait()
 				if row.events == 0 {
 					is.Equal(len(s.at), 0)
 					w.end()
@@ -106,6 +107,7 @@
 				w.touch()
 				n := len(s.at)
 				time.Sleep(row.first - time.Millisecond)
+				synctest.Wait()
 				is.Equal(len(s.at), n)
 				w.end()
 				time.Sleep(time.Second)
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -64,7 +64,10 @@
 	limit, first := pool.Silence(r.GapTarget, t.grant.First)
 	w.limit = limit
 	w.heard = time.Now()
+	// The timer may end before it is kept.
+	w.mu.Lock()
 	w.timer = time.AfterFunc(first, w.replace)
+	w.mu.Unlock()
 	w.listen()
 	return w
 }
