--- a/catalog/banned_test.go
+++ b/catalog/banned_test.go
@@ -42,8 +42,8 @@
 		{"one", []catalog.Change{bans(1)}, []quarantine.Identity{1}},
 		{"two", []catalog.Change{bans(1), bans(2)}, []quarantine.Identity{1, 2}},
 		{"twice", []catalog.Change{bans(1), bans(1)}, []quarantine.Identity{1}},
-		{"released", []catalog.Change{bans(1), bans(2), releases(1)}, []quarantine.Identity{2}},
-		{"released without a ban", []catalog.Change{releases(1)}, nil},
+		{"released", []catalog.Change{bans(1), bans(2), releases(1), releases(3)}, []quarantine.Identity{2}},
+		{"released without a ban", []catalog.Change{releases(2)}, nil},
 		{"banned again", []catalog.Change{bans(1), releases(1), bans(1)}, []quarantine.Identity{1}},
 	} {
 		t.Run(row.name, func(t *testing.T) {
--- a/catalog/suspended_test.go
+++ b/catalog/suspended_test.go
@@ -16,7 +16,7 @@
 // once, and what was read before doesn't confirm it. What is read after does.
 func TestAgeOverSuspension(t *testing.T) {
 	m := steadytest.New(t)
-	run(t, func(is *is.I, s *fakeStore, c *catalog.Catalog) {
+	run(t, func(is *is.I, _ *fakeStore, c *catalog.Catalog) {
 		before, _ := c.Age()
 		m.Suspend(20 * time.Second)
 		age, ok := c.Age()
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -170,12 +170,12 @@
 	}
 }
 
-// newCrashWorld starts some instances, with six endpoints of a service that crash beside the
+// newCrashWorld starts three instances, with six endpoints of a service that crash beside the
 // usual ones, which are taken away.
-func newCrashWorld(t *testing.T, instances int, o crashOptions) *crashWorld {
+func newCrashWorld(t *testing.T, o crashOptions) *crashWorld {
 	t.Helper()
 	w := &crashWorld{
-		world: newWorld(t, instances),
+		world: newWorld(t, 3),
 	}
 	for i := range 6 {
 		w.machines = append(w.machines, w.addMachine("m"+strconv.Itoa(i), o))
@@ -261,7 +261,7 @@
 		{"plain that runs once", "/unsafe/x", 0, plain},
 	} {
 		t.Run(row.name, func(t *testing.T) {
-			w := newCrashWorld(t, 3, row.options)
+			w := newCrashWorld(t, row.options)
 			w.assertContained(t, row.path, row.tokens)
 			assertWhole(t, w.ask(0, call{id: "other", path: row.path, body: "other", tokens: 500}))
 		})
@@ -273,7 +273,7 @@
 func TestRequestThatCrashesInOutage(t *testing.T) {
 	o := engines()
 	o.sameName = true
-	w := newCrashWorld(t, 3, o)
+	w := newCrashWorld(t, o)
 	w.store.SetFaults(platformtest.StoreFaults{
 		Refuse: true,
 	})
@@ -285,7 +285,7 @@
 // TestBanOutlivesInstances ends all instances after a ban. Those that start then know it.
 func TestBanOutlivesInstances(t *testing.T) {
 	is := is.New(t)
-	w := newCrashWorld(t, 3, engines())
+	w := newCrashWorld(t, engines())
 	w.assertContained(t, "/stream/x", 500)
 	w.await("ban in the store", func() bool { return w.store.Has(platformtest.TopicPeers, "ban/") })
 	for _, g := range w.gateways {
@@ -327,7 +327,7 @@
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			is := is.New(t)
-			w := newCrashWorld(t, 3, engines())
+			w := newCrashWorld(t, engines())
 			stop := make(chan struct{})
 			var callers sync.WaitGroup
 			for c := range 6 {
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -182,8 +182,8 @@
 				defer held()
 				for range 11 { // often enough that several starts are borrowed at once
 					time.Sleep(5 * time.Millisecond)
-					back, refusal := take()
-					is.True(refusal == nil)
+					back, lacks := take()
+					is.True(lacks == nil)
 					back()
 				}
 				k.setCut(true)
--- a/pool/crash_test.go
+++ b/pool/crash_test.go
@@ -76,22 +76,22 @@
 	for _, row := range []struct {
 		name string
 		// between happens after the second crash, and returns the instances that are gone.
-		between func(t *testing.T, f *fleet) []*node
+		between func(f *fleet) []*node
 	}{
-		{"nothing", func(*testing.T, *fleet) []*node { return nil }},
-		{"owner stops", func(t *testing.T, f *fleet) []*node {
+		{"nothing", func(*fleet) []*node { return nil }},
+		{"owner stops", func(f *fleet) []*node {
 			first := f.owner("")
 			close(first.closing)
 			f.owner(first.self.ID)
 			return []*node{first}
 		}},
-		{"owner is killed", func(t *testing.T, f *fleet) []*node {
+		{"owner is killed", func(f *fleet) []*node {
 			first := f.owner("")
 			first.rpc.Stop()
 			f.owner(first.self.ID)
 			return []*node{first}
 		}},
-		{"owner and the next one stop", func(t *testing.T, f *fleet) []*node {
+		{"owner and the next one stop", func(f *fleet) []*node {
 			first := f.owner("")
 			close(first.closing)
 			second := f.owner(first.self.ID)
@@ -100,7 +100,7 @@
 			time.Sleep(600 * time.Millisecond)
 			return []*node{first, second}
 		}},
-		{"all connections are reset", func(t *testing.T, f *fleet) []*node {
+		{"all connections are reset", func(f *fleet) []*node {
 			for _, n := range f.nodes {
 				n.listener.reset()
 			}
@@ -114,7 +114,7 @@
 			f.without(owner)[0].crash(1)
 			f.without(owner)[4].crash(2)
 			settle()
-			gone := row.between(t, f)
+			gone := row.between(f)
 			left := f.without(gone...)
 			assertBarred(t, left, false)
 			left[len(left)/2].crash(3)
--- a/quarantine/book_test.go
+++ b/quarantine/book_test.go
@@ -212,7 +212,7 @@
 		name string
 		run  func(t *testing.T, is *is.I, b *Book)
 	}{
-		{"one more crash bans for longer", func(t *testing.T, is *is.I, b *Book) {
+		{"one more crash bans for longer", func(t *testing.T, _ *is.I, b *Book) {
 			crashThrice(b)
 			time.Sleep(banFirst)
 			assertBanned(t, b, false)
