Count attempts of one try that crash endpoints within milliseconds

Its engines end within 2 to 5 ms; ends less than 50 ms apart are taken for one moment, so that of each try's two attempts only one counted, while tries came each 60 ms: up to eight endpoints until the third counted.

Change: a crash names the attempt that the same try made before. That one follows the other needs no clocks then.

Ruled out: to let each further attempt wait until the crash before it is judged, which would cost 100 ms to each stream that has no event yet when its engine ends for another cause.

TestInARowOfOneTry is red without the line.

--- a/pool/messages.go
+++ b/pool/messages.go
@@ -205,6 +205,7 @@
 		Kind: &poolpb.FromEntry_Crashed{
 			Crashed: &poolpb.Crashed{
 				Attempt:  c.Attempt,
+				Before:   c.Before,
 				Identity: uint64(c.Identity),
 				Endpoint: c.Endpoint,
 				BeganUs:  now.Sub(c.Began).Microseconds(),
@@ -218,6 +219,7 @@
 func decodeCrashed(m *poolpb.Crashed, now time.Time) quarantine.Crash {
 	return quarantine.Crash{
 		Attempt:  m.GetAttempt(),
+		Before:   m.GetBefore(),
 		Identity: quarantine.Identity(m.GetIdentity()),
 		Endpoint: m.GetEndpoint(),
 		Began:    now.Add(-microseconds(m.GetBeganUs())),
--- a/quarantine/book_test.go
+++ b/quarantine/book_test.go
@@ -105,6 +105,41 @@
 	}
 }
 
+// TestInARowOfOneTry counts attempts of one try that crash their endpoints within milliseconds
+// of each other; those of different tries are taken for one moment.
+func TestInARowOfOneTry(t *testing.T) {
+	for _, row := range []struct {
+		name   string
+		before [3]string
+		banned bool
+	}{
+		{"one try", [3]string{"", "a0", "a1"}, true},
+		{"tries of their own", [3]string{"", "", ""}, false},
+		{"another try", [3]string{"", "b0", "b1"}, false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			virtual(t, func(t *testing.T) {
+				b := newBook()
+				for i, before := range row.before {
+					began := time.Now()
+					time.Sleep(2 * time.Millisecond)
+					b.Report(Crash{
+						Attempt:  "a" + strconv.Itoa(i),
+						Before:   before,
+						Endpoint: "e" + strconv.Itoa(i),
+						Identity: 1,
+						Began:    began,
+						Ended:    time.Now(),
+					})
+				}
+				time.Sleep(SettleAfter)
+				synctest.Wait()
+				assertBanned(t, b, row.banned)
+			})
+		})
+	}
+}
+
 // TestOthersOnTheSameEndpoints has another request on each endpoint that one crashes, whose
 // attempts were under way before: it is moved to where the next one is sent. Only the request
 // that began last each time is banned, whichever is reported first.
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -53,8 +53,13 @@
 	return true
 }
 
-// follows states whether an attempt began after another one had ended.
+// follows states whether an attempt began after another one had ended. Of two attempts of one
+// try that is known, however close they are: counting them made it five endpoints in place of
+// seven that a request crashed which ends them within milliseconds (test with six endpoints).
 func follows(before, after Crash) bool {
+	if after.Before != "" && after.Before == before.Attempt {
+		return true
+	}
 	return !after.Began.Add(overlapSlack).Before(before.Ended) && after.Ended.Sub(before.Ended) > overlapSlack
 }
 
--- a/quarantine/types.go
+++ b/quarantine/types.go
@@ -8,6 +8,9 @@
 type Crash struct {
 	// Attempt names the attempt. No other one has its name.
 	Attempt string
+	// Before names the attempt that the same try of the request made before; empty for the
+	// first one.
+	Before string
 	// Identity is that of the request.
 	Identity Identity
 	// Endpoint is the address of the endpoint that ended.
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -35,6 +35,8 @@
 	// keyed states that the request needs a key.
 	keyed bool
 
+	// before names its last attempt; empty before the first one.
+	before string
 	// crashed is when an endpoint ended under it that was suspected before; zero if none did.
 	crashed time.Time
 	// once states that it may run at one endpoint only, whatever its route says.
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -76,12 +76,15 @@
 		l.parts.Quarantine.Served(t.job.identity)
 		return
 	}
+	before := t.job.before
+	t.job.before = t.ask.ID
 	suspects := t.suspects(res)
 	if len(suspects) == 0 {
 		return
 	}
 	c := quarantine.Crash{
 		Attempt:  t.ask.ID,
+		Before:   before,
 		Identity: t.job.identity,
 		Began:    t.began,
 		Ended:    steady.Now(),
