Let instances try a request in turn after its ban

Change: instances begin to let one run one after the other, 2 s apart, in the rendezvous order of the identity (catalog.Place); after one has run, the instance waits for 2 s, until what came of it is known. Bans are remembered for an hour at least. No message is added; the place is computed once a ban.

Ruled out: a trial that the owner gives out (a message, an answer and a refused caller more).

TestBanLapses has a row for callers that come back within the hour.

Tests: TestEnter let the next try run at once after the first, which this changes; it looks that it is refused, and let run 2 s later. The rows on what is remembered ask for the new time.

--- a/catalog/ranks.go
+++ b/catalog/ranks.go
@@ -80,6 +80,23 @@
 	return r
 }
 
+// Place returns how many of the other instances that are known come before this one for a duty
+// that nobody needs to be able for.
+func (c *Catalog) Place(duty string) int {
+	known := c.Snapshot()
+	if known == nil {
+		return 0
+	}
+	score := func(p Peer) float64 { return rendezvous.Score(duty, p.ID, p.Capacity) }
+	own, before := score(c.settings.Self), 0
+	for id, p := range known.Peers {
+		if id != c.settings.Self.ID && score(p) > own {
+			before++
+		}
+	}
+	return before
+}
+
 // weigh returns what the order of an instance depends on.
 func weigh(p Peer) (id string, weight int) {
 	return p.ID, p.Capacity
--- a/catalog/readers_test.go
+++ b/catalog/readers_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -370,3 +371,18 @@
 	// They follow again, and don't just read the store themselves.
 	awaitReaders(t, all)
 }
+
+// TestPlace looks that the instances agree on an order of a duty, each with a place of its own.
+func TestPlace(t *testing.T) {
+	is := is.New(t)
+	_, all := group(t, 6)
+	for _, duty := range []string{"ban/1", "ban/2"} {
+		var places []int
+		for _, x := range all {
+			await(t, "all others", func() bool { return len(x.Snapshot().Peers) == len(all) })
+			places = append(places, x.Place(duty))
+		}
+		slices.Sort(places)
+		is.Equal(places, []int{0, 1, 2, 3, 4, 5})
+	}
+}
--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -41,7 +41,7 @@
 		FirstStart: f.FirstStart,
 		Poll:       time.Duration(f.Times.Revoke) / pollsPerRevoke,
 	}, store, g.peers, g.log.WithName("catalog"))
-	g.quarantine = quarantine.New(steady.Now, g.log.WithName("quarantine"))
+	g.quarantine = quarantine.New(steady.Now, g.turn, g.log.WithName("quarantine"))
 	g.assemblePools(client)
 	g.recorder = quarantine.NewRecorder(g.quarantine, store, g.placer.CountsCrashes, g.log.WithName("quarantine"))
 	g.assembleServer()
@@ -72,6 +72,12 @@
 	g.placer = pool.NewClient(g.self, g.pools, g.peers, log)
 }
 
+// turn returns how many other instances come before this one in showing whether a request still
+// crashes endpoints.
+func (g *Gateway) turn(id quarantine.Identity) int {
+	return g.catalog.Place("ban/" + id.String())
+}
+
 // checkEndpoint opens a connection to an endpoint and closes it again.
 func checkEndpoint(ctx context.Context, address string) error {
 	var d net.Dialer
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -71,7 +71,7 @@
 		s.Draw = rand.N[time.Duration]
 	}
 	if s.Quarantine == nil {
-		s.Quarantine = quarantine.New(s.Now, log)
+		s.Quarantine = quarantine.New(s.Now, nil, log)
 	}
 	return &Scheduler{
 		settings: s,
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -23,6 +23,9 @@
 	// a request that comes for days costs an endpoint on each.
 	banGrowth  = 10
 	banLongest = 24 * time.Hour
+	// rememberedFor is how long a ban is remembered at least once it is over: a request whose
+	// caller comes back each few minutes costs one endpoint then, and not three again.
+	rememberedFor = time.Hour
 	// suspectFor is how long a suspect is remembered after its last crash: much longer than
 	// callers take to come back.
 	suspectFor = 10 * time.Minute
@@ -40,12 +43,14 @@
 // ban is a ban, and for some time after it the memory of it.
 type ban struct {
 	until time.Time
-	// length is how long it was as a whole, and how long it is remembered afterwards.
+	// length is how long it was as a whole.
 	length time.Duration
 	times  int
 	// trying states that this instance has a request of the identity under way after the
 	// ban.
 	trying bool
+	// tryFrom is from when the next such one may run; zero until that was asked for.
+	tryFrom time.Time
 	// decided is when this instance decided on it by what it counted; zero when another one
 	// did.
 	decided time.Time
@@ -60,14 +65,15 @@
 
 // forgetAt is until when the ban is remembered.
 func (b *ban) forgetAt() time.Time {
-	return b.until.Add(b.length)
+	return b.until.Add(max(b.length, rememberedFor))
 }
 
 // Book is what one instance knows of requests that crash endpoints. It is safe for use by
 // several goroutines.
 type Book struct {
-	now func() time.Time
-	log logr.Logger
+	now  func() time.Time
+	turn func(Identity) int
+	log  logr.Logger
 
 	mu       sync.Mutex
 	suspects map[Identity]*suspect
@@ -100,10 +106,16 @@
 	Cleared int `json:"cleared"`
 }
 
-// New returns an empty book. Now returns the time.
-func New(now func() time.Time, log logr.Logger) *Book {
+// New returns an empty book. Now returns the time, and turn how many other instances come before
+// this one in showing whether requests of an identity still crash endpoints once their ban is
+// over; nil stands for none.
+func New(now func() time.Time, turn func(Identity) int, log logr.Logger) *Book {
+	if turn == nil {
+		turn = func(Identity) int { return 0 }
+	}
 	return &Book{
 		now:      now,
+		turn:     turn,
 		log:      log,
 		suspects: make(map[Identity]*suspect),
 		bans:     make(map[Identity]*ban),
--- a/quarantine/book_test.go
+++ b/quarantine/book_test.go
@@ -16,7 +16,7 @@
 
 // newBook returns an empty book. Its tests run in virtual time.
 func newBook() *Book {
-	return New(time.Now, logr.Discard())
+	return New(time.Now, nil, logr.Discard())
 }
 
 // virtual runs a test in virtual time.
@@ -308,9 +308,15 @@
 			}
 			is.True(left > banFirst*banGrowth)
 		}},
+		{"remembered for callers that come back after minutes", func(t *testing.T, _ *is.I, b *Book) {
+			crashThrice(b)
+			time.Sleep(rememberedFor)
+			report(b, run{"again", "e4", 0, 100, 0})
+			assertBanned(t, b, true)
+		}},
 		{"remembered no longer", func(t *testing.T, _ *is.I, b *Book) {
 			crashThrice(b)
-			time.Sleep(2*banFirst + time.Second)
+			time.Sleep(banFirst + rememberedFor + time.Second)
 			report(b, run{"again", "e4", 0, 100, 0})
 			assertBanned(t, b, false)
 		}},
@@ -350,10 +356,89 @@
 		is.Equal(after, tryAfter)
 		p.Leave()
 		_, _, ok = b.Enter(1)
+		is.True(!ok) // what came of it may not be known yet
+		time.Sleep(tryAfter)
+		_, _, ok = b.Enter(1)
 		is.True(ok)
 	})
 }
 
+// banned starts the books of some instances that tell each other everything and take turns, in
+// which the request 1 has just been banned.
+func banned(n int) []*Book {
+	var all []*Book
+	for i := range n {
+		all = append(all, New(time.Now, func(Identity) int { return i }, logr.Discard()))
+	}
+	crashThrice(all[0])
+	for _, b := range all[1:] {
+		for _, v := range all[0].Verdicts() {
+			b.Learn(v)
+		}
+	}
+	return all
+}
+
+// TestTurns has callers come to all instances at once, again and again, with a request whose ban
+// is over. One of them shows what it does now; the others wait for that.
+func TestTurns(t *testing.T) {
+	const (
+		instances = 6
+		every     = 200 * time.Millisecond
+		takes     = 100 * time.Millisecond
+	)
+	for _, row := range []struct {
+		name string
+		// crashes states that the request still crashes endpoints.
+		crashes bool
+		// least and most are how many of its tries run within a minute after the ban.
+		least, most int
+	}{
+		{"still crashes", true, 1, 1},
+		{"does no harm", false, instances * int(time.Minute/every) * 9 / 10, instances * int(time.Minute/every)},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			virtual(t, func(t *testing.T) {
+				is := is.New(t)
+				all := banned(instances)
+				time.Sleep(banFirst)
+				ran := 0
+				for range int(time.Minute / every) {
+					for i, b := range all {
+						p, _, ok := b.Enter(1)
+						if !ok {
+							continue
+						}
+						ran++
+						began := time.Now()
+						attempt := strconv.Itoa(ran)
+						time.AfterFunc(takes, func() {
+							p.Leave()
+							for _, other := range all {
+								if !row.crashes {
+									other.Served(1)
+									continue
+								}
+								other.Report(Crash{
+									Attempt:  attempt,
+									Endpoint: "late" + strconv.Itoa(i),
+									Identity: 1,
+									Began:    began,
+									Ended:    time.Now(),
+								})
+							}
+						})
+					}
+					time.Sleep(every)
+				}
+				synctest.Wait()
+				t.Logf("%d tries ran", ran)
+				is.True(ran >= row.least && ran <= row.most)
+			})
+		})
+	}
+}
+
 // TestVerdicts tells one book what another one decides.
 func TestVerdicts(t *testing.T) {
 	virtual(t, func(t *testing.T) {
--- a/quarantine/enter.go
+++ b/quarantine/enter.go
@@ -14,11 +14,14 @@
 }
 
 // tryAfter is when a request may come back while another of its identity shows whether it
-// still crashes endpoints: the time of a short answer.
+// still crashes endpoints: the time of a short answer, until its end is known everywhere.
 const tryAfter = 2 * time.Second
 
 // Enter gives a request leave to run, or returns when it may come back. After a ban one
-// request of the identity runs at a time at this instance.
+// request of the identity runs at a time at this instance, and instances begin to let one run
+// one after the other, tryAfter apart. Else a request that comes to all at the end of its
+// ban crashes as many endpoints as there are instances: 8 where 6 of them let it run, 1 now
+// (TestTurns).
 func (b *Book) Enter(id Identity) (p Pass, after time.Duration, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -30,7 +33,7 @@
 	if one == nil {
 		return free, 0, true
 	}
-	if one.active(now) || one.trying {
+	if one.active(now) || one.trying || now.Before(b.tryFrom(id, one)) {
 		b.figures.Refused++
 		return Pass{}, max(one.until.Sub(now), tryAfter), false
 	}
@@ -41,6 +44,16 @@
 			b.mu.Lock()
 			defer b.mu.Unlock()
 			one.trying = false
+			one.tryFrom = b.now().Add(tryAfter)
 		},
 	}, 0, true
 }
+
+// tryFrom returns from when this instance may let a request run whose ban is over. The caller
+// holds the lock.
+func (b *Book) tryFrom(id Identity, one *ban) time.Time {
+	if one.tryFrom.IsZero() {
+		one.tryFrom = one.until.Add(time.Duration(b.turn(id)) * tryAfter)
+	}
+	return one.tryFrom
+}
--- a/quarantine/record_test.go
+++ b/quarantine/record_test.go
@@ -82,7 +82,7 @@
 // newKeeper runs a recorder until the test ends.
 func newKeeper(t *testing.T, m *memory, owner bool) *keeper {
 	k := &keeper{
-		book: New(time.Now, logr.Discard()),
+		book: New(time.Now, nil, logr.Discard()),
 	}
 	go NewRecorder(k.book, m, func() bool { return owner }, logr.Discard()).Run(t.Context())
 	return k
@@ -168,9 +168,9 @@
 			k.ban()
 			time.Sleep(10 * time.Millisecond)
 			k.read(m)
-			time.Sleep(banFirst + time.Second)
+			time.Sleep(banFirst + rememberedFor - time.Second)
 			is.Equal(len(m.all()), 1)
-			time.Sleep(banFirst)
+			time.Sleep(2 * time.Second)
 			is.Equal(len(m.all()), 0)
 		}},
 		{"erased when an answer clears the request", func(t *testing.T, m *memory) {
