Go by one clock in the leases of the log path

An entry noted when it heard of endpoints by the monotonic clock and asked how old that is by the other one: once suspended for over 3 s, it took all that it heard for too old until it was started again, and placed blindly. And a client that waits for a lease has a timer for a silent owner, which stands still in a suspension: it believed a grant that may have been given out again.

Change: entry.Hear goes by package steady; a grant after more silence than an owner may show is a refusal.

Measured: TestSummariesAfterSuspension and TestGrantOverSuspension fail without. All uses of time.Now outside tests, load and soak were looked at: the others compare with moments of the same clock, or mean the time of day.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/linkmast/linkmast/claim"
 	"github.com/linkmast/linkmast/config"
 	"github.com/linkmast/linkmast/instances"
+	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/limit"
 	"github.com/linkmast/linkmast/member"
 	"github.com/linkmast/linkmast/owner"
@@ -125,7 +126,7 @@
 
 // Hear takes over summaries of endpoints.
 func (e *Entry) Hear(summaries []policy.Summary) {
-	e.fleet.hear(summaries, time.Now())
+	e.fleet.hear(summaries, steady.Now())
 }
 
 // Ready states whether the entry can serve, and if not, why.
--- /dev/null
+++ b/entry/suspended_test.go
@@ -0,0 +1,112 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package entry
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/internal/steady"
+	"github.com/linkmast/linkmast/internal/steady/steadytest"
+	"github.com/linkmast/linkmast/owner"
+	"github.com/linkmast/linkmast/policy"
+)
+
+// leaser is an owner that grants everything. It notes what became of its leases.
+type leaser struct {
+	outcomes []owner.Outcome
+}
+
+// Acquire implements owner.Leaser.
+func (l *leaser) Acquire(context.Context, owner.Request, func(time.Duration)) (owner.Grant, error) {
+	return owner.Grant{}, nil
+}
+
+// Release implements owner.Leaser.
+func (l *leaser) Release(_ context.Context, r owner.Release) error {
+	l.outcomes = append(l.outcomes, r.Outcome)
+	return nil
+}
+
+// engineTeam returns a job with a lease on an engine that nothing was sent to yet.
+func engineTeam(l *leaser) (*search, *team) {
+	return &search{
+			job: &job{
+				deadline: steady.Now().Add(time.Hour),
+			},
+		}, &team{
+			lead: &held{
+				attempt:  "a",
+				endpoint: "e1",
+				leaser:   l,
+				startBy:  steady.Now().Add(2 * time.Second),
+			},
+		}
+}
+
+// TestLeaseOverSuspension suspends the machine between the grant of a lease and its use. The lease
+// lapsed meanwhile and may be another attempt's: it is given back unused, and another is asked for.
+func TestLeaseOverSuspension(t *testing.T) {
+	m := steadytest.New(t)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := &leaser{}
+		e := New(Settings{}, Parts{
+			Log: logr.Discard(),
+		})
+		s, granted := engineTeam(l)
+		m.Suspend(3 * time.Second)
+		again, fail := e.attempt(t.Context(), s, granted, nil)
+		synctest.Wait()
+		is.True(again)
+		is.Equal(string(fail.Ran), "not_run")
+		is.Equal(l.outcomes, []owner.Outcome{owner.NotStarted})
+		is.Equal(s.job.dispatches, 0)
+	})
+}
+
+// TestSummariesAfterSuspension hears of endpoints after the machine was suspended: what was heard
+// before is too old, and what is heard then is not.
+func TestSummariesAfterSuspension(t *testing.T) {
+	for _, row := range []struct {
+		name      string
+		suspended time.Duration
+		heard     bool
+		known     bool
+	}{
+		{"not suspended", 0, false, true},
+		{"suspended, nothing heard since", 10 * time.Second, false, false},
+		{"suspended, heard since", 10 * time.Second, true, true},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			m := steadytest.New(t)
+			is := is.New(t)
+			e := New(Settings{}, Parts{
+				Log: logr.Discard(),
+			})
+			e.fleet = endpointsOf(1)
+			hear := func() {
+				e.Hear([]policy.Summary{{
+					Endpoint: "e1",
+					Slots:    64,
+					Free:     1 << 30,
+				}})
+			}
+			hear()
+			m.Suspend(row.suspended)
+			if row.heard {
+				hear()
+			}
+			e.fleet.choose("m1", &policy.Work{
+				Prompt:   100,
+				Deadline: steady.Now().Add(time.Minute),
+			}, 0, nil, steady.Now())
+			is.Equal(e.fleet.groups["m1"].candidates[0].Known, row.known)
+		})
+	}
+}
--- a/owner/grpc.go
+++ b/owner/grpc.go
@@ -267,7 +267,8 @@
 }
 
 // Acquire implements Leaser. An owner that shows no sign of life is a refusal
-// too.
+// too; so is a grant that may have lapsed in a suspension of this machine, in
+// which the timer stood still.
 func (c *Client) Acquire(ctx context.Context, r Request, queued func(time.Duration)) (Grant, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -289,11 +290,17 @@
 		DeadlineMs:   r.Work.Deadline.Sub(now).Milliseconds(),
 		PatienceMs:   msOf(r.Patience),
 	})
+	heard := now
 	for err == nil {
 		var u *ownerpb.AcquireUpdate
 		if u, err = stream.Recv(); err != nil {
 			break
 		}
+		if steady.Since(heard) > silence {
+			err = errSuspended
+			break
+		}
+		heard = steady.Now()
 		life.Reset(silence)
 		switch v := u.Update.(type) {
 		case *ownerpb.AcquireUpdate_Granted:
@@ -315,6 +322,9 @@
 	return Grant{}, refuse(RefusedSilent, err.Error(), 0)
 }
 
+// errSuspended ends waiting for a lease over a suspension of the machine.
+var errSuspended = errors.New("suspended while it waited for a lease")
+
 // Release implements Leaser.
 func (c *Client) Release(ctx context.Context, r Release) error {
 	reply, err := c.rpc.Release(ctx, &ownerpb.ReleaseRequest{
--- /dev/null
+++ b/owner/suspended_test.go
@@ -0,0 +1,76 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package owner
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+	"google.golang.org/grpc"
+
+	"github.com/linkmast/linkmast/internal/steady"
+	"github.com/linkmast/linkmast/internal/steady/steadytest"
+	"github.com/linkmast/linkmast/owner/ownerpb"
+	"github.com/linkmast/linkmast/policy"
+)
+
+// granting is an owner that grants everything after a while.
+type granting struct {
+	ownerpb.OwnerClient
+	grpc.ServerStreamingClient[ownerpb.AcquireUpdate]
+
+	wait func()
+}
+
+// Acquire implements ownerpb.OwnerClient.
+func (g *granting) Acquire(context.Context, *ownerpb.AcquireRequest, ...grpc.CallOption) (grpc.ServerStreamingClient[ownerpb.AcquireUpdate], error) {
+	return g, nil
+}
+
+// Recv implements grpc.ServerStreamingClient.
+func (g *granting) Recv() (*ownerpb.AcquireUpdate, error) {
+	g.wait()
+	return update(Grant{
+		Address:     "e1:1",
+		StartWithin: 2 * time.Second,
+	}, nil), nil
+}
+
+// TestGrantOverSuspension has the machine suspended while it waits for a lease. The grant may have
+// been made before, and have lapsed.
+func TestGrantOverSuspension(t *testing.T) {
+	for _, row := range []struct {
+		name      string
+		suspended time.Duration
+		believed  bool
+	}{
+		{"not suspended", 0, true},
+		{"for less than an owner may be silent", time.Second, true},
+		{"for longer", 2 * time.Second, false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			m := steadytest.New(t)
+			is := is.New(t)
+			c := &Client{
+				rpc: &granting{
+					wait: func() { m.Suspend(row.suspended) },
+				},
+			}
+			_, err := c.Acquire(t.Context(), Request{
+				Work: policy.Work{
+					Deadline: steady.Now().Add(time.Minute),
+				},
+			}, nil)
+			is.Equal(err == nil, row.believed)
+			if row.believed {
+				return
+			}
+			var r *Refusal
+			is.True(errors.As(err, &r))
+			is.Equal(r.Code, RefusedSilent)
+		})
+	}
+}
