Test the log path with a request that crashes endpoints

The same cause as on the platform with a store: an entry puts the end of an answer down to the endpoint, and nothing knows a request again that comes with another name or at another instance.

Listed as red until the mend.

--- /dev/null
+++ b/fleet/crash_test.go
@@ -0,0 +1,137 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/standin"
+)
+
+// The measures of the tests with a request that crashes endpoints.
+const (
+	// crashing begins the prompts and bodies that do.
+	crashing = "crash"
+	// away is how long an endpoint is gone after a crash.
+	away = 2 * time.Second
+	// tries is how often callers send it.
+	tries = 90
+	// mostCrashes is how many endpoints it may crash: three until that is known, and three more.
+	mostCrashes = 6
+)
+
+// crasher is an endpoint that some requests crash.
+type crasher interface {
+	SetFaults(standin.Faults)
+	Faults() standin.Faults
+	Crashes() int
+}
+
+// crashers are all endpoints of a fleet.
+func (v *virtual) crashers() []crasher {
+	var out []crasher
+	for _, e := range v.engines {
+		out = append(out, e)
+	}
+	for _, s := range v.services {
+		out = append(out, s)
+	}
+	return out
+}
+
+// fragile lets all endpoints crash at the requests that do so, and has them back a while after
+// that, until ctx ends.
+func (v *virtual) fragile(ctx context.Context) (stopped <-chan struct{}) {
+	f := standin.Faults{
+		CrashOn: crashing,
+	}
+	var all sync.WaitGroup
+	for _, c := range v.crashers() {
+		c.SetFaults(f)
+		all.Go(func() {
+			for ctx.Err() == nil {
+				time.Sleep(10 * time.Millisecond)
+				if c.Faults().Dead {
+					time.Sleep(away)
+					c.SetFaults(f)
+				}
+			}
+		})
+	}
+	done := make(chan struct{})
+	go func() {
+		all.Wait()
+		close(done)
+	}()
+	return done
+}
+
+// crashes returns how often endpoints have crashed.
+func (v *virtual) crashes() int {
+	n := 0
+	for _, c := range v.crashers() {
+		n += c.Crashes()
+	}
+	return n
+}
+
+// TestCrashingRequest sends a request again and again, to all instances in turn, that crashes
+// each endpoint which begins to run it: it ends at a few. Others are served meanwhile.
+func TestCrashingRequest(t *testing.T) {
+	for _, row := range []struct {
+		name   string
+		path   string
+		body   string
+		strike func(v *virtual, try int)
+	}{
+		{"stream", "/v1/completions", completion(crashing, 50, true), nil},
+		{"whole answer", "/v1/completions", completion(crashing, 50, false), nil},
+		{"prompt for a group of engines", "/v1/completions", completion(prompt(crashing, 700_000), 20, false), nil},
+		{"call of a plain service", "/services/lots/bids", crashing, nil},
+		{"platform away", "/v1/completions", completion(crashing, 50, true), func(v *virtual, try int) {
+			v.separate("platform", try < tries-1)
+		}},
+		{"an instance ends", "/v1/completions", completion(crashing, 50, true), func(v *virtual, try int) {
+			if try == 2 {
+				v.kill("n3")
+			}
+		}},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				v := newVirtual(t, small())
+				defer v.stop()
+				ctx, cancel := context.WithCancel(t.Context())
+				stopped := v.fragile(ctx)
+				defer func() {
+					cancel()
+					<-stopped
+				}()
+				var last vanswer
+				for i := range tries {
+					if row.strike != nil {
+						row.strike(v, i)
+					}
+					last = v.send(t.Context(), fmt.Sprintf("n%d", 1+i%2), row.path, row.body, nil)
+					time.Sleep(200 * time.Millisecond)
+				}
+				t.Logf("%d endpoints crashed", v.crashes())
+				is.True(v.crashes() <= mostCrashes)
+				is.Equal(last.status, http.StatusServiceUnavailable)
+				is.Equal(last.ran, "not_run")
+				time.Sleep(away)
+				other := v.send(t.Context(), "n1", "/v1/completions", completion("other", 10, false), nil)
+				is.Equal(other.status, http.StatusOK)
+			})
+		})
+	}
+}
--- a/standin/client.go
+++ b/standin/client.go
@@ -63,6 +63,12 @@
 	if no != nil {
 		return nil, runError(problem.NotRun, no.Code, errors.New(no.Detail))
 	}
+	if e.faults.crashes(a.Prompt) {
+		e.crashes++
+		e.faults.Dead = true
+		e.dropAll()
+		return nil, runError(problem.MayHaveRun, engine.Unreachable, errCut)
+	}
 	if take(&e.faults.RefuseAfter) {
 		return nil, runError(problem.MayHaveRun, engine.RefusedFault, errors.New("refused after the start"))
 	}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -74,6 +74,7 @@
 	fence    int64
 	adapters []string
 	started  map[uint64]int
+	crashes  int
 }
 
 // run is one attempt that an engine works on.
@@ -166,6 +167,13 @@
 	return e.started[xxhash.Sum64String(prompt)]
 }
 
+// Crashes returns how often an attempt has ended the engine.
+func (e *Engine) Crashes() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashes
+}
+
 // CachedBlocks returns how many blocks the prefix cache holds.
 func (e *Engine) CachedBlocks() int {
 	e.mu.Lock()
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -3,6 +3,7 @@
 package standin
 
 import (
+	"strings"
 	"time"
 )
 
@@ -12,6 +13,9 @@
 type Faults struct {
 	// Dead refuses everything, as a process that has gone.
 	Dead bool `json:"dead"`
+	// CrashOn begins the prompts and bodies that make an endpoint Dead as it begins to run them;
+	// empty means none.
+	CrashOn string `json:"crash_on"`
 	// Frozen answers nothing and makes no progress.
 	Frozen bool `json:"frozen"`
 	// Slow multiplies every step; zero means one.
@@ -54,3 +58,8 @@
 	}
 	return true
 }
+
+// crashes states whether what an endpoint is to run makes it Dead.
+func (f *Faults) crashes(what string) bool {
+	return f.CrashOn != "" && strings.HasPrefix(what, f.CrashOn)
+}
--- a/standin/service.go
+++ b/standin/service.go
@@ -40,6 +40,7 @@
 	calls  map[string]int
 	// requests are the ids of the calls that took effect.
 	requests map[string]bool
+	crashes  int
 }
 
 // Echo is the body of a stand-in's answer.
@@ -80,6 +81,20 @@
 	}
 }
 
+// Faults returns what goes wrong now.
+func (v *Service) Faults() Faults {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.faults
+}
+
+// Crashes returns how often a call has ended the service.
+func (v *Service) Crashes() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.crashes
+}
+
 // Calls returns how often a body took effect.
 func (v *Service) Calls(body []byte) int {
 	v.mu.Lock()
@@ -164,6 +179,11 @@
 	if take(&v.faults.RefuseBefore) {
 		return callError(problem.NotRun, "refused before the start")
 	}
+	if v.faults.crashes(string(c.Body)) {
+		v.crashes++
+		v.faults.Dead = true
+		return callError(problem.MayHaveRun, "connection broke")
+	}
 	v.calls[hash(c.Body)]++
 	v.requests[c.Request] = true
 	if take(&v.faults.RefuseAfter) {
