Keep requests from endpoints that crash those which run them on the log path

Change: the book, the look at endpoints (now quarantine.Witness, taken out of package relay) and the refusals serve both paths. Instances of the log path have no sessions, so package quarantine has a Sharing: two instances count for each identity, get reports by a call, and tell all others what they decide. Messages of crashes and verdicts moved from poolpb to quarantinepb; a problem code crashes_endpoints (503, not_run, when to come back) is new.

Ruled out: verdicts on the probes of package member, which bring back by one instance what another had cleared; counting at each instance alone, which costs three endpoints each.

TestSharing counts the calls: 26 at the most for a ban among six. The tests of entry, node, fleet, owner, relay, pool, quarantine, gateway, cmd/linkmast and standin pass; fleet and quarantine also with the race detector in the new tests.

--- a/entry/call.go
+++ b/entry/call.go
@@ -3,6 +3,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 
@@ -20,11 +21,12 @@
 		job: j,
 	}
 	for {
+		j.trail.Settle(ctx)
 		h, fail := e.lease(ctx, s, j.work(1))
 		if fail != nil {
 			return fail
 		}
-		if fail = e.expired(ctx, j); fail != nil {
+		if fail = cmp.Or(e.expired(ctx, j), e.barred(j)); fail != nil {
 			e.release(h, owner.NotStarted, 0)
 			return fail
 		}
@@ -48,10 +50,16 @@
 	j.dispatches++
 	e.metrics.add("dispatches", 1)
 	c.Instance = h.Instance
+	began := steady.Now()
 	a, err := e.parts.Endpoints.Plain(h.Address).Call(ctx, c)
 	if err != nil {
+		var ce *plain.CallError
+		if ctx.Err() == nil && (!errors.As(err, &ce) || ce.Ran != problem.NotRun) {
+			e.broke(j, began, h)
+		}
 		return a, err
 	}
+	e.served(j)
 	e.release(h, owner.Done, 0)
 	e.stories.add(j.id, Event{
 		What:     "answered",
@@ -80,7 +88,8 @@
 		Endpoint: h.endpoint,
 		Reason:   err.Error(),
 	})
-	e.parts.Log.Info("attempt failed", "request", j.id, "attempt", h.attempt, "endpoint", h.endpoint, "cause", err.Error())
+	e.parts.Log.Info("attempt failed", "request", j.id, "attempt", h.attempt, "endpoint", h.endpoint,
+		"identity", j.trail.Identity.String(), "cause", err.Error())
 	var ce *plain.CallError
 	if errors.As(err, &ce) && ce.Ran == problem.NotRun {
 		j.dispatches--
@@ -99,5 +108,5 @@
 		Ran:    problem.MayHaveRun,
 		Detail: "the plain service did not answer",
 	}
-	return !j.once && j.dispatches < maxDispatches, p
+	return j.repeats(), p
 }
--- a/entry/complete.go
+++ b/entry/complete.go
@@ -3,6 +3,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -54,6 +55,7 @@
 		job: j,
 	}
 	for {
+		j.trail.Settle(ctx)
 		team, fail := e.gather(ctx, s)
 		if fail != nil {
 			return fail
@@ -75,7 +77,7 @@
 	j := s.job
 	// The last look at the clock before the dispatch: a process that was
 	// paused since must not start what is no longer wanted.
-	if fail := e.expired(ctx, j); fail != nil {
+	if fail := cmp.Or(e.expired(ctx, j), e.barred(j)); fail != nil {
 		e.disband(t, owner.NotStarted)
 		return false, fail
 	}
@@ -110,7 +112,7 @@
 		Reason:   err.Error(),
 	})
 	e.parts.Log.Info("attempt failed", "request", j.id, "attempt", lead.attempt, "endpoint", lead.endpoint,
-		"cause", err.Error(), "started", r.started)
+		"identity", j.trail.Identity.String(), "cause", err.Error(), "started", r.started)
 	s.skip = append(s.skip, lead.endpoint)
 	var re *engine.RunError
 	if errors.As(err, &re) && re.Ran == problem.NotRun && !r.started {
@@ -127,8 +129,11 @@
 	if fail := e.expired(ctx, j); fail != nil {
 		return false, fail
 	}
+	if !errors.Is(err, errCaller) {
+		e.broke(j, r.began, r.team.all()...)
+	}
 	fail := failure(err, r.started)
-	return !j.once && !r.out.begun() && j.dispatches < maxDispatches, fail
+	return j.repeats() && !r.out.begun(), fail
 }
 
 // failure returns the answer to a request whose attempt failed.
@@ -169,6 +174,8 @@
 	out   sink
 	check engine.Check
 
+	// began is when it was dispatched.
+	began time.Time
 	// started is true when the engine has sent something.
 	started bool
 	resumes int
@@ -186,6 +193,7 @@
 	defer w.stop()
 	client := r.entry.parts.Endpoints.Engine(r.team.lead.Address)
 	r.job.dispatches++
+	r.began = steady.Now()
 	r.entry.metrics.add("dispatches", 1)
 	stream, err := client.Run(ctx, r.attempt())
 	for {
@@ -314,6 +322,7 @@
 
 // finished takes over a whole answer.
 func (e *Entry) finished(r *run) {
+	e.served(r.job)
 	e.hits.observe(r.job.customer.ID, r.job.class(), r.usage.cached, r.usage.prompt)
 	e.metrics.add("tokens", int64(r.tokens))
 	e.stories.add(r.job.id, Event{
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/linkmast/linkmast/member"
 	"github.com/linkmast/linkmast/owner"
 	"github.com/linkmast/linkmast/policy"
+	"github.com/linkmast/linkmast/quarantine"
 )
 
 // Settings are the measures of an Entry.
@@ -54,6 +55,11 @@
 	Claimer *claim.Claimer
 	// Borrower spends customers' allowance.
 	Borrower *limit.Borrower
+	// Quarantine keeps requests from endpoints that crash these, and Check opens a connection to
+	// an endpoint whose answer broke off, to see whether it has ended. Nil means that none is
+	// kept.
+	Quarantine quarantine.Guard
+	Check      quarantine.Checker
 	// Attach fetches the answer to a request from the instance that runs it.
 	Attach Attacher
 	// Log gets a line for each decision.
@@ -74,6 +80,7 @@
 	stories     *stories
 	hits        *hits
 	metrics     *metrics
+	witness     *quarantine.Witness
 	incarnation string
 	counter     atomic.Uint64
 	stopping    atomic.Bool
@@ -90,7 +97,7 @@
 	if s.KeepAnswers == 0 {
 		s.KeepAnswers = defaultKeepAnswers
 	}
-	return &Entry{
+	e := &Entry{
 		Registry:    NewRegistry(),
 		Answers:     newAnswers(s.KeepAnswers),
 		settings:    s,
@@ -102,6 +109,8 @@
 		metrics:     newMetrics(),
 		incarnation: newIncarnation(),
 	}
+	e.witness = quarantine.NewWitness(p.Quarantine, p.Check, func() { e.metrics.add("crashes", 1) }, p.Log)
+	return e
 }
 
 // newIncarnation returns a name that no other start of any instance has.
--- a/entry/http.go
+++ b/entry/http.go
@@ -145,6 +145,7 @@
 		if fail != nil {
 			return fail
 		}
+		j.known(r, data)
 		stream, fail := parseCompletion(data, chat, j)
 		if fail != nil {
 			return fail
@@ -182,6 +183,11 @@
 // runs at most once. Then it runs f.
 func (e *Entry) admitted(w http.ResponseWriter, r *http.Request, j *job, f func(context.Context, Writer) *problem.Error) *problem.Error {
 	e.stories.begin(j)
+	leave, fail := e.enter(j)
+	if fail != nil {
+		return fail
+	}
+	defer leave()
 	ctx, cancel := context.WithTimeout(r.Context(), steady.Until(j.deadline))
 	defer cancel()
 	giveBack, refusal := e.parts.Borrower.Take(ctx, j.customer.ID, limit.Bounds{
@@ -233,6 +239,7 @@
 	if fail != nil {
 		return fail
 	}
+	j.known(r, data)
 	c := plain.Call{
 		Request:     j.id,
 		Method:      r.Method,
--- a/entry/job.go
+++ b/entry/job.go
@@ -8,6 +8,7 @@
 	"github.com/linkmast/linkmast/claim"
 	"github.com/linkmast/linkmast/config"
 	"github.com/linkmast/linkmast/policy"
+	"github.com/linkmast/linkmast/quarantine"
 )
 
 // job is one request of a caller on its way.
@@ -35,6 +36,11 @@
 	// prefix is a hash of the prompt's beginning.
 	prefix uint64
 	tokens int
+	// trail has its identity, which is the same for all tries of the request, at any instance,
+	// and what its attempts showed.
+	trail quarantine.Trail
+	// single states that it may run at one endpoint only, as its ban is just over.
+	single bool
 	// dispatches counts the attempts that may have reached an endpoint.
 	dispatches int
 }
--- a/fleet/virtual_test.go
+++ b/fleet/virtual_test.go
@@ -197,6 +197,7 @@
 	for _, n := range v.nodes {
 		n.cancel()
 		<-n.done
+		<-n.sharing.Done
 		n.claimer.Close()
 		n.borrow.Close()
 		n.writer.Close()
--- a/fleet/vnode_test.go
+++ b/fleet/vnode_test.go
@@ -11,12 +11,14 @@
 	"github.com/linkmast/linkmast/claim"
 	"github.com/linkmast/linkmast/entry"
 	"github.com/linkmast/linkmast/instances"
+	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/limit"
 	"github.com/linkmast/linkmast/logsvc"
 	"github.com/linkmast/linkmast/member"
 	"github.com/linkmast/linkmast/member/memberpb"
 	"github.com/linkmast/linkmast/order"
 	"github.com/linkmast/linkmast/owner"
+	"github.com/linkmast/linkmast/quarantine"
 	"github.com/linkmast/linkmast/rollout"
 	"github.com/linkmast/linkmast/rollout/rolloutpb"
 	"github.com/linkmast/linkmast/standin"
@@ -34,6 +36,8 @@
 	claimer *claim.Claimer
 	lender  *limit.Lender
 	borrow  *limit.Borrower
+	book    *quarantine.Book
+	sharing *quarantine.Sharing
 	cancel  context.CancelFunc
 	done    chan struct{}
 }
@@ -195,6 +199,53 @@
 	return out
 }
 
+// Counters implements quarantine.Peers.
+func (n *vnode) Counters(id quarantine.Identity) []string {
+	var out []string
+	for _, i := range n.member.View().Ranked(id.String(), 2) {
+		out = append(out, i.ID)
+	}
+	return out
+}
+
+// Self implements quarantine.Peers.
+func (n *vnode) Self() string { return n.id }
+
+// Others implements quarantine.Peers.
+func (n *vnode) Others() []string { return n.Addresses() }
+
+// Report implements quarantine.Peers.
+func (n *vnode) Report(ctx context.Context, instance string, c quarantine.Crash) error {
+	if err := n.fleet.gate(ctx, n.id, instance); err != nil {
+		return err
+	}
+	n.fleet.nodes[instance].book.Report(c)
+	return nil
+}
+
+// Tell implements quarantine.Peers.
+func (n *vnode) Tell(ctx context.Context, instance string, v quarantine.Verdict) error {
+	if err := n.fleet.gate(ctx, n.id, instance); err != nil {
+		return err
+	}
+	n.fleet.nodes[instance].book.Learn(v)
+	return nil
+}
+
+// check is a quarantine.Checker.
+func (n *vnode) check(ctx context.Context, address string) error {
+	if err := n.fleet.gate(ctx, n.id, address); err != nil {
+		return err
+	}
+	if e := n.fleet.engines[address]; e != nil && e.Faults().Dead {
+		return errCutOff
+	}
+	if s := n.fleet.services[address]; s != nil && s.Faults().Dead {
+		return errCutOff
+	}
+	return nil
+}
+
 // Attach implements entry.Attacher.
 func (n *vnode) Attach(ctx context.Context, instance, request string, out entry.Writer) error {
 	if err := n.fleet.gate(ctx, n.id, instance); err != nil {
@@ -230,6 +281,8 @@
 	n.claimer = claim.NewClaimer(n.route)
 	n.lender = limit.NewLender(0)
 	n.borrow = limit.NewBorrower(id, n)
+	n.book = quarantine.New(steady.Now, nil, logr.Discard())
+	n.sharing = quarantine.NewSharing(n.book, n, logr.Discard())
 	n.entry = entry.New(entry.Settings{
 		Self:     self,
 		Strategy: strategyNamed(strategy),
@@ -241,12 +294,15 @@
 		Endpoints:     n,
 		Claimer:       n.claimer,
 		Borrower:      n.borrow,
+		Quarantine:    n.sharing,
+		Check:         n.check,
 		Attach:        n,
 		Log:           logr.Discard(),
 	})
 	n.owner = owner.New(owner.Settings{
 		Strategy: strategyNamed(strategy),
 	}, n, n, order.New(order.Settings{}, log, v.platform.Weights, logr.Discard()), logr.Discard())
+	go n.sharing.Run(ctx)
 	go n.follow(ctx)
 }
 
--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -3,8 +3,6 @@
 package gateway
 
 import (
-	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -13,6 +11,7 @@
 	"github.com/linkmast/linkmast/catalog"
 	"github.com/linkmast/linkmast/catalog/catalogpb"
 	"github.com/linkmast/linkmast/internal/steady"
+	"github.com/linkmast/linkmast/internal/tcp"
 	"github.com/linkmast/linkmast/internal/wirehttp"
 	"github.com/linkmast/linkmast/peer"
 	"github.com/linkmast/linkmast/platform"
@@ -65,7 +64,7 @@
 			Slack:   f.Cold.Slack,
 		},
 		Reports:    platform.NewReports(client, g.log.WithName("reports")),
-		Check:      checkEndpoint,
+		Check:      tcp.Check,
 		Worth:      f.Worth,
 		Quarantine: g.quarantine,
 	}, log)
@@ -78,16 +77,6 @@
 	return g.catalog.Place("ban/" + id.String())
 }
 
-// checkEndpoint opens a connection to an endpoint and closes it again.
-func checkEndpoint(ctx context.Context, address string) error {
-	var d net.Dialer
-	c, err := d.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return err
-	}
-	return c.Close()
-}
-
 // assembleServer makes what serves other instances.
 func (g *Gateway) assembleServer() {
 	g.rpc = grpc.NewServer(grpc.ReadBufferSize(rpcBuffer), grpc.WriteBufferSize(rpcBuffer))
@@ -108,7 +97,7 @@
 		Placer:     g.placer,
 		Suspicions: g.placer,
 		Quarantine: g.placer,
-		Check:      checkEndpoint,
+		Check:      tcp.Check,
 		Wire:       platform.Wire{},
 		Memory:     platform.NewOrders(client),
 		Upstream:   g.upstream,
--- /dev/null
+++ b/internal/tcp/check.go
@@ -0,0 +1,18 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package tcp
+
+import (
+	"context"
+	"net"
+)
+
+// Check opens a connection to an address and closes it again.
+func Check(ctx context.Context, address string) error {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
--- a/node/node.go
+++ b/node/node.go
@@ -21,6 +21,8 @@
 	"github.com/linkmast/linkmast/engine"
 	"github.com/linkmast/linkmast/entry"
 	"github.com/linkmast/linkmast/instances"
+	"github.com/linkmast/linkmast/internal/steady"
+	"github.com/linkmast/linkmast/internal/tcp"
 	"github.com/linkmast/linkmast/internal/wirehttp"
 	"github.com/linkmast/linkmast/limit"
 	"github.com/linkmast/linkmast/limit/limitpb"
@@ -33,6 +35,8 @@
 	"github.com/linkmast/linkmast/peer"
 	"github.com/linkmast/linkmast/plain"
 	"github.com/linkmast/linkmast/policy"
+	"github.com/linkmast/linkmast/quarantine"
+	"github.com/linkmast/linkmast/quarantine/quarantinepb"
 	"github.com/linkmast/linkmast/rollout"
 	"github.com/linkmast/linkmast/rollout/rolloutpb"
 	"github.com/linkmast/linkmast/settings"
@@ -64,7 +68,10 @@
 	writer     *claim.Writer
 	claimer    *claim.Claimer
 	lender     *limit.Lender
-	borrower   *limit.Borrower
+	// book has the requests that crash endpoints, and sharing tells other instances of them.
+	book     *quarantine.Book
+	sharing  *quarantine.Sharing
+	borrower *limit.Borrower
 
 	callers *http.Server
 	admin   *http.Server
@@ -163,6 +170,7 @@
 	n.assemble()
 	n.serve(l, server)
 	n.parts.Go(func() { n.follow(ctx) })
+	n.parts.Go(func() { n.sharing.Run(ctx) })
 	n.parts.Go(func() { n.watchAll(ctx) })
 	return n, nil
 }
@@ -198,6 +206,8 @@
 		RepeatAfter: time.Duration(f.Times.RepeatConfiguration),
 	}, log, n.peers, n.log.WithName("rollout"))
 	n.generation.Store(n.rollout)
+	n.book = quarantine.New(steady.Now, n.peers.turn, n.log.WithName("quarantine"))
+	n.sharing = quarantine.NewSharing(n.book, n.peers, n.log.WithName("quarantine"))
 	adapters := &endpoints{
 		client: client,
 	}
@@ -212,6 +222,8 @@
 		Endpoints:     adapters,
 		Claimer:       n.claimer,
 		Borrower:      n.borrower,
+		Quarantine:    n.sharing,
+		Check:         tcp.Check,
 		Attach:        entry.NewRemote(n.peers),
 		Log:           decisions.WithName("entry"),
 	})
@@ -266,6 +278,7 @@
 	ownerpb.RegisterHolderServer(n.rpc, n.entry.Registry)
 	claimpb.RegisterClaimsServer(n.rpc, claim.NewServer(n.writer))
 	claimpb.RegisterAnswersServer(n.rpc, n.entry.Answers)
+	quarantinepb.RegisterQuarantineServer(n.rpc, quarantine.NewServer(n.book))
 	limitpb.RegisterLenderServer(n.rpc, limit.NewServer(n.lender, n.bounds))
 	n.callers = server(n.entry.Handler())
 	n.admin = server(n.adminHandler())
--- /dev/null
+++ b/node/quarantine.go
@@ -0,0 +1,74 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package node
+
+import (
+	"context"
+	"slices"
+
+	"github.com/linkmast/linkmast/instances"
+	"github.com/linkmast/linkmast/internal/steady"
+	"github.com/linkmast/linkmast/quarantine"
+)
+
+// crashCounters is how many instances count the crashes of a request: one may end.
+const crashCounters = 2
+
+// crashKey is what the order of instances is made from that count the crashes of an identity,
+// and that let a request run again after its ban.
+func crashKey(id quarantine.Identity) string {
+	return "crashes:" + id.String()
+}
+
+// Counters implements quarantine.Peers.
+func (p *peers) Counters(id quarantine.Identity) []string {
+	return idsOf(p.view().Ranked(crashKey(id), crashCounters))
+}
+
+// turn returns how many other instances come before this one in showing whether a request still
+// crashes endpoints.
+func (p *peers) turn(id quarantine.Identity) int {
+	v := p.view()
+	return max(slices.Index(idsOf(v.Ranked(crashKey(id), len(v.Nodes))), p.self.ID), 0)
+}
+
+func idsOf(list []instances.Instance) []string {
+	out := make([]string, 0, len(list))
+	for _, i := range list {
+		out = append(out, i.ID)
+	}
+	return out
+}
+
+// Self implements quarantine.Peers.
+func (p *peers) Self() string { return p.self.ID }
+
+// Others implements quarantine.Peers.
+func (p *peers) Others() []string {
+	v := p.view()
+	out := make([]string, 0, len(v.Nodes))
+	for id := range v.Nodes {
+		if id != p.self.ID {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// Report implements quarantine.Peers.
+func (p *peers) Report(ctx context.Context, instance string, c quarantine.Crash) error {
+	conn, err := p.ConnTo(instance)
+	if err != nil {
+		return err
+	}
+	return quarantine.ReportTo(ctx, conn, quarantine.EncodeCrash(c, steady.Now()))
+}
+
+// Tell implements quarantine.Peers.
+func (p *peers) Tell(ctx context.Context, instance string, v quarantine.Verdict) error {
+	conn, err := p.ConnTo(instance)
+	if err != nil {
+		return err
+	}
+	return quarantine.TellTo(ctx, conn, v)
+}
--- a/pool/check.go
+++ b/pool/check.go
@@ -43,9 +43,6 @@
 	checkTrusted = 0.75
 )
 
-// Checker opens a connection to an endpoint and closes it again.
-type Checker func(ctx context.Context, address string) error
-
 // checks are how the endpoints of a pool are checked. The zero value is ready for use.
 type checks struct {
 	// found are when endpoints were found to have stopped, by instance.
--- a/pool/link_session.go
+++ b/pool/link_session.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/linkmast/linkmast/pool/poolpb"
+	"github.com/linkmast/linkmast/quarantine"
 )
 
 // fromOwner is the entry's side of the stream to an owner.
@@ -189,7 +190,7 @@
 	case *poolpb.FromOwner_Move:
 		go l.move(k.Move.GetId(), k.Move.GetEndpoint(), l.peer)
 	case *poolpb.FromOwner_Verdict:
-		l.verdict(decodeVerdict(k.Verdict))
+		l.verdict(quarantine.DecodeVerdict(k.Verdict))
 	case *poolpb.FromOwner_Pong:
 	}
 }
--- a/pool/messages.go
+++ b/pool/messages.go
@@ -203,57 +203,16 @@
 func crashedMessage(c quarantine.Crash, now time.Time) *poolpb.FromEntry {
 	return &poolpb.FromEntry{
 		Kind: &poolpb.FromEntry_Crashed{
-			Crashed: &poolpb.Crashed{
-				Attempt:  c.Attempt,
-				Before:   c.Before,
-				Identity: uint64(c.Identity),
-				Endpoint: c.Endpoint,
-				Others:   c.Others,
-				BeganUs:  now.Sub(c.Began).Microseconds(),
-				EndedUs:  now.Sub(c.Ended).Microseconds(),
-			},
+			Crashed: quarantine.EncodeCrash(c, now),
 		},
 	}
 }
 
-// decodeCrashed returns the crash of a message.
-func decodeCrashed(m *poolpb.Crashed, now time.Time) quarantine.Crash {
-	return quarantine.Crash{
-		Attempt:  m.GetAttempt(),
-		Before:   m.GetBefore(),
-		Identity: quarantine.Identity(m.GetIdentity()),
-		Endpoint: m.GetEndpoint(),
-		Others:   m.GetOthers(),
-		Began:    now.Add(-microseconds(m.GetBeganUs())),
-		Ended:    now.Add(-microseconds(m.GetEndedUs())),
-	}
-}
-
-// encodeVerdict returns the message of a verdict.
-func encodeVerdict(v quarantine.Verdict) *poolpb.Verdict {
-	return &poolpb.Verdict{
-		Identity: uint64(v.Identity),
-		State:    int32(v.State),
-		ForUs:    v.For.Microseconds(),
-		Times:    int32(v.Times),
-	}
-}
-
-// decodeVerdict returns the verdict of a message.
-func decodeVerdict(m *poolpb.Verdict) quarantine.Verdict {
-	return quarantine.Verdict{
-		Identity: quarantine.Identity(m.GetIdentity()),
-		State:    quarantine.State(m.GetState()),
-		For:      microseconds(m.GetForUs()),
-		Times:    int(m.GetTimes()),
-	}
-}
-
 // verdictToOwner and verdictToEntry tell the other end of a session of a verdict.
 func verdictToOwner(v quarantine.Verdict) *poolpb.FromEntry {
 	return &poolpb.FromEntry{
 		Kind: &poolpb.FromEntry_Verdict{
-			Verdict: encodeVerdict(v),
+			Verdict: quarantine.EncodeVerdict(v),
 		},
 	}
 }
@@ -261,7 +220,7 @@
 func verdictToEntry(v quarantine.Verdict) *poolpb.FromOwner {
 	return &poolpb.FromOwner{
 		Kind: &poolpb.FromOwner_Verdict{
-			Verdict: encodeVerdict(v),
+			Verdict: quarantine.EncodeVerdict(v),
 		},
 	}
 }
--- a/pool/messages_test.go
+++ b/pool/messages_test.go
@@ -89,7 +89,7 @@
 		}
 		assertSet(t, c)
 		m := crashedMessage(c, now)
-		is.Equal(decodeCrashed(m.GetCrashed(), now), c)
+		is.Equal(quarantine.DecodeCrash(m.GetCrashed(), now), c)
 		c.Others = nil
 		is.True(proto.Size(crashedMessage(c, now)) <= 192)
 		c.Others = []string{"10.128.100.101:8080", "10.128.100.102:8080"}
@@ -104,8 +104,8 @@
 			Times:    9,
 		}
 		assertSet(t, v)
-		is.Equal(decodeVerdict(verdictToEntry(v).GetVerdict()), v)
-		is.Equal(decodeVerdict(verdictToOwner(v).GetVerdict()), v)
+		is.Equal(quarantine.DecodeVerdict(verdictToEntry(v).GetVerdict()), v)
+		is.Equal(quarantine.DecodeVerdict(verdictToOwner(v).GetVerdict()), v)
 		is.True(proto.Size(verdictToEntry(v)) <= 32)
 	})
 }
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -32,7 +32,7 @@
 	Pace PaceWay
 	// Check opens a connection to an endpoint, to see whether it is there; nil means that
 	// endpoints are not checked.
-	Check Checker
+	Check quarantine.Checker
 	// Worth says what answers are worth.
 	Worth worth.Settings
 	// Quarantine is what is known of requests that crash endpoints; the default is an empty
--- a/pool/server.go
+++ b/pool/server.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/linkmast/linkmast/pool/poolpb"
+	"github.com/linkmast/linkmast/quarantine"
 )
 
 // forgetAfter is how long the attempts of an entry whose session broke off are
@@ -150,9 +151,9 @@
 	case *poolpb.FromEntry_Suspicion:
 		s.Suspect(k.Suspicion.GetId(), k.Suspicion.GetService(), microseconds(k.Suspicion.GetSilenceUs()))
 	case *poolpb.FromEntry_Crashed:
-		s.settings.Quarantine.Report(decodeCrashed(k.Crashed, s.settings.Now()))
+		s.settings.Quarantine.Report(quarantine.DecodeCrash(k.Crashed, s.settings.Now()))
 	case *poolpb.FromEntry_Verdict:
-		s.settings.Quarantine.Learn(decodeVerdict(k.Verdict))
+		s.settings.Quarantine.Learn(quarantine.DecodeVerdict(k.Verdict))
 	case *poolpb.FromEntry_Ping:
 		if k.Ping.GetSeq() == greetingEnd {
 			x.server.greeted(x)
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -40,6 +40,7 @@
 	CodeDeadlinePassed Code = "deadline_passed"
 	CodeNoEndpoint     Code = "no_endpoint"
 	CodeNeverFits      Code = "never_fits"
+	CodeCrashes        Code = "crashes_endpoints"
 	CodeBusy           Code = "busy"
 	CodeNotReady       Code = "not_ready"
 	CodeEndpointFailed Code = "endpoint_failed"
--- /dev/null
+++ b/quarantine/witness.go
@@ -0,0 +1,130 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package quarantine
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/go-logr/logr"
+	"golang.org/x/sync/singleflight"
+
+	"github.com/linkmast/linkmast/internal/steady"
+)
+
+// checkWithin bounds the look whether an endpoint has ended: an ended process refuses
+// connections at once, a machine without power never answers.
+const checkWithin = 250 * time.Millisecond
+
+// Checker opens a connection to an endpoint and closes it again.
+type Checker func(ctx context.Context, address string) error
+
+// Trail is what is known of one try of a request over its attempts.
+type Trail struct {
+	// Identity is that of the request.
+	Identity Identity
+	// Request names the try, for the log.
+	Request string
+
+	// before names its last attempt that broke off; empty before the first one.
+	before string
+	// crashed is when an endpoint ended under it that was suspected before; zero if none did.
+	crashed time.Time
+}
+
+// Broken is an attempt that broke off, or whose endpoint is silent.
+type Broken struct {
+	// Attempt names it.
+	Attempt string
+	// Began is when it was sent.
+	Began time.Time
+	// Worked are the addresses of the endpoints that worked on it, its own first.
+	Worked []string
+	// Suspects are those of them that may have ended.
+	Suspects []string
+}
+
+// Witness looks whether endpoints have ended under attempts, and reports those crashes. A
+// connection that was reset, an answer that an endpoint broke off, or a connection that it no
+// longer kept are none.
+type Witness struct {
+	guard Guard
+	check Checker
+	count func()
+	log   logr.Logger
+	// checks are those that are under way, by address.
+	checks singleflight.Group
+}
+
+// NewWitness returns a witness. Count is called with each crash.
+func NewWitness(g Guard, check Checker, count func(), log logr.Logger) *Witness {
+	return &Witness{
+		guard: g,
+		check: check,
+		count: count,
+		log:   log,
+	}
+}
+
+// Broke reports an attempt of a try if one of its endpoints has ended. For a request that is
+// suspected it returns when that is known, as the next attempt depends on it.
+func (w *Witness) Broke(t *Trail, b Broken) {
+	c := Crash{
+		Attempt:  b.Attempt,
+		Before:   t.before,
+		Identity: t.Identity,
+		Others:   b.Worked,
+		Began:    b.Began,
+		Ended:    steady.Now(),
+	}
+	t.before = b.Attempt
+	if !w.guard.Suspected(t.Identity) {
+		go w.report(c, b.Suspects, t.Request)
+		return
+	}
+	if w.report(c, b.Suspects, t.Request) {
+		t.crashed = c.Ended
+	}
+}
+
+// Settle waits, before a further attempt of a try that was suspected when it crashed an
+// endpoint, until it is known whether there may be one.
+func (t *Trail) Settle(ctx context.Context) {
+	if t.crashed.IsZero() {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(steady.Until(t.crashed.Add(SettleAfter))):
+	}
+	t.crashed = time.Time{}
+}
+
+// report reports a crash if one of the suspects has ended, and returns whether it did.
+func (w *Witness) report(c Crash, suspects []string, request string) bool {
+	for _, address := range suspects {
+		err := w.look(address)
+		if err == nil {
+			continue
+		}
+		w.count()
+		w.log.Info("endpoint ended under a request", "request", request, "attempt", c.Attempt,
+			"identity", c.Identity.String(), "address", address, "cause", err.Error())
+		c.Endpoint = address
+		c.Others = slices.DeleteFunc(c.Others, func(other string) bool { return other == address })
+		w.guard.Crashed(c)
+		return true
+	}
+	return false
+}
+
+// look opens a connection to an endpoint. All who want to know at one moment share it.
+func (w *Witness) look(address string) error {
+	_, err, _ := w.checks.Do(address, func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), checkWithin)
+		defer cancel()
+		return nil, w.check(ctx, address)
+	})
+	return err
+}
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -25,8 +25,6 @@
 	host     string
 	header   http.Header
 	body     []byte
-	// identity is the same for all tries of the request, at any instance.
-	identity quarantine.Identity
 	arrived  time.Time
 	deadline time.Time
 	// spent is how long before it arrived its caller first asked; zero at a first
@@ -35,10 +33,9 @@
 	// keyed states that the request needs a key.
 	keyed bool
 
-	// before names its last attempt that broke off; empty before the first one.
-	before string
-	// crashed is when an endpoint ended under it that was suspected before; zero if none did.
-	crashed time.Time
+	// trail has its identity, which is the same for all tries of the request, at any instance,
+	// and what its attempts showed.
+	trail quarantine.Trail
 	// once states that it may run at one endpoint only, whatever its route says.
 	once bool
 	// sends counts the endpoints that the request was sent to.
@@ -86,7 +83,10 @@
 	if ref := j.read(r); ref != nil {
 		return nil, ref
 	}
-	j.identity = quarantine.Identify(j.target, j.customer, j.body)
+	j.trail = quarantine.Trail{
+		Identity: quarantine.Identify(j.target, j.customer, j.body),
+		Request:  h.ID,
+	}
 	return j, nil
 }
 
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -32,7 +32,7 @@
 	served  int
 }
 
-// Enter implements Quarantine.
+// Enter implements quarantine.Guard.
 func (l *ledger) Enter(quarantine.Identity) (quarantine.Pass, time.Duration, bool) {
 	return quarantine.Pass{
 		Once:  l.suspected,
@@ -40,20 +40,20 @@
 	}, time.Minute, !l.barred
 }
 
-// Barred implements Quarantine.
+// Barred implements quarantine.Guard.
 func (l *ledger) Barred(quarantine.Identity) (time.Duration, bool) { return time.Minute, l.barred }
 
-// Suspected implements Quarantine.
+// Suspected implements quarantine.Guard.
 func (l *ledger) Suspected(quarantine.Identity) bool { return l.suspected }
 
-// Crashed implements Quarantine.
+// Crashed implements quarantine.Guard.
 func (l *ledger) Crashed(c quarantine.Crash) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.crashes = append(l.crashes, c)
 }
 
-// Served implements Quarantine.
+// Served implements quarantine.Guard.
 func (l *ledger) Served(quarantine.Identity) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -76,7 +76,9 @@
 	return r, &try{
 		relay: r,
 		job: &job{
-			identity: 9,
+			trail: quarantine.Trail{
+				Identity: 9,
+			},
 			route: &route.Route{
 				Kind:        route.Streaming,
 				MaxAttempts: 2,
@@ -208,7 +210,7 @@
 					cut:     true,
 				})
 				began := time.Now()
-				r.settle(t.Context(), attempt.job)
+				attempt.job.trail.Settle(t.Context())
 				is.New(t).Equal(time.Since(began), row.waits)
 				synctest.Wait()
 			})
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -9,12 +9,12 @@
 	"time"
 
 	"github.com/go-logr/logr"
-	"golang.org/x/sync/singleflight"
 
 	"github.com/linkmast/linkmast/catalog"
 	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/internal/upstream"
 	"github.com/linkmast/linkmast/pool"
+	"github.com/linkmast/linkmast/quarantine"
 )
 
 // Settings are the measures of a Relay.
@@ -41,10 +41,10 @@
 	// that each is watched by itself.
 	Suspicions pool.Suspecter
 	// Quarantine keeps requests from endpoints that crash these; nil means that none is kept.
-	Quarantine Quarantine
+	Quarantine quarantine.Guard
 	// Check opens a connection to an endpoint that broke an answer off, to see whether it
 	// has ended; needed with Quarantine.
-	Check pool.Checker
+	Check quarantine.Checker
 	// Wire reads and writes headers.
 	Wire Wire
 	// Memory reserves memory.
@@ -69,8 +69,8 @@
 	// for a first configuration.
 	inFlight atomic.Int64
 	held     atomic.Int64
-	// checks are those of endpoints that are under way, by address.
-	checks singleflight.Group
+	// witness looks for crashes; needed with a quarantine.
+	witness *quarantine.Witness
 	// waits are the times that callers name, and began is when the relay was made.
 	waits waits
 	began time.Time
@@ -78,12 +78,14 @@
 
 // New returns a relay.
 func New(s Settings, p Parts) *Relay {
-	return &Relay{
+	l := &Relay{
 		Metrics:  newMetrics(),
 		settings: s,
 		parts:    p,
 		began:    steady.Now(),
 	}
+	l.witness = quarantine.NewWitness(p.Quarantine, p.Check, func() { l.Metrics.add("crashes") }, p.Log)
+	return l
 }
 
 // Stop makes the relay ask callers to use another connection for their next
