Ask about the pace of a few engines at a time

Cause: when an engine told another pace than before, that of all others became unsure and was asked at one moment: with 300 instances and 3,000 engines 5,005 connections, 195 MB and a second or more of the owner's processor, which places for all.

Change: one that has changed makes 64 others unsure, and each of those that changed 64 more; at most 64 are asked at a look; questions have a client of their own that keeps 128 idle connections.

Ruled out: a bound on checks (measured before, no effect); fewer questions by wider borders of being off (design/pace.md).

TestPaceOfMany: one slow engine of 1,000 takes 65 questions (1,000 before), a third of them is known after 0.4 s with 64 at a look at most.

--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -41,15 +41,19 @@
 		Poll:       time.Duration(f.Times.Revoke) / pollsPerRevoke,
 	}, store, g.peers, g.log.WithName("catalog"))
 	g.quarantine = quarantine.New(steady.Now, g.turn, g.log.WithName("quarantine"))
-	g.assemblePools(client)
+	g.assemblePools()
 	g.recorder = quarantine.NewRecorder(g.quarantine, store, g.placer.CountsCrashes, g.log.WithName("quarantine"))
 	g.assembleServer()
 	g.assembleRelay(client)
 }
 
+// idleQuestions bounds the connections that are kept for questions to engines: those that are
+// asked again and again, as they are slow.
+const idleQuestions = 128
+
 // assemblePools makes the scheduler of pools and the client that asks other
-// instances. The HTTP client carries questions to engines.
-func (g *Gateway) assemblePools(client *http.Client) {
+// instances.
+func (g *Gateway) assemblePools() {
 	f := g.settings
 	log := g.log.WithName("pool")
 	g.pools = pool.NewScheduler(pool.Settings{
@@ -63,7 +67,7 @@
 			Overage: f.Cold.Overage,
 			Slack:   f.Cold.Slack,
 		},
-		Reports:    platform.NewReports(client, g.log.WithName("reports")),
+		Reports:    platform.NewReports(wirehttp.Bounded(idleQuestions), g.log.WithName("reports")),
 		Check:      tcp.Check,
 		Worth:      f.Worth,
 		Quarantine: g.quarantine,
--- a/internal/wirehttp/wirehttp.go
+++ b/internal/wirehttp/wirehttp.go
@@ -32,9 +32,16 @@
 // redirect and keeps connections open between calls. Time-outs of whole calls
 // are up to the caller's context.
 func Client() *http.Client {
+	return Bounded(0)
+}
+
+// Bounded returns a client like that of Client which keeps at most so many idle connections,
+// to all addresses together; zero means no bound.
+func Bounded(idle int) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
 			DialContext:         tcp.Dialer(dialTimeout).DialContext,
+			MaxIdleConns:        idle,
 			MaxIdleConnsPerHost: idlePerHost,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
--- a/pool/pace.go
+++ b/pool/pace.go
@@ -65,6 +65,14 @@
 	// unansweredMost is how many questions in a row may be without an answer for the answers
 	// before to settle what events say otherwise.
 	unansweredMost = 2
+	// doubtedByOne is how many others become unsure when one engine tells another pace. Where
+	// some of them tell one too, each makes as many unsure again, so that a third of 1,000 engines
+	// are known within a second, while one slow engine among them takes 65 questions in place of
+	// 1,000 (TestPaceOfMany).
+	doubtedByOne = 64
+	// askedAtOnce is how many engines are asked at one look: a question costs an owner some tenths
+	// of a ms, and looks are 25 ms apart.
+	askedAtOnce = 64
 	// decidesFor is how long after its last place an instance counts as one that decides:
 	// longer than reading a long prompt takes.
 	decidesFor = 10 * time.Second
@@ -106,6 +114,8 @@
 	// asked counts the questions to engines, and changes those of a pace.
 	asked   int
 	changes int
+	// doubted is how many engines have become unsure as others changed: where to go on.
+	doubted int
 }
 
 // paceRecord is what is known of one engine.
@@ -256,6 +266,7 @@
 	}
 	p.paces.looked = now
 	p.noteOverdue(now)
+	left := askedAtOnce
 	for name, r := range p.paces.of {
 		e := p.engines[name]
 		if e == nil {
@@ -263,7 +274,8 @@
 			continue
 		}
 		asks := s.asks(p, now) && p.takesPart(e)
-		if asks && r.due(e, now) {
+		if asks && left > 0 && r.due(e, now) {
+			left--
 			s.askPace(p, e, r, now)
 		}
 		if s.settings.Pace != PaceTold && (!asks || r.unanswered > unansweredMost) {
@@ -324,8 +336,8 @@
 }
 
 // told takes over what an engine says of its pace. When it is another one than before, that
-// of all others is unsure: what slows an engine often slows more of them, and the first
-// request that tells of each would be late. The caller holds the lock.
+// of others is unsure: what slows an engine often slows more of them, and the first request
+// that tells of each would be late. The caller holds the lock.
 func (s *Scheduler) told(p *state, e *placement.Engine, pace float64) {
 	now := s.settings.Now()
 	r := p.paces.record(e.Instance)
@@ -333,10 +345,25 @@
 	if !s.setPace(p, e, r, pace, "told", now) {
 		return
 	}
-	for _, o := range p.list {
-		if o != e {
-			p.paces.record(o.Instance).unsure = true
+	p.doubtOthers(e, now)
+}
+
+// doubtOthers makes some engines unsure as one has told another pace than before: those that
+// come next and were not asked just now.
+func (p *state) doubtOthers(e *placement.Engine, now time.Time) {
+	left := doubtedByOne
+	for range p.list {
+		if left == 0 {
+			return
+		}
+		o := p.list[p.paces.doubted%len(p.list)]
+		p.paces.doubted++
+		r := p.paces.record(o.Instance)
+		if o == e || r.unsure || now.Sub(r.asked) < askSlowEvery {
+			continue
 		}
+		r.unsure = true
+		left--
 	}
 }
 
