Leave the list of an attempt's endpoints as it is when a crash names the others

The witness took an endpoint out of the list that its caller had made, which an entry also uses as the list of suspects. Nothing reads on after it today.

--- a/quarantine/sharing.go
+++ b/quarantine/sharing.go
@@ -54,7 +54,6 @@
 
 	book  *Book
 	peers Peers
-	now   func() time.Time
 	log   logr.Logger
 	// crashes and verdicts are what is to be told, each to the instances that it names.
 	// Verdicts are told in order.
@@ -77,7 +76,6 @@
 		Done:     make(chan struct{}),
 		book:     b,
 		peers:    p,
-		now:      b.now,
 		log:      log,
 		crashes:  make(chan errand, tellQueue),
 		verdicts: make(chan errand, tellQueue),
--- a/quarantine/witness.go
+++ b/quarantine/witness.go
@@ -112,7 +112,7 @@
 		w.log.Info("endpoint ended under a request", "request", request, "attempt", c.Attempt,
 			"identity", c.Identity.String(), "address", address, "cause", err.Error())
 		c.Endpoint = address
-		c.Others = slices.DeleteFunc(c.Others, func(other string) bool { return other == address })
+		c.Others = slices.DeleteFunc(slices.Clone(c.Others), func(other string) bool { return other == address })
 		w.guard.Crashed(c)
 		return true
 	}
