Let operators release requests that were banned

A wrong ban lasted for two minutes, and an operator could end it only by writing to the store by hand. linkmastctl release ends the records of identities; bad identities are told before anything is written. The instance's own program is as before.

--- a/cmd/linkmastctl/main.go
+++ b/cmd/linkmastctl/main.go
@@ -33,6 +33,7 @@
 	Show       showCommand       `command:"show" description:"print the configuration in force"`
 	Status     statusCommand     `command:"status" description:"show nodes, endpoints, queues and generations"`
 	Explain    explainCommand    `command:"explain" description:"tell why a request went where it went"`
+	Release    releaseCommand    `command:"release" description:"let requests run again that were banned as they crashed endpoints"`
 	Demo       demoCommand       `command:"demo" description:"run a whole deployment in this process"`
 	Standin    standinCommand    `command:"standin" description:"run a stand-in for an outside system"`
 	Load       loadCommand       `command:"load" description:"send requests and measure the answers"`
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -15,7 +15,10 @@
 	"github.com/matryer/is"
 
 	"github.com/linkmast/linkmast/batch"
+	"github.com/linkmast/linkmast/internal/wirehttp"
+	"github.com/linkmast/linkmast/platform"
 	"github.com/linkmast/linkmast/platform/platformtest"
+	"github.com/linkmast/linkmast/quarantine"
 )
 
 // crashing is the body of the request that crashes endpoints in these tests.
@@ -389,6 +392,23 @@
 	is.Equal(w.crashes(), before)
 }
 
+// TestBanReleased has an operator end the record of a ban: the request may run again everywhere.
+func TestBanReleased(t *testing.T) {
+	is := is.New(t)
+	w := newCrashWorld(t, engines())
+	w.assertContained(t, "/stream/x", 500)
+	w.awaitAll("ban known", func(f figures) bool { return f.Quarantine.Bans == 1 })
+	w.await("ban in the store", func() bool { return w.store.Has(platformtest.TopicPeers, "ban/") })
+	before := w.attempts()
+	id := quarantine.Identify("/stream/x", "c1", []byte(crashing))
+	is.NoErr(platform.NewStore(wirehttp.Client(), w.storeAddr).EraseBan(t.Context(), id))
+	w.awaitAll("released", func(f figures) bool { return f.Quarantine.Bans == 0 })
+	w.await("runs again", func() bool {
+		w.sendCrashing(0, "/stream/x", 500)
+		return w.attempts() > before
+	})
+}
+
 // TestCrashesOfOtherCause crashes engines while callers ask for the same thing over and over at
 // all instances: nothing of it is banned, and all is served once the engines are back.
 func TestCrashesOfOtherCause(t *testing.T) {
