Let all instances try a request within two minutes after its ban

Found by reading the turns again: at 2 s each, the last of 1,200 instances would refuse a request that was banned wrongly for 40 minutes after its ban. The steps are shorter where there are many, so that all may let it run within two minutes; at 1,200 they are 0.1 s, in which a crash isn't known everywhere, so that a few may run at once there.

What 1,200 instances let run at once is not measured.

--- a/catalog/ranks.go
+++ b/catalog/ranks.go
@@ -81,20 +81,24 @@
 }
 
 // Place returns how many of the other instances that are known come before this one for a duty
-// that nobody needs to be able for.
-func (c *Catalog) Place(duty string) int {
+// that nobody needs to be able for, and how many instances there are.
+func (c *Catalog) Place(duty string) (before, of int) {
 	known := c.Snapshot()
 	if known == nil {
-		return 0
+		return 0, 1
 	}
 	score := func(p Peer) float64 { return rendezvous.Score(duty, p.ID, p.Capacity) }
-	own, before := score(c.settings.Self), 0
+	own := score(c.settings.Self)
 	for id, p := range known.Peers {
-		if id != c.settings.Self.ID && score(p) > own {
+		switch {
+		case id == c.settings.Self.ID:
+			continue
+		case score(p) > own:
 			before++
 		}
+		of++
 	}
-	return before
+	return before, of + 1
 }
 
 // weigh returns what the order of an instance depends on.
--- a/catalog/readers_test.go
+++ b/catalog/readers_test.go
@@ -380,7 +380,9 @@
 		var places []int
 		for _, x := range all {
 			await(t, "all others", func() bool { return len(x.Snapshot().Peers) == len(all) })
-			places = append(places, x.Place(duty))
+			before, of := x.Place(duty)
+			is.Equal(of, len(all))
+			places = append(places, before)
 		}
 		slices.Sort(places)
 		is.Equal(places, []int{0, 1, 2, 3, 4, 5})
--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -75,10 +75,13 @@
 	g.placer = pool.NewClient(g.self, g.pools, g.peers, log)
 }
 
-// turn returns how many other instances come before this one in showing whether a request still
-// crashes endpoints.
-func (g *Gateway) turn(id quarantine.Identity) int {
-	return g.catalog.Place("ban/" + id.String())
+// turn returns the place of this instance in showing whether a request still crashes endpoints.
+func (g *Gateway) turn(id quarantine.Identity) quarantine.Turn {
+	before, of := g.catalog.Place("ban/" + id.String())
+	return quarantine.Turn{
+		Before: before,
+		Of:     of,
+	}
 }
 
 // assembleServer makes what serves other instances.
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -25,11 +25,13 @@
 	return idsOf(p.view().Ranked(crashKey(id), crashCounters))
 }
 
-// turn returns how many other instances come before this one in showing whether a request still
-// crashes endpoints.
-func (p *peers) turn(id quarantine.Identity) int {
+// turn returns the place of this instance in showing whether a request still crashes endpoints.
+func (p *peers) turn(id quarantine.Identity) quarantine.Turn {
 	v := p.view()
-	return max(slices.Index(idsOf(v.Ranked(crashKey(id), len(v.Nodes))), p.self.ID), 0)
+	return quarantine.Turn{
+		Before: max(slices.Index(idsOf(v.Ranked(crashKey(id), len(v.Nodes))), p.self.ID), 0),
+		Of:     len(v.Nodes),
+	}
 }
 
 func idsOf(list []instances.Instance) []string {
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -72,7 +72,7 @@
 // several goroutines.
 type Book struct {
 	now  func() time.Time
-	turn func(Identity) int
+	turn func(Identity) Turn
 	log  logr.Logger
 
 	mu       sync.Mutex
@@ -106,12 +106,12 @@
 	Cleared int `json:"cleared"`
 }
 
-// New returns an empty book. Now returns the time, and turn how many other instances come before
-// this one in showing whether requests of an identity still crash endpoints once their ban is
-// over; nil stands for none.
-func New(now func() time.Time, turn func(Identity) int, log logr.Logger) *Book {
+// New returns an empty book. Now returns the time, and turn the place of this instance in showing
+// whether requests of an identity still crash endpoints once their ban is over; nil stands for
+// that of the only one.
+func New(now func() time.Time, turn func(Identity) Turn, log logr.Logger) *Book {
 	if turn == nil {
-		turn = func(Identity) int { return 0 }
+		turn = func(Identity) Turn { return Turn{} }
 	}
 	return &Book{
 		now:      now,
--- a/quarantine/book_test.go
+++ b/quarantine/book_test.go
@@ -368,7 +368,12 @@
 func banned(n int) []*Book {
 	var all []*Book
 	for i := range n {
-		all = append(all, New(time.Now, func(Identity) int { return i }, logr.Discard()))
+		all = append(all, New(time.Now, func(Identity) Turn {
+			return Turn{
+				Before: i,
+				Of:     n,
+			}
+		}, logr.Discard()))
 	}
 	crashThrice(all[0])
 	for _, b := range all[1:] {
@@ -439,6 +444,25 @@
 	}
 }
 
+// TestTurn looks that instances begin one after the other, and that many of them don't take
+// longer than a first ban.
+func TestTurn(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		turn Turn
+		wait time.Duration
+	}{
+		{"alone", Turn{}, 0},
+		{"the first of six", Turn{Before: 0, Of: 6}, 0},
+		{"the last of six", Turn{Before: 5, Of: 6}, 5 * tryAfter},
+		{"the last of 1,200", Turn{Before: 1199, Of: 1200}, banFirst - banFirst/1200},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is.New(t).Equal(row.turn.wait(), row.wait)
+		})
+	}
+}
+
 // TestVerdicts tells one book what another one decides.
 func TestVerdicts(t *testing.T) {
 	virtual(t, func(t *testing.T) {
--- a/quarantine/enter.go
+++ b/quarantine/enter.go
@@ -19,7 +19,7 @@
 
 // Enter gives a request leave to run, or returns when it may come back. After a ban one
 // request of the identity runs at a time at this instance, and instances begin to let one run
-// one after the other, tryAfter apart. Else a request that comes to all at the end of its
+// one after the other, up to tryAfter apart. Else a request that comes to all at the end of its
 // ban crashes as many endpoints as there are instances: 8 where 6 of them let it run, 1 now
 // (TestTurns).
 func (b *Book) Enter(id Identity) (p Pass, after time.Duration, ok bool) {
@@ -49,11 +49,27 @@
 	}, 0, true
 }
 
+// turnsWithin is how long it takes at most until all instances may let a request run whose ban is
+// over: a wrong ban lasts no more than twice as long as a first one, however many there are.
+const turnsWithin = banFirst
+
+// Turn is the place of an instance among all in showing whether requests of an identity still
+// crash endpoints.
+type Turn struct {
+	// Before is how many come before it, and Of how many there are.
+	Before, Of int
+}
+
+// wait is how much later than the end of a ban the instance may let a request run.
+func (t Turn) wait() time.Duration {
+	return time.Duration(t.Before) * min(tryAfter, turnsWithin/time.Duration(max(t.Of, 1)))
+}
+
 // tryFrom returns from when this instance may let a request run whose ban is over. The caller
 // holds the lock.
 func (b *Book) tryFrom(id Identity, one *ban) time.Time {
 	if one.tryFrom.IsZero() {
-		one.tryFrom = one.until.Add(time.Duration(b.turn(id)) * tryAfter)
+		one.tryFrom = one.until.Add(b.turn(id).wait())
 	}
 	return one.tryFrom
 }
