Tell stalls of the machine beside a soak's broken promises

The soak now samples how long threads that were ready to run got no processor (schedstat, each 0.25 s), of itself and of each instance, and writes such times under a run that broke a promise.

TestWaitedFor, TestStalls.

--- a/soak/process.go
+++ b/soak/process.go
@@ -177,6 +177,13 @@
 	_ = p.cmd.Process.Signal(s)
 }
 
+// pid returns the id of the process that was started last.
+func (p *process) pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.Process.Pid
+}
+
 // gone returns what is closed when the process has ended.
 func (p *process) gone() <-chan struct{} {
 	p.mu.Lock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -78,7 +78,11 @@
 	}
 	load, stop := context.WithCancel(ctx)
 	defer stop()
-	var loading sync.WaitGroup
+	watch, unwatch := context.WithCancel(ctx)
+	var loading, watching sync.WaitGroup
+	watching.Go(func() { w.watchStalls(watch) })
+	defer watching.Wait()
+	defer unwatch()
 	loading.Go(func() { c.run(load, s.Seed) })
 	steps := Draw(s.Seed, s.Length, s.Processes)
 	w.play(ctx, steps, func(step Step) { _, _ = fmt.Fprintln(s.Out, step) })
@@ -121,6 +125,7 @@
 		_, _ = fmt.Fprintln(s.Out, "  "+v.String())
 	}
 	if len(broken) > 0 {
+		w.tellStalls(s.Out)
 		_, _ = fmt.Fprintln(s.Out, "  "+w.logs())
 	}
 }
--- /dev/null
+++ b/soak/stall_test.go
@@ -0,0 +1,54 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package soak
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestWaitedFor reads what the kernel tells of a thread, and what it doesn't.
+func TestWaitedFor(t *testing.T) {
+	for _, row := range []struct {
+		name   string
+		text   string
+		waited time.Duration
+		ok     bool
+	}{
+		{"a thread", "648981915 95941537 1337\n", 95941537 * time.Nanosecond, true},
+		{"nothing", "", 0, false},
+		{"no number", "1 x 2\n", 0, false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			path := filepath.Join(t.TempDir(), "schedstat")
+			is.NoErr(os.WriteFile(path, []byte(row.text), 0o600))
+			waited, ok := waitedFor(path)
+			is.Equal(ok, row.ok)
+			is.Equal(waited, row.waited)
+		})
+	}
+	_, ok := waitedFor(filepath.Join(t.TempDir(), "gone"))
+	is.New(t).True(!ok)
+}
+
+// TestStalls notes a stall of a process only where one of its threads waited for long since the
+// last look.
+func TestStalls(t *testing.T) {
+	is := is.New(t)
+	w := &World{}
+	before := make(map[string]time.Duration)
+	w.lookFor(os.Getpid(), "this one", before, time.Now())
+	is.Equal(len(w.stalls), 0) // nothing to compare with yet
+	is.True(len(before) > 0)
+	for path := range before {
+		before[path] -= time.Second // as if it had waited since
+	}
+	w.lookFor(os.Getpid(), "this one", before, time.Now())
+	is.Equal(len(w.stalls), 1)
+	is.True(w.stalls[0].waited >= time.Second)
+}
--- a/soak/world.go
+++ b/soak/world.go
@@ -75,6 +75,8 @@
 	emptied []emptying
 	// crashing are the exchanges of requests that crash endpoints.
 	crashing []Exchange
+	// stalls are the times in which the machine had no processor for a process.
+	stalls []stall
 	// keys are the customer's keys by name, with when each was taken away.
 	keys map[string]time.Time
 }
