End a session that another one of its entry replaces

An owner that hears of a newer session of an entry took what the older had running from it, but left it open. Where the order was wrong, as after a freeze, the live session stood on without being given a place.

Change: the replaced session is ended, so that its entry opens another one at once; a session that its entry has given up does not begin.

Ruled out: a number for each session in the greeting, which an instance that starts again begins anew.

--- a/pool/server.go
+++ b/pool/server.go
@@ -60,6 +60,10 @@
 	// until it has said its name.
 	stopVerdicts func()
 
+	// replaced is closed, by replace, when another session of the entry has begun.
+	replaced chan struct{}
+	replace  func()
+
 	// sending guards the stream, which takes one message at a time.
 	sending sync.Mutex
 
@@ -86,9 +90,11 @@
 	x := &session{
 		server:   s,
 		stream:   stream,
+		replaced: make(chan struct{}),
 		asked:    make(map[string]context.CancelFunc),
 		attempts: make(map[string]string),
 	}
+	x.replace = sync.OnceFunc(func() { close(x.replaced) })
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer x.end()
 	defer cancel()
@@ -97,6 +103,8 @@
 	select {
 	case err := <-received:
 		return err
+	case <-x.replaced:
+		return status.Error(codes.Unavailable, "another session of the entry has begun")
 	case <-s.closing:
 		return status.Error(codes.Unavailable, "stopping")
 	}
--- a/pool/server_cut.go
+++ b/pool/server_cut.go
@@ -23,12 +23,12 @@
 	return left
 }
 
-// begin notes who is at the other end, unless the session has ended meanwhile: nobody would
-// end then what is begun here.
+// begin notes who is at the other end, unless the session has ended meanwhile, or its entry has
+// given it up: nobody would end then what is begun here.
 func (x *session) begin(entry string) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.over {
+	if x.over || x.stream.Context().Err() != nil {
 		return
 	}
 	x.entry = entry
@@ -36,13 +36,17 @@
 }
 
 // began notes the newest session of an entry. An older one of it has ended, even where
-// nothing showed that: what it had running is the entry's again once it says so.
+// nothing showed that: what it had running is the entry's again once it says so. It is ended
+// here, too. An owner that wakes may hear of two sessions in either order; the one that lives
+// would else stand without being given a place, for minutes (TestLateHello), where its entry
+// now opens another one.
 func (s *Server) began(x *session) {
 	s.mu.Lock()
 	old := s.sessions[x.entry]
 	s.sessions[x.entry] = x
 	s.mu.Unlock()
-	if old != nil {
+	if old != nil && old != x {
+		old.replace()
 		s.orphan(old)
 	}
 	x.stopMoves = s.scheduler.onMoves(x.entry, x.sendMove)
