Name the detector of crashes, the history of a try and a notice for what they are

Witness, trail and errand were metaphors. No behaviour is changed.

Measured: the tests of quarantine, relay, entry and fleet pass; the linter is clean.

--- a/entry/call.go
+++ b/entry/call.go
@@ -21,7 +21,7 @@
 		job: j,
 	}
 	for {
-		j.trail.Settle(ctx)
+		j.history.Settle(ctx)
 		h, fail := e.lease(ctx, s, j.work(1))
 		if fail != nil {
 			return fail
@@ -89,7 +89,7 @@
 		Reason:   err.Error(),
 	})
 	e.parts.Log.Info("attempt failed", "request", j.id, "attempt", h.attempt, "endpoint", h.endpoint,
-		"identity", j.trail.Identity.String(), "cause", err.Error())
+		"identity", j.history.Identity.String(), "cause", err.Error())
 	var ce *plain.CallError
 	if errors.As(err, &ce) && ce.Ran == problem.NotRun {
 		j.dispatches--
--- a/entry/complete.go
+++ b/entry/complete.go
@@ -55,7 +55,7 @@
 		job: j,
 	}
 	for {
-		j.trail.Settle(ctx)
+		j.history.Settle(ctx)
 		team, fail := e.gather(ctx, s)
 		if fail != nil {
 			return fail
@@ -112,7 +112,7 @@
 		Reason:   err.Error(),
 	})
 	e.parts.Log.Info("attempt failed", "request", j.id, "attempt", lead.attempt, "endpoint", lead.endpoint,
-		"identity", j.trail.Identity.String(), "cause", err.Error(), "started", r.started)
+		"identity", j.history.Identity.String(), "cause", err.Error(), "started", r.started)
 	s.skip = append(s.skip, lead.endpoint)
 	var re *engine.RunError
 	if errors.As(err, &re) && re.Ran == problem.NotRun && !r.started {
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -12,7 +12,7 @@
 
 // known notes what a request is known by, whatever its try is named and wherever it comes.
 func (j *job) known(r *http.Request, body []byte) {
-	j.trail = quarantine.Trail{
+	j.history = quarantine.History{
 		Identity: quarantine.Identify(r.RequestURI, j.customer.ID, body),
 		Request:  j.id,
 	}
@@ -23,7 +23,7 @@
 	if e.parts.Quarantine == nil {
 		return func() {}, nil
 	}
-	p, after, ok := e.parts.Quarantine.Enter(j.trail.Identity)
+	p, after, ok := e.parts.Quarantine.Enter(j.history.Identity)
 	if !ok {
 		return nil, e.crashes(j, after)
 	}
@@ -38,7 +38,7 @@
 	if e.parts.Quarantine == nil {
 		return nil
 	}
-	after, banned := e.parts.Quarantine.Barred(j.trail.Identity)
+	after, banned := e.parts.Quarantine.Barred(j.history.Identity)
 	if !banned {
 		return nil
 	}
@@ -62,7 +62,7 @@
 	for _, h := range leases {
 		addresses = append(addresses, h.Address)
 	}
-	e.witness.Broke(&j.trail, quarantine.Broken{
+	e.detector.Broke(&j.history, quarantine.Broken{
 		Attempt:  leases[0].attempt,
 		Began:    began,
 		Worked:   addresses,
@@ -73,7 +73,7 @@
 // served notes a whole answer.
 func (e *Entry) served(j *job) {
 	if e.parts.Quarantine != nil {
-		e.parts.Quarantine.Served(j.trail.Identity)
+		e.parts.Quarantine.Served(j.history.Identity)
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -80,7 +80,7 @@
 	stories     *stories
 	hits        *hits
 	metrics     *metrics
-	witness     *quarantine.Witness
+	detector    *quarantine.Detector
 	incarnation string
 	counter     atomic.Uint64
 	stopping    atomic.Bool
@@ -109,7 +109,7 @@
 		metrics:     newMetrics(),
 		incarnation: newIncarnation(),
 	}
-	e.witness = quarantine.NewWitness(p.Quarantine, p.Check, func() { e.metrics.add("crashes", 1) }, p.Log)
+	e.detector = quarantine.NewDetector(p.Quarantine, p.Check, func() { e.metrics.add("crashes", 1) }, p.Log)
 	return e
 }
 
--- a/entry/job.go
+++ b/entry/job.go
@@ -36,9 +36,9 @@
 	// prefix is a hash of the prompt's beginning.
 	prefix uint64
 	tokens int
-	// trail has its identity, which is the same for all tries of the request, at any instance,
+	// history has its identity, which is the same for all tries of the request, at any instance,
 	// and what its attempts showed.
-	trail quarantine.Trail
+	history quarantine.History
 	// single states that it may run at one endpoint only, as its ban is just over.
 	single bool
 	// dispatches counts the attempts that may have reached an endpoint.
--- a/quarantine/witness.go
+++ b/quarantine/detector.go
@@ -20,8 +20,8 @@
 // Checker opens a connection to an endpoint and closes it again.
 type Checker func(ctx context.Context, address string) error
 
-// Trail is what is known of one try of a request over its attempts.
-type Trail struct {
+// History is what is known of one try of a request over its attempts.
+type History struct {
 	// Identity is that of the request.
 	Identity Identity
 	// Request names the try, for the log.
@@ -45,10 +45,10 @@
 	Suspects []string
 }
 
-// Witness looks whether endpoints have ended under attempts, and reports those crashes. A
+// Detector looks whether endpoints have ended under attempts, and reports those crashes. A
 // connection that was reset, an answer that an endpoint broke off, or a connection that it no
 // longer kept are none.
-type Witness struct {
+type Detector struct {
 	guard Guard
 	check Checker
 	count func()
@@ -57,9 +57,9 @@
 	checks singleflight.Group
 }
 
-// NewWitness returns a witness. Count is called with each crash.
-func NewWitness(g Guard, check Checker, count func(), log logr.Logger) *Witness {
-	return &Witness{
+// NewDetector returns a detector. Count is called with each crash.
+func NewDetector(g Guard, check Checker, count func(), log logr.Logger) *Detector {
+	return &Detector{
 		guard: g,
 		check: check,
 		count: count,
@@ -69,7 +69,7 @@
 
 // Broke reports an attempt of a try if one of its endpoints has ended. For a request that is
 // suspected it returns when that is known, as the next attempt depends on it.
-func (w *Witness) Broke(t *Trail, b Broken) {
+func (d *Detector) Broke(t *History, b Broken) {
 	c := Crash{
 		Attempt:  b.Attempt,
 		Before:   t.before,
@@ -79,18 +79,18 @@
 		Ended:    steady.Now(),
 	}
 	t.before = b.Attempt
-	if !w.guard.Suspected(t.Identity) {
-		go w.report(c, b.Suspects, t.Request)
+	if !d.guard.Suspected(t.Identity) {
+		go d.report(c, b.Suspects, t.Request)
 		return
 	}
-	if w.report(c, b.Suspects, t.Request) {
+	if d.report(c, b.Suspects, t.Request) {
 		t.crashed = c.Ended
 	}
 }
 
 // Settle waits, before a further attempt of a try that was suspected when it crashed an
 // endpoint, until it is known whether there may be one.
-func (t *Trail) Settle(ctx context.Context) {
+func (t *History) Settle(ctx context.Context) {
 	if t.crashed.IsZero() {
 		return
 	}
@@ -102,29 +102,29 @@
 }
 
 // report reports a crash if one of the suspects has ended, and returns whether it did.
-func (w *Witness) report(c Crash, suspects []string, request string) bool {
+func (d *Detector) report(c Crash, suspects []string, request string) bool {
 	for _, address := range suspects {
-		err := w.look(address)
+		err := d.look(address)
 		if err == nil {
 			continue
 		}
-		w.count()
-		w.log.Info("endpoint ended under a request", "request", request, "attempt", c.Attempt,
+		d.count()
+		d.log.Info("endpoint ended under a request", "request", request, "attempt", c.Attempt,
 			"identity", c.Identity.String(), "address", address, "cause", err.Error())
 		c.Endpoint = address
 		c.Others = slices.DeleteFunc(slices.Clone(c.Others), func(other string) bool { return other == address })
-		w.guard.Crashed(c)
+		d.guard.Crashed(c)
 		return true
 	}
 	return false
 }
 
 // look opens a connection to an endpoint. All who want to know at one moment share it.
-func (w *Witness) look(address string) error {
-	_, err, _ := w.checks.Do(address, func() (any, error) {
+func (d *Detector) look(address string) error {
+	_, err, _ := d.checks.Do(address, func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), checkWithin)
 		defer cancel()
-		return nil, w.check(ctx, address)
+		return nil, d.check(ctx, address)
 	})
 	return err
 }
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -6,7 +6,7 @@
 // name each try anew, send it to any instance, and try again when an endpoint breaks off,
 // so that nothing else links the crashes.
 //
-// An instance whose attempt broke off looks whether its endpoint has ended (Witness), and reports
+// An instance whose attempt broke off looks whether its endpoint has ended (Detector), and reports
 // a Crash if it takes no connection. A Book counts those of one identity that follow each other: an attempt that was under
 // way while the one before crashed its endpoint adds nothing, so that many equal requests
 // under way on endpoints that stop together count once. Nor does a crash at the moment of
--- a/quarantine/sharing.go
+++ b/quarantine/sharing.go
@@ -57,14 +57,14 @@
 	log   logr.Logger
 	// crashes and verdicts are what is to be told, each to the instances that it names.
 	// Verdicts are told in order.
-	crashes  chan errand
-	verdicts chan errand
+	crashes  chan notice
+	verdicts chan notice
 	// known are the instances that were told of all bans.
 	known map[string]bool
 }
 
-// errand is something to be told: a crash, or a verdict.
-type errand struct {
+// notice is something to be told: a crash, or a verdict.
+type notice struct {
 	to      []string
 	crash   *Crash
 	verdict Verdict
@@ -77,8 +77,8 @@
 		book:     b,
 		peers:    p,
 		log:      log,
-		crashes:  make(chan errand, tellQueue),
-		verdicts: make(chan errand, tellQueue),
+		crashes:  make(chan notice, tellQueue),
+		verdicts: make(chan notice, tellQueue),
 		known:    make(map[string]bool),
 	}
 }
@@ -101,8 +101,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case e := <-s.crashes:
-			s.do(ctx, e)
+		case n := <-s.crashes:
+			s.do(ctx, n)
 		}
 	}
 }
@@ -115,8 +115,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case e := <-s.verdicts:
-			s.do(ctx, e)
+		case n := <-s.verdicts:
+			s.do(ctx, n)
 		case <-tick.C:
 			s.greet(ctx)
 		}
@@ -127,7 +127,7 @@
 // by the book.
 func (s *Sharing) decided(v Verdict) {
 	if slices.Contains(s.peers.Counters(v.Identity), s.peers.Self()) {
-		s.add(errand{
+		s.add(notice{
 			to:      s.peers.Others(),
 			verdict: v,
 		})
@@ -135,33 +135,33 @@
 }
 
 // add has something told.
-func (s *Sharing) add(e errand) {
+func (s *Sharing) add(n notice) {
 	queue := s.verdicts
-	if e.crash != nil {
+	if n.crash != nil {
 		queue = s.crashes
 	}
 	select {
-	case queue <- e:
+	case queue <- n:
 	default:
-		s.log.Info("not told", "identity", e.identity().String(), "cause", "too much waits to be told")
+		s.log.Info("not told", "identity", n.identity().String(), "cause", "too much waits to be told")
 	}
 }
 
-// identity is that of the requests that an errand is about.
-func (e *errand) identity() Identity {
-	if e.crash != nil {
-		return e.crash.Identity
+// identity is that of the requests that a notice is about.
+func (n *notice) identity() Identity {
+	if n.crash != nil {
+		return n.crash.Identity
 	}
-	return e.verdict.Identity
+	return n.verdict.Identity
 }
 
-// do tells each instance that an errand names.
-func (s *Sharing) do(ctx context.Context, e errand) {
+// do tells each instance that a notice names.
+func (s *Sharing) do(ctx context.Context, n notice) {
 	var g errgroup.Group
 	g.SetLimit(tellAtOnce)
-	for _, to := range e.to {
+	for _, to := range n.to {
 		g.Go(func() error {
-			s.tell(ctx, to, e)
+			s.tell(ctx, to, n)
 			return nil
 		})
 	}
@@ -170,27 +170,27 @@
 }
 
 // tell tells one instance, in a few tries.
-func (s *Sharing) tell(ctx context.Context, to string, e errand) {
+func (s *Sharing) tell(ctx context.Context, to string, n notice) {
 	var err error
 	for try := range tellTries {
 		if try > 0 {
 			sleep(ctx, tellPause)
 		}
-		if err = s.call(ctx, to, e); err == nil || ctx.Err() != nil {
+		if err = s.call(ctx, to, n); err == nil || ctx.Err() != nil {
 			return
 		}
 	}
-	s.log.Info("not told", "identity", e.identity().String(), "instance", to, "cause", err.Error())
+	s.log.Info("not told", "identity", n.identity().String(), "instance", to, "cause", err.Error())
 }
 
 // call makes one call.
-func (s *Sharing) call(ctx context.Context, to string, e errand) error {
+func (s *Sharing) call(ctx context.Context, to string, n notice) error {
 	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
-	if e.crash != nil {
-		return s.peers.Report(ctx, to, *e.crash)
+	if n.crash != nil {
+		return s.peers.Report(ctx, to, *n.crash)
 	}
-	return s.peers.Tell(ctx, to, e.verdict)
+	return s.peers.Tell(ctx, to, n.verdict)
 }
 
 // sleep waits for a time, or until ctx ends.
@@ -219,7 +219,7 @@
 	}
 	for _, v := range s.book.Verdicts() {
 		if v.State == Banned && slices.Contains(s.peers.Counters(v.Identity), s.peers.Self()) {
-			s.do(ctx, errand{
+			s.do(ctx, notice{
 				to:      come,
 				verdict: v,
 			})
@@ -244,7 +244,7 @@
 // Crashed implements Guard.
 func (s *Sharing) Crashed(c Crash) {
 	s.book.Report(c)
-	s.add(errand{
+	s.add(notice{
 		to:    s.toCounters(c.Identity),
 		crash: &c,
 	})
@@ -255,7 +255,7 @@
 	if !s.book.Served(id) {
 		return
 	}
-	s.add(errand{
+	s.add(notice{
 		to: s.toCounters(id),
 		verdict: Verdict{
 			Identity: id,
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -33,9 +33,9 @@
 	// keyed states that the request needs a key.
 	keyed bool
 
-	// trail has its identity, which is the same for all tries of the request, at any instance,
+	// history has its identity, which is the same for all tries of the request, at any instance,
 	// and what its attempts showed.
-	trail quarantine.Trail
+	history quarantine.History
 	// once states that it may run at one endpoint only, whatever its route says.
 	once bool
 	// sends counts the endpoints that the request was sent to.
@@ -83,7 +83,7 @@
 	if ref := j.read(r); ref != nil {
 		return nil, ref
 	}
-	j.trail = quarantine.Trail{
+	j.history = quarantine.History{
 		Identity: quarantine.Identify(j.target, j.customer, j.body),
 		Request:  h.ID,
 	}
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -20,7 +20,7 @@
 	if l.parts.Quarantine == nil {
 		return func() {}, nil
 	}
-	p, after, ok := l.parts.Quarantine.Enter(j.trail.Identity)
+	p, after, ok := l.parts.Quarantine.Enter(j.history.Identity)
 	if !ok {
 		l.Metrics.add("refused_quarantine")
 		return nil, unavailable(quarantine.Refused, after)
@@ -36,7 +36,7 @@
 	if l.parts.Quarantine == nil {
 		return nil
 	}
-	after, banned := l.parts.Quarantine.Barred(j.trail.Identity)
+	after, banned := l.parts.Quarantine.Barred(j.history.Identity)
 	if !banned {
 		return nil
 	}
@@ -50,14 +50,14 @@
 		return
 	}
 	if res.final && res.outcome == pool.Served {
-		l.parts.Quarantine.Served(t.job.trail.Identity)
+		l.parts.Quarantine.Served(t.job.history.Identity)
 		return
 	}
 	suspects := t.suspects(res)
 	if len(suspects) == 0 {
 		return
 	}
-	l.witness.Broke(&t.job.trail, quarantine.Broken{
+	l.detector.Broke(&t.job.history, quarantine.Broken{
 		Attempt:  t.ask.ID,
 		Began:    t.began,
 		Worked:   t.addresses(),
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -76,7 +76,7 @@
 	return r, &try{
 		relay: r,
 		job: &job{
-			trail: quarantine.Trail{
+			history: quarantine.History{
 				Identity: 9,
 			},
 			route: &route.Route{
@@ -210,7 +210,7 @@
 					cut:     true,
 				})
 				began := time.Now()
-				attempt.job.trail.Settle(t.Context())
+				attempt.job.history.Settle(t.Context())
 				is.New(t).Equal(time.Since(began), row.waits)
 				synctest.Wait()
 			})
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -69,8 +69,8 @@
 	// for a first configuration.
 	inFlight atomic.Int64
 	held     atomic.Int64
-	// witness looks for crashes; needed with a quarantine.
-	witness *quarantine.Witness
+	// detector looks for crashes; needed with a quarantine.
+	detector *quarantine.Detector
 	// waits are the times that callers name, and began is when the relay was made.
 	waits waits
 	began time.Time
@@ -84,7 +84,7 @@
 		parts:    p,
 		began:    steady.Now(),
 	}
-	l.witness = quarantine.NewWitness(p.Quarantine, p.Check, func() { l.Metrics.add("crashes") }, p.Log)
+	l.detector = quarantine.NewDetector(p.Quarantine, p.Check, func() { l.Metrics.add("crashes") }, p.Log)
 	return l
 }
 
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -58,7 +58,7 @@
 // attempt finds a place and sends the request there once. It returns true when
 // another attempt makes sense, else the final answer, nil once it was sent.
 func (l *Relay) attempt(ctx context.Context, j *job) (again bool, final *refusal) {
-	j.trail.Settle(ctx)
+	j.history.Settle(ctx)
 	if ref := l.banned(j); ref != nil {
 		return false, ref
 	}
@@ -221,7 +221,7 @@
 	age, _ := l.parts.Age()
 	l.parts.Log.Info("attempt", "request", j.head.ID, "attempt", t.ask.ID, "route", j.route.Name,
 		"version", j.table.Version, "age_ms", age.Milliseconds(), "service", j.service, "customer", j.customer, "prompt", j.head.PromptTokens,
-		"identity", j.trail.Identity.String(),
+		"identity", j.history.Identity.String(),
 		"endpoint", t.grant.Instance, "by", t.grant.By, "readers", len(t.grant.Readers),
 		"waited_ms", t.grant.Waited.Milliseconds(), "first_predicted_ms", t.grant.First.Milliseconds(),
 		"first_ms", t.firstAfter.Milliseconds(), "ms", steady.Since(t.began).Milliseconds(),
