--- /dev/null
+++ b/quarantine/enter_test.go
@@ -0,0 +1,142 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package quarantine
+
+import (
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+)
+
+// TestEnter gives requests leave to run: none in a ban, after it one at a time that runs once.
+func TestEnter(t *testing.T) {
+	virtual(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBook()
+		p, _, ok := b.Enter(1)
+		is.True(ok && !p.Once)
+		p.Leave()
+		crashThrice(b)
+		_, after, ok := b.Enter(1)
+		is.True(!ok)
+		is.True(after <= banFirst && after > banFirst-time.Second)
+		_, _, ok = b.Enter(2)
+		is.True(ok)
+		time.Sleep(banFirst)
+		p, _, ok = b.Enter(1)
+		is.True(ok && p.Once)
+		_, after, ok = b.Enter(1)
+		is.True(!ok)
+		is.Equal(after, tryAfter)
+		p.Leave()
+		_, _, ok = b.Enter(1)
+		is.True(!ok) // what came of it may not be known yet
+		time.Sleep(tryAfter)
+		_, _, ok = b.Enter(1)
+		is.True(ok)
+	})
+}
+
+// banned starts the books of some instances that tell each other everything and take turns, in
+// which the request 1 has just been banned.
+func banned(n int) []*Book {
+	var all []*Book
+	for i := range n {
+		all = append(all, New(time.Now, func(Identity) Turn {
+			return Turn{
+				Before: i,
+				Of:     n,
+			}
+		}, logr.Discard()))
+	}
+	crashThrice(all[0])
+	for _, b := range all[1:] {
+		for _, v := range all[0].Verdicts() {
+			b.Learn(v)
+		}
+	}
+	return all
+}
+
+// TestTurns has callers come to all instances at once, again and again, with a request whose ban
+// is over. One of them shows what it does now; the others wait for that.
+func TestTurns(t *testing.T) {
+	const (
+		instances = 6
+		every     = 200 * time.Millisecond
+		takes     = 100 * time.Millisecond
+	)
+	for _, row := range []struct {
+		name string
+		// crashes states that the request still crashes endpoints.
+		crashes bool
+		// least and most are how many of its tries run within a minute after the ban.
+		least, most int
+	}{
+		{"still crashes", true, 1, 1},
+		{"does no harm", false, instances * int(time.Minute/every) * 9 / 10, instances * int(time.Minute/every)},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			virtual(t, func(t *testing.T) {
+				is := is.New(t)
+				all := banned(instances)
+				time.Sleep(banFirst)
+				ran := 0
+				for range int(time.Minute / every) {
+					for i, b := range all {
+						p, _, ok := b.Enter(1)
+						if !ok {
+							continue
+						}
+						ran++
+						began := time.Now()
+						attempt := strconv.Itoa(ran)
+						time.AfterFunc(takes, func() {
+							p.Leave()
+							for _, other := range all {
+								if !row.crashes {
+									other.Served(1)
+									continue
+								}
+								other.Report(Crash{
+									Attempt:  attempt,
+									Endpoint: "late" + strconv.Itoa(i),
+									Identity: 1,
+									Began:    began,
+									Ended:    time.Now(),
+								})
+							}
+						})
+					}
+					time.Sleep(every)
+				}
+				synctest.Wait()
+				t.Logf("%d tries ran", ran)
+				is.True(ran >= row.least && ran <= row.most)
+			})
+		})
+	}
+}
+
+// TestTurn looks that instances begin one after the other, and that many of them don't take
+// longer than a first ban.
+func TestTurn(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		turn Turn
+		wait time.Duration
+	}{
+		{"alone", Turn{}, 0},
+		{"the first of six", Turn{Before: 0, Of: 6}, 0},
+		{"the last of six", Turn{Before: 5, Of: 6}, 5 * tryAfter},
+		{"the last of 1,200", Turn{Before: 1199, Of: 1200}, banFirst - banFirst/1200},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is.New(t).Equal(row.turn.wait(), row.wait)
+		})
+	}
+}
