Ask contacts at a start whom to follow, and write the entries of many at once

Cause: at a start each instance read the entries of all and wrote its own. The reads share what the store sends in a second, 69 KB a page for each of 985, so that the first page alone took 1.93 s of a limit of 2 s; the read was thrown away and begun anew. The appends go into one partition in turn, 4 ms each. No instance of 985 ever became ready.

Change: an instance that starts asks one of a few addresses of its settings (contacts) whom it can follow; each has an order of its own of them. The contacts ask the first of them, which alone reads the store, waits at the first start of all for those that start with it, and writes the entries of all with one append. Who can carry others is told all heads of the order, any other eight that it can follow, and how many there are; with that it has its place in the order without knowing all. Entries go up to whom one follows, and are written by who reads the store. A read goes on from its last page; of failures the first, second, fourth and so on have a line. The configuration comes last to a follower, so that what calls itself ready knows the endpoints. When no contact answers for a second, an instance reads the store after a random wait and tells the heads of the order.

Weighed: a start where few able ones are known first and all others wait to be introduced needs one append for each instance, as carriers must know whom to introduce themselves to: 985 in turn are 3.9 s, twice that at twice the size. Entries over more partitions divide that by 16 and leave the reads, which grow with the square: 985 x 200 KB are 197 MB, at 80 MB/s 2.5 s. A wait by place spreads the same calls over longer. A group of the store takes a tenth of a call for each instance and deals out partitions, but tells no addresses but by the names of its members, and needs as many partitions as instances to list them. Contacts need one call for all and no more at twice the size; they hang on a few addresses, hence the way around them.

--- /dev/null
+++ b/catalog/announcing.go
@@ -0,0 +1,148 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package catalog
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/linkmast/linkmast/catalog/catalogpb"
+	"github.com/linkmast/linkmast/internal/steady"
+)
+
+// The times of writing the entries of instances that have started. Those of many go into
+// the store with one call: it takes such calls in turn.
+const (
+	// gatherFor is how long entries are gathered after the first one.
+	gatherFor = 100 * time.Millisecond
+	// announceWithin bounds one call.
+	announceWithin = 2 * time.Second
+	// announceRetry is how long after a call that failed it is made again, unless the
+	// entries stand by then: it may have been done all the same.
+	announceRetry = 2 * time.Second
+	// tellRetry is how long after an instance that did not take them over entries are
+	// handed on again: one that starts at the same time may not listen yet.
+	tellRetry = 100 * time.Millisecond
+	// ownEntryCheck is how often an instance looks whether its own entry stands. It takes
+	// so long until others have written it.
+	ownEntryCheck = 3 * time.Second
+)
+
+// mostAnnounced bounds how many entries one call or message has.
+const mostAnnounced = 1000
+
+// announceLoop sees to the entries of this instance and of those that have told it of
+// theirs, until ctx ends.
+func (c *Catalog) announceLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		arrived, joining := c.newcomers.arrived.next(), c.joining
+		if c.joined.Load() {
+			joining = nil
+		}
+		c.checkOwnEntry()
+		c.announceDue(ctx)
+		pause := min(ownEntryCheck, c.newcomers.next())
+		select {
+		case <-ctx.Done():
+		case <-joining:
+		case <-arrived:
+			sleep(ctx, gatherFor)
+		case <-time.After(pause):
+		}
+	}
+}
+
+// checkOwnEntry adds this instance to the newcomers if its entry lacks although it was
+// there to be written for a while.
+func (c *Catalog) checkOwnEntry() {
+	due := c.entryDue.Load()
+	if due == nil || steady.Now().Before(*due) || !c.knowsPeers() || c.stands(c.settings.Self) {
+		return
+	}
+	next := steady.Now().Add(ownEntryCheck)
+	c.entryDue.Store(&next)
+	c.newcomers.add(c.settings.Self)
+}
+
+// knowsPeers states whether the entries of the instances are known.
+func (c *Catalog) knowsPeers() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, known := c.next[Peers]
+	return known
+}
+
+// stands states whether the entry of an instance is known to be in the store.
+func (c *Catalog) stands(p Peer) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.records[Peers][p.ID].Value) > 0 && c.peers[p.ID] == p
+}
+
+// announceDue writes the entries that are due, or hands them on to whom this instance
+// follows, so that those of many instances go into the store together.
+func (c *Catalog) announceDue(ctx context.Context) {
+	to, known := c.superior()
+	if !known {
+		return
+	}
+	due := c.newcomers.take(c.stands)
+	if len(due) == 0 {
+		return
+	}
+	retry := announceRetry
+	var err error
+	if to == "" {
+		err = c.announce(ctx, due)
+	} else {
+		retry = tellRetry
+		err = c.tell(ctx, to, due)
+	}
+	if err != nil {
+		c.newcomers.postpone(due, steady.Now().Add(retry))
+		c.log.Info("entries of instances not written", "instances", len(due), "by", to, "cause", err.Error())
+		return
+	}
+	c.newcomers.forget(due)
+}
+
+// superior returns the address of the instance that this one hands entries to, which is
+// empty if it writes them itself; false while it can do neither.
+func (c *Catalog) superior() (address string, known bool) {
+	if c.read.within(c.fresh()) {
+		return "", true
+	}
+	if followed := c.followed.Load(); followed != nil {
+		return *followed, true
+	}
+	if at := slices.Index(c.settings.Contacts, c.settings.Self.Address); at > 0 && !c.knowsPeers() {
+		return c.settings.Contacts[0], true
+	}
+	return "", c.joined.Load() && c.knowsPeers()
+}
+
+// announce writes entries.
+func (c *Catalog) announce(ctx context.Context, due []Peer) error {
+	ctx, cancel := context.WithTimeout(ctx, announceWithin)
+	defer cancel()
+	if err := c.store.Announce(ctx, due); err != nil {
+		return err
+	}
+	c.log.Info("entries of instances written", "instances", len(due), "first", due[0].ID)
+	return nil
+}
+
+// tell hands entries on to another instance.
+func (c *Catalog) tell(ctx context.Context, address string, due []Peer) error {
+	ctx, cancel := context.WithTimeout(ctx, joinWithin)
+	defer cancel()
+	conn, err := c.dialer.Conn(address)
+	if err != nil {
+		return err
+	}
+	_, err = catalogpb.NewCatalogClient(conn).Join(ctx, &catalogpb.JoinRequest{
+		Started: introductions(due),
+	})
+	return err
+}
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -3,7 +3,6 @@
 package catalog
 
 import (
-	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +21,10 @@
 	Self Peer
 	// Readers is how many instances read the store at least; the default is 2.
 	Readers int
+	// Contacts are addresses of instances that others ask, when they start, whom to
+	// follow, the same ones at all instances; some may be gone. Without any, each
+	// instance that starts reads the store to know who is there.
+	Contacts []string
 	// FirstStart states that all instances start now, so that it takes a moment
 	// until they are all announced.
 	FirstStart bool
@@ -99,8 +102,16 @@
 	// introduced fires when another instance has introduced itself to this one, that
 	// knew nobody.
 	introduced *kick
-	// joined is set once it is known who is there.
-	joined atomic.Bool
+	// joined is set, and joining closed, once it is known who is there.
+	joined  atomic.Bool
+	joining chan struct{}
+	// entryDue is from when on this instance sees to its own entry; nil before it is
+	// known who is there.
+	entryDue atomic.Pointer[time.Time]
+	// newcomers are instances whose entries the store may lack.
+	newcomers newcomers
+	// followed is the address of the instance that this one follows; nil without one.
+	followed atomic.Pointer[string]
 
 	mu sync.Mutex
 	// table, endpoints and peers are what the records say, and tableKey is the key of
@@ -109,6 +120,8 @@
 	tableKey  string
 	endpoints map[string]Endpoint
 	peers     map[string]Peer
+	// told is how many instances there are, by the one that said whom to follow.
+	told int
 	// records are the newest records by feed and key, as far as they took
 	// effect, and next the offsets after the last ones.
 	records map[Feed]map[string]Record
@@ -185,6 +198,8 @@
 		long:       make(map[longKey]*packed),
 		fresher:    newKick(),
 		introduced: newKick(),
+		joining:    make(chan struct{}),
+		newcomers:  newNewcomers(),
 	}
 	for _, f := range feeds {
 		c.records[f] = make(map[string]Record)
@@ -197,7 +212,11 @@
 // rank divides the work among the instances that are known. The caller holds the lock,
 // or is the only one that has the catalog.
 func (c *Catalog) rank() {
-	c.ranks.Store(newRanks(c.settings.Self, c.peers, c.settings.Readers))
+	total := len(c.peers)
+	if _, all := c.next[Peers]; !all {
+		total = max(total, c.told)
+	}
+	c.ranks.Store(newRanks(c.settings.Self, c.peers, c.settings.Readers, total))
 }
 
 // feeds are all feeds.
@@ -226,11 +245,6 @@
 	return c.changed
 }
 
-// Announce writes an instance's entry to the store.
-func (c *Catalog) Announce(ctx context.Context, p Peer) error {
-	return c.store.Announce(ctx, p)
-}
-
 // confirm notes that a read sent at a moment showed the newest configuration.
 func (c *Catalog) confirm(sent time.Time) {
 	for {
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -32,6 +33,17 @@
 	changed chan struct{}
 	// slow is how long a whole read takes.
 	slow time.Duration
+	// turn is how long the partition of the instances takes for an append, one after the
+	// other, and busy is until when it is at work.
+	turn time.Duration
+	busy time.Time
+	// lose states that appends are done and not answered.
+	lose bool
+	// pageSize is how many records a page has; zero means all. Readers share the bytes
+	// that the store sends: read is until when it is at work, at readRate bytes a second.
+	pageSize int
+	readRate float64
+	read     time.Time
 	// deaf states that polls are not woken by the next changes.
 	deaf bool
 }
@@ -168,22 +180,61 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *fakeStore) Whole(ctx context.Context, f catalog.Feed) ([]catalog.Record, int64, error) {
+func (s *fakeStore) Page(ctx context.Context, f catalog.Feed, after string) (catalog.Page, error) {
 	s.mu.Lock()
 	slow := s.slow
 	s.mu.Unlock()
 	select {
 	case <-time.After(slow):
 	case <-ctx.Done():
-		return nil, 0, ctx.Err()
+		return catalog.Page{}, ctx.Err()
 	}
+	page, wait, err := s.pageAfter(f, after)
+	if err != nil {
+		return page, err
+	}
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+		return catalog.Page{}, ctx.Err()
+	}
+	return page, nil
+}
+
+// pageAfter returns a page and when the store has sent it.
+func (s *fakeStore) pageAfter(f catalog.Feed, after string) (page catalog.Page, wait time.Duration, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
 	if s.down {
-		return nil, 0, errDown
+		return page, 0, errDown
+	}
+	all := newest(s.feeds[f])
+	slices.SortFunc(all, func(a, b catalog.Record) int { return strings.Compare(a.Key, b.Key) })
+	all = slices.DeleteFunc(all, func(r catalog.Record) bool { return r.Key <= after })
+	page = catalog.Page{
+		Records: all,
+		Next:    s.first[f] + int64(len(s.feeds[f])),
+	}
+	if s.pageSize > 0 && len(all) > s.pageSize {
+		page.Records, page.More = all[:s.pageSize], true
+	}
+	if s.readRate > 0 {
+		s.read = later(s.read, time.Now()).Add(time.Duration(float64(len(page.Records)*recordBytes) / s.readRate * float64(time.Second)))
+		wait = time.Until(s.read)
+	}
+	return page, wait, nil
+}
+
+// recordBytes is about what the entry of an instance takes on the wire.
+const recordBytes = 200
+
+// later returns the later of two moments.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	return newest(s.feeds[f]), s.first[f] + int64(len(s.feeds[f])), nil
+	return b
 }
 
 func (s *fakeStore) Follow(ctx context.Context, f catalog.Feed, from int64, wait time.Duration) ([]catalog.Record, int64, error) {
@@ -228,8 +279,31 @@
 	return out
 }
 
-func (s *fakeStore) Announce(context.Context, catalog.Peer) error { return nil }
-func (s *fakeStore) Withdraw(context.Context, string) error       { return nil }
+// Announce implements catalog.Store.
+func (s *fakeStore) Announce(ctx context.Context, started []catalog.Peer) error {
+	s.mu.Lock()
+	s.calls++
+	down, lose, slow := s.down, s.lose, s.slow
+	s.busy = later(s.busy, time.Now()).Add(s.turn)
+	wait := time.Until(s.busy) + slow
+	s.mu.Unlock()
+	if down {
+		return errDown
+	}
+	time.Sleep(wait)
+	for _, p := range started {
+		s.put(catalog.Peers, &catalog.PeerChange{
+			Peer: p,
+		})
+	}
+	if lose {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return nil
+}
+
+func (s *fakeStore) Withdraw(context.Context, string) error { return nil }
 
 func version(n int64) catalog.Change {
 	return &catalog.TableChange{
--- a/catalog/following.go
+++ b/catalog/following.go
@@ -49,8 +49,7 @@
 		p, patient := r.source(try)
 		began := steady.Now()
 		// Those that start together are all about to know something.
-		patient = patient || c.Snapshot() == nil
-		err := c.followOne(ctx, p, patient)
+		err := c.followOne(ctx, p, patient || c.Snapshot() == nil)
 		if ctx.Err() != nil {
 			return
 		}
@@ -62,6 +61,9 @@
 			// It worked for a while: the order is tried from its start.
 			try = -1
 		}
+		if try >= 0 && try < startTries && c.Snapshot() == nil {
+			patient = false
+		}
 		sleep(ctx, lookPause(patient, steady.Since(began)))
 	}
 }
@@ -104,6 +106,10 @@
 	longestLook = 500 * time.Millisecond
 )
 
+// startTries is how many tries follow one soon after the other while nothing is known yet:
+// of instances that start within a second those to follow may come last.
+const startTries = 20
+
 // errEnough ends following when this instance reads the store.
 var errEnough = errors.New("reads the store itself")
 
@@ -175,6 +181,7 @@
 	defer tick.Stop()
 	silent := time.NewTimer(openWithin)
 	defer silent.Stop()
+	defer f.catalog.followed.Store(nil)
 	if err := f.hello(patient); err != nil {
 		return err
 	}
@@ -201,6 +208,7 @@
 			}
 			if !said {
 				said = true
+				f.catalog.followed.Store(&p.Address)
 				f.catalog.log.Info("follows", "peer", p.ID)
 			}
 		}
--- a/catalog/introducing.go
+++ b/catalog/introducing.go
@@ -24,8 +24,8 @@
 	// another one, or did not answer: one that starts anew follows this one or
 	// breaks off, and is told then.
 	introduceAgain = 2 * time.Second
-	// introductions is how many are made at once.
-	introductions = 8
+	// introducedAtOnce is how many are made at once.
+	introducedAtOnce = 8
 )
 
 // introduceLoop introduces this instance to those that should follow it and don't,
@@ -44,8 +44,8 @@
 // introduceAll makes the introductions that are due, and notes when the next ones are.
 func (c *Catalog) introduceAll(ctx context.Context, due map[string]time.Time) {
 	var calls errgroup.Group
-	calls.SetLimit(introductions)
-	for _, p := range c.ranks.Load().wards {
+	calls.SetLimit(introducedAtOnce)
+	for _, p := range c.ranks.Load().wards(c.settings.Self) {
 		if c.followers.has(p.ID) {
 			delete(due, p.ID)
 			continue
@@ -70,12 +70,10 @@
 	if err != nil {
 		return err
 	}
-	self := c.settings.Self
-	answer, err := catalogpb.NewCatalogClient(conn).Introduce(ctx, &catalogpb.Introduction{
-		Id:            self.ID,
-		Address:       self.Address,
-		FailureDomain: self.FailureDomain,
-		Capacity:      int64(self.Capacity),
+	r := c.ranks.Load()
+	answer, err := catalogpb.NewCatalogClient(conn).Introduce(ctx, &catalogpb.Introducing{
+		Known: introductions(append([]Peer{c.settings.Self}, r.invited(p, false)...)),
+		Total: int64(r.total),
 	})
 	if err != nil {
 		return err
@@ -86,18 +84,49 @@
 	return nil
 }
 
-// meet takes over an instance that introduces itself, if it is not known yet who is
-// there. It returns whether it did.
-func (c *Catalog) meet(p Peer) bool {
+// learn takes over instances that are there, of so many in all, if it is not known yet who
+// is. It returns whether it did. Others see to this instance's entry for a while. The way is
+// for the log.
+func (c *Catalog) learn(known []Peer, total int, way string, others time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.joined.Load() {
 		return false
 	}
-	c.joined.Store(true)
-	c.peers[p.ID] = p
+	for _, p := range known {
+		c.peers[p.ID] = p
+	}
+	c.told = total
 	c.rank()
+	c.setJoined(steady.Now().Add(others))
 	c.introduced.fire()
-	c.log.Info("peer known", "peer", p.ID, "address", p.Address, "by", "introduction")
+	c.log.Info("instances known", "known", len(known), "total", total, "by", way)
 	return true
 }
+
+// setJoined notes that it is known who is there, and from when on this instance sees to its
+// entry. The caller holds the lock.
+func (c *Catalog) setJoined(entryDue time.Time) {
+	if c.joined.Swap(true) {
+		return
+	}
+	c.entryDue.Store(&entryDue)
+	close(c.joining)
+}
+
+// introduceToHeads tells the first of the order whom they can follow, after this instance
+// has found out from the store who is there because nobody else said so: they carry the
+// others.
+func (c *Catalog) introduceToHeads(ctx context.Context) {
+	var calls errgroup.Group
+	calls.SetLimit(introducedAtOnce)
+	r := c.ranks.Load()
+	for _, p := range r.all[:min(mostHeads, len(r.all))] {
+		if p.ID != c.settings.Self.ID {
+			calls.Go(func() error { return c.introduce(ctx, p) })
+		}
+	}
+	if err := calls.Wait(); err != nil && ctx.Err() == nil {
+		c.log.V(1).Info("introductions failed", "first", err.Error())
+	}
+}
--- a/catalog/missing.go
+++ b/catalog/missing.go
@@ -47,7 +47,8 @@
 		said[Feed(h.GetFeed())] = h.GetSums()
 	}
 	out := make([]lack, 0, len(feeds))
-	for _, f := range feeds {
+	// The configuration comes last: an instance is ready once it has that.
+	for _, f := range slices.Backward(feeds[:]) {
 		next, known := c.next[f]
 		if !known {
 			continue
--- a/catalog/outage.go
+++ b/catalog/outage.go
@@ -73,11 +73,17 @@
 	if ctx.Err() != nil {
 		return
 	}
+	c.noteFailure(f, failures, err)
+	sleep(ctx, c.backoff(failures))
+}
+
+// noteFailure notes the last of a number of reads in a row that failed. Of many the first,
+// second, fourth, eighth and so on have a line, so that one that goes on shows.
+func (c *Catalog) noteFailure(f Feed, failures int, err error) {
 	c.troubled(steady.Now())
-	if failures == 1 {
-		c.log.Info("store can't be read", "feed", f.String(), "cause", err.Error())
+	if failures&(failures-1) == 0 {
+		c.log.Info("store can't be read", "feed", f.String(), "failures", failures, "cause", err.Error())
 	}
-	sleep(ctx, c.backoff(failures))
 }
 
 // back notes that a feed can be read again.
--- a/catalog/ranks.go
+++ b/catalog/ranks.go
@@ -5,6 +5,8 @@
 import (
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/linkmast/linkmast/internal/rendezvous"
 )
 
@@ -48,14 +50,19 @@
 	// follow them, the heads first: those that are meant to be followed by it.
 	sources []Peer
 	heads   int
-	// wards are the instances that try to follow this one first.
-	wards []Peer
+	// all are the instances that are known in order, of which the first able ones can
+	// carry others, and total is how many there are.
+	all   []Peer
+	able  int
+	total int
 	// limit is how many followers this instance takes.
 	limit int
 }
 
-// newRanks returns the ranks as they are for self, which peers may hold or not.
-func newRanks(self Peer, peers map[string]Peer, leastReaders int) *ranks {
+// newRanks returns the ranks as they are for self, which peers may hold or not. Total is
+// how many instances there are, if peers may lack some; those that it lacks come after the
+// others.
+func newRanks(self Peer, peers map[string]Peer, leastReaders, total int) *ranks {
 	all := make([]Peer, 0, len(peers)+1)
 	for id, p := range peers {
 		if id != self.ID {
@@ -66,20 +73,34 @@
 	able := Order(readersKey, all)
 	r := &ranks{
 		place: make(map[string]int, len(all)),
+		all:   all,
+		able:  able,
+		total: max(total, len(all)),
 	}
 	for i, p := range all {
 		r.place[p.ID] = i
 	}
-	r.self = r.place[self.ID]
-	wanted := (len(all) + width - 1) / width
+	r.self = r.placeOfSelf(self)
+	wanted := (r.total + width - 1) / width
 	r.readers = min(max(leastReaders, (wanted+width-1)/width), len(all))
 	r.carriers = max(min(wanted, able), r.readers)
-	r.limit = r.limitOf(len(all), able)
+	r.limit = r.limitOf(able)
 	r.sources, r.heads = r.sourcesOf(all, self)
-	r.wards = r.wardsOf(all, self)
 	return r
 }
 
+// placeOfSelf returns the place of this instance. One that comes last of those that are
+// known is somewhere among those that are not: a hash spreads these, so that not all do at
+// once what each does after the delay of its place.
+func (r *ranks) placeOfSelf(self Peer) int {
+	place := r.place[self.ID]
+	unknown := r.total - len(r.all)
+	if unknown > 0 && place == len(r.all)-1 {
+		place += int(xxhash.Sum64String(self.ID) % uint64(unknown+1))
+	}
+	return place
+}
+
 // Place returns how many of the other instances that are known come before this one for a duty
 // that nobody needs to be able for, and how many instances there are.
 func (c *Catalog) Place(duty string) (before, of int) {
@@ -132,11 +153,11 @@
 
 // limitOf returns how many followers this instance takes, when so many of all
 // instances are able to carry.
-func (r *ranks) limitOf(all, able int) int {
+func (r *ranks) limitOf(able int) int {
 	if r.self >= max(able, r.readers) {
 		return weakLimit
 	}
-	return limitFactor * max(width, all/r.carriers)
+	return limitFactor * max(width, r.total/r.carriers)
 }
 
 // sourcesOf returns whom an instance tries to follow, in order: the carriers, those in
@@ -144,10 +165,7 @@
 // the work; then all others. A carrier begins with the readers. Heads is how many come
 // before the others.
 func (r *ranks) sourcesOf(all []Peer, p Peer) (sources []Peer, heads int) {
-	first := r.carriers
-	if r.place[p.ID] < r.carriers {
-		first = r.readers
-	}
+	first := r.followed(p)
 	head := slices.Clone(all[:first])
 	rendezvous.Sort(p.ID, head, weigh)
 	slices.SortStableFunc(head, func(a, b Peer) int { return away(a, p) - away(b, p) })
@@ -185,7 +203,10 @@
 	}
 	k := try - r.quickTries()
 	heads, others := r.sources[:r.heads], r.sources[r.heads:]
-	if len(others) == 0 || len(heads) > 0 && k%patientTry == 0 {
+	if len(others) == 0 {
+		return heads[k%len(heads)], true
+	}
+	if len(heads) > 0 && k%patientTry == 0 {
 		return heads[k/patientTry%len(heads)], true
 	}
 	i := k - k/patientTry
@@ -204,25 +225,74 @@
 	return 1
 }
 
-// wardsOf returns the instances that try to follow self first.
-func (r *ranks) wardsOf(all []Peer, self Peer) []Peer {
+// wards returns the instances that try to follow this one first.
+func (r *ranks) wards(self Peer) []Peer {
 	if r.self >= r.carriers {
 		return nil
 	}
 	var out []Peer
-	for _, p := range all {
-		if p.ID == self.ID {
-			continue
-		}
-		// Of the sources only the first ones matter here.
-		s, _ := r.sourcesOf(all[:r.carriers], p)
-		if len(s) > 0 && s[0].ID == self.ID {
+	for _, p := range r.all {
+		if p.ID != self.ID && r.first(p) == self.ID {
 			out = append(out, p)
 		}
 	}
 	return out
 }
 
+// followed returns how many of the order an instance, which may not be known, is meant to
+// follow one of: the carriers, or the readers if it is a carrier itself.
+func (r *ranks) followed(p Peer) int {
+	if place, known := r.place[p.ID]; known && place < r.carriers {
+		return r.readers
+	}
+	return r.carriers
+}
+
+// first returns whom an instance tries to follow first, as sourcesOf has it.
+func (r *ranks) first(p Peer) string {
+	heads := r.all[:r.followed(p)]
+	best, highest, nearest := "", 0.0, false
+	for _, h := range heads {
+		if h.ID == p.ID {
+			continue
+		}
+		near, score := away(h, p) == 0, rendezvous.Score(p.ID, h.ID, h.Capacity)
+		if best == "" || near && !nearest || near == nearest && score > highest {
+			best, highest, nearest = h.ID, score, near
+		}
+	}
+	return best
+}
+
+// The bounds of what an instance that starts is told.
+const (
+	// fewSources is how many instances that it can follow one is told that carries
+	// nobody: as many as it tries one soon after the other.
+	fewSources = 8
+	// mostHeads is how many of the order one is told that may have to carry others, or to
+	// tell others whom to follow: all carriers of 2,000 instances.
+	mostHeads = 64
+)
+
+// invited returns the instances that one is told of that starts and knows nobody. One that
+// collects tells others whom to follow.
+func (r *ranks) invited(p Peer, collects bool) []Peer {
+	if collects || r.isAble(p) {
+		return r.all[:min(mostHeads, len(r.all))]
+	}
+	sources, _ := r.sourcesOf(r.all[:r.carriers], p)
+	return sources[:min(fewSources, len(sources))]
+}
+
+// isAble states whether an instance, which may not be known, is able to do work for others.
+func (r *ranks) isAble(p Peer) bool {
+	greatest := 0
+	for _, o := range r.all {
+		greatest = max(greatest, o.Capacity)
+	}
+	return float64(p.Capacity) >= ableShare*float64(greatest)
+}
+
 // isReader states whether this instance is among the first readers.
 func (r *ranks) isReader() bool {
 	return r.self < r.readers
--- a/catalog/ranks_test.go
+++ b/catalog/ranks_test.go
@@ -46,14 +46,14 @@
 			is := is.New(t)
 			peers := fleet(row.able, row.weak)
 			if len(peers) > 2000 {
-				r := newRanks(peers["n0"], peers, 2)
+				r := newRanks(peers["n0"], peers, 2, 0)
 				is.Equal(r.readers, row.readers)
 				is.Equal(r.carriers, row.carriers)
 				return
 			}
 			followers := make(map[string]int)
 			for _, p := range peers {
-				r := newRanks(p, peers, 2)
+				r := newRanks(p, peers, 2, 0)
 				is.Equal(r.readers, row.readers)
 				is.Equal(r.carriers, row.carriers)
 				is.Equal(len(r.sources), len(peers)-1)
@@ -62,7 +62,7 @@
 				}
 			}
 			for id, n := range followers {
-				r := newRanks(peers[id], peers, 2)
+				r := newRanks(peers[id], peers, 2, 0)
 				is.True(r.self < r.carriers)
 				is.True(n <= r.limit)
 				if row.able >= row.carriers {
@@ -81,7 +81,7 @@
 			is := is.New(t)
 			peers := fleet(row.able, row.weak)
 			for id, p := range peers {
-				r := newRanks(p, peers, 2)
+				r := newRanks(p, peers, 2, 0)
 				seen := make(map[string]bool)
 				heads := 0
 				quick := r.quickTries()
@@ -107,11 +107,11 @@
 	peers := fleet(15, 280)
 	first := make(map[string]string)
 	for _, p := range peers {
-		first[p.ID] = newRanks(p, peers, 2).sources[0].ID
+		first[p.ID] = newRanks(p, peers, 2, 0).sources[0].ID
 	}
 	wards := 0
 	for _, p := range peers {
-		for _, w := range newRanks(p, peers, 2).wards {
+		for _, w := range newRanks(p, peers, 2, 0).wards(p) {
 			is.Equal(first[w.ID], p.ID)
 			wards++
 		}
@@ -123,7 +123,7 @@
 func TestBefore(t *testing.T) {
 	is := is.New(t)
 	peers := fleet(5, 0)
-	a, b := newRanks(peers["n0"], peers, 2), newRanks(peers["n1"], peers, 2)
+	a, b := newRanks(peers["n0"], peers, 2, 0), newRanks(peers["n1"], peers, 2, 0)
 	is.True(a.before("n1") != b.before("n0"))
 	is.True(!a.before("n0"))
 	is.True(!a.before("unknown"))
@@ -138,7 +138,7 @@
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			peers := fleet(n/20, n-n/20)
 			for b.Loop() {
-				newRanks(peers["n0"], peers, 2)
+				newRanks(peers["n0"], peers, 2, 0)
 			}
 		})
 	}
--- a/catalog/readers.go
+++ b/catalog/readers.go
@@ -43,6 +43,9 @@
 	// 295 instances, 1.1 s for the last of 1,200, below the two seconds in which
 	// changes must be in force. It is some tens of round trips between instances.
 	readDelayStep = 150 * time.Millisecond
+	// startReadDelay is how much longer an instance waits that has just started and knows
+	// nothing yet: those that it was told to follow may be starting, too.
+	startReadDelay = 400 * time.Millisecond
 )
 
 // readDelay returns how long the instance at a place of the order, counted from zero,
@@ -70,7 +73,11 @@
 	if _, marked := c.unheard.since(); !marked {
 		c.unheard.mark(steady.Now())
 	}
-	return !c.unheard.within(readDelay(r.self))
+	delay := readDelay(r.self)
+	if c.Snapshot() == nil && len(c.settings.Contacts) > 0 {
+		delay += startReadDelay
+	}
+	return !c.unheard.within(delay)
 }
 
 // shouldFollow states whether this instance follows another one: all do but the first
--- a/catalog/readers_test.go
+++ b/catalog/readers_test.go
@@ -34,12 +34,20 @@
 	calls atomic.Int64
 }
 
-func (s *seen) Whole(ctx context.Context, f catalog.Feed) ([]catalog.Record, int64, error) {
+func (s *seen) Page(ctx context.Context, f catalog.Feed, after string) (catalog.Page, error) {
 	s.calls.Add(1)
 	if s.refused.Load() {
-		return nil, 0, errDown
+		return catalog.Page{}, errDown
+	}
+	return s.fakeStore.Page(ctx, f, after)
+}
+
+func (s *seen) Announce(ctx context.Context, started []catalog.Peer) error {
+	s.calls.Add(1)
+	if s.refused.Load() {
+		return errDown
 	}
-	return s.fakeStore.Whole(ctx, f)
+	return s.fakeStore.Announce(ctx, started)
 }
 
 func (s *seen) Follow(ctx context.Context, f catalog.Feed, from int64, wait time.Duration) ([]catalog.Record, int64, error) {
@@ -114,23 +122,23 @@
 
 func startInstance(t *testing.T, fake *fakeStore, self catalog.Peer, l net.Listener) *instance {
 	conns := peer.New(nil)
-	return startInstanceWith(t, fake, self, l, conns, conns.Close)
+	return startInstanceWith(t, fake, catalog.Settings{
+		Self: self,
+	}, l, conns, conns.Close)
 }
 
 // startInstanceWith starts an instance that connects to others by a dialer, which is closed at
 // its end.
-func startInstanceWith(t *testing.T, fake *fakeStore, self catalog.Peer, l net.Listener, d catalog.Dialer, closeAll func()) *instance {
+func startInstanceWith(t *testing.T, fake *fakeStore, s catalog.Settings, l net.Listener, d catalog.Dialer, closeAll func()) *instance {
+	s.Poll = poll
 	x := &instance{
-		self: self,
+		self: s.Self,
 		store: &seen{
 			fakeStore: fake,
 		},
 		rpc: grpc.NewServer(),
 	}
-	x.Catalog = catalog.New(catalog.Settings{
-		Self: self,
-		Poll: poll,
-	}, x.store, d, logr.Discard())
+	x.Catalog = catalog.New(s, x.store, d, logr.Discard())
 	catalogpb.RegisterCatalogServer(x.rpc, catalog.NewServer(x.Catalog, nil))
 	ctx, cancel := context.WithCancel(context.Background())
 	go x.rpc.Serve(l)
--- a/catalog/reading.go
+++ b/catalog/reading.go
@@ -16,17 +16,14 @@
 const (
 	// pollSlack is how much longer than its wait a poll may take.
 	pollSlack = 800 * time.Millisecond
-	// wholeTimeout bounds a whole read of a feed.
-	wholeTimeout = 2 * time.Second
+	// pageTimeout bounds the read of one page.
+	pageTimeout = 2 * time.Second
 	// spacing is the least time between two polls for endpoints or instances
 	// that bring something: after an outage entries come back one by one, and
 	// what comes together costs one call.
 	spacing = 100 * time.Millisecond
 	// expireEvery is how often it is looked whether removals have come due.
 	expireEvery = 100 * time.Millisecond
-	// firstStartWait is how long an instance waits at the first start of all
-	// until the others are announced; they start within 0.3 s.
-	firstStartWait = 700 * time.Millisecond
 )
 
 // answered notes that the store showed the newest configuration to a read.
@@ -40,8 +37,9 @@
 func (c *Catalog) Run(ctx context.Context) {
 	var parts sync.WaitGroup
 	parts.Go(func() { c.expireLoop(ctx) })
+	parts.Go(func() { c.announceLoop(ctx) })
 	parts.Go(func() {
-		if c.learnPeers(ctx) {
+		if c.join(ctx) {
 			c.follow(ctx)
 		}
 	})
@@ -60,54 +58,6 @@
 	parts.Wait()
 }
 
-// learnPeers finds out who is there, from the store or by an instance that introduces
-// itself. It returns false when ctx ends before.
-func (c *Catalog) learnPeers(ctx context.Context) bool {
-	if c.settings.FirstStart {
-		sleep(ctx, firstStartWait)
-	}
-	reading, cancel := context.WithCancel(ctx)
-	defer cancel()
-	_, stop := c.introduced.watch(cancel)
-	defer stop()
-	for failures := 1; !c.joined.Load() && ctx.Err() == nil; failures++ {
-		_, err := c.readWhole(reading, Peers)
-		if err == nil {
-			c.joined.Store(true)
-			break
-		}
-		c.failed(reading, Peers, failures, err)
-	}
-	return ctx.Err() == nil
-}
-
-// Entry is what is known of this instance's own entry in the store.
-type Entry int
-
-// The states of the entry.
-const (
-	// EntryUnknown is the state until it is known who is there.
-	EntryUnknown Entry = iota
-	// EntryLacks is that of an entry that is not there, or says something else.
-	EntryLacks
-	// EntryStands is that of an entry as it should be.
-	EntryStands
-)
-
-// Entry returns what is known of this instance's entry. At the first start of all there
-// is none.
-func (c *Catalog) Entry() Entry {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch {
-	case c.peers[c.settings.Self.ID] == c.settings.Self:
-		return EntryStands
-	case c.settings.FirstStart || c.joined.Load():
-		return EntryLacks
-	}
-	return EntryUnknown
-}
-
 // sleep waits for a time, or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	select {
@@ -135,21 +85,32 @@
 func (c *Catalog) readLoop(ctx context.Context, f Feed, retry *kick) {
 	next := int64(unread)
 	failures := 0
+	whole := &wholeRead{
+		feed: f,
+	}
 	for ctx.Err() == nil {
 		if !c.shouldRead() || c.pauses(f) {
 			sleep(ctx, lookEvery)
 			c.setFailing(f, false)
 			next, failures = unread, 0
+			whole.reset()
 			continue
 		}
-		if next == unread {
+		if next == unread && !whole.due {
 			next = c.resume(f)
 		}
 		var err error
 		if next == unread {
-			next, err = c.readWhole(ctx, f)
+			next, err = c.readWhole(ctx, whole)
 		} else {
 			next, err = c.poll(ctx, f, next, failures > 0, retry)
+			if errors.Is(err, ErrCompacted) {
+				c.log.Info("feed is read whole again", "feed", f.String(), "from", next)
+				next = unread
+				whole.reset()
+				whole.due = true
+				continue
+			}
 		}
 		if err != nil {
 			failures++
@@ -179,22 +140,6 @@
 	return unread
 }
 
-// readWhole reads a feed from nothing. It returns the offset to follow from.
-func (c *Catalog) readWhole(ctx context.Context, f Feed) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, wholeTimeout)
-	defer cancel()
-	sent := steady.Now()
-	records, next, err := c.store.Whole(ctx, f)
-	if err != nil {
-		return unread, err
-	}
-	c.apply(f, records, next, allParts, fromStore)
-	if f == Configurations && len(records) > 0 {
-		c.answered(sent)
-	}
-	return next, nil
-}
-
 // pollWait returns how long a poll waits. After a failure it does not, so that it
 // is known at once that the store is back.
 func (c *Catalog) pollWait(f Feed, failed bool) time.Duration {
@@ -209,10 +154,10 @@
 	return c.settings.LongPoll
 }
 
-// poll waits for the next records of a feed, and returns the offset after them.
+// poll waits for the next records of a feed, and returns the offset after them. The error
+// is ErrCompacted when the feed must be read whole.
 func (c *Catalog) poll(ctx context.Context, f Feed, from int64, failed bool, retry *kick) (int64, error) {
 	wait := c.pollWait(f, failed)
-	whole := ctx
 	ctx, cancel := context.WithTimeout(ctx, wait+pollSlack)
 	defer cancel()
 	kicked := func() bool { return false }
@@ -223,11 +168,6 @@
 	}
 	sent := steady.Now()
 	records, next, err := c.store.Follow(ctx, f, from, wait)
-	if errors.Is(err, ErrCompacted) {
-		c.log.Info("feed is read whole again", "feed", f.String(), "from", from)
-		// It has a time limit of its own.
-		return c.readWhole(whole, f)
-	}
 	if err != nil && kicked() {
 		return from, nil
 	}
--- a/catalog/server.go
+++ b/catalog/server.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"slices"
+	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -189,13 +191,38 @@
 }
 
 // Introduce implements catalogpb.CatalogServer.
-func (s *Server) Introduce(_ context.Context, in *catalogpb.Introduction) (*catalogpb.Introduced, error) {
+func (s *Server) Introduce(_ context.Context, in *catalogpb.Introducing) (*catalogpb.Introduced, error) {
 	return &catalogpb.Introduced{
-		Known: !s.catalog.meet(Peer{
-			ID:            in.GetId(),
-			Address:       in.GetAddress(),
-			FailureDomain: in.GetFailureDomain(),
-			Capacity:      int(in.GetCapacity()),
-		}),
+		Known: !s.catalog.learn(peersOf(in.GetKnown()), int(in.GetTotal()), "introduction", ownEntryCheck),
 	}, nil
 }
+
+// Join implements catalogpb.CatalogServer.
+func (s *Server) Join(ctx context.Context, in *catalogpb.JoinRequest) (*catalogpb.JoinReply, error) {
+	c := s.catalog
+	started := peersOf(in.GetStarted())
+	c.newcomers.add(slices.DeleteFunc(slices.Clone(started), c.stands)...)
+	if !in.GetWait() || len(started) == 0 || !c.awaitJoined(ctx, s.closing) {
+		return &catalogpb.JoinReply{}, nil
+	}
+	r := c.ranks.Load()
+	collects := slices.Contains(c.settings.Contacts, started[0].Address)
+	return &catalogpb.JoinReply{
+		Known: introductions(r.invited(started[0], collects)),
+		Total: int64(r.total),
+	}, nil
+}
+
+// awaitJoined waits until it is known who is there, for joinHold at most, and returns
+// whether it is.
+func (c *Catalog) awaitJoined(ctx context.Context, closing <-chan struct{}) bool {
+	timeout := time.NewTimer(joinHold)
+	defer timeout.Stop()
+	select {
+	case <-c.joining:
+	case <-timeout.C:
+	case <-closing:
+	case <-ctx.Done():
+	}
+	return c.joined.Load()
+}
--- a/catalog/types.go
+++ b/catalog/types.go
@@ -188,19 +188,32 @@
 	Offset int64
 }
 
+// Page is a part of the newest records of a feed, in the order of their keys.
+type Page struct {
+	// Records are the newest records of some keys.
+	Records []Record
+	// Next is the offset to follow from once all pages are read, as it was when this
+	// page was.
+	Next int64
+	// More states that another page follows.
+	More bool
+}
+
 // Store is the platform's store.
 type Store interface {
-	// Whole returns the newest record of each key of a feed, and the offset to
-	// follow from.
-	Whole(ctx context.Context, f Feed) (records []Record, next int64, err error)
+	// Page returns the newest records of a feed that come after a key; the first ones
+	// for an empty key. The pages of a feed are read one after the other, as several
+	// calls, and are no snapshot: what changes meanwhile is followed from the Next of
+	// the first one.
+	Page(ctx context.Context, f Feed, after string) (Page, error)
 	// Follow returns the records from an offset on. It waits for the first one
 	// for the given time; without one it returns none and the same offset. The
 	// error is ErrCompacted when the records are gone.
 	Follow(ctx context.Context, f Feed, from int64, wait time.Duration) (records []Record, next int64, err error)
 	// Decode returns what a record says; nil when it is of no concern.
 	Decode(f Feed, r Record) Change
-	// Announce writes an instance's entry.
-	Announce(ctx context.Context, p Peer) error
+	// Announce writes the entries of instances in one call, all or none.
+	Announce(ctx context.Context, started []Peer) error
 	// Withdraw removes an instance's entry.
 	Withdraw(ctx context.Context, id string) error
 }
--- a/catalog/virtual_test.go
+++ b/catalog/virtual_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/test/bufconn"
 
@@ -50,17 +51,19 @@
 	n.mu.Lock()
 	l := n.listeners[address]
 	n.mu.Unlock()
+	if l == nil {
+		return nil, errDown
+	}
 	return l.DialContext(ctx)
 }
 
 // start starts an instance at its address.
 func (n *memoryNet) start(t *testing.T, fake *fakeStore, self catalog.Peer, l *bufconn.Listener) *instance {
 	t.Helper()
-	d := &memoryDialer{
-		net:   n,
-		conns: make(map[string]*grpc.ClientConn),
-	}
-	return startInstanceWith(t, fake, self, l, d, d.close)
+	d := newMemoryDialer(n)
+	return startInstanceWith(t, fake, catalog.Settings{
+		Self: self,
+	}, l, d, d.close)
 }
 
 // memoryDialer has the connections of one instance. It implements catalog.Dialer.
@@ -71,6 +74,14 @@
 	conns map[string]*grpc.ClientConn
 }
 
+// newMemoryDialer returns a dialer without connections.
+func newMemoryDialer(n *memoryNet) *memoryDialer {
+	return &memoryDialer{
+		net:   n,
+		conns: make(map[string]*grpc.ClientConn),
+	}
+}
+
 // Conn implements catalog.Dialer.
 func (d *memoryDialer) Conn(address string) (*grpc.ClientConn, error) {
 	d.mu.Lock()
@@ -79,7 +90,15 @@
 		return c, nil
 	}
 	c, err := grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithContextDialer(d.net.dial))
+		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithContextDialer(d.net.dial),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff: backoff.Config{
+				BaseDelay:  50 * time.Millisecond,
+				Multiplier: 1.6,
+				MaxDelay:   time.Second,
+			},
+			MinConnectTimeout: 500 * time.Millisecond,
+		}))
 	if err == nil {
 		d.conns[address] = c
 	}
--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -37,6 +37,7 @@
 	store := platform.NewStore(wirehttp.Client(), f.Platform.Store)
 	g.catalog = catalog.New(catalog.Settings{
 		Self:       g.self,
+		Contacts:   f.Peers,
 		FirstStart: f.FirstStart,
 		Poll:       time.Duration(f.Times.Revoke) / pollsPerRevoke,
 	}, store, g.peers, g.log.WithName("catalog"))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -98,7 +98,6 @@
 	g.cancel = cancel
 	g.parts.Go(func() { g.ended("peers", g.rpc.Serve(l)) })
 	g.parts.Go(func() { g.placer.Run(ctx) })
-	g.parts.Go(func() { g.announce(ctx) })
 	g.parts.Go(func() { g.catalog.Run(ctx) })
 	g.parts.Go(func() { g.pools.Run(ctx) })
 	g.parts.Go(func() { g.recorder.Run(ctx) })
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -53,8 +53,10 @@
 	Cold Cold `toml:"cold"`
 	// Worth says what answers are worth to who pays for them.
 	Worth worth.Settings `toml:"worth"`
-	// Peers are peer addresses of other instances, asked at a start while the
-	// platform does not answer. None is needed.
+	// Peers are peer addresses of instances, asked at a start: on a platform with a
+	// log while that does not answer, on one with a store at each start, so that few
+	// instances read it. They should be the same ones at all instances and may have
+	// this one among them; some may be gone. None is needed.
 	Peers []string `toml:"peers"`
 	// Strategy is "weighed" (the default) or "naive", the baseline.
 	Strategy string `toml:"strategy"`
