--- a/soak/process.go
+++ b/soak/process.go
@@ -9,6 +9,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -61,6 +63,7 @@
 ready_listen = %q
 peer_listen = %q
 admin_listen = "127.0.0.1:0"
+peers = [%s]
 [platform]
 store = %q
 [retries]
@@ -106,14 +109,17 @@
 	if p.store, err = tcptest.NewProxy(w.storeAddr); err != nil {
 		return errors.Wrap(err, "soak")
 	}
-	peers := ""
-	for _, into := range []*string{&p.listen, &p.ready, &peers} {
+	own := ""
+	for _, into := range []*string{&p.listen, &p.ready, &own} {
 		if *into, err = free(); err != nil {
 			return err
 		}
 	}
+	if i < len(w.contacts) {
+		own = w.contacts[i]
+	}
 	p.settings = filepath.Join(w.dir, p.name+".toml")
-	text := fmt.Sprintf(settingsText, p.name, domainOf(i), p.listen, p.ready, peers, p.store.Address, revoke, w.strict, grace)
+	text := fmt.Sprintf(settingsText, p.name, domainOf(i), p.listen, p.ready, own, quoted(w.contacts), p.store.Address, revoke, w.strict, grace)
 	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
 		return errors.Wrap(err, "soak")
 	}
@@ -121,6 +127,15 @@
 	return w.start(p)
 }
 
+// quoted returns texts as a list in settings.
+func quoted(texts []string) string {
+	var out []string
+	for _, t := range texts {
+		out = append(out, strconv.Quote(t))
+	}
+	return strings.Join(out, ", ")
+}
+
 // start starts an instance.
 func (w *World) start(p *process) error {
 	out, err := os.OpenFile(filepath.Join(w.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
--- a/soak/world.go
+++ b/soak/world.go
@@ -61,6 +61,9 @@
 	store     *platformtest.Store
 	storeAddr string
 	processes []*process
+	// contacts are where those instances listen for others that all others ask when they
+	// start; the first ones.
+	contacts  []string
 	endpoints []*endpoint
 	servers   []*http.Server
 
@@ -106,6 +109,13 @@
 			return nil, err
 		}
 	}
+	for range min(instances, contacts) {
+		address, err := free()
+		if err != nil {
+			return nil, err
+		}
+		w.contacts = append(w.contacts, address)
+	}
 	for i := range instances {
 		if err := w.addProcess(i); err != nil {
 			return nil, err
@@ -114,6 +124,9 @@
 	return w, nil
 }
 
+// contacts is how many instances the others ask when they start.
+const contacts = 3
+
 // serve serves a stand-in on a free address, which it returns.
 func (w *World) serve(h http.Handler) (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
