--- a/catalog/apply.go
+++ b/catalog/apply.go
@@ -21,6 +21,11 @@
 	fromPeer
 )
 
+// mostLines is how many records that come together have a line each; of more there is one
+// line. An instance that starts hears of all endpoints and instances, and in a fleet as many
+// others start with it.
+const mostLines = 16
+
 // apply takes over records of a feed. They are all there is before next of the whole
 // parts of the feed, so that what is missing there has gone.
 func (c *Catalog) apply(f Feed, records []Record, next int64, whole parts, from source) {
@@ -29,10 +34,16 @@
 	c.next[f] = max(c.next[f], next)
 	changed := false
 	seen := make(map[string]bool, len(records))
+	c.quiet = len(records) > mostLines
 	for _, r := range records {
 		seen[r.Key] = true
 		changed = c.applyRecord(f, r, from) || changed
 	}
+	if c.quiet {
+		c.quiet = false
+		c.log.Info("many records known", "feed", f.String(), "records", len(records), "changed", changed,
+			"endpoints", len(c.endpoints), "instances", len(c.peers), "next", c.next[f])
+	}
 	if whole != 0 {
 		changed = c.dropMissing(f, whole, seen, next, from) || changed
 	}
@@ -72,7 +83,7 @@
 	case *EndpointGone:
 		return c.remove(r, from)
 	case *PeerChange:
-		if c.peers[v.Peer.ID] != v.Peer {
+		if c.peers[v.Peer.ID] != v.Peer && !c.quiet {
 			c.log.Info("peer known", "peer", v.Peer.ID, "address", v.Peer.Address)
 		}
 		c.peers[v.Peer.ID] = v.Peer
@@ -131,7 +142,7 @@
 		e.ColdUntil = steady.Now().Add(e.Cold)
 	}
 	delete(c.vanished, e.Instance)
-	if !known || !old.says(e) {
+	if !c.quiet && (!known || !old.says(e)) {
 		c.log.Info("endpoint known", "endpoint", e.Instance, "service", e.Service, "address", e.Address,
 			"leaving", e.Leaving, "born", e.Born, "cold_ms", e.Cold.Milliseconds())
 	}
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -120,6 +120,8 @@
 	tableKey  string
 	endpoints map[string]Endpoint
 	peers     map[string]Peer
+	// quiet states that the records being taken over have no line each.
+	quiet bool
 	// told is how many instances there are, by the one that said whom to follow.
 	told int
 	// records are the newest records by feed and key, as far as they took
