Be ready once the endpoints are known, too

Instances called themselves ready with the configuration alone, with no endpoint known (ready ... endpoints=0 in the lines of starts), and were sent requests that they could not serve.

--- a/catalog/apply.go
+++ b/catalog/apply.go
@@ -31,8 +31,9 @@
 func (c *Catalog) apply(f Feed, records []Record, next int64, whole parts, from source) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	_, had := c.next[f]
 	c.next[f] = max(c.next[f], next)
-	changed := false
+	changed := !had
 	seen := make(map[string]bool, len(records))
 	c.quiet = len(records) > mostLines
 	for _, r := range records {
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -15,6 +15,9 @@
 type Snapshot struct {
 	// Table is the configuration in force.
 	Table *route.Table
+	// Complete states that the endpoints are known, too: without them nothing can be
+	// served. An instance that starts may know the configuration first.
+	Complete bool
 	// Endpoints are all endpoints by instance, leaving ones included.
 	Endpoints map[string]Endpoint
 	// Departed are the endpoints that leave or are gone, for departedFor after
@@ -65,8 +68,10 @@
 	if c.table == nil {
 		return
 	}
+	_, complete := c.next[Endpoints]
 	s := &Snapshot{
 		Table:     c.table,
+		Complete:  complete,
 		Endpoints: make(map[string]Endpoint, len(c.endpoints)),
 		Departed:  make(map[string]time.Time, len(c.departed)),
 		Emptied:   maps.Clone(c.emptied),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -119,7 +119,7 @@
 				g.quarantine.Recorded(banned, s.Banned)
 				banned = s.Banned
 			}
-			if !known {
+			if !known && s.Complete {
 				known = true
 				close(g.known)
 				g.log.Info("ready", "version", s.Table.Version, "endpoints", len(s.Endpoints))
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -93,7 +93,7 @@
 	for _, g := range w.gateways {
 		w.await("ready", func() bool { return w.ready(g) })
 	}
-	// An instance is ready once it knows the configuration; endpoints may follow.
+	// Instances that start may know of an endpoint later than the store.
 	w.awaitAll("endpoints known", func(f figures) bool { return f.Store.Endpoints == len(w.endpoints) })
 	return w
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -74,7 +74,7 @@
 		return
 	default:
 	}
-	if g.catalog.Snapshot() == nil {
+	if s := g.catalog.Snapshot(); s == nil || !s.Complete {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
