--- a/catalog/announcing.go
+++ b/catalog/announcing.go
@@ -77,7 +77,8 @@
 func (c *Catalog) stands(p Peer) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.records[Peers][p.ID].Value) > 0 && c.peers[p.ID] == p
+	known, _ := c.peers.get(p.ID)
+	return len(c.records[Peers][p.ID].Value) > 0 && known == p
 }
 
 // announceDue writes the entries that are due, or hands them on to whom this instance
--- a/catalog/apply.go
+++ b/catalog/apply.go
@@ -43,7 +43,7 @@
 	if c.quiet {
 		c.quiet = false
 		c.log.Info("many records known", "feed", f.String(), "records", len(records), "changed", changed,
-			"endpoints", len(c.endpoints), "instances", len(c.peers), "next", c.next[f])
+			"endpoints", c.endpoints.len(), "instances", c.peers.len(), "next", c.next[f])
 	}
 	if whole != 0 {
 		changed = c.dropMissing(f, whole, seen, next, from) || changed
@@ -84,13 +84,13 @@
 	case *EndpointGone:
 		return c.remove(r, from)
 	case *PeerChange:
-		if c.peers[v.Peer.ID] != v.Peer && !c.quiet {
+		if known, _ := c.peers.get(v.Peer.ID); known != v.Peer && !c.quiet {
 			c.log.Info("peer known", "peer", v.Peer.ID, "address", v.Peer.Address)
 		}
-		c.peers[v.Peer.ID] = v.Peer
+		c.peers.set(v.Peer.ID, v.Peer)
 	case *PeerGone:
 		c.log.Info("peer gone", "peer", v.ID)
-		delete(c.peers, v.ID)
+		c.peers.remove(v.ID)
 	case *Malformed:
 		c.log.Error(v.Err, "record ignored", "key", v.Key)
 		return f == Endpoints && v.Key != "" && c.applyUnusable(r)
@@ -137,7 +137,7 @@
 		c.log.Info("entry of an older life ignored", "endpoint", e.Instance, "born", e.Born)
 		return false
 	}
-	old, known := c.endpoints[e.Instance]
+	old, known := c.endpoints.get(e.Instance)
 	e.Leaving = e.Leaving || old.Leaving && !e.Succeeds(old)
 	if e.Cold > 0 {
 		e.ColdUntil = steady.Now().Add(e.Cold)
@@ -147,7 +147,7 @@
 		c.log.Info("endpoint known", "endpoint", e.Instance, "service", e.Service, "address", e.Address,
 			"leaving", e.Leaving, "born", e.Born, "cold_ms", e.Cold.Milliseconds())
 	}
-	c.endpoints[e.Instance] = e
+	c.endpoints.set(e.Instance, e)
 	if e.Leaving {
 		c.depart(e.Instance)
 	} else {
@@ -161,7 +161,7 @@
 // under its key gets nothing new until the key has a good entry. It returns whether
 // anything was known.
 func (c *Catalog) applyUnusable(r Record) bool {
-	if _, known := c.endpoints[r.Key]; known {
+	if _, known := c.endpoints.get(r.Key); known {
 		c.removeNow(r, "its entry names no endpoint to use")
 		return true
 	}
@@ -179,7 +179,7 @@
 // remove ends an endpoint: at once, or in doubt only when its entry has not come
 // back by then. It returns whether the endpoint ended.
 func (c *Catalog) remove(r Record, from source) bool {
-	if _, known := c.endpoints[r.Key]; !known {
+	if _, known := c.endpoints.get(r.Key); !known {
 		c.note(Endpoints, r)
 		return false
 	}
@@ -200,7 +200,7 @@
 
 // removeNow ends an endpoint. The reason is for the log.
 func (c *Catalog) removeNow(r Record, reason string) {
-	delete(c.endpoints, r.Key)
+	c.endpoints.remove(r.Key)
 	delete(c.vanished, r.Key)
 	c.depart(r.Key)
 	c.note(Endpoints, r)
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -118,8 +118,8 @@
 	// the record that the table is of.
 	table     *route.Table
 	tableKey  string
-	endpoints map[string]Endpoint
-	peers     map[string]Peer
+	endpoints sharedMap[Endpoint]
+	peers     sharedMap[Peer]
 	// quiet states that the records being taken over have no line each.
 	quiet bool
 	// told is how many instances there are, by the one that said whom to follow.
@@ -186,8 +186,6 @@
 		store:      store,
 		dialer:     d,
 		log:        log,
-		endpoints:  make(map[string]Endpoint),
-		peers:      make(map[string]Peer),
 		records:    make(map[Feed]map[string]Record),
 		next:       make(map[Feed]int64),
 		vanished:   make(map[string]removal),
@@ -214,11 +212,11 @@
 // rank divides the work among the instances that are known. The caller holds the lock,
 // or is the only one that has the catalog.
 func (c *Catalog) rank() {
-	total := len(c.peers)
+	total := c.peers.len()
 	if _, all := c.next[Peers]; !all {
 		total = max(total, c.told)
 	}
-	c.ranks.Store(newRanks(c.settings.Self, c.peers, c.settings.Readers, total))
+	c.ranks.Store(newRanks(c.settings.Self, c.peers.values, c.settings.Readers, total))
 }
 
 // feeds are all feeds.
--- a/catalog/emptied.go
+++ b/catalog/emptied.go
@@ -30,7 +30,7 @@
 // endpointsIn counts the endpoints of a failure domain.
 func (c *Catalog) endpointsIn(domain string) int {
 	n := 0
-	for _, e := range c.endpoints {
+	for _, e := range c.endpoints.values {
 		if e.FailureDomain == domain {
 			n++
 		}
--- a/catalog/figures.go
+++ b/catalog/figures.go
@@ -11,6 +11,12 @@
 type Figures struct {
 	// Role is "reader", "carrier" or "follower", by the order of all instances.
 	Role string `json:"role"`
+	// Joined states that it is known who is there: an instance that starts can't do
+	// anything before.
+	Joined bool `json:"joined"`
+	// Instances counts all instances, and Newcomers those whose entries this one sees to.
+	Instances int `json:"instances"`
+	Newcomers int `json:"newcomers"`
 	// Reads states that the store answers this instance.
 	Reads bool `json:"reads"`
 	// Followers counts the instances that follow this one.
@@ -31,6 +37,9 @@
 	now := c.standing()
 	return Figures{
 		Role:       c.ranks.Load().role(),
+		Joined:     c.joined.Load(),
+		Instances:  c.ranks.Load().total,
+		Newcomers:  c.newcomers.count(),
 		Reads:      c.read.within(c.fresh()),
 		Followers:  c.followers.count(),
 		Hops:       now.hops,
--- a/catalog/introducing.go
+++ b/catalog/introducing.go
@@ -94,7 +94,7 @@
 		return false
 	}
 	for _, p := range known {
-		c.peers[p.ID] = p
+		c.peers.set(p.ID, p)
 	}
 	c.told = total
 	c.rank()
--- a/catalog/missing_test.go
+++ b/catalog/missing_test.go
@@ -114,7 +114,7 @@
 	is := is.New(t)
 	from, to := newPlain(10), newPlain(20)
 	hand(from, to)
-	is.Equal(len(to.endpoints), 20)
+	is.Equal(to.endpoints.len(), 20)
 }
 
 // TestPackedOnce looks that followers that come one after the other share one packed
--- a/catalog/newcomers.go
+++ b/catalog/newcomers.go
@@ -92,6 +92,13 @@
 	return out
 }
 
+// count returns how many there are.
+func (n *newcomers) count() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.due)
+}
+
 // forget forgets instances that others see to from now on.
 func (n *newcomers) forget(done []Peer) {
 	n.mu.Lock()
--- a/catalog/outage_test.go
+++ b/catalog/outage_test.go
@@ -33,10 +33,10 @@
 		},
 	}, nil, nil, logr.Discard())
 	for _, id := range []string{"n0", "n1", "n2"} {
-		c.peers[id] = Peer{
+		c.peers.set(id, Peer{
 			ID:       id,
 			Capacity: 400,
-		}
+		})
 	}
 	c.rank()
 	const many = 20
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -72,21 +72,19 @@
 	s := &Snapshot{
 		Table:     c.table,
 		Complete:  complete,
-		Endpoints: make(map[string]Endpoint, len(c.endpoints)),
+		Endpoints: c.endpoints.share(),
 		Departed:  make(map[string]time.Time, len(c.departed)),
 		Emptied:   maps.Clone(c.emptied),
 		Banned:    maps.Clone(c.banned),
-		Peers:     make(map[string]Peer, len(c.peers)),
+		Peers:     c.peers.share(),
 	}
 	for k, at := range c.departed {
 		if steady.Since(at) > departedFor {
 			delete(c.departed, k)
-			c.lives.forget(k, c.endpoints)
+			c.lives.forget(k, c.endpoints.values)
 			continue
 		}
 		s.Departed[k] = at
 	}
-	maps.Copy(s.Endpoints, c.endpoints)
-	maps.Copy(s.Peers, c.peers)
 	c.snapshot.Store(s)
 }
