Send an instance what it lacks in messages of 24 KB

A carrier sent the endpoints and the instances to each of some 45 followers that start together in one message each, 250 and 100 KB at 999 and 985; the buffers of such messages are of 1 MB. Each message now has whole parts of the feed, about 24 KB, and says whether more follow; what is known before the last one does not count as all there is.

catalog TestMissingInParts: bounded messages, a break in the middle.

--- a/catalog/apply.go
+++ b/catalog/apply.go
@@ -26,29 +26,55 @@
 // others start with it.
 const mostLines = 16
 
-// apply takes over records of a feed. They are all there is before next of the whole
+// batch are records of a feed that come together: all there is before next of the whole
 // parts of the feed, so that what is missing there has gone.
+type batch struct {
+	feed    Feed
+	records []Record
+	next    int64
+	whole   parts
+	// more states that further parts follow, so that not all before next is known yet.
+	more bool
+	from source
+}
+
+// apply takes over a batch of records after which none are to follow.
 func (c *Catalog) apply(f Feed, records []Record, next int64, whole parts, from source) {
+	c.applyBatch(batch{
+		feed:    f,
+		records: records,
+		next:    next,
+		whole:   whole,
+		from:    from,
+	})
+}
+
+// applyBatch takes over a batch of records.
+func (c *Catalog) applyBatch(b batch) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	_, had := c.next[f]
-	c.next[f] = max(c.next[f], next)
-	changed := !had
-	seen := make(map[string]bool, len(records))
-	c.quiet = len(records) > mostLines
-	for _, r := range records {
+	changed := false
+	if _, had := c.next[b.feed]; !b.more {
+		c.next[b.feed] = max(c.next[b.feed], b.next)
+		changed = !had
+	}
+	seen := make(map[string]bool, len(b.records))
+	c.quiet = len(b.records) > mostLines
+	for _, r := range b.records {
 		seen[r.Key] = true
-		changed = c.applyRecord(f, r, from) || changed
+		changed = c.applyRecord(b.feed, r, b.from) || changed
 	}
 	if c.quiet {
 		c.quiet = false
-		c.log.Info("many records known", "feed", f.String(), "records", len(records), "changed", changed,
-			"endpoints", c.endpoints.len(), "instances", c.peers.len(), "next", c.next[f])
+		c.log.Info("many records known", "feed", b.feed.String(), "records", len(b.records), "changed", changed,
+			"endpoints", c.endpoints.len(), "instances", c.peers.len(), "next", b.next)
 	}
-	if whole != 0 {
-		changed = c.dropMissing(f, whole, seen, next, from) || changed
+	if b.whole != 0 {
+		changed = c.dropMissing(b.feed, b.whole, seen, b.next, b.from) || changed
 	}
-	if changed && f == Peers {
+	c.unranked = c.unranked || changed && b.feed == Peers
+	if c.unranked && !b.more {
+		c.unranked = false
 		c.rank()
 	}
 	if changed {
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -120,6 +120,8 @@
 	tableKey  string
 	endpoints sharedMap[Endpoint]
 	peers     sharedMap[Peer]
+	// unranked states that the ranks do not yet have the latest changes of the instances.
+	unranked bool
 	// quiet states that the records being taken over have no line each.
 	quiet bool
 	// told is how many instances there are, by the one that said whom to follow.
--- a/catalog/following.go
+++ b/catalog/following.go
@@ -245,7 +245,14 @@
 		if err != nil {
 			return err
 		}
-		c.apply(feed, records, k.Records.GetNext(), parts(k.Records.GetParts()), fromPeer)
+		c.applyBatch(batch{
+			feed:    feed,
+			records: records,
+			next:    k.Records.GetNext(),
+			whole:   parts(k.Records.GetParts()),
+			more:    k.Records.GetMore(),
+			from:    fromPeer,
+		})
 	case *catalogpb.Update_Age:
 		return f.takeAge(k.Age)
 	}
--- a/catalog/missing.go
+++ b/catalog/missing.go
@@ -37,6 +37,50 @@
 	parts parts
 	// long are the packed values of long records, by key.
 	long map[string]*packed
+	// more states that further parts of the feed follow.
+	more bool
+}
+
+// lackBytes is the size of the records of one message to an instance that lacks many. A
+// carrier sends all endpoints and instances to some 40 followers that start together; in one
+// message each is 350 KB with 1,000 of each, and is held several times over on its way.
+const lackBytes = 24 << 10
+
+// split returns the same in messages of about lackBytes, each of which has all records of
+// some parts.
+func (l *lack) split() []lack {
+	byPart := make(map[int][]Record)
+	for _, r := range l.records {
+		byPart[partOf(r.Key)] = append(byPart[partOf(r.Key)], r)
+	}
+	var out []lack
+	one := l.without()
+	size := 0
+	for part := range sumParts {
+		if !l.parts.hasPart(part) {
+			continue
+		}
+		if size > lackBytes {
+			one.more = true
+			out = append(out, one)
+			one, size = l.without(), 0
+		}
+		one.parts |= 1 << part
+		for _, r := range byPart[part] {
+			one.records = append(one.records, r)
+			size += len(r.Key) + len(r.Value)
+		}
+	}
+	return append(out, one)
+}
+
+// without returns the lack of no part.
+func (l *lack) without() lack {
+	return lack{
+		feed: l.feed,
+		next: l.next,
+		long: l.long,
+	}
 }
 
 // missing returns what a follower lacks of the feeds that are known, as it says in its
@@ -60,7 +104,7 @@
 			long:  make(map[string]*packed),
 		}
 		c.collect(&l, first.GetHas())
-		out = append(out, l)
+		out = append(out, l.split()...)
 	}
 	return out
 }
@@ -98,5 +142,7 @@
 		}
 		out = append(out, m)
 	}
-	return update(l.feed, l.next, l.parts, out), nil
+	u := update(l.feed, l.next, l.parts, out)
+	u.GetRecords().More = l.more
+	return u, nil
 }
--- a/catalog/missing_test.go
+++ b/catalog/missing_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/linkmast/linkmast/catalog/catalogpb"
 	"github.com/linkmast/linkmast/internal/zdelta"
@@ -70,6 +71,58 @@
 	is.Equal(*a.sums[Endpoints], *b.sums[Endpoints])
 }
 
+// take applies the messages of what a follower lacks, so many at most. It returns how many
+// records these had, and whether they were all.
+func take(is *is.I, from, to *Catalog, most int) (records int, all bool) {
+	is.Helper()
+	for i, l := range from.missing(to.have()) {
+		if i == most {
+			return records, false
+		}
+		u, err := l.encode()
+		is.NoErr(err)
+		is.True(proto.Size(u) < 2*lackBytes)
+		m := u.GetRecords()
+		got, err := to.decode(l.feed, m.GetRecords())
+		is.NoErr(err)
+		to.applyBatch(batch{
+			feed:    l.feed,
+			records: got,
+			next:    m.GetNext(),
+			whole:   parts(m.GetParts()),
+			more:    m.GetMore(),
+			from:    fromPeer,
+		})
+		records += len(got)
+	}
+	return records, true
+}
+
+// TestMissingInParts looks that an instance that lacks much gets it in messages of a bounded
+// size, and after a break gets what it still lacks, which it does not take for all there is.
+func TestMissingInParts(t *testing.T) {
+	is := is.New(t)
+	const n = 2000
+	from, to := New(Settings{}, plainStore{}, nil, logr.Discard()), New(Settings{}, plainStore{}, nil, logr.Discard())
+	var all []Record
+	for i := range n {
+		r := record(i, int64(i))
+		r.Value = make([]byte, 250)
+		all = append(all, r)
+	}
+	from.apply(Endpoints, all, n, allParts, fromStore)
+	first, whole := take(is, from, to, 10)
+	is.True(!whole)
+	_, known := to.next[Endpoints]
+	is.True(!known)
+	is.Equal(to.resume(Endpoints), int64(unread))
+	rest, whole := take(is, from, to, n)
+	is.True(whole)
+	is.Equal(to.next[Endpoints], int64(n))
+	is.Equal(first+rest, n)
+	is.Equal(to.endpoints.values, from.endpoints.values)
+}
+
 // TestOnlyMissing looks how many records a follower is sent.
 func TestOnlyMissing(t *testing.T) {
 	const n = 300
--- a/catalog/sums.go
+++ b/catalog/sums.go
@@ -21,7 +21,12 @@
 
 // has states whether a key belongs to one of the parts.
 func (p parts) has(key string) bool {
-	return p&(1<<partOf(key)) != 0
+	return p.hasPart(partOf(key))
+}
+
+// hasPart states whether a part is one of the parts.
+func (p parts) hasPart(part int) bool {
+	return p&(1<<part) != 0
 }
 
 // partOf returns the part that a key belongs to.
--- a/pool/bench_test.go
+++ b/pool/bench_test.go
@@ -58,7 +58,7 @@
 		{"short", shortPrompt},
 		{"long", 190_000},
 	} {
-		for _, size := range []int{64, 150, 1000} {
+		for _, size := range []int{64, 150, 1000, 2000} {
 			b.Run(fmt.Sprint(row.name, "/", size), func(b *testing.B) {
 				s := newBusy(b, size, running)
 				b.ReportAllocs()
