Ask for owners once the instances are known

The pools' owners are looked for, and the instance is ready, once the entries of the instances are known as well.

--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -15,8 +15,9 @@
 type Snapshot struct {
 	// Table is the configuration in force.
 	Table *route.Table
-	// Complete states that the endpoints are known, too: without them nothing can be
-	// served. An instance that starts may know the configuration first.
+	// Complete states that the endpoints and the instances are known, too: without the
+	// former nothing can be served, and without the latter it is not known who owns a
+	// pool. An instance that starts may know the configuration first.
 	Complete bool
 	// Endpoints are all endpoints by instance, leaving ones included.
 	Endpoints map[string]Endpoint
@@ -68,10 +69,11 @@
 	if c.table == nil {
 		return
 	}
-	_, complete := c.next[Endpoints]
+	_, endpoints := c.next[Endpoints]
+	_, instances := c.next[Peers]
 	s := &Snapshot{
 		Table:     c.table,
-		Complete:  complete,
+		Complete:  endpoints && instances,
 		Endpoints: c.endpoints.share(),
 		Departed:  make(map[string]time.Time, len(c.departed)),
 		Emptied:   maps.Clone(c.emptied),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -114,7 +114,10 @@
 		changed := g.catalog.Changed()
 		if s := g.catalog.Snapshot(); s != nil {
 			g.pools.Update(s)
-			g.placer.Update(s)
+			if s.Complete {
+				// With few of the instances known others would be taken for owners.
+				g.placer.Update(s)
+			}
 			if !maps.Equal(banned, s.Banned) {
 				g.quarantine.Recorded(banned, s.Banned)
 				banned = s.Banned
