Let the tests of starts run at any size by hand

go test ./catalog -run 'TestFirstStart|TestStartAfterLossOfAll|TestManyAdded' -instances N plays them at N/2 and N.

--- a/catalog/start_test.go
+++ b/catalog/start_test.go
@@ -3,6 +3,7 @@
 package catalog_test
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -19,6 +20,9 @@
 	manyStart = 2 * fewStart
 )
 
+// instances makes the tests of starts those of a larger fleet; by hand, as 2,000 take minutes.
+var instances = flag.Int("instances", manyStart, "how many instances start at most")
+
 // The bounds of a start of instances of which a few can carry others.
 const (
 	// firstStartWithin is how soon all are ready that start for the first time, and
@@ -156,7 +160,7 @@
 // atBothSizes runs a test at two sizes.
 func atBothSizes(t *testing.T, run func(t *testing.T, n int)) {
 	t.Helper()
-	for _, n := range []int{fewStart, manyStart} {
+	for _, n := range []int{*instances / 2, *instances} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) { run(t, n) })
 	}
 }
