--- a/catalog/server.go
+++ b/catalog/server.go
@@ -201,6 +201,10 @@
 func (s *Server) Join(ctx context.Context, in *catalogpb.JoinRequest) (*catalogpb.JoinReply, error) {
 	c := s.catalog
 	started := peersOf(in.GetStarted())
+	if slices.ContainsFunc(started, func(p Peer) bool { return p.ID == "" || p.Address == "" }) {
+		// Entries are written together: one that can't be would keep the others out.
+		return nil, status.Error(codes.InvalidArgument, "an instance without a name or an address")
+	}
 	c.newcomers.add(slices.DeleteFunc(slices.Clone(started), c.stands)...)
 	if in.GetWait() {
 		c.awaitJoined(ctx, s.closing)
--- a/catalog/server_test.go
+++ b/catalog/server_test.go
@@ -9,6 +9,8 @@
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"github.com/linkmast/linkmast/catalog/catalogpb"
 )
@@ -68,3 +70,25 @@
 	is.True(!f.has("a"))
 	is.True(f.enter("c", 2))
 }
+
+// TestJoinWithoutName looks that an instance without a name or an address is refused, so that
+// it does not keep the entries of others from being written.
+func TestJoinWithoutName(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		in   *catalogpb.Introduction
+	}{
+		{"no name", &catalogpb.Introduction{Address: "10.0.0.1:1"}},
+		{"no address", &catalogpb.Introduction{Id: "n1"}},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			c := New(Settings{}, plainStore{}, nil, logr.Discard())
+			_, err := NewServer(c, nil).Join(t.Context(), &catalogpb.JoinRequest{
+				Started: []*catalogpb.Introduction{{Id: "n0", Address: "10.0.0.2:1"}, row.in},
+			})
+			is.Equal(status.Code(err), codes.InvalidArgument)
+			is.Equal(c.newcomers.count(), 0)
+		})
+	}
+}
