--- a/catalog/announcing.go
+++ b/catalog/announcing.go
@@ -35,13 +35,18 @@
 // announceLoop sees to the entries of this instance and of those that have told it of
 // theirs, until ctx ends.
 func (c *Catalog) announceLoop(ctx context.Context) {
+	failures := 0
 	for ctx.Err() == nil {
 		arrived, joining := c.newcomers.arrived.next(), c.joining
 		if c.joined.Load() {
 			joining = nil
 		}
 		c.checkOwnEntry()
-		c.announceDue(ctx)
+		if c.announceDue(ctx, failures) {
+			failures = 0
+		} else {
+			failures++
+		}
 		pause := min(ownEntryCheck, c.newcomers.next())
 		select {
 		case <-ctx.Done():
@@ -82,15 +87,16 @@
 }
 
 // announceDue writes the entries that are due, or hands them on to whom this instance
-// follows, so that those of many instances go into the store together.
-func (c *Catalog) announceDue(ctx context.Context) {
+// follows, so that those of many instances go into the store together. It returns false when
+// that failed, after a number of failures in a row.
+func (c *Catalog) announceDue(ctx context.Context, failures int) bool {
 	to, known := c.superior()
 	if !known {
-		return
+		return true
 	}
 	due := c.newcomers.take(c.stands)
 	if len(due) == 0 {
-		return
+		return true
 	}
 	retry := announceRetry
 	var err error
@@ -102,10 +108,13 @@
 	}
 	if err != nil {
 		c.newcomers.postpone(due, steady.Now().Add(retry))
-		c.log.Info("entries of instances not written", "instances", len(due), "by", to, "cause", err.Error())
-		return
+		if hasLine(failures + 1) {
+			c.log.Info("entries of instances not written", "instances", len(due), "failures", failures+1, "by", to, "cause", err.Error())
+		}
+		return false
 	}
 	c.newcomers.forget(due)
+	return true
 }
 
 // superior returns the address of the instance that this one hands entries to, which is
--- a/catalog/outage.go
+++ b/catalog/outage.go
@@ -77,11 +77,16 @@
 	sleep(ctx, c.backoff(failures))
 }
 
-// noteFailure notes the last of a number of reads in a row that failed. Of many the first,
-// second, fourth, eighth and so on have a line, so that one that goes on shows.
+// hasLine states whether the last of a number of failures in a row has a line: the first,
+// second, fourth, eighth and so on, so that one that goes on shows.
+func hasLine(failures int) bool {
+	return failures&(failures-1) == 0
+}
+
+// noteFailure notes the last of a number of reads in a row that failed.
 func (c *Catalog) noteFailure(f Feed, failures int, err error) {
 	c.troubled(steady.Now())
-	if failures&(failures-1) == 0 {
+	if hasLine(failures) {
 		c.log.Info("store can't be read", "feed", f.String(), "failures", failures, "cause", err.Error())
 	}
 }
