Tell in a line where an endpoint names a rate limit, and where it ceases to

Callers saw nothing; endpoints in need got more than the limit that they name in their answers (docs/incidents/limit.md). The lines could not tell whether a limit that nobody reads, one that each instance keeps by itself, or earlier grants were at fault.

package notice keeps what endpoints say of themselves, by their start; relay hands it the head of each answer, also of those that belong to another request on the connection, and not of a misdirected one. Nothing acts on it yet. Values that can't be read change nothing and cost one line for each start.

--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -13,6 +13,7 @@
 	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/internal/tcp"
 	"github.com/linkmast/linkmast/internal/wirehttp"
+	"github.com/linkmast/linkmast/notice"
 	"github.com/linkmast/linkmast/peer"
 	"github.com/linkmast/linkmast/platform"
 	"github.com/linkmast/linkmast/pool"
@@ -41,6 +42,7 @@
 		FirstStart: f.FirstStart,
 		Poll:       time.Duration(f.Times.Revoke) / pollsPerRevoke,
 	}, store, g.peers, g.log.WithName("catalog"))
+	g.notices = notice.New(steady.Now, g.log.WithName("notice"))
 	g.quarantine = quarantine.New(steady.Now, g.turn, g.log.WithName("quarantine"))
 	g.assemblePools()
 	g.recorder = quarantine.NewRecorder(g.quarantine, store, g.placer.CountsCrashes, g.log.WithName("quarantine"))
@@ -72,6 +74,7 @@
 		Check:      tcp.Check,
 		Worth:      f.Worth,
 		Quarantine: g.quarantine,
+		Notices:    g.notices,
 	}, log)
 	g.placer = pool.NewClient(g.self, g.pools, g.peers, log)
 }
@@ -106,6 +109,7 @@
 		Suspicions: g.placer,
 		Quarantine: g.placer,
 		Check:      tcp.Check,
+		Notices:    g.placer,
 		Wire:       platform.Wire{},
 		Memory:     platform.NewOrders(client),
 		Upstream:   g.upstream,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/linkmast/linkmast/catalog"
 	"github.com/linkmast/linkmast/internal/tcp"
 	"github.com/linkmast/linkmast/internal/upstream"
+	"github.com/linkmast/linkmast/notice"
 	"github.com/linkmast/linkmast/peer"
 	"github.com/linkmast/linkmast/pool"
 	"github.com/linkmast/linkmast/quarantine"
@@ -51,8 +52,10 @@
 	// bans in the store.
 	quarantine *quarantine.Book
 	recorder   *quarantine.Recorder
-	relay      *relay.Relay
-	upstream   *upstream.Pool
+	// notices is what endpoints say of themselves in answers.
+	notices  *notice.Book
+	relay    *relay.Relay
+	upstream *upstream.Pool
 	// peers are the connections to other instances, and rpc serves theirs.
 	peers *peer.Pool
 	rpc   *grpc.Server
--- /dev/null
+++ b/notice/book.go
@@ -0,0 +1,192 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package notice
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+)
+
+// rateHoldFor is how long a rate limit stands before another value replaces it, so that an
+// endpoint whose limit differs in each answer costs one notice in that time.
+const rateHoldFor = time.Second
+
+// Limit is a rate limit that an endpoint names.
+type Limit struct {
+	// Rate is in requests a second from all instances together.
+	Rate float64
+	// Born is when the start of the endpoint began that names it; zero when it does not say.
+	Born time.Time
+	// Since is when this instance learned of it.
+	Since time.Time
+}
+
+// known is what a Book has of one endpoint.
+type known struct {
+	Notice
+	// named is when an answer last named the limit, or another instance told of it, and
+	// changed when the notice last changed.
+	named   time.Time
+	changed time.Time
+	// malformed states that a statement could not be read.
+	malformed bool
+}
+
+// Book is what one instance knows from answers of endpoints. It is safe for use by several
+// goroutines.
+type Book struct {
+	now func() time.Time
+	log logr.Logger
+
+	mu        sync.Mutex
+	endpoints map[string]*known
+	// tell are those who hear of changes.
+	tell map[*func(Notice)]struct{}
+	// limits are the limits in force, by endpoint. The map is replaced and never changed.
+	limits atomic.Pointer[map[string]Limit]
+}
+
+// New returns an empty book. Now returns the time.
+func New(now func() time.Time, log logr.Logger) *Book {
+	return &Book{
+		now:       now,
+		log:       log,
+		endpoints: make(map[string]*known),
+		tell:      make(map[*func(Notice)]struct{}),
+	}
+}
+
+// OnChange has a function called with each notice that is new to this instance, in order,
+// until stop is called. It must not call the book.
+func (b *Book) OnChange(tell func(Notice)) (stop func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tell[&tell] = struct{}{}
+	return func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		delete(b.tell, &tell)
+	}
+}
+
+// Limits returns the rate limits in force, by endpoint. The map must not be changed.
+func (b *Book) Limits() map[string]Limit {
+	if m := b.limits.Load(); m != nil {
+		return *m
+	}
+	return nil
+}
+
+// Notices returns all that is known, in any order.
+func (b *Book) Notices() []Notice {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make([]Notice, 0, len(b.endpoints))
+	for _, k := range b.endpoints {
+		if k.Revision > 0 {
+			out = append(out, k.Notice)
+		}
+	}
+	return out
+}
+
+// Heard takes over what an answer says. It returns the notice and whether it is new.
+func (b *Book) Heard(a Answer, s Said) (Notice, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	k := b.endpoints[a.Instance]
+	if k == nil {
+		if !s.Limited && s.Malformed == "" {
+			return Notice{}, false
+		}
+		k = &known{}
+		k.Instance = a.Instance
+		b.endpoints[a.Instance] = k
+	}
+	if !k.begin(a.Born) {
+		return Notice{}, false
+	}
+	b.noteMalformed(k, a, s)
+	before := k.Notice
+	if !k.hear(a, s, now) {
+		return Notice{}, false
+	}
+	k.changed = now
+	k.Revision++
+	b.log.Info("rate limit of an endpoint", "endpoint", a.Instance, "limited", k.Limited, "rate", k.Rate,
+		"was_limited", before.Limited, "before", before.Rate, "request", a.Request)
+	b.publish(k)
+	return k.Notice, true
+}
+
+// begin takes over that a start of the endpoint began at a moment; zero means that it does not
+// say. It returns false when a later one is known.
+func (k *known) begin(born time.Time) bool {
+	switch {
+	case born.IsZero() || born.Equal(k.Born):
+		return true
+	case born.Before(k.Born):
+		return false
+	case !k.Born.IsZero():
+		*k = known{
+			Notice: Notice{
+				Instance: k.Instance,
+			},
+		}
+	}
+	k.Born = born
+	return true
+}
+
+// hear takes over what an answer says, and returns whether the notice changes.
+func (k *known) hear(a Answer, s Said, now time.Time) bool {
+	switch {
+	case s.Malformed != "":
+		return false
+	case s.Limited:
+		k.named = now
+		if k.Limited && (k.Rate == s.Rate || now.Sub(k.changed) < rateHoldFor) {
+			return false
+		}
+		k.Limited, k.Rate = true, s.Rate
+		return true
+	case !k.Limited || !a.Sent.After(k.named):
+		return false
+	}
+	k.Limited, k.Rate = false, 0
+	return true
+}
+
+// noteMalformed writes one line for the first statement of a start that can't be read.
+func (b *Book) noteMalformed(k *known, a Answer, s Said) {
+	if s.Malformed == "" || k.malformed {
+		return
+	}
+	k.malformed = true
+	b.log.Info("statement of an endpoint can't be read", "endpoint", a.Instance, "statement", s.Malformed, "request", a.Request)
+}
+
+// publish makes a notice visible. The caller holds the lock.
+func (b *Book) publish(k *known) {
+	limits := maps.Clone(b.Limits())
+	if limits == nil {
+		limits = make(map[string]Limit)
+	}
+	delete(limits, k.Instance)
+	if k.Limited {
+		limits[k.Instance] = Limit{
+			Rate:  k.Rate,
+			Born:  k.Born,
+			Since: k.changed,
+		}
+	}
+	b.limits.Store(&limits)
+	for tell := range b.tell {
+		(*tell)(k.Notice)
+	}
+}
--- /dev/null
+++ b/notice/book_test.go
@@ -0,0 +1,125 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package notice_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/notice"
+)
+
+// clock is a time that tests set.
+type clock struct {
+	at time.Time
+}
+
+func newClock() *clock {
+	return &clock{
+		at: time.Unix(1_000_000, 0),
+	}
+}
+
+func (c *clock) now() time.Time { return c.at }
+
+func (c *clock) pass(d time.Duration) { c.at = c.at.Add(d) }
+
+// answer is one of endpoint e to a request that was sent so long ago.
+func (c *clock) answer(ago time.Duration) notice.Answer {
+	return notice.Answer{
+		Instance: "e",
+		Request:  "r",
+		Sent:     c.at.Add(-ago),
+	}
+}
+
+// limit is what an answer says that names a rate limit.
+func limit(rate float64) notice.Said {
+	return notice.Said{
+		Limited: true,
+		Rate:    rate,
+	}
+}
+
+// assertLimit checks the rate limit of endpoint e; less than zero means none.
+func assertLimit(t *testing.T, b *notice.Book, rate float64) {
+	t.Helper()
+	l, limited := b.Limits()["e"]
+	is.New(t).Equal(limited, rate >= 0)
+	if limited {
+		is.New(t).Equal(l.Rate, rate)
+	}
+}
+
+func TestRateLimitNamed(t *testing.T) {
+	c := newClock()
+	b := notice.New(c.now, logr.Discard())
+	b.Heard(c.answer(0), notice.Said{})
+	assertLimit(t, b, -1)
+	b.Heard(c.answer(0), limit(2))
+	assertLimit(t, b, 2)
+
+	t.Run("an answer to an earlier request does not end it", func(t *testing.T) {
+		c.pass(time.Second)
+		b.Heard(c.answer(2*time.Second), notice.Said{})
+		assertLimit(t, b, 2)
+	})
+	t.Run("a statement that can't be read does not end it", func(t *testing.T) {
+		b.Heard(c.answer(0), notice.Said{Malformed: "x"})
+		assertLimit(t, b, 2)
+	})
+	t.Run("another value replaces it", func(t *testing.T) {
+		c.pass(time.Minute)
+		b.Heard(c.answer(0), limit(0))
+		assertLimit(t, b, 0)
+	})
+	t.Run("an answer without it ends it", func(t *testing.T) {
+		c.pass(time.Second)
+		b.Heard(c.answer(0), notice.Said{})
+		assertLimit(t, b, -1)
+	})
+}
+
+// TestChangingRateLimit lets each answer name another value.
+func TestChangingRateLimit(t *testing.T) {
+	c := newClock()
+	b := notice.New(c.now, logr.Discard())
+	told := 0
+	b.OnChange(func(notice.Notice) { told++ })
+	for i := range 1000 {
+		b.Heard(c.answer(0), limit(float64(i)))
+		c.pass(10 * time.Millisecond)
+	}
+	is.New(t).Equal(told, 10)
+}
+
+// TestMalformedOnce counts the lines of an endpoint that never says what can be read.
+func TestMalformedOnce(t *testing.T) {
+	lines := 0
+	c := newClock()
+	b := notice.New(c.now, funcr.New(func(_, _ string) { lines++ }, funcr.Options{}))
+	for range 100 {
+		b.Heard(c.answer(0), notice.Said{Malformed: "x"})
+	}
+	is.New(t).Equal(lines, 1)
+	assertLimit(t, b, -1)
+}
+
+// TestLimitOfAnotherStart lets an endpoint start again under its name.
+func TestLimitOfAnotherStart(t *testing.T) {
+	c := newClock()
+	b := notice.New(c.now, logr.Discard())
+	first, second := c.answer(0), c.answer(0)
+	first.Born = c.at
+	second.Born = c.at.Add(time.Second)
+	b.Heard(first, limit(2))
+	assertLimit(t, b, 2)
+	b.Heard(second, limit(5))
+	assertLimit(t, b, 5)
+	b.Heard(first, limit(1))
+	assertLimit(t, b, 5)
+}
--- /dev/null
+++ b/notice/notice.go
@@ -0,0 +1,48 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package notice
+
+import "time"
+
+// Notice is what is known of one start of an endpoint.
+type Notice struct {
+	// Instance names the endpoint.
+	Instance string
+	// Born is when this start of the endpoint began; zero when it does not say.
+	Born time.Time
+	// Limited states that the endpoint names a rate limit.
+	Limited bool
+	// Rate is the limit, in requests a second from all instances together. Zero without
+	// Limited.
+	Rate float64
+	// Revision orders the notices of one start; a higher one replaces a lower one.
+	Revision uint64
+}
+
+// Answer identifies an endpoint's answer.
+type Answer struct {
+	// Instance names the endpoint that gave it, and Born is when that start of it began; zero
+	// when it does not say.
+	Instance string
+	Born     time.Time
+	// Request names the request.
+	Request string
+	// Sent is when the request was sent.
+	Sent time.Time
+}
+
+// Said is what one answer says of its endpoint.
+type Said struct {
+	// Limited states that the answer names a rate limit, and Rate is that limit, in requests
+	// a second.
+	Limited bool
+	Rate    float64
+	// Malformed is a statement that can't be read, cut short; empty when there is none.
+	Malformed string
+}
+
+// Listener hears what endpoints say of themselves.
+type Listener interface {
+	// Heard takes over what an answer says.
+	Heard(a Answer, s Said)
+}
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -12,6 +12,7 @@
 
 	"github.com/linkmast/linkmast/catalog"
 	"github.com/linkmast/linkmast/internal/steady"
+	"github.com/linkmast/linkmast/notice"
 	"github.com/linkmast/linkmast/placement"
 	"github.com/linkmast/linkmast/quarantine"
 	"github.com/linkmast/linkmast/worth"
@@ -38,6 +39,8 @@
 	// Quarantine is what is known of requests that crash endpoints; the default is an empty
 	// book.
 	Quarantine *quarantine.Book
+	// Notices is what endpoints say of themselves; the default is an empty book.
+	Notices *notice.Book
 	// Now returns the time; the default is steady.Now.
 	Now func() time.Time
 	// Draw returns a random time below one that is greater than zero; the default is
@@ -73,6 +76,9 @@
 	if s.Quarantine == nil {
 		s.Quarantine = quarantine.New(s.Now, nil, log)
 	}
+	if s.Notices == nil {
+		s.Notices = notice.New(s.Now, log)
+	}
 	return &Scheduler{
 		settings: s,
 		log:      log,
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -13,6 +13,7 @@
 	"github.com/linkmast/linkmast/catalog"
 	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/internal/upstream"
+	"github.com/linkmast/linkmast/notice"
 	"github.com/linkmast/linkmast/pool"
 	"github.com/linkmast/linkmast/quarantine"
 )
@@ -45,6 +46,8 @@
 	// Check opens a connection to an endpoint that broke an answer off, to see whether it
 	// has ended; needed with Quarantine.
 	Check quarantine.Checker
+	// Notices hears what endpoints say of themselves in answers; nil means that nobody does.
+	Notices notice.Listener
 	// Wire reads and writes headers.
 	Wire Wire
 	// Memory reserves memory.
--- a/relay/try.go
+++ b/relay/try.go
@@ -12,6 +12,7 @@
 
 	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/internal/upstream"
+	"github.com/linkmast/linkmast/notice"
 	"github.com/linkmast/linkmast/pool"
 	"github.com/linkmast/linkmast/route"
 )
@@ -115,12 +116,27 @@
 		Body:    j.body,
 		Fresh:   fresh,
 		Own: func(res *http.Response) bool {
-			id := t.relay.parts.Wire.Answer(res).ID
-			return id == j.head.ID || id == "" && res.StatusCode >= http.StatusBadRequest
+			head := t.relay.parts.Wire.Answer(res)
+			t.hear(res.StatusCode, head)
+			return head.ID == j.head.ID || head.ID == "" && res.StatusCode >= http.StatusBadRequest
 		},
 	}
 }
 
+// hear takes over what an answer says of its endpoint, also one to another request on the same
+// connection. A misdirected request was answered by another endpoint.
+func (t *try) hear(status int, head AnswerHead) {
+	if t.relay.parts.Notices == nil || status == http.StatusMisdirectedRequest {
+		return
+	}
+	t.relay.parts.Notices.Heard(notice.Answer{
+		Instance: t.grant.Instance,
+		Born:     t.grant.Born,
+		Request:  t.job.head.ID,
+		Sent:     t.began,
+	}, head.Said)
+}
+
 // unanswered judges an attempt without the head of an answer.
 func (t *try) unanswered(err error, w *watch) result {
 	var e *upstream.Error
--- a/relay/types.go
+++ b/relay/types.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/linkmast/linkmast/notice"
 	"github.com/linkmast/linkmast/pool"
 )
 
@@ -62,6 +63,8 @@
 	Culprit string
 	// Signed states that the answer carries the endpoint's proof of origin.
 	Signed bool
+	// Said is what the endpoint says of itself.
+	Said notice.Said
 }
 
 // Wire is how callers and endpoints write what the types of this package hold.
