--- /dev/null
+++ b/gateway/limit_test.go
@@ -0,0 +1,139 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/platform/platformtest"
+)
+
+// The bound on requests to an endpoint that names a rate limit, as its operators state it.
+const (
+	// limitGrace is how long after the limit was first named the bound holds.
+	limitGrace = 3 * time.Second
+	// limitWindow is the time in which requests are counted, limitFactor how many times as
+	// many as the limit allows may come in it, and limitSlack how many more.
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+)
+
+// refusedAtOnce is how soon a caller must hear that no endpoint takes its request.
+const refusedAtOnce = 500 * time.Millisecond
+
+// rejection is a request that was refused, with how long that took.
+type rejection struct {
+	got  got
+	took time.Duration
+}
+
+// load sends requests to all instances in turn for a time, and returns those that were
+// refused.
+func (w *world) load(name string, c call, every, lasts time.Duration) []rejection {
+	var (
+		callers  sync.WaitGroup
+		mu       sync.Mutex
+		rejected []rejection
+	)
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	for i := range int(lasts / every) {
+		<-tick.C
+		one := c
+		one.id = fmt.Sprint(name, "-", i)
+		callers.Go(func() {
+			began := time.Now()
+			g := w.ask(i%len(w.gateways), one)
+			if g.status == http.StatusOK {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			rejected = append(rejected, rejection{
+				got:  g,
+				took: time.Since(began),
+			})
+		})
+	}
+	callers.Wait()
+	return rejected
+}
+
+// limit makes endpoints name a rate limit.
+func (w *world) limit(rate string, names ...string) {
+	for _, name := range names {
+		w.endpoints[name].SetFaults(platformtest.EndpointFaults{
+			Limit: rate,
+		})
+	}
+}
+
+// most returns the greatest number of arrivals in some window that ends after a moment.
+func most(arrivals []time.Time, after time.Time, window time.Duration) int {
+	n := 0
+	for i, end := range arrivals {
+		if end.Before(after) {
+			continue
+		}
+		first, _ := slices.BinarySearchFunc(arrivals[:i], end.Add(-window), time.Time.Compare)
+		n = max(n, i+1-first)
+	}
+	return n
+}
+
+// assertLimited checks that endpoints got no more than the limit that they named at a moment
+// allows, and that each of them was still used.
+func assertLimited(t *testing.T, w *world, rate float64, named time.Time, names ...string) {
+	t.Helper()
+	allowed := limitFactor*rate*limitWindow.Seconds() + limitSlack
+	for _, name := range names {
+		arrivals := w.endpoints[name].Arrivals()
+		got := most(arrivals, named.Add(limitGrace), limitWindow)
+		t.Logf("%s: %d requests in %v, %.0f allowed", name, got, limitWindow, allowed)
+		is.New(t).True(float64(got) <= allowed)
+		is.New(t).True(got > 0)
+	}
+}
+
+// TestRateLimitSharedByInstances guards against endpoints that name a rate limit and get more.
+func TestRateLimitSharedByInstances(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		path    string
+		limited []string
+		// none states that no endpoint of the service is without a limit.
+		none bool
+	}{
+		{"one engine of two", "/stream/a", []string{"e1"}, false},
+		{"all engines", "/stream/a", []string{"e1", "e2"}, true},
+		{"one plain endpoint of two", "/safe/a", []string{"p1"}, false},
+		{"all plain endpoints", "/safe/a", []string{"p1", "p2"}, true},
+		{"requests that run once", "/unsafe/a", []string{"p1"}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, 3)
+			w.load("before", call{path: c.path, tokens: 500}, 25*time.Millisecond, time.Second)
+			w.limit("1", c.limited...)
+			named := time.Now()
+			rejected := w.load("during", call{path: c.path, tokens: 500}, 25*time.Millisecond, 8*time.Second)
+			assertLimited(t, w, 1, named, c.limited...)
+			if !c.none {
+				is.New(t).Equal(len(rejected), 0)
+				return
+			}
+			for _, r := range rejected {
+				assertRefused(t, r.got)
+				is.New(t).True(r.took < refusedAtOnce)
+			}
+		})
+	}
+}
