Tell all instances what one of them hears an endpoint say of itself

An instance hears a limit only in answers to its own requests. It now tells the owner and the standby of the pool with which all instances have sessions already, where crashes are counted (commonPool), and these tell all others; a new owner hears of it in the greeting, an instance that starts when its session begins. Notices of one start of an endpoint have revisions: without them two owners that hear different values at one moment would tell each other in turn for ever (TestNoticesAgree).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -117,6 +117,10 @@
 		changed := g.catalog.Changed()
 		if s := g.catalog.Snapshot(); s != nil {
 			g.pools.Update(s)
+			g.notices.Keep(func(instance string) bool {
+				_, listed := s.Endpoints[instance]
+				return listed
+			})
 			if s.Complete {
 				// With few of the instances known others would be taken for owners.
 				g.placer.Update(s)
--- a/notice/book.go
+++ b/notice/book.go
@@ -124,6 +124,49 @@
 	return k.Notice, true
 }
 
+// Learn takes over what another instance tells.
+func (b *Book) Learn(n Notice) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := b.endpoints[n.Instance]
+	if k == nil {
+		k = &known{
+			Notice: Notice{
+				Instance: n.Instance,
+			},
+		}
+		b.endpoints[n.Instance] = k
+	}
+	if !n.replaces(&k.Notice) {
+		return
+	}
+	now := b.now()
+	k.Notice, k.named, k.changed = n, now, now
+	b.log.V(1).Info("told of an endpoint", "endpoint", n.Instance, "limited", n.Limited, "rate", n.Rate, "revision", n.Revision)
+	b.publish(k)
+}
+
+// keepFor is how long a notice is kept of an endpoint that is not in the list of endpoints:
+// that list may lag.
+const keepFor = time.Minute
+
+// Keep forgets the endpoints that are not listed any more.
+func (b *Book) Keep(listed func(instance string) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	for instance, k := range b.endpoints {
+		if listed(instance) || now.Sub(k.changed) < keepFor {
+			continue
+		}
+		delete(b.endpoints, instance)
+		if k.Limited {
+			k.Limited, k.Rate = false, 0
+			b.publish(k)
+		}
+	}
+}
+
 // begin takes over that a start of the endpoint began at a moment; zero means that it does not
 // say. It returns false when a later one is known.
 func (k *known) begin(born time.Time) bool {
--- a/notice/book_test.go
+++ b/notice/book_test.go
@@ -123,3 +123,36 @@
 	b.Heard(first, limit(1))
 	assertLimit(t, b, 5)
 }
+
+// TestNoticesConverge tells two books the notices of each other in either order.
+func TestNoticesConverge(t *testing.T) {
+	c := newClock()
+	one, other := notice.New(c.now, logr.Discard()), notice.New(c.now, logr.Discard())
+	first, _ := one.Heard(c.answer(0), limit(2))
+	second, _ := other.Heard(c.answer(0), limit(3))
+	one.Learn(second)
+	other.Learn(first)
+	assertLimit(t, one, 2)
+	assertLimit(t, other, 2)
+
+	c.pass(time.Second)
+	ended, _ := one.Heard(c.answer(0), notice.Said{})
+	other.Learn(ended)
+	other.Learn(first)
+	assertLimit(t, other, -1)
+}
+
+// TestKeepForgets drops endpoints that are not listed any more.
+func TestKeepForgets(t *testing.T) {
+	c := newClock()
+	b := notice.New(c.now, logr.Discard())
+	b.Heard(c.answer(0), limit(2))
+	none := func(string) bool { return false }
+	b.Keep(none)
+	assertLimit(t, b, 2)
+	c.pass(time.Hour)
+	b.Keep(func(string) bool { return true })
+	assertLimit(t, b, 2)
+	b.Keep(none)
+	assertLimit(t, b, -1)
+}
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -19,6 +19,20 @@
 	Revision uint64
 }
 
+// replaces states whether a notice takes the place of another one about the same endpoint. Of
+// two with the same revision the stricter one does.
+func (n *Notice) replaces(old *Notice) bool {
+	switch {
+	case !n.Born.Equal(old.Born):
+		return n.Born.After(old.Born)
+	case n.Revision != old.Revision:
+		return n.Revision > old.Revision
+	case n.Limited != old.Limited:
+		return n.Limited
+	}
+	return n.Rate < old.Rate
+}
+
 // Answer identifies an endpoint's answer.
 type Answer struct {
 	// Instance names the endpoint that gave it, and Born is when that start of it began; zero
--- a/pool/client.go
+++ b/pool/client.go
@@ -38,10 +38,10 @@
 	book map[string]*running
 	// moves are what makes attempts move, by attempt.
 	moves map[string]func()
-	// crashPool names the pool whose owners count crashes, and crashes are the latest that
-	// this instance saw.
-	crashPool string
-	crashes   []quarantine.Crash
+	// common names the pool with whose owners all instances have sessions, and crashes are
+	// the latest that this instance saw.
+	common  string
+	crashes []quarantine.Crash
 	// turn gets a value when a link breaks off or comes about.
 	turn chan struct{}
 	// ctx is that of Run; nil before.
@@ -104,7 +104,7 @@
 			c.order[name] = c.rank(name, snap)
 		}
 	}
-	c.crashPool = c.pickCrashPool(snap)
+	c.common = c.pickCommon(snap)
 	c.relink()
 }
 
--- a/pool/client_crashes.go
+++ b/pool/client_crashes.go
@@ -26,9 +26,10 @@
 	toldAgain = 64
 )
 
-// pickCrashPool returns the pool whose owners count the crashes of all services, so that no
-// further links are needed: the first one with engines. The caller holds the lock.
-func (c *Client) pickCrashPool(snap *catalog.Snapshot) string {
+// pickCommon returns the pool whose owners count the crashes of all services and tell all
+// instances what concerns them, so that no further links are needed: the first one with
+// engines. The caller holds the lock.
+func (c *Client) pickCommon(snap *catalog.Snapshot) string {
 	if len(c.order) == 0 {
 		c.order[noEngines] = c.rank(noEngines, snap)
 		return noEngines
@@ -36,16 +37,16 @@
 	return slices.Min(slices.Collect(maps.Keys(c.order)))
 }
 
-// poolOfCrashes names the pool whose owners count crashes.
-func (c *Client) poolOfCrashes() string {
+// commonPool names the pool with whose owners all instances have sessions.
+func (c *Client) commonPool() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.crashPool
+	return c.common
 }
 
 // CountsCrashes states whether this instance is the first of those that count crashes.
 func (c *Client) CountsCrashes() bool {
-	return c.decides(c.poolOfCrashes()) == c.self.ID
+	return c.decides(c.commonPool()) == c.self.ID
 }
 
 // Crashed reports an attempt whose endpoint has ended.
@@ -59,7 +60,7 @@
 	}
 	c.crashes = append(c.crashes, one)
 	c.mu.Unlock()
-	c.tell(c.poolOfCrashes(), crashedMessage(one, now), nil)
+	c.tell(c.commonPool(), crashedMessage(one, now), nil)
 }
 
 // Served notes that a request was answered whole.
@@ -67,7 +68,7 @@
 	if !c.local.settings.Quarantine.Served(id) {
 		return
 	}
-	c.tell(c.poolOfCrashes(), verdictToOwner(quarantine.Verdict{
+	c.tell(c.commonPool(), verdictToOwner(quarantine.Verdict{
 		Identity: id,
 		State:    quarantine.Cleared,
 	}), nil)
--- a/pool/client_links.go
+++ b/pool/client_links.go
@@ -110,6 +110,7 @@
 		turn:    c.turned,
 		move:    c.moveAttempt,
 		verdict: c.learned,
+		notice:  c.local.settings.Notices.Learn,
 		log:     c.log,
 		began:   time.Now(),
 	}
@@ -129,7 +130,8 @@
 }
 
 // running returns the messages that tell an owner what this instance has
-// running, and what it knows of requests that crash endpoints.
+// running, and what it knows of requests that crash endpoints and of what endpoints say of
+// themselves.
 func (c *Client) running() []*poolpb.FromEntry {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -137,7 +139,11 @@
 	for _, r := range c.book {
 		out = append(out, runningMessage(r))
 	}
-	return append(out, c.crashGreeting()...)
+	out = append(out, c.crashGreeting()...)
+	for _, n := range c.local.settings.Notices.Notices() {
+		out = append(out, noticeToOwner(n))
+	}
+	return out
 }
 
 // owners returns the links of a pool in order; nil stands for this instance.
--- a/pool/client_notices.go
+++ b/pool/client_notices.go
@@ -4,7 +4,10 @@
 
 import "github.com/linkmast/linkmast/notice"
 
-// Heard implements notice.Listener.
+// Heard implements notice.Listener: the instances that all others have sessions with tell
+// them.
 func (c *Client) Heard(a notice.Answer, s notice.Said) {
-	c.local.settings.Notices.Heard(a, s)
+	if n, changed := c.local.settings.Notices.Heard(a, s); changed {
+		c.tell(c.commonPool(), noticeToOwner(n), nil)
+	}
 }
--- a/pool/link.go
+++ b/pool/link.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 	"google.golang.org/grpc"
 
+	"github.com/linkmast/linkmast/notice"
 	"github.com/linkmast/linkmast/pool/poolpb"
 	"github.com/linkmast/linkmast/quarantine"
 )
@@ -62,7 +63,9 @@
 	move func(id, endpoint, by string)
 	// verdict is called with what the owner thinks of requests that crash endpoints.
 	verdict func(quarantine.Verdict)
-	log     logr.Logger
+	// notice is called with what endpoints say of themselves, as the owner knows.
+	notice func(notice.Notice)
+	log    logr.Logger
 
 	mu sync.Mutex
 	// began is when the link was made, or broke off, and the first try to open it began.
--- a/pool/link_session.go
+++ b/pool/link_session.go
@@ -191,6 +191,8 @@
 		go l.move(k.Move.GetId(), k.Move.GetEndpoint(), l.peer)
 	case *poolpb.FromOwner_Verdict:
 		l.verdict(quarantine.DecodeVerdict(k.Verdict))
+	case *poolpb.FromOwner_Notice:
+		l.notice(decodeNotice(k.Notice))
 	case *poolpb.FromOwner_Pong:
 	}
 }
--- a/pool/messages.go
+++ b/pool/messages.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/linkmast/linkmast/notice"
 	"github.com/linkmast/linkmast/pool/poolpb"
 	"github.com/linkmast/linkmast/quarantine"
 )
@@ -199,6 +200,46 @@
 	}
 }
 
+// encodeNotice returns the message of a notice.
+func encodeNotice(n notice.Notice) *poolpb.Notice {
+	return &poolpb.Notice{
+		Instance: n.Instance,
+		BornMs:   bornMessage(n.Born),
+		Limited:  n.Limited,
+		Rate:     n.Rate,
+		Revision: n.Revision,
+	}
+}
+
+// decodeNotice returns the notice of a message.
+func decodeNotice(m *poolpb.Notice) notice.Notice {
+	return notice.Notice{
+		Instance: m.GetInstance(),
+		Born:     bornOf(m.GetBornMs()),
+		Limited:  m.GetLimited(),
+		Rate:     m.GetRate(),
+		Revision: m.GetRevision(),
+	}
+}
+
+// noticeToOwner tells an owner what an endpoint says of itself.
+func noticeToOwner(n notice.Notice) *poolpb.FromEntry {
+	return &poolpb.FromEntry{
+		Kind: &poolpb.FromEntry_Notice{
+			Notice: encodeNotice(n),
+		},
+	}
+}
+
+// noticeToEntry tells an entry what an endpoint says of itself.
+func noticeToEntry(n notice.Notice) *poolpb.FromOwner {
+	return &poolpb.FromOwner{
+		Kind: &poolpb.FromOwner_Notice{
+			Notice: encodeNotice(n),
+		},
+	}
+}
+
 // crashedMessage tells an owner of a crash.
 func crashedMessage(c quarantine.Crash, now time.Time) *poolpb.FromEntry {
 	return &poolpb.FromEntry{
--- /dev/null
+++ b/pool/notice_test.go
@@ -0,0 +1,90 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package pool_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/notice"
+)
+
+// hears has an instance hear an answer of an endpoint to a request that was just sent.
+func (n *node) hears(endpoint string, s notice.Said) {
+	n.client.Heard(notice.Answer{
+		Instance: endpoint,
+		Request:  "r",
+		Sent:     time.Now(),
+	}, s)
+}
+
+// limit is what an answer says that names a rate limit.
+func limit(rate float64) notice.Said {
+	return notice.Said{
+		Limited: true,
+		Rate:    rate,
+	}
+}
+
+// assertLimit waits until instances know the rate limit of an endpoint; less than zero means
+// none.
+func assertLimit(t *testing.T, nodes []*node, endpoint string, rate float64) {
+	t.Helper()
+	knows := func(n *node) bool {
+		l, limited := n.scheduler.Notices().Limits()[endpoint]
+		return limited == (rate >= 0) && (!limited || l.Rate == rate)
+	}
+	for _, n := range nodes {
+		for end := time.Now().Add(2 * time.Second); !knows(n) && time.Now().Before(end); {
+			time.Sleep(5 * time.Millisecond)
+		}
+		is.New(t).True(knows(n))
+	}
+}
+
+// TestNoticeReachesAll has one instance hear what an endpoint says, and another one that the
+// endpoint says it no more.
+func TestNoticeReachesAll(t *testing.T) {
+	f := newFleet(t, 6)
+	f.owner("")
+	settle()
+	f.nodes[2].hears("e1", limit(2))
+	assertLimit(t, f.nodes, "e1", 2)
+	f.nodes[4].hears("e1", notice.Said{})
+	assertLimit(t, f.nodes, "e1", -1)
+
+	t.Run("an instance that starts later", func(t *testing.T) {
+		f.nodes[0].hears("p1", limit(3))
+		assertLimit(t, f.nodes, "p1", 3)
+		f.add(6)
+		late := f.nodes[6]
+		late.learn(f.snap)
+		assertLimit(t, []*node{late}, "p1", 3)
+	})
+	t.Run("a new owner", func(t *testing.T) {
+		first := f.owner("")
+		close(first.closing)
+		second := f.owner(first.self.ID)
+		close(second.closing)
+		time.Sleep(600 * time.Millisecond) // sessions with the next two
+		left := f.without(first, second)
+		left[0].hears("p0", limit(4))
+		assertLimit(t, left, "p0", 4)
+		assertLimit(t, left, "p1", 3)
+	})
+}
+
+// TestNoticesAgree has two instances hear different values at one moment.
+func TestNoticesAgree(t *testing.T) {
+	f := newFleet(t, 6)
+	f.owner("")
+	settle()
+	go f.nodes[1].hears("e1", limit(2))
+	f.nodes[4].hears("e1", limit(3))
+	settle()
+	agreed := f.nodes[0].scheduler.Notices().Limits()["e1"].Rate
+	is.New(t).True(agreed == 2 || agreed == 3)
+	assertLimit(t, f.nodes, "e1", agreed)
+}
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -88,6 +88,11 @@
 	}
 }
 
+// Notices returns what endpoints say of themselves.
+func (s *Scheduler) Notices() *notice.Book {
+	return s.settings.Notices
+}
+
 // Update takes over the endpoints that are known.
 func (s *Scheduler) Update(snap *catalog.Snapshot) {
 	s.mu.Lock()
--- a/pool/server.go
+++ b/pool/server.go
@@ -56,9 +56,8 @@
 	// that are to move; nil until it has said its name.
 	entry     string
 	stopMoves func()
-	// stopVerdicts ends telling it what is thought of requests that crash endpoints; nil
-	// until it has said its name.
-	stopVerdicts func()
+	// stopTelling ends telling it what all instances hear; empty until it has said its name.
+	stopTelling []func()
 
 	// replaced is closed, by replace, when another session of the entry has begun.
 	replaced chan struct{}
@@ -162,6 +161,8 @@
 		s.settings.Quarantine.Report(quarantine.DecodeCrash(k.Crashed, s.settings.Now()))
 	case *poolpb.FromEntry_Verdict:
 		s.settings.Quarantine.Learn(quarantine.DecodeVerdict(k.Verdict))
+	case *poolpb.FromEntry_Notice:
+		s.settings.Notices.Learn(decodeNotice(k.Notice))
 	case *poolpb.FromEntry_Ping:
 		if k.Ping.GetSeq() == greetingEnd {
 			x.server.greeted(x)
--- a/pool/server_cut.go
+++ b/pool/server_cut.go
@@ -51,6 +51,7 @@
 	}
 	x.stopMoves = s.scheduler.onMoves(x.entry, x.sendMove)
 	x.tellVerdicts()
+	x.tellNotices()
 }
 
 // sendMove tells the entry of an attempt that is to move.
@@ -65,8 +66,8 @@
 	if x.stopMoves != nil {
 		x.stopMoves()
 	}
-	if x.stopVerdicts != nil {
-		x.stopVerdicts()
+	for _, stop := range x.stopTelling {
+		stop()
 	}
 	s.mu.Lock()
 	if s.sessions[x.entry] == x {
