Keep engines to the rate limits that they name

Cause: no decision asked for the limit.

The owner of a pool keeps, for each endpoint, when it was given requests in the last 4 s, those of its entries and those that others placed. An endpoint with a limit gets none while its mean over that time is reached, or sooner than 0.8 of the mean gap; so an owner that takes over without knowing anything stays within the stated bound, too (TestOwnerChangeKeepsRateLimit). Requests from before the limit was known count. An endpoint that reads for another one counts as given a request, as does each that is sent again. Instances that place alone share the limit, the first request of each at a random part of its share (TestAloneShareRateLimit). Reports are not asked for while a limit is named. However low the limit, one request goes each 10 s: only an answer tells that it has ended.

When all endpoints are at their limits a request waits only if one takes it in time, those before it counted, and is refused at once otherwise with the time of the soonest.

--- a/notice/book.go
+++ b/notice/book.go
@@ -25,6 +25,14 @@
 	Since time.Time
 }
 
+// Age returns for how long this instance has known of it at a moment; zero for the zero value.
+func (l Limit) Age(now time.Time) time.Duration {
+	if l.Since.IsZero() {
+		return 0
+	}
+	return now.Sub(l.Since)
+}
+
 // known is what a Book has of one endpoint.
 type known struct {
 	Notice
--- a/pool/adopt.go
+++ b/pool/adopt.go
@@ -43,6 +43,7 @@
 		p.cold.give(g.Instance, now)
 	}
 	if p.plain {
+		p.give(at, now)
 		addPlain(e, a.ID)
 		p.placed[a.ID] = at
 		return
@@ -51,6 +52,7 @@
 	for _, o := range plan.Others {
 		at.readers = append(at.readers, o.Engine.Instance)
 	}
+	p.give(at, now)
 	plan.Apply(w.request, now)
 	p.placed[a.ID] = at
 	if begun {
--- a/pool/aside.go
+++ b/pool/aside.go
@@ -61,6 +61,8 @@
 	// preference is higher for a plain endpoint that the instance prefers among
 	// equals.
 	preference float64
+	// given are the latest requests that it was given.
+	given arrivals
 	// born is when the endpoint's life started that this is about; zero when it does
 	// not say.
 	born time.Time
--- a/pool/decide.go
+++ b/pool/decide.go
@@ -30,7 +30,7 @@
 // try places a request if this is the moment for it: its best plan covers what it
 // costs others, and no later moment is likely to be better. The caller holds the lock.
 func (s *Scheduler) try(p *state, w *Waiter, now time.Time) (Grant, bool) {
-	list := p.usable(&w.ask, now)
+	list := p.usable(w, now)
 	if len(list) == 0 {
 		return Grant{}, false
 	}
--- a/pool/figures.go
+++ b/pool/figures.go
@@ -44,6 +44,12 @@
 	Moved     int `json:"moved"`
 	Checked   int `json:"checked"`
 	Absent    int `json:"absent"`
+	// Limited is how many endpoints name a rate limit, AtLimit counts the endpoints that were
+	// passed over for it as requests were placed, and LimitRefused the requests that were
+	// refused as all were at theirs.
+	Limited      int   `json:"limited"`
+	AtLimit      int64 `json:"at_limit"`
+	LimitRefused int64 `json:"limit_refused"`
 	// Routes tells what is usual for each route that had requests, and its worth.
 	Routes map[string]worth.Usual `json:"routes,omitempty"`
 }
@@ -73,6 +79,9 @@
 			Moved:          p.suspicion.moved,
 			Checked:        p.checks.checked,
 			Absent:         p.checks.failed,
+			Limited:        p.limited(),
+			AtLimit:        p.rates.withheld,
+			LimitRefused:   p.rates.refused,
 			Routes:         p.worth.Routes(),
 		}
 	}
--- a/pool/grant.go
+++ b/pool/grant.go
@@ -36,6 +36,10 @@
 			Reserved: o.Hold,
 		})
 	}
+	withheld := p.withheld(w.alone, now)
+	p.rates.withheld += int64(withheld)
+	limit, _ := p.limit(plan.Engine, p.rates.notices.Limits())
+	p.give(at, now)
 	p.probe(at, now)
 	p.cold.give(at.instance, now)
 	p.paces.decided, p.paces.alone = now, w.alone
@@ -45,10 +49,20 @@
 		"readers", at.readers, "first_ms", g.First.Milliseconds(), "read_ms", plan.Read.Milliseconds(),
 		"spoils", plan.Spoils, "loses", plan.Loses, "waited_ms", g.Waited.Milliseconds(), "queue", len(p.queue),
 		"work_ms", p.work(w).Milliseconds(), "price", p.priceNow(now),
-		"due_ms", w.request.TargetAt.Sub(now).Milliseconds(), "resumed", w.ask.Resumed)
+		"due_ms", w.request.TargetAt.Sub(now).Milliseconds(), "resumed", w.ask.Resumed,
+		"at_limit", withheld, "limit", limit.Rate, "limit_age_ms", limit.Age(now).Milliseconds())
 	return g
 }
 
+// give notes that the endpoints of an attempt have a request more.
+func (p *state) give(at *placed, now time.Time) {
+	for _, name := range at.endpoints() {
+		if h := p.health[name]; h != nil {
+			h.given.note(now)
+		}
+	}
+}
+
 // probe notes that an attempt tries endpoints that had failed.
 func (p *state) probe(at *placed, now time.Time) {
 	for _, name := range at.endpoints() {
--- a/pool/pace.go
+++ b/pool/pace.go
@@ -266,6 +266,7 @@
 	}
 	p.paces.looked = now
 	p.noteOverdue(now)
+	limits := p.rates.notices.Limits()
 	left := askedAtOnce
 	for name, r := range p.paces.of {
 		e := p.engines[name]
@@ -273,7 +274,8 @@
 			delete(p.paces.of, name)
 			continue
 		}
-		asks := s.asks(p, now) && p.takesPart(e)
+		_, limited := p.limit(e, limits)
+		asks := s.asks(p, now) && p.takesPart(e) && !limited
 		if asks && left > 0 && r.due(e, now) {
 			left--
 			s.askPace(p, e, r, now)
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -31,20 +31,22 @@
 	slices.SortStableFunc(p.queue, func(a, b *Waiter) int {
 		return cmp.Compare(a.urgency(now), b.urgency(now))
 	})
-	work := p.unread()
+	ahead := backlog{
+		work: p.unread(),
+	}
 	kept := p.queue[:0]
 	for _, w := range p.queue {
 		if g, ok := s.try(p, w, now); ok {
-			work += p.reading(w)
+			ahead.work += p.reading(w)
 			w.reply <- g
 			continue
 		}
-		if r := s.refuse(p, w, work, now); r != nil {
+		if r := s.refuse(p, w, ahead, now); r != nil {
 			s.refused(p, w, r, now)
 			w.refuse <- r
 			continue
 		}
-		work += p.reading(w)
+		ahead.add(p, w)
 		kept = append(kept, w)
 	}
 	clear(p.queue[len(kept):])
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -127,6 +127,9 @@
 			health:  make(map[string]*health),
 			placed:  make(map[string]*placed),
 			worth:   worth.New(s.settings.Worth),
+			rates: rates{
+				notices: s.settings.Notices,
+			},
 		}
 		s.pools[service] = p
 	}
@@ -182,6 +185,7 @@
 	s.lookForStopped(p, a.Service, now)
 	w := s.waiter(p, a, now)
 	w.entry, w.alone = entry, alone
+	s.noteAlone(p, alone, now)
 	if r := p.keeps(a.Replaces, now); r != nil {
 		w.refuse <- r
 		return w
@@ -204,7 +208,7 @@
 		w.reply <- g
 		return
 	}
-	if r := s.refuse(p, w, p.unread()+p.before(w, now), now); r != nil {
+	if r := s.refuse(p, w, p.before(w, now), now); r != nil {
 		s.refused(p, w, r, now)
 		w.refuse <- r
 		return
@@ -218,11 +222,11 @@
 	work := p.work(w)
 	p.price.note(work, w.gives(), now)
 	p.refusedBefore.note(w, now)
-	usable := p.usable(&w.ask, now)
+	usable := p.usable(w, now)
 	used, slots := slotsOf(usable)
 	s.log.Info("refuse", "attempt", w.ask.ID, "service", w.ask.Service, "prompt", w.ask.Prompt, "reason", r.Reason,
 		"after_ms", r.After.Milliseconds(), "waited_ms", now.Sub(w.arrived).Milliseconds(), "queue", len(p.queue),
-		"endpoints", len(usable), "running", used, "slots", slots, "worth", w.request.Worth,
+		"endpoints", len(usable), "at_limit", p.withheld(w.alone, now), "running", used, "slots", slots, "worth", w.request.Worth,
 		"returning", w.ask.Returning, "rank", w.ask.Rank, "route_rank", w.ask.RouteRank,
 		"work_ms", work.Milliseconds(), "price", p.priceNow(now))
 }
--- a/pool/shed.go
+++ b/pool/shed.go
@@ -33,17 +33,19 @@
 // refuse returns the refusal of a request that can't be served as its caller needs
 // it, or nil while it may be. A caller at its first try needs it in time: told at once,
 // it can come back when there is room. One that has come back may have no further try:
-// it needs an answer before it gives up. Work is the reading that goes before the
-// request, summed over the engines.
+// it needs an answer before it gives up. Ahead is what goes before the request.
 //
 // Refusing long prompts at once raised the worth of bursts of them from 0.683 to 0.705
 // (18 engines, fifteen plays of days with faults, same seeds): late readings no longer
 // take the engines from those that are in time.
-func (s *Scheduler) refuse(p *state, w *Waiter, work time.Duration, now time.Time) *Refusal {
-	list := p.usable(&w.ask, now)
+func (s *Scheduler) refuse(p *state, w *Waiter, ahead backlog, now time.Time) *Refusal {
+	list := p.usable(w, now)
 	if len(list) == 0 && p.emptied.barsAny(&w.ask, p.list) {
 		return s.refusal("failure domains of the service are emptied", emptiedAfter)
 	}
+	if r := s.refuseLimited(p, w, list, ahead.requests, now); r != nil {
+		return r
+	}
 	if r := s.coldUntil(p, w, list, now); r != nil {
 		return r
 	}
@@ -53,17 +55,17 @@
 	if w.outOfSlots(list) {
 		return s.refusal("no endpoint can answer in time now", 0)
 	}
-	ahead := time.Duration(0)
+	unread := time.Duration(0)
 	if !w.ask.hurried() {
 		// Short ones are read beside long ones, in the next pass of some engine.
-		ahead = time.Duration(float64(work) / speed(list) / readShare)
+		unread = time.Duration(float64(ahead.work) / speed(list) / readShare)
 	}
-	ready := now.Add(ahead + placement.Soonest(list, w.request))
+	ready := now.Add(unread + placement.Soonest(list, w.request))
 	switch {
 	case w.firstTry() && w.late && !w.ask.hurried() && ready.After(w.request.TargetAt):
-		return s.refusal("no endpoint can read it in time", ahead)
+		return s.refusal("no endpoint can read it in time", unread)
 	case ready.After(w.gone()):
-		return s.refusal("no endpoint can read it before its caller goes", ahead)
+		return s.refusal("no endpoint can read it before its caller goes", unread)
 	}
 	if r := s.overdue(p, w, ready, now); r != nil {
 		return r
@@ -113,14 +115,30 @@
 	return sum
 }
 
-// before returns the time of reading the waiting requests that are more urgent than
-// one, on one engine each.
-func (p *state) before(w *Waiter, now time.Time) time.Duration {
-	sum := time.Duration(0)
+// backlog is what goes before a request.
+type backlog struct {
+	// work is reading, summed over the engines.
+	work time.Duration
+	// requests are those that wait and are more urgent.
+	requests int
+}
+
+// add adds a waiting request.
+func (b *backlog) add(p *state, w *Waiter) {
+	b.work += p.reading(w)
+	b.requests++
+}
+
+// before returns what goes before a request that has come: what the engines have to read, and
+// the waiting requests that are as urgent or more, on one engine each.
+func (p *state) before(w *Waiter, now time.Time) backlog {
+	sum := backlog{
+		work: p.unread(),
+	}
 	urgency := w.urgency(now)
 	for _, q := range p.queue {
-		if q.urgency(now) < urgency {
-			sum += p.reading(q)
+		if q.urgency(now) <= urgency {
+			sum.add(p, q)
 		}
 	}
 	return sum
--- a/pool/state.go
+++ b/pool/state.go
@@ -56,6 +56,8 @@
 	checks checks
 	// returning is the work that was cut and comes back.
 	returning returning
+	// rates are the rate limits that endpoints name.
+	rates rates
 	// plain states that the service's endpoints are no engines.
 	plain bool
 }
@@ -157,6 +159,7 @@
 	}
 	p.alone.budget = p.retry.budget
 	p.alone.budget.Extra /= float64(max(instances, 1))
+	p.rates.instances = instances
 	if p.plain {
 		p.alone.budget.Extra *= 2
 		p.retry.budget = p.alone.budget
@@ -197,13 +200,14 @@
 
 // usable returns the endpoints that a request may be placed on. When all of them
 // failed of late, it returns them all the same: the reports may be wrong.
-func (p *state) usable(a *Ask, now time.Time) []*placement.Engine {
+func (p *state) usable(w *Waiter, now time.Time) []*placement.Engine {
 	out := make([]*placement.Engine, 0, len(p.list))
+	limits := p.rates.notices.Limits()
 	var rest []*placement.Engine
 	for _, e := range p.list {
 		switch {
-		case e.Closed || slices.Contains(a.Exclude, e.Instance) || p.emptied.bars(a, e):
-		case slices.Contains(a.Avoid, e.Instance) || !p.health[e.Instance].usable(now) || p.suspicion.doubted[e.Instance]:
+		case p.barred(w, e) || p.atLimit(e, limits, w.alone, now):
+		case slices.Contains(w.ask.Avoid, e.Instance) || !p.health[e.Instance].usable(now) || p.suspicion.doubted[e.Instance]:
 			rest = append(rest, e)
 		default:
 			out = append(out, e)
@@ -215,6 +219,11 @@
 	return out
 }
 
+// barred states whether a request must not be placed on an endpoint.
+func (p *state) barred(w *Waiter, e *placement.Engine) bool {
+	return e.Closed || slices.Contains(w.ask.Exclude, e.Instance) || p.emptied.bars(&w.ask, e)
+}
+
 // admit counts a request against the retry budget. It returns a refusal when
 // the budget is spent.
 func (p *state) admit(a Ask, alone bool, now time.Time) *Refusal {
