--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"testing"
 	"time"
@@ -134,7 +135,11 @@
 		n.rpc.Stop()
 		conns.Close()
 	})
-	f.snap.Peers[n.self.ID] = n.self
+	// Instances may read the snapshot that they have learned.
+	snap := *f.snap
+	snap.Peers = maps.Clone(f.snap.Peers)
+	snap.Peers[n.self.ID] = n.self
+	f.snap = &snap
 	f.nodes = append(f.nodes, n)
 }
 
