Give a pool of plain endpoints an owner while one of them names a rate limit

Cause: such pools have no owner; each instance placed for itself and kept the whole limit (12 of 11 allowed with three instances, more with each further one).

While an instance knows of a limit it treats the pool like one of engines: rendezvous hashing finds the owner, which keeps the limit for all, and a standby hears of everything. Afterwards each places for itself again and its attempts end at the owner.

Weighed: dividing the limit by the number of instances (with one a second and six instances most callers find no place at theirs), lending it from a keeper (package limit; a place would then be chosen before it is known whether it may be used, and one more kind of session).

--- a/pool/client.go
+++ b/pool/client.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/linkmast/linkmast/catalog"
+	"github.com/linkmast/linkmast/notice"
 	"github.com/linkmast/linkmast/pool/poolpb"
 	"github.com/linkmast/linkmast/quarantine"
 )
@@ -28,8 +29,12 @@
 
 	mu    sync.Mutex
 	known *catalog.Snapshot
-	// order is the instances of each pool with engines, the owner first.
+	// order is the instances of each pool with an owner, the owner first.
 	order map[string][]string
+	// governed are the pools without engines that have an owner, and announce those of them
+	// whose owners are to be told what runs.
+	governed map[string]bool
+	announce []string
 	// chosen is the part of the order that is asked.
 	chosen map[string][]string
 	// links are the links by instance.
@@ -60,22 +65,24 @@
 // owner answers.
 func NewClient(self catalog.Peer, local *Scheduler, d Dialer, log logr.Logger) *Client {
 	return &Client{
-		self:   self,
-		local:  local,
-		dialer: d,
-		log:    log,
-		order:  make(map[string][]string),
-		chosen: make(map[string][]string),
-		turn:   make(chan struct{}, 1),
-		links:  make(map[string]*linked),
-		book:   make(map[string]*running),
-		moves:  make(map[string]func()),
+		self:     self,
+		local:    local,
+		dialer:   d,
+		log:      log,
+		order:    make(map[string][]string),
+		governed: make(map[string]bool),
+		chosen:   make(map[string][]string),
+		turn:     make(chan struct{}, 1),
+		links:    make(map[string]*linked),
+		book:     make(map[string]*running),
+		moves:    make(map[string]func()),
 	}
 }
 
 // Run keeps the links until ctx ends.
 func (c *Client) Run(ctx context.Context) {
 	defer c.local.onMoves(c.self.ID, c.moveOwn)()
+	defer c.local.settings.Notices.OnChange(func(notice.Notice) { c.turned() })()
 	tick := time.NewTicker(lookEvery)
 	defer tick.Stop()
 	for {
--- a/pool/client_links.go
+++ b/pool/client_links.go
@@ -55,6 +55,7 @@
 	if c.ctx == nil || c.known == nil {
 		return
 	}
+	c.govern()
 	wanted := make(map[string]string)
 	for service, ids := range c.order {
 		c.chosen[service] = c.choose(ids, wanted)
@@ -70,6 +71,7 @@
 			c.links[id] = c.openLink(id, address)
 		}
 	}
+	c.introduce()
 }
 
 // choose returns the instances of a pool's order that are asked, and adds those
@@ -150,6 +152,12 @@
 func (c *Client) owners(service string) []*linked {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.linksOf(service)
+}
+
+// linksOf returns the links of a pool in order; nil stands for this instance. The caller
+// holds the lock.
+func (c *Client) linksOf(service string) []*linked {
 	var out []*linked
 	for _, id := range c.chosen[service] {
 		if id == c.self.ID {
