Tell in lines where an endpoint says that it leaves, and where it asks for rest

Answers are read for both now and each first one has a line with the request whose answer it was. That an endpoint leaves is part of its notice, which all instances hear of; a rest concerns the instance that is asked. Nothing acts on either yet.

--- a/notice/book.go
+++ b/notice/book.go
@@ -15,6 +15,9 @@
 // endpoint whose limit differs in each answer costs one notice in that time.
 const rateHoldFor = time.Second
 
+// longestRest bounds a rest: then the endpoint is tried again.
+const longestRest = time.Minute
+
 // Limit is a rate limit that an endpoint names.
 type Limit struct {
 	// Rate is in requests a second from all instances together.
@@ -40,6 +43,8 @@
 	// changed when the notice last changed.
 	named   time.Time
 	changed time.Time
+	// restsUntil is until when it wants nothing from this instance.
+	restsUntil time.Time
 	// malformed states that a statement could not be read.
 	malformed bool
 }
@@ -109,7 +114,7 @@
 	now := b.now()
 	k := b.endpoints[a.Instance]
 	if k == nil {
-		if !s.Limited && s.Malformed == "" {
+		if s == (Said{}) {
 			return Notice{}, false
 		}
 		k = &known{}
@@ -120,14 +125,14 @@
 		return Notice{}, false
 	}
 	b.noteMalformed(k, a, s)
-	before := k.Notice
-	if !k.hear(a, s, now) {
+	b.hearRest(k, a, s, now)
+	left := b.hearLeaving(k, a, s)
+	limited := b.hearRate(k, a, s, now)
+	if !left && !limited {
 		return Notice{}, false
 	}
 	k.changed = now
 	k.Revision++
-	b.log.Info("rate limit of an endpoint", "endpoint", a.Instance, "limited", k.Limited, "rate", k.Rate,
-		"was_limited", before.Limited, "before", before.Rate, "request", a.Request)
 	b.publish(k)
 	return k.Notice, true
 }
@@ -150,13 +155,14 @@
 	}
 	now := b.now()
 	k.Notice, k.named, k.changed = n, now, now
-	b.log.V(1).Info("told of an endpoint", "endpoint", n.Instance, "limited", n.Limited, "rate", n.Rate, "revision", n.Revision)
+	b.log.V(1).Info("told of an endpoint", "endpoint", n.Instance, "limited", n.Limited, "rate", n.Rate, "leaving", n.Leaving,
+		"revision", n.Revision)
 	b.publish(k)
 }
 
 // keepFor is how long a notice is kept of an endpoint that is not in the list of endpoints:
 // that list may lag.
-const keepFor = time.Minute
+const keepFor = 2 * time.Minute
 
 // Keep forgets the endpoints that are not listed any more.
 func (b *Book) Keep(listed func(instance string) bool) {
@@ -194,10 +200,12 @@
 	return true
 }
 
-// hear takes over what an answer says, and returns whether the notice changes.
-func (k *known) hear(a Answer, s Said, now time.Time) bool {
+// hearRate takes over what an answer says of a rate limit, and returns whether the notice
+// changes. The caller holds the lock.
+func (b *Book) hearRate(k *known, a Answer, s Said, now time.Time) bool {
+	before := k.Notice
 	switch {
-	case s.Malformed != "":
+	case s.RateMalformed:
 		return false
 	case s.Limited:
 		k.named = now
@@ -205,14 +213,44 @@
 			return false
 		}
 		k.Limited, k.Rate = true, s.Rate
-		return true
 	case !k.Limited || !a.Sent.After(k.named):
 		return false
+	default:
+		k.Limited, k.Rate = false, 0
+	}
+	b.log.Info("rate limit of an endpoint", "endpoint", a.Instance, "limited", k.Limited, "rate", k.Rate,
+		"was_limited", before.Limited, "before", before.Rate, "request", a.Request)
+	return true
+}
+
+// hearLeaving takes over whether an answer says that its endpoint leaves, and returns whether
+// the notice changes. The caller holds the lock.
+func (b *Book) hearLeaving(k *known, a Answer, s Said) bool {
+	if !s.Leaving || k.Leaving {
+		return false
 	}
-	k.Limited, k.Rate = false, 0
+	k.Leaving = true
+	b.log.Info("endpoint says that it leaves", "endpoint", a.Instance, "request", a.Request)
 	return true
 }
 
+// hearRest takes over for how long an endpoint wants nothing from this instance. The caller
+// holds the lock.
+func (b *Book) hearRest(k *known, a Answer, s Said, now time.Time) {
+	if s.Rest <= 0 {
+		return
+	}
+	until := now.Add(min(s.Rest, longestRest))
+	if !until.After(k.restsUntil) {
+		return
+	}
+	if !k.restsUntil.After(now) {
+		b.log.Info("endpoint asks for rest", "endpoint", a.Instance, "for_ms", s.Rest.Milliseconds(),
+			"kept_ms", until.Sub(now).Milliseconds(), "request", a.Request)
+	}
+	k.restsUntil = until
+}
+
 // noteMalformed writes one line for the first statement of a start that can't be read.
 func (b *Book) noteMalformed(k *known, a Answer, s Said) {
 	if s.Malformed == "" || k.malformed {
--- a/notice/book_test.go
+++ b/notice/book_test.go
@@ -69,7 +69,7 @@
 		assertLimit(t, b, 2)
 	})
 	t.Run("a statement that can't be read does not end it", func(t *testing.T) {
-		b.Heard(c.answer(0), notice.Said{Malformed: "x"})
+		b.Heard(c.answer(0), notice.Said{RateMalformed: true, Malformed: "x"})
 		assertLimit(t, b, 2)
 	})
 	t.Run("another value replaces it", func(t *testing.T) {
@@ -156,3 +156,28 @@
 	b.Keep(none)
 	assertLimit(t, b, -1)
 }
+
+// TestLeavingHeard looks that a start of an endpoint which leaves does not come back, whatever
+// later answers and other instances say.
+func TestLeavingHeard(t *testing.T) {
+	c := newClock()
+	b, other := notice.New(c.now, logr.Discard()), notice.New(c.now, logr.Discard())
+	first := c.answer(0)
+	first.Born = c.at
+	n, changed := b.Heard(first, notice.Said{Leaving: true})
+	is.New(t).True(changed && n.Leaving)
+	c.pass(time.Second)
+	first.Sent = c.at
+	_, changed = b.Heard(first, notice.Said{})
+	is.New(t).True(!changed)
+	other.Learn(n)
+	again, changed := other.Heard(first, limit(2))
+	is.New(t).True(changed && again.Leaving && again.Limited)
+
+	t.Run("the next start", func(t *testing.T) {
+		next := c.answer(0)
+		next.Born = c.at
+		n, changed := b.Heard(next, limit(2))
+		is.New(t).True(changed && !n.Leaving)
+	})
+}
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -15,6 +15,8 @@
 	// Rate is the limit, in requests a second from all instances together. Zero without
 	// Limited.
 	Rate float64
+	// Leaving states that the endpoint leaves. A start that leaves does not come back.
+	Leaving bool
 	// Revision orders the notices of one start; a higher one replaces a lower one.
 	Revision uint64
 }
@@ -27,6 +29,8 @@
 		return n.Born.After(old.Born)
 	case n.Revision != old.Revision:
 		return n.Revision > old.Revision
+	case n.Leaving != old.Leaving:
+		return n.Leaving
 	case n.Limited != old.Limited:
 		return n.Limited
 	}
@@ -51,6 +55,13 @@
 	// a second.
 	Limited bool
 	Rate    float64
+	// RateMalformed states that the answer names a rate limit that can't be read.
+	RateMalformed bool
+	// Leaving states that the endpoint leaves.
+	Leaving bool
+	// Rest is for how long the endpoint wants nothing from the instance that it answers; zero
+	// when it does not say.
+	Rest time.Duration
 	// Malformed is a statement that can't be read, cut short; empty when there is none.
 	Malformed string
 }
--- a/pool/messages.go
+++ b/pool/messages.go
@@ -207,6 +207,7 @@
 		BornMs:   bornMessage(n.Born),
 		Limited:  n.Limited,
 		Rate:     n.Rate,
+		Leaving:  n.Leaving,
 		Revision: n.Revision,
 	}
 }
@@ -218,6 +219,7 @@
 		Born:     bornOf(m.GetBornMs()),
 		Limited:  m.GetLimited(),
 		Rate:     m.GetRate(),
+		Leaving:  m.GetLeaving(),
 		Revision: m.GetRevision(),
 	}
 }
