Send nothing to endpoints whose answers say that they leave

An endpoint's answer is believed at once, by the instance that reads it and, as part of its notice, by all others: placement leaves the endpoint out, on engines and plain services, for readers of joint prompts, probes and reports; an entry declines a place there; and a request that is about to be sent is checked once more when its connection is there, as opening one may take 0.4 s (upstream.Request.Check). Answers that nobody passes on count as well: rejections, those to orders and reports. A misdirected request's does not, as another start gave it.

A start of an endpoint that leaves does not come back.

--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -70,7 +70,7 @@
 			Overage: f.Cold.Overage,
 			Slack:   f.Cold.Slack,
 		},
-		Reports:    platform.NewReports(wirehttp.Bounded(idleQuestions), g.log.WithName("reports")),
+		Reports:    platform.NewReports(wirehttp.Bounded(idleQuestions), g.heardAt, g.log.WithName("reports")),
 		Check:      tcp.Check,
 		Worth:      f.Worth,
 		Quarantine: g.quarantine,
@@ -111,7 +111,7 @@
 		Check:      tcp.Check,
 		Notices:    g.placer,
 		Wire:       platform.Wire{},
-		Memory:     platform.NewOrders(client),
+		Memory:     platform.NewOrders(client, g.heardAt),
 		Upstream:   g.upstream,
 		Log:        g.log.WithName("relay"),
 	})
--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -82,10 +82,10 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			w := newWorld(t, 3)
-			w.load("before", call{path: c.path, tokens: 500}, 25*time.Millisecond, time.Second)
+			w.load("before", call{path: c.path, tokens: 500}, time.Second)
 			w.limit("1", c.limited...)
 			named := time.Now()
-			rejected := w.load("during", call{path: c.path, tokens: 500}, 25*time.Millisecond, 8*time.Second)
+			rejected := w.load("during", call{path: c.path, tokens: 500}, 8*time.Second)
 			assertLimited(t, w, 1, named, c.limited...)
 			if !c.none {
 				is.New(t).Equal(len(rejected), 0)
--- a/gateway/load_test.go
+++ b/gateway/load_test.go
@@ -15,6 +15,9 @@
 // refusedAtOnce is how soon a caller must hear that no endpoint takes its request.
 const refusedAtOnce = 500 * time.Millisecond
 
+// loadEvery is the time between two requests.
+const loadEvery = 25 * time.Millisecond
+
 // rejection is a request that was refused, with how long that took.
 type rejection struct {
 	got  got
@@ -23,15 +26,15 @@
 
 // load sends requests to all instances in turn for a time, and returns those that were
 // refused.
-func (w *world) load(name string, c call, every, lasts time.Duration) []rejection {
+func (w *world) load(name string, c call, lasts time.Duration) []rejection {
 	var (
 		callers  sync.WaitGroup
 		mu       sync.Mutex
 		rejected []rejection
 	)
-	tick := time.NewTicker(every)
+	tick := time.NewTicker(loadEvery)
 	defer tick.Stop()
-	for i := range int(lasts / every) {
+	for i := range int(lasts / loadEvery) {
 		<-tick.C
 		one := c
 		one.id = fmt.Sprint(name, "-", i)
--- a/gateway/notice_test.go
+++ b/gateway/notice_test.go
@@ -53,7 +53,7 @@
 				})
 			}
 			began := time.Now()
-			rejected := w.load("leaving", call{path: c.path, tokens: 500}, 25*time.Millisecond, 4*time.Second)
+			rejected := w.load("leaving", call{path: c.path, tokens: 500}, 4*time.Second)
 			assertNothingSince(t, w, began.Add(drainWithin), c.leaving...)
 			if c.none {
 				is.New(t).True(len(rejected) > 0)
@@ -73,7 +73,7 @@
 		Reject:  true,
 	})
 	began := time.Now()
-	rejected := w.load("leaving", call{path: "/stream/a", tokens: 500}, 25*time.Millisecond, 4*time.Second)
+	rejected := w.load("leaving", call{path: "/stream/a", tokens: 500}, 4*time.Second)
 	assertNothingSince(t, w, began.Add(drainWithin), "e1")
 	is.New(t).Equal(len(rejected), 0)
 }
@@ -147,7 +147,7 @@
 					Rest:     "3",
 				})
 			}
-			rejected := w.load("resting", call{path: c.path, body: "tired", tokens: 500}, 25*time.Millisecond, 4500*time.Millisecond)
+			rejected := w.load("resting", call{path: c.path, body: "tired", tokens: 500}, 4500*time.Millisecond)
 			assertRests(t, w, "tired", c.needed, resting...)
 			is.New(t).Equal(len(rejected) > 0, c.all)
 			assertRefusedAtOnce(t, rejected)
--- /dev/null
+++ b/gateway/notices.go
@@ -0,0 +1,30 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package gateway
+
+import (
+	"github.com/linkmast/linkmast/catalog"
+	"github.com/linkmast/linkmast/notice"
+)
+
+// heardAt takes over what an answer to a question or an order says of the endpoint at an
+// address. Where several are listed there it is not known which of them gave it.
+func (g *Gateway) heardAt(address string, s notice.Said) {
+	snap := g.catalog.Snapshot()
+	if snap == nil {
+		return
+	}
+	var at []catalog.Endpoint
+	for _, e := range snap.Endpoints {
+		if e.Address == address {
+			at = append(at, e)
+		}
+	}
+	if len(at) != 1 {
+		return
+	}
+	g.placer.Heard(notice.Answer{
+		Instance: at[0].Instance,
+		Born:     at[0].Born,
+	}, s)
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -29,6 +29,9 @@
 	// Fresh bounds how long a connection may have rested; zero means that a
 	// new one is opened.
 	Fresh time.Duration
+	// Check is called once there is a connection, just before the request is sent; its error
+	// keeps it from being sent. Nil means no check.
+	Check func() error
 	// Own states whether an answer belongs to the request.
 	Own func(*http.Response) bool
 }
@@ -91,6 +94,12 @@
 		x.Close()
 		return nil, notSent(err)
 	}
+	if r.Check != nil {
+		if err := r.Check(); err != nil {
+			x.unused()
+			return nil, notSent(err)
+		}
+	}
 	x.write(r)
 	if err := x.head(r); err != nil {
 		x.Close()
@@ -167,6 +176,15 @@
 	return errors.New("answers belong to other requests")
 }
 
+// unused gives back the connection of a request of which no byte was written.
+func (x *Exchange) unused() {
+	if !x.stop() {
+		x.conn.close()
+		return
+	}
+	x.pool.put(x.conn)
+}
+
 // Whole notes that the body was read to its end, so that the connection can
 // serve another request.
 func (x *Exchange) Whole() {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -272,3 +272,27 @@
 	is.Equal(<-seen, "")
 	is.Equal(e.conns.Load(), int64(2)) // a connection with a rest is not used again
 }
+
+// TestCheckBeforeSending looks that a request whose check fails is not sent, on a new and on a
+// kept connection, and that the connection serves the next one.
+func TestCheckBeforeSending(t *testing.T) {
+	e := newEndpoint(t, func(c net.Conn, r *http.Request, _ int) bool {
+		io.WriteString(c, ok(r.Header.Get("Id"), "answer"))
+		return true
+	})
+	p := upstream.New(upstream.Settings{})
+	refused := errors.New("refused")
+	for _, sent := range []int64{0, 1} {
+		is := is.New(t)
+		checked := e.request("checked")
+		checked.Check = func() error { return refused }
+		_, err := do(t, p, checked)
+		is.True(errors.Is(err, refused))
+		var u *upstream.Error
+		is.True(errors.As(err, &u) && !u.Sent)
+		is.Equal(e.requests.Load(), sent)
+		_, err = do(t, p, e.request(fmt.Sprint(sent)))
+		is.NoErr(err)
+	}
+	is.New(t).Equal(p.Dials(), int64(1))
+}
--- a/notice/book.go
+++ b/notice/book.go
@@ -3,7 +3,6 @@
 package notice
 
 import (
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,24 +17,6 @@
 // longestRest bounds a rest: then the endpoint is tried again.
 const longestRest = time.Minute
 
-// Limit is a rate limit that an endpoint names.
-type Limit struct {
-	// Rate is in requests a second from all instances together.
-	Rate float64
-	// Born is when the start of the endpoint began that names it; zero when it does not say.
-	Born time.Time
-	// Since is when this instance learned of it.
-	Since time.Time
-}
-
-// Age returns for how long this instance has known of it at a moment; zero for the zero value.
-func (l Limit) Age(now time.Time) time.Duration {
-	if l.Since.IsZero() {
-		return 0
-	}
-	return now.Sub(l.Since)
-}
-
 // known is what a Book has of one endpoint.
 type known struct {
 	Notice
@@ -59,18 +40,20 @@
 	endpoints map[string]*known
 	// tell are those who hear of changes.
 	tell map[*func(Notice)]struct{}
-	// limits are the limits in force, by endpoint. The map is replaced and never changed.
-	limits atomic.Pointer[map[string]Limit]
+	// view is what is known now.
+	view atomic.Pointer[View]
 }
 
 // New returns an empty book. Now returns the time.
 func New(now func() time.Time, log logr.Logger) *Book {
-	return &Book{
+	b := &Book{
 		now:       now,
 		log:       log,
 		endpoints: make(map[string]*known),
 		tell:      make(map[*func(Notice)]struct{}),
 	}
+	b.view.Store(&View{})
+	return b
 }
 
 // OnChange has a function called with each notice that is new to this instance, in order,
@@ -86,12 +69,18 @@
 	}
 }
 
-// Limits returns the rate limits in force, by endpoint. The map must not be changed.
-func (b *Book) Limits() map[string]Limit {
-	if m := b.limits.Load(); m != nil {
-		return *m
+// View returns what is known now.
+func (b *Book) View() *View {
+	return b.view.Load()
+}
+
+// Declines returns why an endpoint, whose start began at a moment or does not say when, must get no
+// request of this instance now; empty when it may.
+func (b *Book) Declines(instance string, born time.Time) string {
+	if b.View().Leaves(instance, born) {
+		return "it says that it leaves"
 	}
-	return nil
+	return ""
 }
 
 // Notices returns all that is known, in any order.
@@ -174,10 +163,11 @@
 			continue
 		}
 		delete(b.endpoints, instance)
-		if k.Limited {
-			k.Limited, k.Rate = false, 0
-			b.publish(k)
-		}
+		b.view.Store(b.View().with(&known{
+			Notice: Notice{
+				Instance: instance,
+			},
+		}))
 	}
 }
 
@@ -262,19 +252,7 @@
 
 // publish makes a notice visible. The caller holds the lock.
 func (b *Book) publish(k *known) {
-	limits := maps.Clone(b.Limits())
-	if limits == nil {
-		limits = make(map[string]Limit)
-	}
-	delete(limits, k.Instance)
-	if k.Limited {
-		limits[k.Instance] = Limit{
-			Rate:  k.Rate,
-			Born:  k.Born,
-			Since: k.changed,
-		}
-	}
-	b.limits.Store(&limits)
+	b.view.Store(b.View().with(k))
 	for tell := range b.tell {
 		(*tell)(k.Notice)
 	}
--- a/notice/book_test.go
+++ b/notice/book_test.go
@@ -48,7 +48,7 @@
 // assertLimit checks the rate limit of endpoint e; less than zero means none.
 func assertLimit(t *testing.T, b *notice.Book, rate float64) {
 	t.Helper()
-	l, limited := b.Limits()["e"]
+	l, limited := b.View().Limit("e", time.Time{})
 	is.New(t).Equal(limited, rate >= 0)
 	if limited {
 		is.New(t).Equal(l.Rate, rate)
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -66,8 +66,11 @@
 	Malformed string
 }
 
-// Listener hears what endpoints say of themselves.
-type Listener interface {
+// Guard keeps requests from endpoints that want none.
+type Guard interface {
 	// Heard takes over what an answer says.
 	Heard(a Answer, s Said)
+	// Declines returns why an endpoint, whose start began at a moment or does not say when, must
+	// get no request of this instance now; empty when it may.
+	Declines(instance string, born time.Time) string
 }
--- a/pool/check.go
+++ b/pool/check.go
@@ -98,7 +98,7 @@
 // and its failure domain is not emptied as far as this instance knows. Others are not
 // asked for anything either.
 func (p *state) takesPart(e *placement.Engine) bool {
-	return !e.Closed && !p.emptied.bars(&Ask{}, e)
+	return !p.leaves(e, p.notices.View()) && !p.emptied.bars(&Ask{}, e)
 }
 
 // check checks endpoints, given by instance with their address.
--- a/pool/client.go
+++ b/pool/client.go
@@ -190,7 +190,14 @@
 	if c.known == nil {
 		return nil, nil
 	}
-	return c.known.Leaving(), slices.Sorted(maps.Keys(c.known.Emptied))
+	leaving = c.known.Leaving()
+	v := c.local.settings.Notices.View()
+	for _, instance := range v.Leaving() {
+		if v.Leaves(instance, c.known.Endpoints[instance].Born) {
+			leaving = append(leaving, instance)
+		}
+	}
+	return leaving, slices.Sorted(maps.Keys(c.known.Emptied))
 }
 
 // note remembers an attempt and tells all but the one who placed it.
--- a/pool/client_govern.go
+++ b/pool/client_govern.go
@@ -10,7 +10,7 @@
 // as that holds for all instances together, and takes it from the others. The caller holds the
 // lock.
 func (c *Client) govern() {
-	limited := c.limitedServices(c.local.settings.Notices.Limits())
+	limited := c.limitedServices(c.local.settings.Notices.View())
 	for name := range c.governed {
 		if !limited[name] {
 			c.release(name)
@@ -30,9 +30,9 @@
 }
 
 // limitedServices returns the services one of whose endpoints names a rate limit.
-func (c *Client) limitedServices(limits map[string]notice.Limit) map[string]bool {
+func (c *Client) limitedServices(v *notice.View) map[string]bool {
 	out := make(map[string]bool)
-	for instance := range limits {
+	for _, instance := range v.Limited() {
 		e, known := c.known.Endpoints[instance]
 		if known && c.known.Table.Services[e.Service] != nil {
 			out[e.Service] = true
--- a/pool/client_notices.go
+++ b/pool/client_notices.go
@@ -2,9 +2,18 @@
 
 package pool
 
-import "github.com/linkmast/linkmast/notice"
+import (
+	"time"
 
-// Heard implements notice.Listener: the instances that all others have sessions with tell
+	"github.com/linkmast/linkmast/notice"
+)
+
+// Declines implements notice.Guard.
+func (c *Client) Declines(instance string, born time.Time) string {
+	return c.local.settings.Notices.Declines(instance, born)
+}
+
+// Heard implements notice.Guard: the instances that all others have sessions with tell
 // them.
 func (c *Client) Heard(a notice.Answer, s notice.Said) {
 	if n, changed := c.local.settings.Notices.Heard(a, s); changed {
--- a/pool/figures.go
+++ b/pool/figures.go
@@ -45,11 +45,11 @@
 	Checked   int `json:"checked"`
 	Absent    int `json:"absent"`
 	// Limited is how many endpoints name a rate limit, AtLimit counts the endpoints that were
-	// passed over for it as requests were placed, and LimitRefused the requests that were
-	// refused as all were at theirs.
-	Limited      int   `json:"limited"`
-	AtLimit      int64 `json:"at_limit"`
-	LimitRefused int64 `json:"limit_refused"`
+	// passed over for it as requests were placed, and Unavailable the requests that were
+	// refused as no endpoint took any.
+	Limited     int   `json:"limited"`
+	AtLimit     int64 `json:"at_limit"`
+	Unavailable int64 `json:"unavailable"`
 	// Routes tells what is usual for each route that had requests, and its worth.
 	Routes map[string]worth.Usual `json:"routes,omitempty"`
 }
@@ -81,7 +81,7 @@
 			Absent:         p.checks.failed,
 			Limited:        p.limited(),
 			AtLimit:        p.rates.withheld,
-			LimitRefused:   p.rates.refused,
+			Unavailable:    p.unavailable,
 			Routes:         p.worth.Routes(),
 		}
 	}
--- a/pool/grant.go
+++ b/pool/grant.go
@@ -38,7 +38,7 @@
 	}
 	withheld := p.withheld(w.alone, now)
 	p.rates.withheld += int64(withheld)
-	limit, _ := p.limit(plan.Engine, p.rates.notices.Limits())
+	limit, _ := p.limit(plan.Engine, p.notices.View())
 	p.give(at, now)
 	p.probe(at, now)
 	p.cold.give(at.instance, now)
--- a/pool/notice_test.go
+++ b/pool/notice_test.go
@@ -33,7 +33,7 @@
 func assertLimit(t *testing.T, nodes []*node, endpoint string, rate float64) {
 	t.Helper()
 	knows := func(n *node) bool {
-		l, limited := n.scheduler.Notices().Limits()[endpoint]
+		l, limited := n.scheduler.Notices().View().Limit(endpoint, time.Time{})
 		return limited == (rate >= 0) && (!limited || l.Rate == rate)
 	}
 	for _, n := range nodes {
@@ -84,7 +84,7 @@
 	go f.nodes[1].hears("e1", limit(2))
 	f.nodes[4].hears("e1", limit(3))
 	settle()
-	agreed := f.nodes[0].scheduler.Notices().Limits()["e1"].Rate
-	is.New(t).True(agreed == 2 || agreed == 3)
-	assertLimit(t, f.nodes, "e1", agreed)
+	agreed, _ := f.nodes[0].scheduler.Notices().View().Limit("e1", time.Time{})
+	is.New(t).True(agreed.Rate == 2 || agreed.Rate == 3)
+	assertLimit(t, f.nodes, "e1", agreed.Rate)
 }
--- a/pool/pace.go
+++ b/pool/pace.go
@@ -266,7 +266,7 @@
 	}
 	p.paces.looked = now
 	p.noteOverdue(now)
-	limits := p.rates.notices.Limits()
+	v := p.notices.View()
 	left := askedAtOnce
 	for name, r := range p.paces.of {
 		e := p.engines[name]
@@ -274,7 +274,7 @@
 			delete(p.paces.of, name)
 			continue
 		}
-		_, limited := p.limit(e, limits)
+		_, limited := p.limit(e, v)
 		asks := s.asks(p, now) && p.takesPart(e) && !limited
 		if asks && left > 0 && r.due(e, now) {
 			left--
--- a/pool/rates.go
+++ b/pool/rates.go
@@ -67,8 +67,6 @@
 
 // rates are the rate limits of a pool's endpoints.
 type rates struct {
-	// notices has what endpoints say of themselves.
-	notices *notice.Book
 	// instances is how many instances there are, which share a limit while they place alone.
 	instances int
 	// aloneAt is when this instance last began to place alone, aloneSeen when it last did, and
@@ -77,41 +75,38 @@
 	aloneAt    time.Time
 	aloneSeen  time.Time
 	alonePhase float64
-	// withheld counts the endpoints that decisions passed over, and refused the requests that
-	// were refused, for rate limits.
+	// withheld counts the endpoints that decisions passed over for rate limits.
 	withheld int64
-	refused  int64
 }
 
 // aloneFor is how long after a decision an instance still counts as one that places alone.
 const aloneFor = 10 * time.Second
 
 // limit returns the rate limit of this start of an endpoint.
-func (p *state) limit(e *placement.Engine, limits map[string]notice.Limit) (notice.Limit, bool) {
-	l, limited := limits[e.Instance]
-	if !limited {
-		return notice.Limit{}, false
-	}
-	h := p.health[e.Instance]
-	if !l.Born.IsZero() && l.Born.Before(h.born) {
-		return notice.Limit{}, false
-	}
-	return l, true
+func (p *state) limit(e *placement.Engine, v *notice.View) (notice.Limit, bool) {
+	return v.Limit(e.Instance, p.health[e.Instance].born)
 }
 
 // nextAt returns when an endpoint with a rate limit may get a request; zero for at once. An
 // instance that places alone has its share of the limit.
 func (p *state) nextAt(e *placement.Engine, l notice.Limit, alone bool) time.Time {
-	rate := max(l.Rate, leastRate)
-	h := p.health[e.Instance]
+	h, rate := p.health[e.Instance], p.rates.share(l, alone)
 	if !alone {
 		return h.given.next(rate)
 	}
-	rate /= float64(max(p.rates.instances, 1))
 	first := p.rates.aloneAt.Add(seconds(p.rates.alonePhase / rate))
 	return later(h.given.next(rate), first)
 }
 
+// share returns what this instance may use of a rate limit, in requests a second.
+func (r *rates) share(l notice.Limit, alone bool) float64 {
+	rate := max(l.Rate, leastRate)
+	if alone {
+		rate /= float64(max(r.instances, 1))
+	}
+	return rate
+}
+
 // noteAlone notes that this instance decides, alone or not. Instances begin to place alone
 // together; the first request of each goes at a moment of its own.
 func (s *Scheduler) noteAlone(p *state, alone bool, now time.Time) {
@@ -127,20 +122,17 @@
 
 // atLimit states whether an endpoint may get no request now, as it has got what its rate limit
 // allows.
-func (p *state) atLimit(e *placement.Engine, limits map[string]notice.Limit, alone bool, now time.Time) bool {
-	l, limited := p.limit(e, limits)
+func (p *state) atLimit(e *placement.Engine, v *notice.View, alone bool, now time.Time) bool {
+	l, limited := p.limit(e, v)
 	return limited && p.nextAt(e, l, alone).After(now)
 }
 
 // withheld returns how many endpoints get no request now for their rate limits.
 func (p *state) withheld(alone bool, now time.Time) int {
-	limits := p.rates.notices.Limits()
-	if len(limits) == 0 {
-		return 0
-	}
+	v := p.notices.View()
 	n := 0
 	for _, e := range p.list {
-		if !e.Closed && p.atLimit(e, limits, alone, now) {
+		if !e.Closed && p.atLimit(e, v, alone, now) {
 			n++
 		}
 	}
@@ -149,56 +141,12 @@
 
 // limited returns how many endpoints name a rate limit.
 func (p *state) limited() int {
-	limits := p.rates.notices.Limits()
+	v := p.notices.View()
 	n := 0
 	for _, e := range p.list {
-		if _, limited := p.limit(e, limits); limited {
+		if _, limited := p.limit(e, v); limited {
 			n++
 		}
 	}
 	return n
 }
-
-// refuseLimited returns a refusal for a request all of whose endpoints have got what their rate
-// limits allow, if none takes it in time; nil for others. Ahead is how many requests wait that
-// are more urgent.
-func (s *Scheduler) refuseLimited(p *state, w *Waiter, list []*placement.Engine, ahead int, now time.Time) *Refusal {
-	limits := p.rates.notices.Limits()
-	if len(list) > 0 || len(limits) == 0 {
-		return nil
-	}
-	var soonest time.Time
-	rate := 0.0
-	for _, e := range p.list {
-		l, limited := p.limit(e, limits)
-		if !limited || p.barred(w, e) {
-			continue
-		}
-		at := p.nextAt(e, l, w.alone)
-		if rate == 0 || at.Before(soonest) {
-			soonest = at
-		}
-		rate += max(l.Rate, leastRate)
-	}
-	if rate == 0 {
-		return nil
-	}
-	if w.alone {
-		rate /= float64(max(p.rates.instances, 1))
-	}
-	at := later(soonest, now).Add(seconds(float64(ahead) / rate))
-	if !at.After(w.takenUntil()) {
-		return nil
-	}
-	p.rates.refused++
-	return s.refusal("all endpoints are at their rate limits", at.Sub(now))
-}
-
-// takenUntil returns until when a place is of use to a request: one at its first try can come
-// back later.
-func (w *Waiter) takenUntil() time.Time {
-	if w.firstTry() {
-		return w.request.TargetAt
-	}
-	return w.gone()
-}
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -127,9 +127,7 @@
 			health:  make(map[string]*health),
 			placed:  make(map[string]*placed),
 			worth:   worth.New(s.settings.Worth),
-			rates: rates{
-				notices: s.settings.Notices,
-			},
+			notices: s.settings.Notices,
 		}
 		s.pools[service] = p
 	}
--- a/pool/shed.go
+++ b/pool/shed.go
@@ -43,7 +43,7 @@
 	if len(list) == 0 && p.emptied.barsAny(&w.ask, p.list) {
 		return s.refusal("failure domains of the service are emptied", emptiedAfter)
 	}
-	if r := s.refuseLimited(p, w, list, ahead.requests, now); r != nil {
+	if r := s.refuseUnavailable(p, w, list, ahead.requests, now); r != nil {
 		return r
 	}
 	if r := s.coldUntil(p, w, list, now); r != nil {
--- a/pool/state.go
+++ b/pool/state.go
@@ -10,6 +10,7 @@
 	"github.com/linkmast/linkmast/batch"
 	"github.com/linkmast/linkmast/catalog"
 	"github.com/linkmast/linkmast/internal/rendezvous"
+	"github.com/linkmast/linkmast/notice"
 	"github.com/linkmast/linkmast/placement"
 	"github.com/linkmast/linkmast/route"
 	"github.com/linkmast/linkmast/worth"
@@ -56,8 +57,12 @@
 	checks checks
 	// returning is the work that was cut and comes back.
 	returning returning
+	// notices has what endpoints say of themselves.
+	notices *notice.Book
 	// rates are the rate limits that endpoints name.
 	rates rates
+	// unavailable counts the requests that were refused as no endpoint took any.
+	unavailable int64
 	// plain states that the service's endpoints are no engines.
 	plain bool
 }
@@ -202,11 +207,11 @@
 // failed of late, it returns them all the same: the reports may be wrong.
 func (p *state) usable(w *Waiter, now time.Time) []*placement.Engine {
 	out := make([]*placement.Engine, 0, len(p.list))
-	limits := p.rates.notices.Limits()
+	v := p.notices.View()
 	var rest []*placement.Engine
 	for _, e := range p.list {
 		switch {
-		case p.barred(w, e) || p.atLimit(e, limits, w.alone, now):
+		case p.barred(w, e, v) || p.atLimit(e, v, w.alone, now):
 		case slices.Contains(w.ask.Avoid, e.Instance) || !p.health[e.Instance].usable(now) || p.suspicion.doubted[e.Instance]:
 			rest = append(rest, e)
 		default:
@@ -219,11 +224,6 @@
 	return out
 }
 
-// barred states whether a request must not be placed on an endpoint.
-func (p *state) barred(w *Waiter, e *placement.Engine) bool {
-	return e.Closed || slices.Contains(w.ask.Exclude, e.Instance) || p.emptied.bars(&w.ask, e)
-}
-
 // admit counts a request against the retry budget. It returns a refusal when
 // the budget is spent.
 func (p *state) admit(a Ask, alone bool, now time.Time) *Refusal {
--- /dev/null
+++ b/pool/unavailable_test.go
@@ -0,0 +1,82 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/notice"
+)
+
+// leave has all instances know that endpoints leave.
+func (w *rateWorld) leave(names ...string) {
+	for _, s := range w.instances {
+		for _, name := range names {
+			s.settings.Notices.Learn(notice.Notice{
+				Instance: name,
+				Leaving:  true,
+				Revision: 1,
+			})
+		}
+	}
+}
+
+// assertPlaced checks that requests get places, none of them on an endpoint.
+func assertPlaced(t *testing.T, w *rateWorld, but string) {
+	t.Helper()
+	for range 5 {
+		r, decided := w.ask(w.instances[0], false)
+		is.New(t).True(decided && r == nil)
+	}
+	is.New(t).Equal(len(w.given[but]), 0)
+}
+
+// TestLeavingGetsNothing looks that endpoints which say that they leave get nothing, and that
+// requests are refused at once when all do.
+func TestLeavingGetsNothing(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		plain bool
+	}{
+		{"engines", false},
+		{"plain", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			model := rateModel()
+			if c.plain {
+				model = nil
+			}
+			w := newRateWorld(t, 1, 2, model)
+			w.leave("e0")
+			assertPlaced(t, w, "e0")
+			w.leave("e1")
+			r, decided := w.ask(w.instances[0], false)
+			is.New(t).True(decided && r != nil)
+			is.New(t).True(r.After >= leavingAfter)
+		})
+	}
+}
+
+// TestLeavingAndLimited looks that the time to come back is that of the endpoint which takes a
+// request again.
+func TestLeavingAndLimited(t *testing.T) {
+	w := newRateWorld(t, 1, 2, rateModel())
+	w.leave("e0")
+	w.limit(0.2, "e1")
+	assert := func(refused bool) {
+		t.Helper()
+		r, decided := w.ask(w.instances[0], false)
+		is.New(t).True(decided)
+		is.New(t).Equal(r != nil, refused)
+		if refused {
+			is.New(t).True(r.After >= 5*time.Second)
+		}
+	}
+	assert(false)
+	assert(true)
+	w.run(5*time.Second, func(int) {})
+	assert(false)
+}
--- /dev/null
+++ b/relay/barred.go
@@ -0,0 +1,55 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package relay
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/linkmast/linkmast/pool"
+)
+
+// barredError is an endpoint that must get nothing new.
+type barredError struct {
+	endpoint string
+	reason   string
+}
+
+// Error returns the endpoint and the reason.
+func (e *barredError) Error() string {
+	return fmt.Sprintf("endpoint %s gets nothing new: %s", e.endpoint, e.reason)
+}
+
+// barred returns an endpoint of a grant that must get nothing new, or nil for none: it may
+// have begun to leave, or its failure domain been emptied, while the request waited, or
+// the one who placed it may know less.
+func (l *Relay) barred(g *pool.Grant) *barredError {
+	if e := l.barredOne(g.Instance, g.Born); e != nil {
+		return e
+	}
+	for _, r := range g.Readers {
+		if e := l.barredOne(r.Instance, time.Time{}); e != nil {
+			return e
+		}
+	}
+	return nil
+}
+
+// barredOne returns an endpoint if it must get nothing new. Born is when its start began; zero
+// when it does not say.
+func (l *Relay) barredOne(instance string, born time.Time) *barredError {
+	reason := ""
+	switch {
+	case l.parts.Known().Barred(instance):
+		reason = "it is leaving or its failure domain is emptied"
+	case l.parts.Notices != nil:
+		reason = l.parts.Notices.Declines(instance, born)
+	}
+	if reason == "" {
+		return nil
+	}
+	return &barredError{
+		endpoint: instance,
+		reason:   reason,
+	}
+}
--- /dev/null
+++ b/relay/barred_test.go
@@ -0,0 +1,78 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/catalog"
+	"github.com/linkmast/linkmast/internal/upstream"
+	"github.com/linkmast/linkmast/notice"
+	"github.com/linkmast/linkmast/pool"
+	"github.com/linkmast/linkmast/route"
+)
+
+// declining is a notice.Guard that declines some endpoints.
+type declining map[string]string
+
+func (declining) Heard(notice.Answer, notice.Said) {}
+
+func (d declining) Declines(instance string, _ time.Time) string { return d[instance] }
+
+// newDeclining returns a relay that knows which endpoints decline requests.
+func newDeclining(d declining) *Relay {
+	return New(Settings{}, Parts{
+		Known:   func() *catalog.Snapshot { return &catalog.Snapshot{} },
+		Notices: d,
+	})
+}
+
+func TestBarred(t *testing.T) {
+	l := newDeclining(declining{"e1": "it leaves"})
+	for _, c := range []struct {
+		name  string
+		grant pool.Grant
+		want  string
+	}{
+		{"none", pool.Grant{Instance: "e0"}, ""},
+		{"the one that answers", pool.Grant{Instance: "e1"}, "e1"},
+		{"one that reads", pool.Grant{Instance: "e0", Readers: []pool.Reader{{Instance: "e2"}, {Instance: "e1"}}}, "e1"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			got := l.barred(&c.grant)
+			is.New(t).Equal(got != nil, c.want != "")
+			if got != nil {
+				is.New(t).Equal(got.endpoint, c.want)
+			}
+		})
+	}
+}
+
+// TestBarredBeforeSending has an endpoint decline requests once a request has a place there: it
+// goes to another one, and counts for neither attempts nor failures.
+func TestBarredBeforeSending(t *testing.T) {
+	is := is.New(t)
+	l := newDeclining(declining{"e1": "it leaves"})
+	j := &job{
+		route:    &route.Route{Kind: route.Unsafe, MaxAttempts: 1},
+		deadline: time.Now().Add(time.Second),
+		out:      &answer{},
+		sends:    1,
+	}
+	x := &try{
+		relay:  l,
+		job:    j,
+		grant:  pool.Grant{Instance: "e1"},
+		caller: t.Context(),
+	}
+	res := x.unanswered(&upstream.Error{Err: l.barred(&x.grant)}, nil)
+	is.Equal(res.outcome, pool.Abandoned)
+	is.Equal(j.sends, 0)
+	is.True(!j.ran)
+	again, _ := l.next(t.Context(), j, x, res)
+	is.True(again)
+	is.Equal(j.exclude, []string{"e1"})
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -46,8 +46,9 @@
 	// Check opens a connection to an endpoint that broke an answer off, to see whether it
 	// has ended; needed with Quarantine.
 	Check quarantine.Checker
-	// Notices hears what endpoints say of themselves in answers; nil means that nobody does.
-	Notices notice.Listener
+	// Notices hears what endpoints say of themselves in answers, and keeps requests from those
+	// that want none; nil means that nobody does.
+	Notices notice.Guard
 	// Wire reads and writes headers.
 	Wire Wire
 	// Memory reserves memory.
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -70,11 +70,12 @@
 		l.giveBack(p)
 		return false, ref
 	}
-	if gone := l.barred(&p.grant); gone != "" {
+	if b := l.barred(&p.grant); b != nil {
 		l.giveBack(p)
-		l.parts.Log.Info("place declined", "request", j.head.ID, "attempt", p.ask.ID, "endpoint", gone,
-			"reason", "it is leaving or its failure domain is emptied", "by", p.grant.By)
-		j.exclude = append(j.exclude, gone)
+		l.Metrics.add("places_declined")
+		l.parts.Log.Info("place declined", "request", j.head.ID, "attempt", p.ask.ID, "endpoint", b.endpoint,
+			"reason", b.reason, "by", p.grant.By)
+		j.exclude = append(j.exclude, b.endpoint)
 		return true, nil
 	}
 	if j.keyed && !j.ran {
@@ -135,22 +136,6 @@
 	return again, final
 }
 
-// barred returns an endpoint of a grant that must get nothing new, or "" for none: it may
-// have begun to leave, or its failure domain been emptied, while the request waited, or
-// the one who placed it may know less.
-func (l *Relay) barred(g *pool.Grant) string {
-	known := l.parts.Known()
-	if known.Barred(g.Instance) {
-		return g.Instance
-	}
-	for _, r := range g.Readers {
-		if known.Barred(r.Instance) {
-			return r.Instance
-		}
-	}
-	return ""
-}
-
 // ask describes the request to the pool.
 func (l *Relay) ask(j *job) pool.Ask {
 	a := pool.Ask{
@@ -197,7 +182,7 @@
 		return false, j.giveUp("out of time", 0)
 	case j.ran && (j.once || !j.route.Idempotent()):
 		return false, j.giveUp(res.reason, 0)
-	case res.outcome == pool.Unreachable && len(j.exclude) <= maxUnreachable:
+	case res.unsent, res.outcome == pool.Unreachable && len(j.exclude) <= maxUnreachable:
 		return true, nil
 	case j.out.begun && res.broke && len(j.exclude) <= maxResumes:
 		// The endpoint broke its run off; it no longer counts.
--- a/relay/try.go
+++ b/relay/try.go
@@ -44,6 +44,8 @@
 	final bool
 	// broke states that the endpoint broke its answer off.
 	broke bool
+	// unsent states that nothing was sent, as the endpoint had become one that gets nothing new.
+	unsent bool
 	// cut states that the connection ended before the answer did.
 	cut bool
 	// status is that of the endpoint's answer; zero without one.
@@ -115,6 +117,12 @@
 		Header:  h,
 		Body:    j.body,
 		Fresh:   fresh,
+		Check: func() error {
+			if b := t.relay.barred(&t.grant); b != nil {
+				return b
+			}
+			return nil
+		},
 		Own: func(res *http.Response) bool {
 			head := t.relay.parts.Wire.Answer(res)
 			t.hear(res.StatusCode, head)
@@ -140,6 +148,17 @@
 // unanswered judges an attempt without the head of an answer.
 func (t *try) unanswered(err error, w *watch) result {
 	var e *upstream.Error
+	var barred *barredError
+	if errors.As(err, &barred) {
+		t.job.sends--
+		t.relay.Metrics.add("places_declined")
+		return result{
+			outcome: pool.Abandoned,
+			unsent:  true,
+			culprit: barred.endpoint,
+			reason:  barred.Error(),
+		}
+	}
 	if errors.As(err, &e) && !e.Sent {
 		t.job.sends--
 		return result{
