Keep requests from endpoints that have asked the instance for rest

Retry-After in a 503 or 429 of an endpoint holds for the instance that got it: its asks name the endpoints that rest (Ask.Rests), so that the owner places this entry's requests elsewhere and those of others as before; an entry declines a place there, and checks once more before it sends. Reports are not asked for. A rest is at most a minute and up to a tenth longer at random. A request none of whose endpoints takes it in time is refused at once with the time of the soonest; one that is late already waits 0.1 s for that at most.

--- a/notice/book.go
+++ b/notice/book.go
@@ -3,6 +3,7 @@
 package notice
 
 import (
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,8 +15,14 @@
 // endpoint whose limit differs in each answer costs one notice in that time.
 const rateHoldFor = time.Second
 
-// longestRest bounds a rest: then the endpoint is tried again.
-const longestRest = time.Minute
+// The measures of a rest.
+const (
+	// longestRest bounds it: then the endpoint is tried again.
+	longestRest = time.Minute
+	// restSpread is the part by which a rest is longer at random, so that the instances that
+	// were asked at one moment don't all return at one.
+	restSpread = 0.1
+)
 
 // known is what a Book has of one endpoint.
 type known struct {
@@ -77,8 +84,12 @@
 // Declines returns why an endpoint, whose start began at a moment or does not say when, must get no
 // request of this instance now; empty when it may.
 func (b *Book) Declines(instance string, born time.Time) string {
-	if b.View().Leaves(instance, born) {
+	v := b.View()
+	switch {
+	case v.Leaves(instance, born):
 		return "it says that it leaves"
+	case v.Rests(instance, born).After(b.now()):
+		return "it asked for rest"
 	}
 	return ""
 }
@@ -167,7 +178,7 @@
 			Notice: Notice{
 				Instance: instance,
 			},
-		}))
+		}, now))
 	}
 }
 
@@ -230,7 +241,8 @@
 	if s.Rest <= 0 {
 		return
 	}
-	until := now.Add(min(s.Rest, longestRest))
+	length := min(s.Rest, longestRest)
+	until := now.Add(length + rand.N(max(time.Duration(restSpread*float64(length)), 1)))
 	if !until.After(k.restsUntil) {
 		return
 	}
@@ -239,6 +251,7 @@
 			"kept_ms", until.Sub(now).Milliseconds(), "request", a.Request)
 	}
 	k.restsUntil = until
+	b.view.Store(b.View().with(k, now))
 }
 
 // noteMalformed writes one line for the first statement of a start that can't be read.
@@ -252,7 +265,7 @@
 
 // publish makes a notice visible. The caller holds the lock.
 func (b *Book) publish(k *known) {
-	b.view.Store(b.View().with(k))
+	b.view.Store(b.View().with(k, b.now()))
 	for tell := range b.tell {
 		(*tell)(k.Notice)
 	}
--- a/notice/book_test.go
+++ b/notice/book_test.go
@@ -181,3 +181,46 @@
 		is.New(t).True(changed && !n.Leaving)
 	})
 }
+
+func TestRestHeard(t *testing.T) {
+	for _, row := range []struct {
+		name  string
+		rest  time.Duration
+		least time.Duration
+		most  time.Duration
+	}{
+		{"seconds", 3 * time.Second, 3 * time.Second, 3300 * time.Millisecond},
+		{"a year", 365 * 24 * time.Hour, time.Minute, 66 * time.Second},
+		{"none", 0, 0, 0},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			c := newClock()
+			b := notice.New(c.now, logr.Discard())
+			_, changed := b.Heard(c.answer(0), notice.Said{Rest: row.rest})
+			is.New(t).True(!changed)
+			for _, at := range []struct {
+				pass  time.Duration
+				rests bool
+			}{
+				{row.least - 1, row.rest > 0},
+				{row.most + 1 - row.least + 1, false},
+			} {
+				c.pass(at.pass)
+				is.New(t).Equal(b.Declines("e", time.Time{}) != "", at.rests)
+			}
+		})
+	}
+}
+
+// TestRestsForgotten looks that rests that have ended are not kept.
+func TestRestsForgotten(t *testing.T) {
+	c := newClock()
+	b := notice.New(c.now, logr.Discard())
+	for i := range 10 {
+		a := c.answer(0)
+		a.Instance = string(rune('a' + i))
+		b.Heard(a, notice.Said{Rest: time.Second})
+		c.pass(2 * time.Second)
+	}
+	is.New(t).Equal(len(b.View().Resting()), 1)
+}
--- a/notice/view.go
+++ b/notice/view.go
@@ -32,6 +32,15 @@
 	limits map[string]Limit
 	// leaving has when the start began of each endpoint that leaves; zero when it does not say.
 	leaving map[string]time.Time
+	// rests are the endpoints that want nothing from this instance.
+	rests map[string]rest
+}
+
+// rest is until when an endpoint wants nothing from this instance.
+type rest struct {
+	until time.Time
+	// born is when the start of the endpoint began that asked; zero when it does not say.
+	born time.Time
 }
 
 // Limit returns the rate limit that the start of an endpoint names which began at a moment;
@@ -51,8 +60,23 @@
 	return leaves && !startedSince(of, born)
 }
 
-// Limited returns the endpoints that name a rate limit, and Leaving those that leave, each in
-// any order.
+// Rests returns until when the start of an endpoint wants nothing from this instance which began
+// at a moment; zero means that it does not say. It returns the zero time if it does not rest.
+func (v *View) Rests(instance string, born time.Time) time.Time {
+	r, rests := v.rests[instance]
+	if !rests || startedSince(r.born, born) {
+		return time.Time{}
+	}
+	return r.until
+}
+
+// Resting returns the endpoints that have asked this instance for rest, in any order. The rests
+// of some may have ended.
+func (v *View) Resting() []string {
+	return keys(v.rests)
+}
+
+// Limited returns the endpoints that name a rate limit, in any order.
 func (v *View) Limited() []string {
 	return keys(v.limits)
 }
@@ -77,18 +101,16 @@
 	return !notice.IsZero() && notice.Before(born)
 }
 
-// with returns the view with another notice of an endpoint.
-func (v *View) with(k *known) *View {
+// with returns the view with what is known of an endpoint at a moment. Rests that have ended are
+// left out.
+func (v *View) with(k *known, now time.Time) *View {
 	next := &View{
-		limits:  maps.Clone(v.limits),
-		leaving: maps.Clone(v.leaving),
+		limits:  without(v.limits, k.Instance),
+		leaving: without(v.leaving, k.Instance),
+		rests:   without(v.rests, k.Instance),
 	}
-	delete(next.limits, k.Instance)
-	delete(next.leaving, k.Instance)
+	maps.DeleteFunc(next.rests, func(_ string, r rest) bool { return !r.until.After(now) })
 	if k.Limited {
-		if next.limits == nil {
-			next.limits = make(map[string]Limit)
-		}
 		next.limits[k.Instance] = Limit{
 			Rate:  k.Rate,
 			Since: k.changed,
@@ -96,10 +118,24 @@
 		}
 	}
 	if k.Leaving {
-		if next.leaving == nil {
-			next.leaving = make(map[string]time.Time)
-		}
 		next.leaving[k.Instance] = k.Born
 	}
+	if k.restsUntil.After(now) {
+		next.rests[k.Instance] = rest{
+			until: k.restsUntil,
+			born:  k.Born,
+		}
+	}
 	return next
 }
+
+// without returns a copy of a map that lacks a key.
+func without[V any](m map[string]V, key string) map[string]V {
+	out := make(map[string]V, len(m)+1)
+	for k, v := range m {
+		if k != key {
+			out[k] = v
+		}
+	}
+	return out
+}
--- a/pool/client.go
+++ b/pool/client.go
@@ -121,6 +121,7 @@
 	leaving, emptied := c.barred()
 	a.Exclude = append(slices.Clone(a.Exclude), leaving...)
 	a.Emptied = emptied
+	a.Rests = c.rests(a.Service)
 	alone := false
 	for range askRounds {
 		var g Grant
--- a/pool/client_notices.go
+++ b/pool/client_notices.go
@@ -13,6 +13,33 @@
 	return c.local.settings.Notices.Declines(instance, born)
 }
 
+// rests returns the endpoints of a service that have asked this instance for rest.
+func (c *Client) rests(service string) []Rest {
+	v := c.local.settings.Notices.View()
+	resting := v.Resting()
+	if len(resting) == 0 {
+		return nil
+	}
+	now := c.local.settings.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.known == nil {
+		return nil
+	}
+	var out []Rest
+	for _, instance := range resting {
+		e := c.known.Endpoints[instance]
+		until := v.Rests(instance, e.Born)
+		if e.Service == service && until.After(now) {
+			out = append(out, Rest{
+				Instance: instance,
+				For:      until.Sub(now),
+			})
+		}
+	}
+	return out
+}
+
 // Heard implements notice.Guard: the instances that all others have sessions with tell
 // them.
 func (c *Client) Heard(a notice.Answer, s notice.Said) {
--- a/pool/figures.go
+++ b/pool/figures.go
@@ -44,11 +44,11 @@
 	Moved     int `json:"moved"`
 	Checked   int `json:"checked"`
 	Absent    int `json:"absent"`
-	// Limited is how many endpoints name a rate limit, AtLimit counts the endpoints that were
-	// passed over for it as requests were placed, and Unavailable the requests that were
-	// refused as no endpoint took any.
+	// Limited is how many endpoints name a rate limit, PassedOver counts those that were passed
+	// over as requests were placed, as they rested or were at their limits, and Unavailable the
+	// requests that were refused as no endpoint took any.
 	Limited     int   `json:"limited"`
-	AtLimit     int64 `json:"at_limit"`
+	PassedOver  int64 `json:"passed_over"`
 	Unavailable int64 `json:"unavailable"`
 	// Routes tells what is usual for each route that had requests, and its worth.
 	Routes map[string]worth.Usual `json:"routes,omitempty"`
@@ -80,7 +80,7 @@
 			Checked:        p.checks.checked,
 			Absent:         p.checks.failed,
 			Limited:        p.limited(),
-			AtLimit:        p.rates.withheld,
+			PassedOver:     p.passedOver,
 			Unavailable:    p.unavailable,
 			Routes:         p.worth.Routes(),
 		}
--- a/pool/grant.go
+++ b/pool/grant.go
@@ -36,8 +36,8 @@
 			Reserved: o.Hold,
 		})
 	}
-	withheld := p.withheld(w.alone, now)
-	p.rates.withheld += int64(withheld)
+	withheld := p.withheld(w, now)
+	p.passedOver += int64(withheld)
 	limit, _ := p.limit(plan.Engine, p.notices.View())
 	p.give(at, now)
 	p.probe(at, now)
@@ -50,7 +50,7 @@
 		"spoils", plan.Spoils, "loses", plan.Loses, "waited_ms", g.Waited.Milliseconds(), "queue", len(p.queue),
 		"work_ms", p.work(w).Milliseconds(), "price", p.priceNow(now),
 		"due_ms", w.request.TargetAt.Sub(now).Milliseconds(), "resumed", w.ask.Resumed,
-		"at_limit", withheld, "limit", limit.Rate, "limit_age_ms", limit.Age(now).Milliseconds())
+		"withheld", withheld, "limit", limit.Rate, "limit_age_ms", limit.Age(now).Milliseconds())
 	return g
 }
 
--- a/pool/messages.go
+++ b/pool/messages.go
@@ -12,7 +12,7 @@
 
 // encodeAsk returns the message of an ask. Durations are sent in microseconds.
 func encodeAsk(a *Ask) *poolpb.Ask {
-	return &poolpb.Ask{
+	m := &poolpb.Ask{
 		Id:         a.ID,
 		Service:    a.Service,
 		Customer:   a.Customer,
@@ -39,11 +39,18 @@
 		Resumed: a.Resumed,
 		DueUs:   a.Due.Microseconds(),
 	}
+	for _, r := range a.Rests {
+		m.Rests = append(m.Rests, &poolpb.Rest{
+			Instance: r.Instance,
+			ForUs:    r.For.Microseconds(),
+		})
+	}
+	return m
 }
 
 // decodeAsk returns the ask of a message.
 func decodeAsk(m *poolpb.Ask) Ask {
-	return Ask{
+	a := Ask{
 		ID:        m.GetId(),
 		Service:   m.GetService(),
 		Customer:  m.GetCustomer(),
@@ -70,6 +77,13 @@
 		Resumed: m.GetResumed(),
 		Due:     microseconds(m.GetDueUs()),
 	}
+	for _, r := range m.GetRests() {
+		a.Rests = append(a.Rests, Rest{
+			Instance: r.GetInstance(),
+			For:      microseconds(r.GetForUs()),
+		})
+	}
+	return a
 }
 
 // microseconds returns a duration that was sent as a number.
--- a/pool/messages_test.go
+++ b/pool/messages_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/linkmast/linkmast/notice"
 	"github.com/linkmast/linkmast/quarantine"
 )
 
@@ -44,11 +45,30 @@
 			},
 			Resumed: true,
 			Due:     -10 * time.Millisecond,
+			Rests: []Rest{
+				{
+					Instance: "h",
+					For:      11 * time.Millisecond,
+				},
+			},
 		}
 		assertSet(t, a)
+		assertSet(t, a.Rests[0])
 		assertSet(t, a.Replaces)
 		is.Equal(decodeAsk(encodeAsk(&a)), a)
 	})
+	t.Run("notice", func(t *testing.T) {
+		n := notice.Notice{
+			Instance: "i",
+			Born:     time.UnixMilli(1796256000123),
+			Limited:  true,
+			Rate:     1.5,
+			Leaving:  true,
+			Revision: 2,
+		}
+		assertSet(t, n)
+		is.New(t).Equal(decodeNotice(encodeNotice(n)), n)
+	})
 	t.Run("grant", func(t *testing.T) {
 		is := is.New(t)
 		g := Grant{
--- a/pool/pace.go
+++ b/pool/pace.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/linkmast/linkmast/notice"
 	"github.com/linkmast/linkmast/placement"
 )
 
@@ -274,8 +275,7 @@
 			delete(p.paces.of, name)
 			continue
 		}
-		_, limited := p.limit(e, v)
-		asks := s.asks(p, now) && p.takesPart(e) && !limited
+		asks := s.asks(p, now) && p.takesPart(e) && p.takesQuestions(e, v, now)
 		if asks && left > 0 && r.due(e, now) {
 			left--
 			s.askPace(p, e, r, now)
@@ -298,6 +298,13 @@
 	return s.settings.Reports != nil && s.settings.Pace != PaceLearned && !p.paces.alone && p.paces.decides(now)
 }
 
+// takesQuestions states whether an engine may be asked: it rests from this instance, or names a
+// rate limit, otherwise.
+func (p *state) takesQuestions(e *placement.Engine, v *notice.View, now time.Time) bool {
+	_, limited := p.limit(e, v)
+	return !limited && !v.Rests(e.Instance, p.health[e.Instance].born).After(now)
+}
+
 // noteOverdue notes that the pace of engines is unsure whose first events are overdue.
 func (p *state) noteOverdue(now time.Time) {
 	for _, at := range p.placed {
--- a/pool/rates.go
+++ b/pool/rates.go
@@ -75,8 +75,6 @@
 	aloneAt    time.Time
 	aloneSeen  time.Time
 	alonePhase float64
-	// withheld counts the endpoints that decisions passed over for rate limits.
-	withheld int64
 }
 
 // aloneFor is how long after a decision an instance still counts as one that places alone.
@@ -120,25 +118,6 @@
 	p.rates.aloneSeen = now
 }
 
-// atLimit states whether an endpoint may get no request now, as it has got what its rate limit
-// allows.
-func (p *state) atLimit(e *placement.Engine, v *notice.View, alone bool, now time.Time) bool {
-	l, limited := p.limit(e, v)
-	return limited && p.nextAt(e, l, alone).After(now)
-}
-
-// withheld returns how many endpoints get no request now for their rate limits.
-func (p *state) withheld(alone bool, now time.Time) int {
-	v := p.notices.View()
-	n := 0
-	for _, e := range p.list {
-		if !e.Closed && p.atLimit(e, v, alone, now) {
-			n++
-		}
-	}
-	return n
-}
-
 // limited returns how many endpoints name a rate limit.
 func (p *state) limited() int {
 	v := p.notices.View()
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -224,7 +224,7 @@
 	used, slots := slotsOf(usable)
 	s.log.Info("refuse", "attempt", w.ask.ID, "service", w.ask.Service, "prompt", w.ask.Prompt, "reason", r.Reason,
 		"after_ms", r.After.Milliseconds(), "waited_ms", now.Sub(w.arrived).Milliseconds(), "queue", len(p.queue),
-		"endpoints", len(usable), "at_limit", p.withheld(w.alone, now), "running", used, "slots", slots, "worth", w.request.Worth,
+		"endpoints", len(usable), "withheld", p.withheld(w, now), "running", used, "slots", slots, "worth", w.request.Worth,
 		"returning", w.ask.Returning, "rank", w.ask.Rank, "route_rank", w.ask.RouteRank,
 		"work_ms", work.Milliseconds(), "price", p.priceNow(now))
 }
--- a/pool/state.go
+++ b/pool/state.go
@@ -61,7 +61,10 @@
 	notices *notice.Book
 	// rates are the rate limits that endpoints name.
 	rates rates
-	// unavailable counts the requests that were refused as no endpoint took any.
+	// passedOver counts the endpoints that decisions passed over as they rested or were at
+	// their rate limits, and unavailable the requests that were refused as no endpoint took
+	// any.
+	passedOver  int64
 	unavailable int64
 	// plain states that the service's endpoints are no engines.
 	plain bool
@@ -208,18 +211,18 @@
 func (p *state) usable(w *Waiter, now time.Time) []*placement.Engine {
 	out := make([]*placement.Engine, 0, len(p.list))
 	v := p.notices.View()
-	var rest []*placement.Engine
+	var failed []*placement.Engine
 	for _, e := range p.list {
 		switch {
-		case p.barred(w, e, v) || p.atLimit(e, v, w.alone, now):
+		case p.barred(w, e, v) || p.opensAt(w, e, v).After(now):
 		case slices.Contains(w.ask.Avoid, e.Instance) || !p.health[e.Instance].usable(now) || p.suspicion.doubted[e.Instance]:
-			rest = append(rest, e)
+			failed = append(failed, e)
 		default:
 			out = append(out, e)
 		}
 	}
 	if len(out) == 0 {
-		return rest
+		return failed
 	}
 	return out
 }
--- a/pool/types.go
+++ b/pool/types.go
@@ -44,6 +44,8 @@
 	Avoid []string
 	// Emptied are the failure domains that get nothing new, as the entry knows.
 	Emptied []string
+	// Rests are the endpoints that have asked the entry for rest.
+	Rests []Rest
 	// Returning states that the caller has come back after a refusal, or tries
 	// again.
 	Returning bool
@@ -61,6 +63,14 @@
 	Due time.Duration
 }
 
+// Rest is an endpoint that wants nothing from an entry.
+type Rest struct {
+	// Instance names the endpoint.
+	Instance string
+	// For is for how long.
+	For time.Duration
+}
+
 // Reader is an endpoint that helps to read a prompt.
 type Reader struct {
 	// Instance names the endpoint.
--- a/pool/unavailable.go
+++ b/pool/unavailable.go
@@ -3,6 +3,7 @@
 package pool
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -10,6 +11,10 @@
 	"github.com/linkmast/linkmast/placement"
 )
 
+// lateHold is how long a request that is late already waits for an endpoint that rests or is at
+// its rate limit.
+const lateHold = 100 * time.Millisecond
+
 // leavingAfter is when the callers of a service may come back all of whose endpoints leave:
 // others take seconds to start.
 const leavingAfter = 2 * time.Second
@@ -24,52 +29,98 @@
 	return p.leaves(e, v) || slices.Contains(w.ask.Exclude, e.Instance) || p.emptied.bars(&w.ask, e)
 }
 
-// refuseUnavailable returns a refusal for a request when each endpoint leaves or has got what its
-// rate limit allows, and none takes it in time; nil for others. Ahead is how many requests wait
-// that are more urgent.
-func (s *Scheduler) refuseUnavailable(p *state, w *Waiter, list []*placement.Engine, ahead int, now time.Time) *Refusal {
-	if len(list) > 0 {
-		return nil
+// opensAt returns when an endpoint takes a request: once it has rested, and its rate limit allows
+// it; zero for at once.
+func (p *state) opensAt(w *Waiter, e *placement.Engine, v *notice.View) time.Time {
+	at := w.rests[e.Instance]
+	if l, limited := p.limit(e, v); limited {
+		at = later(at, p.nextAt(e, l, w.alone))
 	}
-	var (
-		v       = p.notices.View()
-		leaving = false
-		soonest time.Time
-		rate    float64
-	)
+	return at
+}
+
+// withheld returns how many endpoints take a request only later.
+func (p *state) withheld(w *Waiter, now time.Time) int {
+	v := p.notices.View()
+	n := 0
+	for _, e := range p.list {
+		if !p.leaves(e, v) && p.opensAt(w, e, v).After(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// openings is when endpoints that take nothing now take requests again.
+type openings struct {
+	// soonest is when the first of those does that a request may have, and rate how many a
+	// second they take in all; zero for none.
+	soonest time.Time
+	rate    float64
+	// back is when the first of all others does; zero for none.
+	back time.Time
+	// leaving states that some never will.
+	leaving bool
+}
+
+// openings returns when endpoints take requests again.
+func (p *state) openings(w *Waiter, now time.Time) openings {
+	v := p.notices.View()
+	var o openings
 	for _, e := range p.list {
-		l, limited := p.limit(e, v)
+		at := p.opensAt(w, e, v)
 		switch {
 		case p.leaves(e, v):
-			leaving = true
-		case limited && !p.barred(w, e, v):
-			at := p.nextAt(e, l, w.alone)
-			if rate == 0 || at.Before(soonest) {
-				soonest = at
+			o.leaving = true
+		case !p.barred(w, e, v):
+			if o.rate == 0 || at.Before(o.soonest) {
+				o.soonest = at
 			}
-			rate += p.rates.share(l, w.alone)
+			o.rate += p.rateOf(w, e, v)
+		case at.After(now) && (o.back.IsZero() || at.Before(o.back)):
+			o.back = at
 		}
 	}
-	if rate == 0 && !leaving {
+	return o
+}
+
+// rateOf returns how many requests a second an endpoint takes by its limit.
+func (p *state) rateOf(w *Waiter, e *placement.Engine, v *notice.View) float64 {
+	l, limited := p.limit(e, v)
+	if !limited {
+		return math.Inf(1)
+	}
+	return p.rates.share(l, w.alone)
+}
+
+// refuseUnavailable returns a refusal for a request when each endpoint leaves, rests or has got
+// what its rate limit allows, and none takes it in time; nil for others. Ahead is how many
+// requests wait that are more urgent.
+func (s *Scheduler) refuseUnavailable(p *state, w *Waiter, list []*placement.Engine, ahead int, now time.Time) *Refusal {
+	if len(list) > 0 {
 		return nil
 	}
-	reason, after := "all endpoints leave", leavingAfter
-	if rate > 0 {
-		at := later(soonest, now).Add(seconds(float64(ahead) / rate))
+	o := p.openings(w, now)
+	reason, after := "all endpoints rest or are at their rate limits", o.back.Sub(now)
+	switch {
+	case o.rate > 0:
+		at := later(o.soonest, now).Add(seconds(float64(ahead) / o.rate))
 		if !at.After(w.takenUntil()) {
 			return nil
 		}
-		reason, after = "all endpoints are at their rate limits", at.Sub(now)
+		after = at.Sub(now)
+	case !o.back.IsZero():
+	case o.leaving:
+		reason, after = "all endpoints leave", leavingAfter
+	default:
+		return nil
 	}
 	p.unavailable++
 	return s.refusal(reason, after)
 }
 
-// takenUntil returns until when a place is of use to a request: one at its first try can come
-// back later.
+// takenUntil returns until when a request may wait for an endpoint that takes nothing now: while
+// it would be in time, and otherwise for a moment. Its caller is better off with another try.
 func (w *Waiter) takenUntil() time.Time {
-	if w.firstTry() {
-		return w.request.TargetAt
-	}
-	return w.gone()
+	return later(w.request.TargetAt, w.arrived.Add(lateHold))
 }
--- a/pool/unavailable_test.go
+++ b/pool/unavailable_test.go
@@ -3,6 +3,7 @@
 package pool
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -80,3 +81,51 @@
 	w.run(5*time.Second, func(int) {})
 	assert(false)
 }
+
+// TestRestOfOneEntry looks that the requests of an entry that was asked for rest go elsewhere,
+// those of others don't, and that its requests are refused at once when all endpoints rest.
+func TestRestOfOneEntry(t *testing.T) {
+	w := newRateWorld(t, 1, 2, rateModel())
+	s := w.instances[0]
+	place := func(entry string, rests ...Rest) (string, *Refusal) {
+		w.asked++
+		x := s.submitFor(Ask{
+			ID:       fmt.Sprint("r", w.asked),
+			Service:  "s",
+			Prompt:   100,
+			Target:   300 * time.Millisecond,
+			Deadline: 4 * time.Second,
+			Rests:    rests,
+		}, entry, false)
+		g, r, decided := x.Decision()
+		is.New(t).True(decided)
+		return g.Instance, r
+	}
+	first := Rest{Instance: "e0", For: 3 * time.Second}
+	second := Rest{Instance: "e1", For: 2 * time.Second}
+	at, _ := place("a", first)
+	is.New(t).Equal(at, "e1")
+	at, _ = place("b")
+	is.New(t).Equal(at, "e0")
+	_, r := place("a", first, second)
+	is.New(t).True(r != nil)
+	is.New(t).True(r.After >= 2*time.Second && r.After <= 4*time.Second)
+
+	t.Run("one that soon takes a request again is waited for", func(t *testing.T) {
+		x := s.Submit(Ask{
+			ID:       "waits",
+			Service:  "s",
+			Prompt:   100,
+			Target:   300 * time.Millisecond,
+			Deadline: 4 * time.Second,
+			Rests:    []Rest{first, {Instance: "e1", For: 100 * time.Millisecond}},
+		})
+		_, _, decided := x.Decision()
+		is.New(t).True(!decided)
+		w.run(101*time.Millisecond, func(int) {})
+		s.Review()
+		g, _, decided := x.Decision()
+		is.New(t).True(decided)
+		is.New(t).Equal(g.Instance, "e1")
+	})
+}
--- a/pool/waiter.go
+++ b/pool/waiter.go
@@ -18,6 +18,8 @@
 	refuse chan *Refusal
 	// placeBy is when a late request should have a place; zero while it isn't late.
 	placeBy time.Time
+	// rests are the endpoints that want nothing from the entry, with until when.
+	rests map[string]time.Time
 	// late states that the last plan made the request late.
 	late bool
 	// entry names the instance that asks.
@@ -39,11 +41,25 @@
 	}
 }
 
+// restsUntil returns the endpoints that want nothing from the entry, with until when; nil for
+// none.
+func (a *Ask) restsUntil(now time.Time) map[string]time.Time {
+	if len(a.Rests) == 0 {
+		return nil
+	}
+	out := make(map[string]time.Time, len(a.Rests))
+	for _, r := range a.Rests {
+		out[r.Instance] = now.Add(r.For)
+	}
+	return out
+}
+
 // waiter makes the state of an ask.
 func (s *Scheduler) waiter(p *state, a Ask, now time.Time) *Waiter {
 	v := p.worth.Value(a.kind())
 	return &Waiter{
-		ask: a,
+		ask:   a,
+		rests: a.restsUntil(now),
 		request: placement.Request{
 			ID:        a.ID,
 			Prompt:    a.Prompt,
