Keep that an endpoint leaves when a notice comes that does not know it

Found by reading. A notice replaced the one before as a whole: of two instances that heard at one moment, one that the endpoint leaves and one of a changed limit, the second could have all others send there again (TestLeavingOutlastsLimits). That an endpoint leaves now only ever grows; the limit goes by the revision as before. A notice of the next start of an endpoint under its name also ends the rest of the one before (TestRestOfAnotherStart).

Placement asks for notices of each endpoint only where there are any.

--- a/notice/book.go
+++ b/notice/book.go
@@ -150,16 +150,33 @@
 		}
 		b.endpoints[n.Instance] = k
 	}
-	if !n.replaces(&k.Notice) {
+	if !k.begin(n.Born) {
+		return
+	}
+	if !k.merge(n) {
 		return
 	}
 	now := b.now()
-	k.Notice, k.named, k.changed = n, now, now
+	k.changed = now
+	if k.Limited {
+		k.named = now
+	}
 	b.log.V(1).Info("told of an endpoint", "endpoint", n.Instance, "limited", n.Limited, "rate", n.Rate, "leaving", n.Leaving,
 		"revision", n.Revision)
 	b.publish(k)
 }
 
+// merge takes over a notice of the same start, and returns whether anything changes. The limit is
+// that of the notice which replaces the other; an endpoint that leaves does not come back.
+func (k *known) merge(n Notice) bool {
+	before := k.Notice
+	if n.replaces(&k.Notice) {
+		k.Limited, k.Rate, k.Revision = n.Limited, n.Rate, n.Revision
+	}
+	k.Leaving = before.Leaving || n.Leaving
+	return k.Notice != before
+}
+
 // keepFor is how long a notice is kept of an endpoint that is not in the list of endpoints:
 // that list may lag.
 const keepFor = 2 * time.Minute
--- a/notice/book_test.go
+++ b/notice/book_test.go
@@ -224,3 +224,60 @@
 	}
 	is.New(t).Equal(len(b.View().Resting()), 1)
 }
+
+// TestLeavingOutlastsLimits tells a book that an endpoint leaves, and of newer limits by one that has
+// not heard of it, in either order.
+func TestLeavingOutlastsLimits(t *testing.T) {
+	c := newClock()
+	leaves, _ := notice.New(c.now, logr.Discard()).Heard(c.answer(0), notice.Said{Leaving: true})
+	ignorant := notice.New(c.now, logr.Discard())
+	ignorant.Heard(c.answer(0), limit(2))
+	c.pass(time.Minute)
+	limited, _ := ignorant.Heard(c.answer(0), limit(3))
+	for _, order := range [][]notice.Notice{{leaves, limited}, {limited, leaves}} {
+		b := notice.New(c.now, logr.Discard())
+		changes := 0
+		b.OnChange(func(notice.Notice) { changes++ })
+		for _, n := range append(order, order...) {
+			b.Learn(n)
+		}
+		is.New(t).True(b.View().Leaves("e", time.Time{}))
+		assertLimit(t, b, 3)
+		is.New(t).Equal(changes, 2)
+	}
+}
+
+// TestRestOfAnotherStart tells a book of the next start of an endpoint that rests.
+func TestRestOfAnotherStart(t *testing.T) {
+	c := newClock()
+	b := notice.New(c.now, logr.Discard())
+	first := c.answer(0)
+	first.Born = c.at
+	b.Heard(first, notice.Said{Rest: 10 * time.Second})
+	is.New(t).True(b.Declines("e", first.Born) != "")
+	next := c.at.Add(time.Second)
+	b.Learn(notice.Notice{
+		Instance: "e",
+		Born:     next,
+		Limited:  true,
+		Rate:     2,
+		Revision: 1,
+	})
+	is.New(t).Equal(b.Declines("e", next), "")
+	assertLimit(t, b, 2)
+}
+
+func BenchmarkHeard(b *testing.B) {
+	c := newClock()
+	book := notice.New(c.now, logr.Discard())
+	for i := range 100 {
+		a := c.answer(0)
+		a.Instance = string(rune('A' + i))
+		book.Heard(a, limit(2))
+	}
+	a := c.answer(0)
+	a.Instance = "other"
+	for b.Loop() {
+		book.Heard(a, notice.Said{})
+	}
+}
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -21,16 +21,12 @@
 	Revision uint64
 }
 
-// replaces states whether a notice takes the place of another one about the same endpoint. Of
-// two with the same revision the stricter one does.
+// replaces states whether the limit of a notice takes the place of that of another one of the same
+// start. Of two with the same revision the stricter one does.
 func (n *Notice) replaces(old *Notice) bool {
 	switch {
-	case !n.Born.Equal(old.Born):
-		return n.Born.After(old.Born)
 	case n.Revision != old.Revision:
 		return n.Revision > old.Revision
-	case n.Leaving != old.Leaving:
-		return n.Leaving
 	case n.Limited != old.Limited:
 		return n.Limited
 	}
--- a/notice/view.go
+++ b/notice/view.go
@@ -76,6 +76,12 @@
 	return keys(v.rests)
 }
 
+// AnyLimited states whether any endpoint names a rate limit.
+func (v *View) AnyLimited() bool { return len(v.limits) > 0 }
+
+// AnyLeaves states whether any endpoint leaves.
+func (v *View) AnyLeaves() bool { return len(v.leaving) > 0 }
+
 // Limited returns the endpoints that name a rate limit, in any order.
 func (v *View) Limited() []string {
 	return keys(v.limits)
--- a/pool/client_govern.go
+++ b/pool/client_govern.go
@@ -2,9 +2,7 @@
 
 package pool
 
-import (
-	"github.com/linkmast/linkmast/notice"
-)
+import "github.com/linkmast/linkmast/notice"
 
 // govern gives the pools without engines an owner one of whose endpoints names a rate limit,
 // as that holds for all instances together, and takes it from the others. The caller holds the
--- a/pool/rates.go
+++ b/pool/rates.go
@@ -82,6 +82,9 @@
 
 // limit returns the rate limit of this start of an endpoint.
 func (p *state) limit(e *placement.Engine, v *notice.View) (notice.Limit, bool) {
+	if !v.AnyLimited() {
+		return notice.Limit{}, false
+	}
 	return v.Limit(e.Instance, p.health[e.Instance].born)
 }
 
--- a/pool/unavailable.go
+++ b/pool/unavailable.go
@@ -21,7 +21,7 @@
 
 // leaves states whether an endpoint leaves, as the store or its own answers say.
 func (p *state) leaves(e *placement.Engine, v *notice.View) bool {
-	return e.Closed || v.Leaves(e.Instance, p.health[e.Instance].born)
+	return e.Closed || v.AnyLeaves() && v.Leaves(e.Instance, p.health[e.Instance].born)
 }
 
 // barred states whether a request must not be placed on an endpoint.
@@ -42,6 +42,9 @@
 // withheld returns how many endpoints take a request only later.
 func (p *state) withheld(w *Waiter, now time.Time) int {
 	v := p.notices.View()
+	if !v.AnyLimited() && len(w.rests) == 0 {
+		return 0
+	}
 	n := 0
 	for _, e := range p.list {
 		if !p.leaves(e, v) && p.opensAt(w, e, v).After(now) {
