Let endpoints make statements in the soak, and write up what they say

Three promises more are judged; instances that were stopped, frozen or cut off meanwhile are excused. TestJudgeStatements has each of them broken.

--- a/cmd/linkmastctl/soak.go
+++ b/cmd/linkmastctl/soak.go
@@ -19,11 +19,12 @@
 
 // soakCommand runs the real programs under drawn faults.
 type soakCommand struct {
-	Seed      uint64  `long:"seed" description:"seed of the first run; without it a fresh one"`
-	Runs      int     `long:"runs" default:"1" description:"how many seeds, counted up"`
-	Minutes   float64 `long:"minutes" default:"0.5" description:"how long faults come in a run"`
-	Processes int     `long:"processes" default:"4" description:"how many instances run"`
-	Program   string  `long:"program" description:"program of an instance; without it linkmast is built"`
+	Seed       uint64  `long:"seed" description:"seed of the first run; without it a fresh one"`
+	Runs       int     `long:"runs" default:"1" description:"how many seeds, counted up"`
+	Minutes    float64 `long:"minutes" default:"0.5" description:"how long faults come in a run"`
+	Processes  int     `long:"processes" default:"4" description:"how many instances run"`
+	Statements bool    `long:"statements" description:"endpoints name limits, say that they leave and ask for rest in their answers, too"`
+	Program    string  `long:"program" description:"program of an instance; without it linkmast is built"`
 }
 
 // Execute implements flags.Commander.
@@ -63,11 +64,12 @@
 	bad := 0
 	for i := range c.Runs {
 		broken, err := soak.Run(ctx, soak.Settings{
-			Program:   c.Program,
-			Seed:      c.Seed + uint64(i),
-			Length:    time.Duration(c.Minutes * float64(time.Minute)),
-			Processes: c.Processes,
-			Out:       os.Stdout,
+			Program:    c.Program,
+			Seed:       c.Seed + uint64(i),
+			Length:     time.Duration(c.Minutes * float64(time.Minute)),
+			Statements: c.Statements,
+			Processes:  c.Processes,
+			Out:        os.Stdout,
 		})
 		if err != nil {
 			return err
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -59,7 +59,7 @@
 			})
 		}
 	}
-	return slices.Concat(out, w.judgeCrashes(), w.judgeEnd())
+	return slices.Concat(out, w.judgeCrashes(), w.judgeStatements(sent), w.judgeEnd())
 }
 
 // judgeOne holds one exchange against the runs of its request.
--- a/soak/play.go
+++ b/soak/play.go
@@ -67,6 +67,12 @@
 		e.fail(platformtest.EndpointFaults{})
 		return
 	}
+	if f, ok := statementFaults[s.Kind]; ok {
+		e.fail(f)
+		time.Sleep(s.For)
+		e.fail(platformtest.EndpointFaults{})
+		return
+	}
 	if l, ok := storeLinks[s.Kind]; ok {
 		p.store.Set(l)
 		time.Sleep(s.For)
@@ -147,6 +153,8 @@
 		w.store.Forget(platformtest.TopicOperator)
 	case "endpoint leaves":
 		w.leave(e, s.For)
+	case saysLeaving:
+		w.leaveByAnswers(e, s.For)
 	case "key taken away":
 		w.takeAway()
 	case "store connections silent":
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -21,6 +21,8 @@
 	Seed uint64
 	// Length is how long faults come.
 	Length time.Duration
+	// Statements has endpoints make statements in their answers beside the schedule.
+	Statements bool
 	// Processes is how many instances run.
 	Processes int
 	// Out gets the schedule and the result.
@@ -85,6 +87,9 @@
 	defer unwatch()
 	loading.Go(func() { c.run(load, s.Seed) })
 	steps := Draw(s.Seed, s.Length, s.Processes)
+	if s.Statements {
+		steps = merge(steps, DrawStatements(s.Seed, s.Length))
+	}
 	w.play(ctx, steps, func(step Step) { _, _ = fmt.Fprintln(s.Out, step) })
 	wait(ctx, recoverWithin)
 	w.recovered = time.Now()
--- /dev/null
+++ b/soak/statements_test.go
@@ -0,0 +1,79 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package soak
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/platform/platformtest"
+)
+
+// arrivalsEvery returns arrivals from an instance, one each so often.
+func arrivalsEvery(begin time.Time, n int, every time.Duration, f platformtest.EndpointFaults) []arrival {
+	var out []arrival
+	for i := range n {
+		out = append(out, arrival{
+			Arrival: platformtest.Arrival{
+				ID:   fmt.Sprint(i),
+				At:   begin.Add(time.Duration(i) * every),
+				Said: f,
+			},
+		})
+	}
+	return out
+}
+
+// TestJudgeStatements looks that each statement which is not heard is found, and that an instance
+// that was frozen is excused.
+func TestJudgeStatements(t *testing.T) {
+	begin := time.Now()
+	leaving := platformtest.EndpointFaults{Leaving: true}
+	limit := statementFaults["endpoint names a limit"]
+	rest := statementFaults["endpoint asks for rest"]
+	leave := (*World).judgeToldLeaving
+	for _, c := range []struct {
+		name  string
+		judge func(*World, *endpoint, []arrival) []Violation
+		all   []arrival
+		wrong bool
+	}{
+		{"leaving, in time", leave, arrivalsEvery(begin, 20, 100*time.Millisecond, leaving), false},
+		{"leaving, too late", leave, arrivalsEvery(begin, 5, time.Second, leaving), true},
+		{"not leaving", leave, arrivalsEvery(begin, 5, time.Second, platformtest.EndpointFaults{}), false},
+		{"limit kept", (*World).judgeLimits, arrivalsEvery(begin, 20, 500*time.Millisecond, limit), false},
+		{"limit passed", (*World).judgeLimits, arrivalsEvery(begin, 60, 100*time.Millisecond, limit), true},
+		{"no limit", (*World).judgeLimits, arrivalsEvery(begin, 60, 100*time.Millisecond, platformtest.EndpointFaults{}), false},
+		{"rest kept", (*World).judgeRests, arrivalsEvery(begin, 5, statedRest, rest), false},
+		{"rest broken", (*World).judgeRests, arrivalsEvery(begin, 20, 100*time.Millisecond, rest), true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := &World{
+				processes: make([]*process, 1),
+			}
+			e := &endpoint{
+				Endpoint: &platformtest.Endpoint{},
+			}
+			is.New(t).Equal(len(c.judge(w, e, c.all)) > 0, c.wrong)
+			w.played = []playedStep{{
+				step:  Step{Kind: "freeze", For: time.Hour},
+				began: begin,
+			}}
+			is.New(t).Equal(len(c.judge(w, e, c.all)), 0)
+		})
+	}
+}
+
+func TestDrawStatements(t *testing.T) {
+	is := is.New(t)
+	a := DrawStatements(7, time.Minute)
+	is.Equal(a, DrawStatements(7, time.Minute))
+	is.True(len(a) > 10)
+	all := merge(Draw(7, time.Minute, 4), a)
+	for i := range all[1:] {
+		is.True(all[i].At <= all[i+1].At)
+	}
+}
