--- a/pool/server.go
+++ b/pool/server.go
@@ -56,8 +56,8 @@
 	// that are to move; nil until it has said its name.
 	entry     string
 	stopMoves func()
-	// stopTelling ends telling it what all instances hear; empty until it has said its name.
-	stopTelling []func()
+	// stopTelling ends telling it what all instances hear; nil until it has said its name.
+	stopTelling func()
 
 	// replaced is closed, by replace, when another session of the entry has begun.
 	replaced chan struct{}
--- a/pool/server_cut.go
+++ b/pool/server_cut.go
@@ -50,8 +50,7 @@
 		s.orphan(old)
 	}
 	x.stopMoves = s.scheduler.onMoves(x.entry, x.sendMove)
-	x.tellVerdicts()
-	x.tellNotices()
+	x.tellChanges()
 }
 
 // sendMove tells the entry of an attempt that is to move.
@@ -66,8 +65,8 @@
 	if x.stopMoves != nil {
 		x.stopMoves()
 	}
-	for _, stop := range x.stopTelling {
-		stop()
+	if x.stopTelling != nil {
+		x.stopTelling()
 	}
 	s.mu.Lock()
 	if s.sessions[x.entry] == x {
--- a/pool/server_tell.go
+++ b/pool/server_tell.go
@@ -8,72 +8,49 @@
 	"github.com/linkmast/linkmast/quarantine"
 )
 
-// tellQueue bounds what waits to be told to an entry of one kind: what comes about in a second
-// of a storm of crashes. An entry that takes no more hears the rest when its next session
-// begins.
+// tellQueue bounds what waits to be told to an entry: what comes about in a second of a storm
+// of crashes. An entry that takes no more hears the rest when its next session begins.
 const tellQueue = 256
 
-// tellVerdicts tells the entry what is thought of requests that crash endpoints, now and as
-// it changes, in order.
-func (x *session) tellVerdicts() {
-	book := x.server.scheduler.settings.Quarantine
-	tell := teller[quarantine.Verdict]{
-		session: x,
-		encode:  verdictToEntry,
-		about:   func(v quarantine.Verdict) string { return v.Identity.String() },
-	}
-	tell.follow(book.OnVerdict, book.Verdicts)
-}
-
-// tellNotices tells the entry what endpoints say of themselves, now and as it changes, in
-// order.
-func (x *session) tellNotices() {
-	book := x.server.scheduler.settings.Notices
-	tell := teller[notice.Notice]{
-		session: x,
-		encode:  noticeToEntry,
-		about:   func(n notice.Notice) string { return n.Instance },
-	}
-	tell.follow(book.OnChange, book.Notices)
-}
-
-// teller tells an entry of one kind of changes. An entry that takes nothing doesn't hold up the
-// others.
-type teller[T any] struct {
-	session *session
-	encode  func(T) *poolpb.FromOwner
-	// about names what a change is about, for the log.
-	about func(T) string
-}
-
-// follow tells all that is there and then each change, until the session ends.
-func (t teller[T]) follow(subscribe func(func(T)) (stop func()), all func() []T) {
-	queue := make(chan T, tellQueue)
-	stop := subscribe(func(one T) {
-		select {
-		case queue <- one:
-		default:
-			t.session.server.scheduler.log.Info("entry not told", "entry", t.session.entry, "of", t.about(one), "cause", "too much waits")
-		}
-	})
-	t.session.stopTelling = append(t.session.stopTelling, func() {
-		stop()
+// tellChanges tells the entry what is thought of requests that crash endpoints, and what endpoints
+// say of themselves, now and as it changes, in order. An entry that takes nothing doesn't hold
+// up the others.
+func (x *session) tellChanges() {
+	s := &x.server.scheduler.settings
+	queue := make(chan *poolpb.FromOwner, tellQueue)
+	stopVerdicts := s.Quarantine.OnVerdict(func(v quarantine.Verdict) { x.queue(queue, verdictToEntry(v)) })
+	stopNotices := s.Notices.OnChange(func(n notice.Notice) { x.queue(queue, noticeToEntry(n)) })
+	x.stopTelling = func() {
+		stopVerdicts()
+		stopNotices()
 		close(queue)
-	})
-	now := all()
+	}
+	verdicts, notices := s.Quarantine.Verdicts(), s.Notices.Notices()
 	go func() {
-		for _, one := range now {
-			t.send(one)
+		for _, v := range verdicts {
+			x.tell(verdictToEntry(v))
+		}
+		for _, n := range notices {
+			x.tell(noticeToEntry(n))
 		}
-		for one := range queue {
-			t.send(one)
+		for m := range queue {
+			x.tell(m)
 		}
 	}()
 }
 
-// send tells the entry of one change.
-func (t teller[T]) send(one T) {
-	if err := t.session.send(t.encode(one)); err != nil {
-		t.session.server.scheduler.log.V(1).Info("entry not told", "entry", t.session.entry, "of", t.about(one), "cause", err.Error())
+// queue has the entry told of a change, unless too much waits.
+func (x *session) queue(queue chan<- *poolpb.FromOwner, m *poolpb.FromOwner) {
+	select {
+	case queue <- m:
+	default:
+		x.server.scheduler.log.Info("entry not told", "entry", x.entry, "of", m.String(), "cause", "too much waits")
+	}
+}
+
+// tell tells the entry of one change.
+func (x *session) tell(m *poolpb.FromOwner) {
+	if err := x.send(m); err != nil {
+		x.server.scheduler.log.V(1).Info("entry not told", "entry", x.entry, "of", m.String(), "cause", err.Error())
 	}
 }
