Let an answer to an earlier request not end a rate limit

Found by reading: an endpoint's late answer to an earlier request on the same connection was taken for one to the request under way, so that it could end a limit that was named in between. It is heard still, without a time of sending (TestHearAnswers).

--- a/notice/notice.go
+++ b/notice/notice.go
@@ -41,7 +41,7 @@
 	Born     time.Time
 	// Request names the request.
 	Request string
-	// Sent is when the request was sent.
+	// Sent is when the request was sent, or earlier; zero when that is not known.
 	Sent time.Time
 }
 
--- a/relay/barred_test.go
+++ b/relay/barred_test.go
@@ -3,6 +3,7 @@
 package relay
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -76,3 +77,31 @@
 	is.True(again)
 	is.Equal(j.exclude, []string{"e1"})
 }
+
+// hearing is a notice.Guard that keeps the answers that it heard.
+type hearing struct {
+	declining
+	heard []notice.Answer
+}
+
+func (h *hearing) Heard(a notice.Answer, _ notice.Said) { h.heard = append(h.heard, a) }
+
+// TestHearAnswers looks which answers on a connection are heard: not that of another endpoint, and
+// without a time of sending that of an earlier request.
+func TestHearAnswers(t *testing.T) {
+	is := is.New(t)
+	h := &hearing{}
+	x := &try{
+		relay: New(Settings{}, Parts{Notices: h}),
+		job:   &job{head: Head{ID: "r"}},
+		grant: pool.Grant{Instance: "e1"},
+		began: time.Now(),
+	}
+	x.hear(http.StatusMisdirectedRequest, AnswerHead{}, true)
+	is.Equal(len(h.heard), 0)
+	x.hear(http.StatusOK, AnswerHead{}, false)
+	x.hear(http.StatusServiceUnavailable, AnswerHead{}, true)
+	is.Equal(len(h.heard), 2)
+	is.True(h.heard[0].Sent.IsZero())
+	is.Equal(h.heard[1].Sent, x.began)
+}
--- a/relay/try.go
+++ b/relay/try.go
@@ -125,24 +125,29 @@
 		},
 		Own: func(res *http.Response) bool {
 			head := t.relay.parts.Wire.Answer(res)
-			t.hear(res.StatusCode, head)
-			return head.ID == j.head.ID || head.ID == "" && res.StatusCode >= http.StatusBadRequest
+			own := head.ID == j.head.ID || head.ID == "" && res.StatusCode >= http.StatusBadRequest
+			t.hear(res.StatusCode, head, own)
+			return own
 		},
 	}
 }
 
-// hear takes over what an answer says of its endpoint, also one to another request on the same
-// connection. A misdirected request was answered by another endpoint.
-func (t *try) hear(status int, head AnswerHead) {
+// hear takes over what an answer says of its endpoint, also one that is not the request's own but
+// that of an earlier one on the same connection. A misdirected request was answered by another
+// endpoint.
+func (t *try) hear(status int, head AnswerHead, own bool) {
 	if t.relay.parts.Notices == nil || status == http.StatusMisdirectedRequest {
 		return
 	}
-	t.relay.parts.Notices.Heard(notice.Answer{
+	a := notice.Answer{
 		Instance: t.grant.Instance,
 		Born:     t.grant.Born,
 		Request:  t.job.head.ID,
-		Sent:     t.began,
-	}, head.Said)
+	}
+	if own {
+		a.Sent = t.began
+	}
+	t.relay.parts.Notices.Heard(a, head.Said)
 }
 
 // unanswered judges an attempt without the head of an answer.
