--- a/soak/statements.go
+++ b/soak/statements.go
@@ -114,7 +114,7 @@
 			continue
 		}
 		late := a.At.Sub(first.Add(answerWithin + leavingWithin + runSlack))
-		if late > 0 && !w.disturbedInstance(a.instance, first, a.At) {
+		if late > 0 && !w.excused(a.instance, e, first, a.At) {
 			out = append(out, Violation{
 				Promise: "an endpoint that says that it leaves gets nothing new",
 				Detail: fmt.Sprintf("request %s of instance %d came to %s %s after the bound", a.ID, a.instance,
@@ -148,7 +148,7 @@
 				in++
 			}
 		}
-		if in > restMost && !w.disturbedInstance(asked.instance, asked.At, end) {
+		if in > restMost && !w.excused(asked.instance, e, asked.At, end) {
 			out = append(out, Violation{
 				Promise: "an endpoint that asks for rest has it",
 				Detail:  fmt.Sprintf("%d requests of instance %d came to %s within its rest from %s on", in, asked.instance, e.Name(), asked.At.Format("15:04:05.000")),
@@ -177,7 +177,7 @@
 		}
 		in := 0
 		for _, a := range all[:i+1] {
-			if a.At.After(last.At.Add(-limitWindow)) && !a.At.Before(since) && !w.disturbedInstance(a.instance, since, last.At) {
+			if a.At.After(last.At.Add(-limitWindow)) && !a.At.Before(since) && !w.excused(a.instance, e, since, last.At) {
 				in++
 			}
 		}
@@ -191,27 +191,34 @@
 	return out
 }
 
-// disturbedInstance states whether an instance was stopped, killed or frozen between two moments,
-// or a link before any endpoint failed.
-func (w *World) disturbedInstance(instance int, from, to time.Time) bool {
+// excused states whether, between two moments, an instance was stopped, killed or frozen, or the
+// link before an endpoint failed.
+func (w *World) excused(instance int, e *endpoint, from, to time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, p := range w.played {
-		if p.ended().Add(startWithin).Before(from) || p.began.After(to) {
+		if p.ended().Add(excusedAfter).Before(from) || p.began.After(to) {
 			continue
 		}
 		_, link := endpointLinks[p.step.Kind]
-		own := p.step.Target%len(w.processes) == instance
+		link = link || p.step.Kind == endpointsSilent
 		switch {
-		case link, p.step.Kind == endpointsSilent, p.step.Kind == "all lost in an outage":
+		case link && w.endpoints[p.step.Target%len(w.endpoints)] == e:
 			return true
-		case own && (p.step.Kind == "term" || p.step.Kind == "kill" || p.step.Kind == "freeze"):
+		case p.step.Kind == "all lost in an outage":
+			return true
+		case p.step.Target%len(w.processes) != instance:
+		case p.step.Kind == "term" || p.step.Kind == "kill" || p.step.Kind == "freeze":
 			return true
 		}
 	}
 	return false
 }
 
+// excusedAfter is how long a fault excuses an instance after it has ended: until a process has
+// stopped in its grace and started again, or a frozen one has read what came meanwhile.
+const excusedAfter = 2 * time.Second
+
 // merge returns two schedules as one.
 func merge(a, b []Step) []Step {
 	return slices.SortedStableFunc(slices.Values(slices.Concat(a, b)), func(x, y Step) int { return cmp.Compare(x.At, y.At) })
--- a/soak/statements_test.go
+++ b/soak/statements_test.go
@@ -51,12 +51,13 @@
 		{"rest broken", (*World).judgeRests, arrivalsEvery(begin, 20, 100*time.Millisecond, rest), true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			w := &World{
-				processes: make([]*process, 1),
-			}
 			e := &endpoint{
 				Endpoint: &platformtest.Endpoint{},
 			}
+			w := &World{
+				processes: make([]*process, 1),
+				endpoints: []*endpoint{e},
+			}
 			is.New(t).Equal(len(c.judge(w, e, c.all)) > 0, c.wrong)
 			w.played = []playedStep{{
 				step:  Step{Kind: "freeze", For: time.Hour},
