--- a/gateway/notice_test.go
+++ b/gateway/notice_test.go
@@ -78,11 +78,11 @@
 	is.New(t).Equal(len(rejected), 0)
 }
 
-// The bound on requests to an endpoint that asks an instance for rest.
+// The bound on requests to an endpoint that asks an instance for a back-off.
 const (
-	restFor   = 3 * time.Second
-	restGrace = 500 * time.Millisecond
-	restMost  = 2
+	backoffFor   = 3 * time.Second
+	backoffGrace = 500 * time.Millisecond
+	backoffMost  = 2
 )
 
 // ofKind returns the arrivals whose body begins with a word.
@@ -96,33 +96,33 @@
 	return out
 }
 
-// assertRests checks that no more than two requests of one instance, whose bodies begin with a
-// word, came to an endpoint in the rest that began with the first of them, and that some did
+// assertBacksOff checks that no more than two requests of one instance, whose bodies begin with a
+// word, came to an endpoint in the back-off that began with the first of them, and that some did
 // again soon after it where it is needed.
-func assertRests(t *testing.T, w *world, word string, needed bool, names ...string) {
+func assertBacksOff(t *testing.T, w *world, word string, needed bool, names ...string) {
 	t.Helper()
 	for _, name := range names {
 		arrivals := ofKind(w.endpoints[name].Arrivals(), word)
 		if len(arrivals) == 0 {
 			t.Fatalf("%s got no request", name)
 		}
-		end := arrivals[0].At.Add(restFor)
-		in := arrivedBefore(arrivals, end) - arrivedBefore(arrivals, arrivals[0].At.Add(restGrace))
+		end := arrivals[0].At.Add(backoffFor)
+		in := arrivedBefore(arrivals, end) - arrivedBefore(arrivals, arrivals[0].At.Add(backoffGrace))
 		after := arrivedBefore(arrivals, end.Add(time.Second)) - arrivedBefore(arrivals, end)
-		t.Logf("%s: %d requests in its rest, %d in the second after it", name, in, after)
-		is.New(t).True(in <= restMost)
+		t.Logf("%s: %d requests in its back-off, %d in the second after it", name, in, after)
+		is.New(t).True(in <= backoffMost)
 		is.New(t).True(after > 0 || !needed)
 	}
 }
 
-// TestRestKept guards against requests to endpoints that have asked the instance for rest.
-func TestRestKept(t *testing.T) {
+// TestBackoffKept guards against requests to endpoints that have asked the instance for a back-off.
+func TestBackoffKept(t *testing.T) {
 	engines, plain := []string{"e1", "e2"}, []string{"p1", "p2"}
 	for _, c := range []struct {
 		name      string
 		path      string
 		endpoints []string
-		// all states that all endpoints ask for rest, and not only the one that is used first.
+		// all states that all endpoints ask for a back-off, and not only the one that is used first.
 		all bool
 		// needed states that they are needed again after it.
 		needed bool
@@ -137,50 +137,50 @@
 			t.Parallel()
 			w := newWorld(t, 1)
 			w.ask(0, call{id: "first", path: c.path, tokens: 500})
-			resting := c.endpoints
+			chosen := c.endpoints
 			if !c.all {
-				resting = slices.DeleteFunc(slices.Clone(resting), func(name string) bool { return len(w.endpoints[name].Arrivals()) == 0 })
+				chosen = slices.DeleteFunc(slices.Clone(chosen), func(name string) bool { return len(w.endpoints[name].Arrivals()) == 0 })
 			}
-			for _, name := range resting {
+			for _, name := range chosen {
 				w.endpoints[name].SetFaults(platformtest.EndpointFaults{
-					RejectOn: "tired",
-					Rest:     "3",
+					RejectOn:   "decline",
+					RetryAfter: "3",
 				})
 			}
-			rejected := w.load("resting", call{path: c.path, body: "tired", tokens: 500}, 4500*time.Millisecond)
-			assertRests(t, w, "tired", c.needed, resting...)
+			rejected := w.load("backoff", call{path: c.path, body: "decline", tokens: 500}, 4500*time.Millisecond)
+			assertBacksOff(t, w, "decline", c.needed, chosen...)
 			is.New(t).Equal(len(rejected) > 0, c.all)
 			assertRefusedAtOnce(t, rejected)
 		})
 	}
 }
 
-// TestRestConcernsOneInstance looks that others go on using an endpoint that has asked one
-// instance for rest.
-func TestRestConcernsOneInstance(t *testing.T) {
+// TestBackoffConcernsOneInstance looks that others go on using an endpoint that has asked one
+// instance for a back-off.
+func TestBackoffConcernsOneInstance(t *testing.T) {
 	w := newWorld(t, 3)
 	for _, name := range []string{"e1", "e2"} {
 		w.endpoints[name].SetFaults(platformtest.EndpointFaults{
-			RejectOn: "tired",
-			Rest:     "3",
+			RejectOn:   "decline",
+			RetryAfter: "3",
 		})
 	}
 	for i := range 3 {
 		w.ask(i, call{id: "warm" + string(rune('0'+i)), path: "/stream/a", tokens: 500})
 	}
-	w.ask(0, call{id: "asked", path: "/stream/a", body: "tired", tokens: 500})
-	end := time.Now().Add(restFor - restGrace)
+	w.ask(0, call{id: "asked", path: "/stream/a", body: "decline", tokens: 500})
+	end := time.Now().Add(backoffFor - backoffGrace)
 	for n := 0; time.Now().Before(end); n++ {
 		id := "r" + string(rune('a'+n%26)) + time.Now().Format("050000")
 		if n%3 == 0 {
 			began := time.Now()
-			g := w.ask(0, call{id: id, path: "/stream/a", body: "tired", tokens: 500})
+			g := w.ask(0, call{id: id, path: "/stream/a", body: "decline", tokens: 500})
 			assertRefusedAtOnce(t, []rejection{{got: g, took: time.Since(began)}})
 			continue
 		}
 		assertWhole(t, w.ask(n%3, call{id: id, path: "/stream/a", tokens: 500}))
 	}
-	tired := len(ofKind(w.endpoints["e1"].Arrivals(), "tired")) + len(ofKind(w.endpoints["e2"].Arrivals(), "tired"))
-	t.Logf("%d requests of the instance that was asked", tired)
-	is.New(t).True(tired <= 2+2*restMost)
+	declined := len(ofKind(w.endpoints["e1"].Arrivals(), "decline")) + len(ofKind(w.endpoints["e2"].Arrivals(), "decline"))
+	t.Logf("%d requests of the instance that was asked", declined)
+	is.New(t).True(declined <= 2+2*backoffMost)
 }
--- a/notice/book.go
+++ b/notice/book.go
@@ -15,13 +15,13 @@
 // endpoint whose limit differs in each answer costs one notice in that time.
 const rateHoldFor = time.Second
 
-// The measures of a rest.
+// The measures of a back-off.
 const (
-	// longestRest bounds it: then the endpoint is tried again.
-	longestRest = time.Minute
-	// restSpread is the part by which a rest is longer at random, so that the instances that
+	// maxBackoff bounds it: then the endpoint is tried again.
+	maxBackoff = time.Minute
+	// backoffJitter is the part by which a back-off is longer at random, so that the instances that
 	// were asked at one moment don't all return at one.
-	restSpread = 0.1
+	backoffJitter = 0.1
 )
 
 // known is what a Book has of one endpoint.
@@ -31,8 +31,8 @@
 	// changed when the notice last changed.
 	named   time.Time
 	changed time.Time
-	// restsUntil is until when it wants nothing from this instance.
-	restsUntil time.Time
+	// backoffUntil is until when it wants nothing from this instance.
+	backoffUntil time.Time
 	// malformed states that a statement could not be read.
 	malformed bool
 }
@@ -88,8 +88,8 @@
 	switch {
 	case v.Leaves(instance, born):
 		return "it says that it leaves"
-	case v.Rests(instance, born).After(b.now()):
-		return "it asked for rest"
+	case v.BackoffUntil(instance, born).After(b.now()):
+		return "it asked for a back-off"
 	}
 	return ""
 }
@@ -125,7 +125,7 @@
 		return Notice{}, false
 	}
 	b.noteMalformed(k, a, s)
-	b.hearRest(k, a, s, now)
+	b.hearBackoff(k, a, s, now)
 	left := b.hearLeaving(k, a, s)
 	limited := b.hearRate(k, a, s, now)
 	if !left && !limited {
@@ -252,22 +252,22 @@
 	return true
 }
 
-// hearRest takes over for how long an endpoint wants nothing from this instance. The caller
+// hearBackoff takes over for how long an endpoint wants nothing from this instance. The caller
 // holds the lock.
-func (b *Book) hearRest(k *known, a Answer, s Said, now time.Time) {
-	if s.Rest <= 0 {
+func (b *Book) hearBackoff(k *known, a Answer, s Said, now time.Time) {
+	if s.Backoff <= 0 {
 		return
 	}
-	length := min(s.Rest, longestRest)
-	until := now.Add(length + rand.N(max(time.Duration(restSpread*float64(length)), 1)))
-	if !until.After(k.restsUntil) {
+	length := min(s.Backoff, maxBackoff)
+	until := now.Add(length + rand.N(max(time.Duration(backoffJitter*float64(length)), 1)))
+	if !until.After(k.backoffUntil) {
 		return
 	}
-	if !k.restsUntil.After(now) {
-		b.log.Info("endpoint asks for rest", "endpoint", a.Instance, "for_ms", s.Rest.Milliseconds(),
+	if !k.backoffUntil.After(now) {
+		b.log.Info("endpoint asks for a back-off", "endpoint", a.Instance, "for_ms", s.Backoff.Milliseconds(),
 			"kept_ms", until.Sub(now).Milliseconds(), "request", a.Request)
 	}
-	k.restsUntil = until
+	k.backoffUntil = until
 	b.view.Store(b.View().with(k, now))
 }
 
--- a/notice/book_test.go
+++ b/notice/book_test.go
@@ -182,12 +182,12 @@
 	})
 }
 
-func TestRestHeard(t *testing.T) {
+func TestBackoffHeard(t *testing.T) {
 	for _, row := range []struct {
-		name  string
-		rest  time.Duration
-		least time.Duration
-		most  time.Duration
+		name    string
+		backoff time.Duration
+		least   time.Duration
+		most    time.Duration
 	}{
 		{"seconds", 3 * time.Second, 3 * time.Second, 3300 * time.Millisecond},
 		{"a year", 365 * 24 * time.Hour, time.Minute, 66 * time.Second},
@@ -196,33 +196,33 @@
 		t.Run(row.name, func(t *testing.T) {
 			c := newClock()
 			b := notice.New(c.now, logr.Discard())
-			_, changed := b.Heard(c.answer(0), notice.Said{Rest: row.rest})
+			_, changed := b.Heard(c.answer(0), notice.Said{Backoff: row.backoff})
 			is.New(t).True(!changed)
 			for _, at := range []struct {
-				pass  time.Duration
-				rests bool
+				pass     time.Duration
+				declines bool
 			}{
-				{row.least - 1, row.rest > 0},
+				{row.least - 1, row.backoff > 0},
 				{row.most + 1 - row.least + 1, false},
 			} {
 				c.pass(at.pass)
-				is.New(t).Equal(b.Declines("e", time.Time{}) != "", at.rests)
+				is.New(t).Equal(b.Declines("e", time.Time{}) != "", at.declines)
 			}
 		})
 	}
 }
 
-// TestRestsForgotten looks that rests that have ended are not kept.
-func TestRestsForgotten(t *testing.T) {
+// TestBackoffsForgotten looks that back-offs that have ended are not kept.
+func TestBackoffsForgotten(t *testing.T) {
 	c := newClock()
 	b := notice.New(c.now, logr.Discard())
 	for i := range 10 {
 		a := c.answer(0)
 		a.Instance = string(rune('a' + i))
-		b.Heard(a, notice.Said{Rest: time.Second})
+		b.Heard(a, notice.Said{Backoff: time.Second})
 		c.pass(2 * time.Second)
 	}
-	is.New(t).Equal(len(b.View().Resting()), 1)
+	is.New(t).Equal(len(b.View().BackedOff()), 1)
 }
 
 // TestLeavingOutlastsLimits tells a book that an endpoint leaves, and of newer limits by one that has
@@ -247,13 +247,13 @@
 	}
 }
 
-// TestRestOfAnotherStart tells a book of the next start of an endpoint that rests.
-func TestRestOfAnotherStart(t *testing.T) {
+// TestBackoffOfAnotherStart tells a book of the next start of an endpoint that asked for a back-off.
+func TestBackoffOfAnotherStart(t *testing.T) {
 	c := newClock()
 	b := notice.New(c.now, logr.Discard())
 	first := c.answer(0)
 	first.Born = c.at
-	b.Heard(first, notice.Said{Rest: 10 * time.Second})
+	b.Heard(first, notice.Said{Backoff: 10 * time.Second})
 	is.New(t).True(b.Declines("e", first.Born) != "")
 	next := c.at.Add(time.Second)
 	b.Learn(notice.Notice{
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -55,9 +55,9 @@
 	RateMalformed bool
 	// Leaving states that the endpoint leaves.
 	Leaving bool
-	// Rest is for how long the endpoint wants nothing from the instance that it answers; zero
+	// Backoff is for how long the endpoint wants nothing from the instance that it answers; zero
 	// when it does not say.
-	Rest time.Duration
+	Backoff time.Duration
 	// Malformed is a statement that can't be read, cut short; empty when there is none.
 	Malformed string
 }
@@ -66,7 +66,7 @@
 type Guard interface {
 	// Heard takes over what an answer says.
 	Heard(a Answer, s Said)
-	// Declines returns why an endpoint, whose start began at a moment or does not say when, must
+	// Declines returns why an endpoint, whose start began at born or does not say when, must
 	// get no request of this instance now; empty when it may.
 	Declines(instance string, born time.Time) string
 }
--- a/notice/view.go
+++ b/notice/view.go
@@ -32,19 +32,19 @@
 	limits map[string]Limit
 	// leaving has when the start began of each endpoint that leaves; zero when it does not say.
 	leaving map[string]time.Time
-	// rests are the endpoints that want nothing from this instance.
-	rests map[string]rest
+	// backoffs are the endpoints that want nothing from this instance.
+	backoffs map[string]backoff
 }
 
-// rest is until when an endpoint wants nothing from this instance.
-type rest struct {
+// backoff is until when an endpoint wants nothing from this instance.
+type backoff struct {
 	until time.Time
 	// born is when the start of the endpoint began that asked; zero when it does not say.
 	born time.Time
 }
 
-// Limit returns the rate limit that the start of an endpoint names which began at a moment;
-// zero means that it does not say.
+// Limit returns the rate limit that an endpoint names. Born is when its start began; zero when it
+// does not say.
 func (v *View) Limit(instance string, born time.Time) (Limit, bool) {
 	l, limited := v.limits[instance]
 	if !limited || startedSince(l.born, born) {
@@ -53,27 +53,27 @@
 	return l, true
 }
 
-// Leaves states whether the start of an endpoint leaves which began at a moment; zero means
-// that it does not say.
+// Leaves states whether an endpoint says that it leaves. Born is when its start began; zero when it
+// does not say.
 func (v *View) Leaves(instance string, born time.Time) bool {
 	of, leaves := v.leaving[instance]
 	return leaves && !startedSince(of, born)
 }
 
-// Rests returns until when the start of an endpoint wants nothing from this instance which began
-// at a moment; zero means that it does not say. It returns the zero time if it does not rest.
-func (v *View) Rests(instance string, born time.Time) time.Time {
-	r, rests := v.rests[instance]
-	if !rests || startedSince(r.born, born) {
+// BackoffUntil returns until when an endpoint wants nothing from this instance; the zero time for
+// one that has not asked for that. Born is when its start began; zero when it does not say.
+func (v *View) BackoffUntil(instance string, born time.Time) time.Time {
+	r, known := v.backoffs[instance]
+	if !known || startedSince(r.born, born) {
 		return time.Time{}
 	}
 	return r.until
 }
 
-// Resting returns the endpoints that have asked this instance for rest, in any order. The rests
+// BackedOff returns the endpoints that have asked this instance for a back-off, in any order. Those
 // of some may have ended.
-func (v *View) Resting() []string {
-	return keys(v.rests)
+func (v *View) BackedOff() []string {
+	return keys(v.backoffs)
 }
 
 // AnyLimited states whether any endpoint names a rate limit.
@@ -107,15 +107,15 @@
 	return !notice.IsZero() && notice.Before(born)
 }
 
-// with returns the view with what is known of an endpoint at a moment. Rests that have ended are
-// left out.
+// with returns the view with what is known of an endpoint at a moment. Back-offs that have ended
+// are left out.
 func (v *View) with(k *known, now time.Time) *View {
 	next := &View{
-		limits:  without(v.limits, k.Instance),
-		leaving: without(v.leaving, k.Instance),
-		rests:   without(v.rests, k.Instance),
+		limits:   without(v.limits, k.Instance),
+		leaving:  without(v.leaving, k.Instance),
+		backoffs: without(v.backoffs, k.Instance),
 	}
-	maps.DeleteFunc(next.rests, func(_ string, r rest) bool { return !r.until.After(now) })
+	maps.DeleteFunc(next.backoffs, func(_ string, r backoff) bool { return !r.until.After(now) })
 	if k.Limited {
 		next.limits[k.Instance] = Limit{
 			Rate:  k.Rate,
@@ -126,9 +126,9 @@
 	if k.Leaving {
 		next.leaving[k.Instance] = k.Born
 	}
-	if k.restsUntil.After(now) {
-		next.rests[k.Instance] = rest{
-			until: k.restsUntil,
+	if k.backoffUntil.After(now) {
+		next.backoffs[k.Instance] = backoff{
+			until: k.backoffUntil,
 			born:  k.Born,
 		}
 	}
--- a/pool/client.go
+++ b/pool/client.go
@@ -31,10 +31,10 @@
 	known *catalog.Snapshot
 	// order is the instances of each pool with an owner, the owner first.
 	order map[string][]string
-	// governed are the pools without engines that have an owner, and announce those of them
+	// plainOwned are the pools without engines that have an owner, and untold those of them
 	// whose owners are to be told what runs.
-	governed map[string]bool
-	announce []string
+	plainOwned map[string]bool
+	untold     []string
 	// chosen is the part of the order that is asked.
 	chosen map[string][]string
 	// links are the links by instance.
@@ -65,17 +65,17 @@
 // owner answers.
 func NewClient(self catalog.Peer, local *Scheduler, d Dialer, log logr.Logger) *Client {
 	return &Client{
-		self:     self,
-		local:    local,
-		dialer:   d,
-		log:      log,
-		order:    make(map[string][]string),
-		governed: make(map[string]bool),
-		chosen:   make(map[string][]string),
-		turn:     make(chan struct{}, 1),
-		links:    make(map[string]*linked),
-		book:     make(map[string]*running),
-		moves:    make(map[string]func()),
+		self:       self,
+		local:      local,
+		dialer:     d,
+		log:        log,
+		order:      make(map[string][]string),
+		plainOwned: make(map[string]bool),
+		chosen:     make(map[string][]string),
+		turn:       make(chan struct{}, 1),
+		links:      make(map[string]*linked),
+		book:       make(map[string]*running),
+		moves:      make(map[string]func()),
 	}
 }
 
@@ -121,7 +121,7 @@
 	leaving, emptied := c.barred()
 	a.Exclude = append(slices.Clone(a.Exclude), leaving...)
 	a.Emptied = emptied
-	a.Rests = c.rests(a.Service)
+	a.Backoffs = c.backoffs(a.Service)
 	alone := false
 	for range askRounds {
 		var g Grant
--- a/pool/client_links.go
+++ b/pool/client_links.go
@@ -55,7 +55,7 @@
 	if c.ctx == nil || c.known == nil {
 		return
 	}
-	c.govern()
+	c.assignOwners()
 	wanted := make(map[string]string)
 	for service, ids := range c.order {
 		c.chosen[service] = c.choose(ids, wanted)
@@ -71,7 +71,7 @@
 			c.links[id] = c.openLink(id, address)
 		}
 	}
-	c.introduce()
+	c.tellRunning()
 }
 
 // choose returns the instances of a pool's order that are asked, and adds those
--- a/pool/client_notices.go
+++ b/pool/client_notices.go
@@ -13,11 +13,11 @@
 	return c.local.settings.Notices.Declines(instance, born)
 }
 
-// rests returns the endpoints of a service that have asked this instance for rest.
-func (c *Client) rests(service string) []Rest {
+// backoffs returns the endpoints of a service that have asked this instance for a back-off.
+func (c *Client) backoffs(service string) []Backoff {
 	v := c.local.settings.Notices.View()
-	resting := v.Resting()
-	if len(resting) == 0 {
+	endpoints := v.BackedOff()
+	if len(endpoints) == 0 {
 		return nil
 	}
 	now := c.local.settings.Now()
@@ -26,12 +26,12 @@
 	if c.known == nil {
 		return nil
 	}
-	var out []Rest
-	for _, instance := range resting {
+	var out []Backoff
+	for _, instance := range endpoints {
 		e := c.known.Endpoints[instance]
-		until := v.Rests(instance, e.Born)
+		until := v.BackoffUntil(instance, e.Born)
 		if e.Service == service && until.After(now) {
-			out = append(out, Rest{
+			out = append(out, Backoff{
 				Instance: instance,
 				For:      until.Sub(now),
 			})
--- a/pool/client_govern.go
+++ b/pool/client_owned.go
@@ -4,14 +4,14 @@
 
 import "github.com/linkmast/linkmast/notice"
 
-// govern gives the pools without engines an owner one of whose endpoints names a rate limit,
+// assignOwners gives the pools without engines an owner one of whose endpoints names a rate limit,
 // as that holds for all instances together, and takes it from the others. The caller holds the
 // lock.
-func (c *Client) govern() {
+func (c *Client) assignOwners() {
 	limited := c.limitedServices(c.local.settings.Notices.View())
-	for name := range c.governed {
+	for name := range c.plainOwned {
 		if !limited[name] {
-			c.release(name)
+			c.dropOwners(name)
 		}
 	}
 	for name := range limited {
@@ -19,10 +19,10 @@
 			continue
 		}
 		c.order[name] = c.rank(name, c.known)
-		if !c.governed[name] {
-			c.governed[name] = true
+		if !c.plainOwned[name] {
+			c.plainOwned[name] = true
 			c.log.Info("pool gets an owner", "service", name, "owner", c.order[name][0])
-			c.announce = append(c.announce, name)
+			c.untold = append(c.untold, name)
 		}
 	}
 }
@@ -39,10 +39,10 @@
 	return out
 }
 
-// release has each instance place for itself again on the endpoints of a pool. Its owners are
+// dropOwners has each instance place for itself again on the endpoints of a pool. Its owners are
 // told that the attempts of this instance have ended, as they won't hear of their ends; where
 // the session ends with it, they forget them. The caller holds the lock.
-func (c *Client) release(name string) {
+func (c *Client) dropOwners(name string) {
 	owners := c.linksOf(name)
 	for id, r := range c.book {
 		if r.ask.Service != name {
@@ -54,16 +54,16 @@
 			}
 		}
 	}
-	delete(c.governed, name)
+	delete(c.plainOwned, name)
 	delete(c.order, name)
 	delete(c.chosen, name)
 	c.log.Info("pool has no owner any more", "service", name)
 }
 
-// introduce tells the owners of pools that have just got one what this instance has running
+// tellRunning tells the owners of pools that have just got one what this instance has running
 // there; sessions that open later begin with it. The caller holds the lock.
-func (c *Client) introduce() {
-	for _, name := range c.announce {
+func (c *Client) tellRunning() {
+	for _, name := range c.untold {
 		owners := c.linksOf(name)
 		for _, r := range c.book {
 			if r.ask.Service != name {
@@ -76,5 +76,5 @@
 			}
 		}
 	}
-	c.announce = nil
+	c.untold = nil
 }
--- a/pool/figures.go
+++ b/pool/figures.go
@@ -45,7 +45,7 @@
 	Checked   int `json:"checked"`
 	Absent    int `json:"absent"`
 	// Limited is how many endpoints name a rate limit, PassedOver counts those that were passed
-	// over as requests were placed, as they rested or were at their limits, and Unavailable the
+	// over as requests were placed, as they backed off or were at their limits, and Unavailable the
 	// requests that were refused as no endpoint took any.
 	Limited     int   `json:"limited"`
 	PassedOver  int64 `json:"passed_over"`
--- a/pool/messages.go
+++ b/pool/messages.go
@@ -39,8 +39,8 @@
 		Resumed: a.Resumed,
 		DueUs:   a.Due.Microseconds(),
 	}
-	for _, r := range a.Rests {
-		m.Rests = append(m.Rests, &poolpb.Rest{
+	for _, r := range a.Backoffs {
+		m.Backoffs = append(m.Backoffs, &poolpb.Backoff{
 			Instance: r.Instance,
 			ForUs:    r.For.Microseconds(),
 		})
@@ -77,8 +77,8 @@
 		Resumed: m.GetResumed(),
 		Due:     microseconds(m.GetDueUs()),
 	}
-	for _, r := range m.GetRests() {
-		a.Rests = append(a.Rests, Rest{
+	for _, r := range m.GetBackoffs() {
+		a.Backoffs = append(a.Backoffs, Backoff{
 			Instance: r.GetInstance(),
 			For:      microseconds(r.GetForUs()),
 		})
--- a/pool/messages_test.go
+++ b/pool/messages_test.go
@@ -45,7 +45,7 @@
 			},
 			Resumed: true,
 			Due:     -10 * time.Millisecond,
-			Rests: []Rest{
+			Backoffs: []Backoff{
 				{
 					Instance: "h",
 					For:      11 * time.Millisecond,
@@ -53,7 +53,7 @@
 			},
 		}
 		assertSet(t, a)
-		assertSet(t, a.Rests[0])
+		assertSet(t, a.Backoffs[0])
 		assertSet(t, a.Replaces)
 		is.Equal(decodeAsk(encodeAsk(&a)), a)
 	})
--- a/pool/pace.go
+++ b/pool/pace.go
@@ -298,11 +298,11 @@
 	return s.settings.Reports != nil && s.settings.Pace != PaceLearned && !p.paces.alone && p.paces.decides(now)
 }
 
-// takesQuestions states whether an engine may be asked: it rests from this instance, or names a
-// rate limit, otherwise.
+// takesQuestions states whether an engine may be asked: not if it has asked this instance for a
+// back-off or names a rate limit.
 func (p *state) takesQuestions(e *placement.Engine, v *notice.View, now time.Time) bool {
 	_, limited := p.limit(e, v)
-	return !limited && !v.Rests(e.Instance, p.health[e.Instance].born).After(now)
+	return !limited && !v.BackoffUntil(e.Instance, p.health[e.Instance].born).After(now)
 }
 
 // noteOverdue notes that the pace of engines is unsure whose first events are overdue.
--- a/pool/state.go
+++ b/pool/state.go
@@ -61,7 +61,7 @@
 	notices *notice.Book
 	// rates are the rate limits that endpoints name.
 	rates rates
-	// passedOver counts the endpoints that decisions passed over as they rested or were at
+	// passedOver counts the endpoints that decisions passed over as they backed off or were at
 	// their rate limits, and unavailable the requests that were refused as no endpoint took
 	// any.
 	passedOver  int64
@@ -214,7 +214,7 @@
 	var failed []*placement.Engine
 	for _, e := range p.list {
 		switch {
-		case p.barred(w, e, v) || p.opensAt(w, e, v).After(now):
+		case p.barred(w, e, v) || p.availableAt(w, e, v).After(now):
 		case slices.Contains(w.ask.Avoid, e.Instance) || !p.health[e.Instance].usable(now) || p.suspicion.doubted[e.Instance]:
 			failed = append(failed, e)
 		default:
--- a/pool/types.go
+++ b/pool/types.go
@@ -44,8 +44,8 @@
 	Avoid []string
 	// Emptied are the failure domains that get nothing new, as the entry knows.
 	Emptied []string
-	// Rests are the endpoints that have asked the entry for rest.
-	Rests []Rest
+	// Backoffs are the endpoints that have asked the entry for a back-off.
+	Backoffs []Backoff
 	// Returning states that the caller has come back after a refusal, or tries
 	// again.
 	Returning bool
@@ -63,8 +63,8 @@
 	Due time.Duration
 }
 
-// Rest is an endpoint that wants nothing from an entry.
-type Rest struct {
+// Backoff is an endpoint that wants nothing from an entry.
+type Backoff struct {
 	// Instance names the endpoint.
 	Instance string
 	// For is for how long.
--- a/pool/unavailable.go
+++ b/pool/unavailable.go
@@ -11,7 +11,7 @@
 	"github.com/linkmast/linkmast/placement"
 )
 
-// lateHold is how long a request that is late already waits for an endpoint that rests or is at
+// lateHold is how long a request that is late already waits for an endpoint that backs off or is at
 // its rate limit.
 const lateHold = 100 * time.Millisecond
 
@@ -29,10 +29,10 @@
 	return p.leaves(e, v) || slices.Contains(w.ask.Exclude, e.Instance) || p.emptied.bars(&w.ask, e)
 }
 
-// opensAt returns when an endpoint takes a request: once it has rested, and its rate limit allows
-// it; zero for at once.
-func (p *state) opensAt(w *Waiter, e *placement.Engine, v *notice.View) time.Time {
-	at := w.rests[e.Instance]
+// availableAt returns when an endpoint takes a request: once its back-off has ended, and its rate
+// limit allows it; zero for at once.
+func (p *state) availableAt(w *Waiter, e *placement.Engine, v *notice.View) time.Time {
+	at := w.backoffs[e.Instance]
 	if l, limited := p.limit(e, v); limited {
 		at = later(at, p.nextAt(e, l, w.alone))
 	}
@@ -42,20 +42,20 @@
 // withheld returns how many endpoints take a request only later.
 func (p *state) withheld(w *Waiter, now time.Time) int {
 	v := p.notices.View()
-	if !v.AnyLimited() && len(w.rests) == 0 {
+	if !v.AnyLimited() && len(w.backoffs) == 0 {
 		return 0
 	}
 	n := 0
 	for _, e := range p.list {
-		if !p.leaves(e, v) && p.opensAt(w, e, v).After(now) {
+		if !p.leaves(e, v) && p.availableAt(w, e, v).After(now) {
 			n++
 		}
 	}
 	return n
 }
 
-// openings is when endpoints that take nothing now take requests again.
-type openings struct {
+// availability is when endpoints that take nothing now take requests again.
+type availability struct {
 	// soonest is when the first of those does that a request may have, and rate how many a
 	// second they take in all; zero for none.
 	soonest time.Time
@@ -66,12 +66,12 @@
 	leaving bool
 }
 
-// openings returns when endpoints take requests again.
-func (p *state) openings(w *Waiter, now time.Time) openings {
+// availability returns when endpoints take requests again.
+func (p *state) availability(w *Waiter, now time.Time) availability {
 	v := p.notices.View()
-	var o openings
+	var o availability
 	for _, e := range p.list {
-		at := p.opensAt(w, e, v)
+		at := p.availableAt(w, e, v)
 		switch {
 		case p.leaves(e, v):
 			o.leaving = true
@@ -96,15 +96,15 @@
 	return p.rates.share(l, w.alone)
 }
 
-// refuseUnavailable returns a refusal for a request when each endpoint leaves, rests or has got
+// refuseUnavailable returns a refusal for a request when each endpoint leaves, backs off or has got
 // what its rate limit allows, and none takes it in time; nil for others. Ahead is how many
 // requests wait that are more urgent.
 func (s *Scheduler) refuseUnavailable(p *state, w *Waiter, list []*placement.Engine, ahead int, now time.Time) *Refusal {
 	if len(list) > 0 {
 		return nil
 	}
-	o := p.openings(w, now)
-	reason, after := "all endpoints rest or are at their rate limits", o.back.Sub(now)
+	o := p.availability(w, now)
+	reason, after := "all endpoints back off or are at their rate limits", o.back.Sub(now)
 	switch {
 	case o.rate > 0:
 		at := later(o.soonest, now).Add(seconds(float64(ahead) / o.rate))
--- a/pool/unavailable_test.go
+++ b/pool/unavailable_test.go
@@ -82,12 +82,12 @@
 	assert(false)
 }
 
-// TestRestOfOneEntry looks that the requests of an entry that was asked for rest go elsewhere,
-// those of others don't, and that its requests are refused at once when all endpoints rest.
-func TestRestOfOneEntry(t *testing.T) {
+// TestBackoffOfOneEntry looks that the requests of an entry that was asked for a back-off go elsewhere,
+// those of others don't, and that its requests are refused at once when all endpoints back off.
+func TestBackoffOfOneEntry(t *testing.T) {
 	w := newRateWorld(t, 1, 2, rateModel())
 	s := w.instances[0]
-	place := func(entry string, rests ...Rest) (string, *Refusal) {
+	place := func(entry string, backoffs ...Backoff) (string, *Refusal) {
 		w.asked++
 		x := s.submitFor(Ask{
 			ID:       fmt.Sprint("r", w.asked),
@@ -95,14 +95,14 @@
 			Prompt:   100,
 			Target:   300 * time.Millisecond,
 			Deadline: 4 * time.Second,
-			Rests:    rests,
+			Backoffs: backoffs,
 		}, entry, false)
 		g, r, decided := x.Decision()
 		is.New(t).True(decided)
 		return g.Instance, r
 	}
-	first := Rest{Instance: "e0", For: 3 * time.Second}
-	second := Rest{Instance: "e1", For: 2 * time.Second}
+	first := Backoff{Instance: "e0", For: 3 * time.Second}
+	second := Backoff{Instance: "e1", For: 2 * time.Second}
 	at, _ := place("a", first)
 	is.New(t).Equal(at, "e1")
 	at, _ = place("b")
@@ -118,7 +118,7 @@
 			Prompt:   100,
 			Target:   300 * time.Millisecond,
 			Deadline: 4 * time.Second,
-			Rests:    []Rest{first, {Instance: "e1", For: 100 * time.Millisecond}},
+			Backoffs: []Backoff{first, {Instance: "e1", For: 100 * time.Millisecond}},
 		})
 		_, _, decided := x.Decision()
 		is.New(t).True(!decided)
--- a/pool/waiter.go
+++ b/pool/waiter.go
@@ -18,8 +18,8 @@
 	refuse chan *Refusal
 	// placeBy is when a late request should have a place; zero while it isn't late.
 	placeBy time.Time
-	// rests are the endpoints that want nothing from the entry, with until when.
-	rests map[string]time.Time
+	// backoffs are the endpoints that want nothing from the entry, with until when.
+	backoffs map[string]time.Time
 	// late states that the last plan made the request late.
 	late bool
 	// entry names the instance that asks.
@@ -41,14 +41,14 @@
 	}
 }
 
-// restsUntil returns the endpoints that want nothing from the entry, with until when; nil for
+// backoffsUntil returns the endpoints that want nothing from the entry, with until when; nil for
 // none.
-func (a *Ask) restsUntil(now time.Time) map[string]time.Time {
-	if len(a.Rests) == 0 {
+func (a *Ask) backoffsUntil(now time.Time) map[string]time.Time {
+	if len(a.Backoffs) == 0 {
 		return nil
 	}
-	out := make(map[string]time.Time, len(a.Rests))
-	for _, r := range a.Rests {
+	out := make(map[string]time.Time, len(a.Backoffs))
+	for _, r := range a.Backoffs {
 		out[r.Instance] = now.Add(r.For)
 	}
 	return out
@@ -58,8 +58,8 @@
 func (s *Scheduler) waiter(p *state, a Ask, now time.Time) *Waiter {
 	v := p.worth.Value(a.kind())
 	return &Waiter{
-		ask:   a,
-		rests: a.restsUntil(now),
+		ask:      a,
+		backoffs: a.backoffsUntil(now),
 		request: placement.Request{
 			ID:        a.ID,
 			Prompt:    a.Prompt,
--- a/soak/statements.go
+++ b/soak/statements.go
@@ -20,15 +20,15 @@
 const (
 	// statedRate is the rate limit that they name, in requests a second.
 	statedRate = 2
-	// statedRest is for how long they want nothing.
-	statedRest = time.Second
+	// statedBackoff is for how long they want nothing.
+	statedBackoff = time.Second
 )
 
 // statementFaults are the statements that an endpoint makes for the time of a step.
 var statementFaults = map[string]platformtest.EndpointFaults{
-	"endpoint names a limit":  {Limit: fmt.Sprint(statedRate)},
-	"endpoint asks for rest":  {Reject: true, Rest: fmt.Sprint(statedRest.Seconds())},
-	"endpoint says no number": {Limit: "few", Reject: true, Rest: "soon"},
+	"endpoint names a limit":       {Limit: fmt.Sprint(statedRate)},
+	"endpoint asks for a back-off": {Reject: true, RetryAfter: fmt.Sprint(statedBackoff.Seconds())},
+	"endpoint says no number":      {Limit: "few", Reject: true, RetryAfter: "soon"},
 }
 
 // The bounds that operators state.
@@ -36,9 +36,9 @@
 	// leavingWithin is how soon after an answer that says that its endpoint leaves it must get
 	// nothing new from the instance that got it.
 	leavingWithin = 2 * time.Second
-	// restGrace is how soon a rest must be kept, and restMost how many requests may come in it.
-	restGrace = 500 * time.Millisecond
-	restMost  = 2
+	// backoffGrace is how soon a back-off must be kept, and backoffMost how many requests may come in it.
+	backoffGrace = 500 * time.Millisecond
+	backoffMost  = 2
 	// limitGrace is how soon a rate limit must be kept. In limitWindow limitFactor times what it
 	// allows may come, and limitSlack more.
 	limitGrace  = 3 * time.Second
@@ -94,7 +94,7 @@
 				})
 			}
 		}
-		out = slices.Concat(out, w.judgeToldLeaving(e, all), w.judgeRests(e, all), w.judgeLimits(e, all))
+		out = slices.Concat(out, w.judgeToldLeaving(e, all), w.judgeBackoffs(e, all), w.judgeLimits(e, all))
 	}
 	return out
 }
@@ -133,25 +133,25 @@
 	answerWithin = time.Second
 )
 
-// judgeRests checks that an endpoint that asked an instance for rest got two requests of it at most
+// judgeBackoffs checks that an endpoint that asked an instance for a back-off got two requests of it at most
 // meanwhile.
-func (w *World) judgeRests(e *endpoint, all []arrival) []Violation {
+func (w *World) judgeBackoffs(e *endpoint, all []arrival) []Violation {
 	var out []Violation
 	for i, asked := range all {
-		if !asked.Said.Reject || asked.Said.Rest != statementFaults["endpoint asks for rest"].Rest {
+		if !asked.Said.Reject || asked.Said.RetryAfter != statementFaults["endpoint asks for a back-off"].RetryAfter {
 			continue
 		}
-		end := asked.At.Add(statedRest)
+		end := asked.At.Add(statedBackoff)
 		in := 0
 		for _, a := range all[i+1:] {
-			if a.instance == asked.instance && a.At.After(asked.At.Add(restGrace)) && a.At.Before(end) {
+			if a.instance == asked.instance && a.At.After(asked.At.Add(backoffGrace)) && a.At.Before(end) {
 				in++
 			}
 		}
-		if in > restMost && !w.excused(asked.instance, e, asked.At, end) {
+		if in > backoffMost && !w.excused(asked.instance, e, asked.At, end) {
 			out = append(out, Violation{
-				Promise: "an endpoint that asks for rest has it",
-				Detail:  fmt.Sprintf("%d requests of instance %d came to %s within its rest from %s on", in, asked.instance, e.Name(), asked.At.Format("15:04:05.000")),
+				Promise: "an endpoint that asks for a back-off has it",
+				Detail:  fmt.Sprintf("%d requests of instance %d came to %s within its back-off from %s on", in, asked.instance, e.Name(), asked.At.Format("15:04:05.000")),
 			})
 		}
 	}
--- a/soak/statements_test.go
+++ b/soak/statements_test.go
@@ -33,7 +33,7 @@
 	begin := time.Now()
 	leaving := platformtest.EndpointFaults{Leaving: true}
 	limit := statementFaults["endpoint names a limit"]
-	rest := statementFaults["endpoint asks for rest"]
+	backoff := statementFaults["endpoint asks for a back-off"]
 	leave := (*World).judgeToldLeaving
 	for _, c := range []struct {
 		name  string
@@ -47,8 +47,8 @@
 		{"limit kept", (*World).judgeLimits, arrivalsEvery(begin, 20, 500*time.Millisecond, limit), false},
 		{"limit passed", (*World).judgeLimits, arrivalsEvery(begin, 60, 100*time.Millisecond, limit), true},
 		{"no limit", (*World).judgeLimits, arrivalsEvery(begin, 60, 100*time.Millisecond, platformtest.EndpointFaults{}), false},
-		{"rest kept", (*World).judgeRests, arrivalsEvery(begin, 5, statedRest, rest), false},
-		{"rest broken", (*World).judgeRests, arrivalsEvery(begin, 20, 100*time.Millisecond, rest), true},
+		{"back-off kept", (*World).judgeBackoffs, arrivalsEvery(begin, 5, statedBackoff, backoff), false},
+		{"back-off broken", (*World).judgeBackoffs, arrivalsEvery(begin, 20, 100*time.Millisecond, backoff), true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			e := &endpoint{
