--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -95,3 +95,29 @@
 		})
 	}
 }
+
+// endSeenWithin is how soon after its limit has ended an endpoint must be used as before: one
+// request each second tells.
+const endSeenWithin = 2 * time.Second
+
+// TestRateLimitEnds looks that endpoints whose limit has ended are soon used as before.
+func TestRateLimitEnds(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		path    string
+		limited []string
+	}{
+		{"engines", "/stream/a", []string{"e1", "e2"}},
+		{"plain", "/safe/a", []string{"p1", "p2"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, 3)
+			w.limit("1", c.limited...)
+			w.load("during", call{path: c.path, tokens: 500}, 3*time.Second)
+			w.limit("", c.limited...)
+			w.load("ending", call{path: c.path, tokens: 500}, endSeenWithin)
+			is.New(t).Equal(len(w.load("after", call{path: c.path, tokens: 500}, time.Second)), 0)
+		})
+	}
+}
