gateway: count failed dials to endpoints in the metrics

The incident's lines name the endpoint of each failed attempt but no metric tells failures of one instance's links from those of an endpoint. failed_dials that grows on one instance alone points at that instance. No logic changes.

--- a/gateway/admin.go
+++ b/gateway/admin.go
@@ -75,6 +75,9 @@
 	Connections int `json:"connections"`
 	// Dials is the number of attempts to open a connection to an endpoint since the start.
 	Dials int64 `json:"dials"`
+	// FailedDials is the number of those attempts that failed. If it grows on one instance alone,
+	// the fault lies between that instance and the endpoints.
+	FailedDials int64 `json:"failed_dials"`
 	// LinesDropped is the number of log lines dropped since the start.
 	LinesDropped int64 `json:"lines_dropped"`
 }
@@ -86,6 +89,7 @@
 		InFlight:     g.relay.InFlight(),
 		Connections:  g.callerConns.count(),
 		Dials:        g.upstream.Dials(),
+		FailedDials:  g.upstream.FailedDials(),
 		LinesDropped: g.droppedLines(),
 	}
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -40,8 +40,9 @@
 // Pool opens connections to endpoints and keeps idle ones for reuse.
 type Pool struct {
 	dialer *net.Dialer
-	// dials counts the attempts to open a connection.
-	dials atomic.Int64
+	// dials counts the attempts to open a connection, failedDials those that failed.
+	dials       atomic.Int64
+	failedDials atomic.Int64
 
 	mu sync.Mutex
 	// idle holds the idle connections by address, the most recently used last.
@@ -64,6 +65,11 @@
 	return p.dials.Load()
 }
 
+// FailedDials returns how many attempts to open a connection have failed.
+func (p *Pool) FailedDials() int64 {
+	return p.failedDials.Load()
+}
+
 // get returns a reusable connection that has been idle for less than maxIdle and less than its
 // idle timeout, or a new one. The error is that of the dial.
 func (p *Pool) get(ctx context.Context, address string, maxIdle time.Duration) (*Conn, error) {
@@ -80,6 +86,7 @@
 	p.dials.Add(1)
 	n, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
+		p.failedDials.Add(1)
 		return nil, errors.Wrap(err, "connect to endpoint")
 	}
 	return newConn(n, address), nil
