gateway: reproduce an instance cut from all endpoints

gateway.New takes its dependencies as a struct, with the function that dials endpoints, so that a test can partition one instance. tcptest.Dialer does it in three ways: new connections refused, all reset, all packets dropped.

--- a/cmd/linkmast/main.go
+++ b/cmd/linkmast/main.go
@@ -100,7 +100,10 @@
 // the number of log lines that were dropped.
 func start(s *settings.File, log logr.Logger, dropped func() int64) (instance, error) {
 	if s.Platform.Store != "" {
-		g, err := gateway.New(s, log, dropped)
+		g, err := gateway.New(s, gateway.Parts{
+			Log:          log,
+			DroppedLines: dropped,
+		})
 		if err != nil {
 			return nil, err
 		}
--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -3,7 +3,6 @@
 package gateway
 
 import (
-	"net/http"
 	"time"
 
 	"google.golang.org/grpc"
@@ -26,7 +25,6 @@
 // assemble creates the components in order of their dependencies. PeerListen must be set.
 func (g *Gateway) assemble() {
 	f := g.settings
-	client := wirehttp.Client()
 	g.self = catalog.Peer{
 		ID:            f.ID,
 		Address:       g.PeerListen,
@@ -46,7 +44,7 @@
 	g.assemblePools()
 	g.recorder = quarantine.NewRecorder(g.quarantine, store, g.placer.CountsCrashes, g.log.WithName("quarantine"))
 	g.assembleServer()
-	g.assembleRelay(client)
+	g.assembleRelay()
 }
 
 // maxIdleReportConns is the maximum number of idle connections that are kept for querying engines
@@ -69,8 +67,8 @@
 			Overage: f.Cold.Overage,
 			Slack:   f.Cold.Slack,
 		},
-		SlowdownQuerier: platform.NewReports(wirehttp.ClientMaxIdle(maxIdleReportConns), g.recordStatements, g.log.WithName("reports")),
-		Check:           tcp.Check,
+		SlowdownQuerier: platform.NewReports(wirehttp.ClientBy(g.dialEndpoint, maxIdleReportConns), g.recordStatements, g.log.WithName("reports")),
+		Check:           tcp.CheckBy(g.dialEndpoint),
 		Worth:           f.Worth,
 		Quarantine:      g.quarantine,
 		Notices:         g.notices,
@@ -95,9 +93,8 @@
 	catalogpb.RegisterCatalogServer(g.rpc, catalog.NewServer(g.catalog, g.stopping))
 }
 
-// assembleRelay creates the relay that serves callers. The relay uses client to reserve and release
-// memory of engines.
-func (g *Gateway) assembleRelay(client *http.Client) {
+// assembleRelay creates the relay that serves callers.
+func (g *Gateway) assembleRelay() {
 	f := g.settings
 	g.relay = relay.New(relay.Settings{
 		Self:       f.ID,
@@ -109,10 +106,10 @@
 		Placer:     g.placer,
 		Suspicions: g.placer,
 		Quarantine: g.placer,
-		Check:      tcp.Check,
+		Check:      tcp.CheckBy(g.dialEndpoint),
 		Notices:    g.placer,
 		Wire:       platform.Wire{},
-		Memory:     platform.NewOrders(client, g.recordStatements),
+		Memory:     platform.NewOrders(wirehttp.ClientBy(g.dialEndpoint, 0), g.recordStatements),
 		Upstream:   g.upstream,
 		Log:        g.log.WithName("relay"),
 	})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,6 +41,8 @@
 	log      logr.Logger
 	// droppedLines returns the number of log lines dropped so far.
 	droppedLines func() int64
+	// dialEndpoint opens connections to endpoints.
+	dialEndpoint tcp.DialFunc
 	// self describes this instance to other instances.
 	self    catalog.Peer
 	catalog *catalog.Catalog
@@ -77,19 +79,34 @@
 	stopOnce   sync.Once
 }
 
-// New starts an instance. Stop ends it gracefully, Close immediately. The function dropped returns
-// the number of log lines dropped so far. New returns an error if it can't listen on one of the
-// addresses.
-func New(f *settings.File, log logr.Logger, dropped func() int64) (*Gateway, error) {
+// Parts holds the dependencies of a Gateway.
+type Parts struct {
+	// Log receives the log lines.
+	Log logr.Logger
+	// DroppedLines returns the number of log lines dropped so far.
+	DroppedLines func() int64
+	// DialEndpoint opens connections to endpoints; nil selects a tcp.Dialer.
+	DialEndpoint tcp.DialFunc
+}
+
+// New starts an instance. Stop ends it gracefully, Close immediately. New returns an error if it
+// can't listen on one of the addresses.
+func New(f *settings.File, p Parts) (*Gateway, error) {
+	if p.DialEndpoint == nil {
+		p.DialEndpoint = tcp.Dialer(endpointDialTimeout).DialContext
+	}
 	g := &Gateway{
 		Done:         make(chan struct{}),
 		settings:     f,
-		log:          log,
-		droppedLines: dropped,
-		upstream:     upstream.New(upstream.Settings{}),
-		callerConns:  newConnections(),
-		poolsReady:   make(chan struct{}),
-		stopping:     make(chan struct{}),
+		log:          p.Log,
+		droppedLines: p.DroppedLines,
+		dialEndpoint: p.DialEndpoint,
+		upstream: upstream.New(upstream.Settings{
+			Dial: p.DialEndpoint,
+		}),
+		callerConns: newConnections(),
+		poolsReady:  make(chan struct{}),
+		stopping:    make(chan struct{}),
 	}
 	l, err := tcp.Listen(f.PeerListen)
 	if err != nil {
@@ -113,6 +130,9 @@
 	return g, nil
 }
 
+// endpointDialTimeout bounds the establishment of a connection to an endpoint.
+const endpointDialTimeout = 500 * time.Millisecond
+
 // followCatalog forwards the current snapshot of the catalog to the other components after each
 // change, until ctx ends. It may skip snapshots that are replaced quickly.
 func (g *Gateway) followCatalog(ctx context.Context) {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -18,6 +18,7 @@
 	"github.com/linkmast/linkmast/batch"
 	"github.com/linkmast/linkmast/config"
 	"github.com/linkmast/linkmast/gateway"
+	"github.com/linkmast/linkmast/internal/tcp/tcptest"
 	"github.com/linkmast/linkmast/platform/platformtest"
 	"github.com/linkmast/linkmast/pool"
 	"github.com/linkmast/linkmast/quarantine"
@@ -33,7 +34,9 @@
 	endpoints map[string]*platformtest.Endpoint
 	addresses map[string]string
 	gateways  []*gateway.Gateway
-	version   int
+	// links has the links of each instance to the endpoints.
+	links   []*tcptest.Dialer
+	version int
 	// lenient turns RevokeStrict off: instances that can't reach the store go on accepting keys.
 	lenient bool
 }
@@ -203,7 +206,14 @@
 		},
 	}
 	f.SetDefaults()
-	g, err := gateway.New(f, logr.Discard(), func() int64 { return 0 })
+	for len(w.links) <= i {
+		w.links = append(w.links, new(tcptest.Dialer))
+	}
+	g, err := gateway.New(f, gateway.Parts{
+		Log:          logr.Discard(),
+		DroppedLines: func() int64 { return 0 },
+		DialEndpoint: w.links[i].DialContext,
+	})
 	if err != nil {
 		w.t.Fatal(err)
 	}
--- a/internal/tcp/check.go
+++ b/internal/tcp/check.go
@@ -11,7 +11,17 @@
 // dial or the close.
 func Check(ctx context.Context, address string) error {
 	var d net.Dialer
-	c, err := d.DialContext(ctx, "tcp", address)
+	return check(ctx, d.DialContext, address)
+}
+
+// CheckBy returns a Check that dials with the given function.
+func CheckBy(dial DialFunc) func(ctx context.Context, address string) error {
+	return func(ctx context.Context, address string) error { return check(ctx, dial, address) }
+}
+
+// check implements Check.
+func check(ctx context.Context, dial DialFunc, address string) error {
+	c, err := dial(ctx, "tcp", address)
 	if err != nil {
 		return err
 	}
--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -29,6 +29,9 @@
 	probeCount = 2
 )
 
+// DialFunc opens a connection, like the method DialContext of net.Dialer.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Dialer returns a dialer for connections with keep-alive probes and a bound on unacknowledged
 // data. A dial fails after timeout.
 func Dialer(timeout time.Duration) *net.Dialer {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -40,12 +40,21 @@
 	}
 }
 
+// quieter is a connection without a file descriptor. Quiet reports whether it is open and has no
+// data to read.
+type quieter interface {
+	Quiet() bool
+}
+
 // reusable reports whether an idle connection is still open and has no data to read, which it
 // determines with a read that does not block.
 func (c *Conn) reusable() bool {
 	if c.reader.Buffered() > 0 {
 		return false
 	}
+	if q, ok := c.net.(quieter); ok {
+		return q.Quiet()
+	}
 	sc, ok := c.net.(syscall.Conn)
 	if !ok {
 		return true
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,11 +34,14 @@
 type Settings struct {
 	// DialTimeout bounds the establishment of a connection; the default is 400ms.
 	DialTimeout time.Duration
+	// Dial opens connections; the default is a tcp.Dialer.
+	Dial tcp.DialFunc
 }
 
 // Pool opens connections to endpoints and keeps idle ones for reuse.
 type Pool struct {
-	dialer *net.Dialer
+	dial        tcp.DialFunc
+	dialTimeout time.Duration
 	// dials counts the attempts to open a connection, failedDials those that failed.
 	dials       atomic.Int64
 	failedDials atomic.Int64
@@ -54,9 +56,13 @@
 	if s.DialTimeout == 0 {
 		s.DialTimeout = defaultDialTimeout
 	}
+	if s.Dial == nil {
+		s.Dial = tcp.Dialer(s.DialTimeout).DialContext
+	}
 	return &Pool{
-		dialer: tcp.Dialer(s.DialTimeout),
-		idle:   make(map[string][]*Conn),
+		dial:        s.Dial,
+		dialTimeout: s.DialTimeout,
+		idle:        make(map[string][]*Conn),
 	}
 }
 
@@ -84,7 +90,9 @@
 		c.close()
 	}
 	p.dials.Add(1)
-	n, err := p.dialer.DialContext(ctx, "tcp", address)
+	ctx, cancel := context.WithTimeout(ctx, p.dialTimeout)
+	defer cancel()
+	n, err := p.dial(ctx, "tcp", address)
 	if err != nil {
 		p.failedDials.Add(1)
 		return nil, errors.Wrap(err, "connect to endpoint")
--- a/internal/wirehttp/wirehttp.go
+++ b/internal/wirehttp/wirehttp.go
@@ -38,9 +38,15 @@
 // ClientMaxIdle is like Client, but the returned client keeps at most the given number of idle
 // connections to all addresses together. Zero means no limit.
 func ClientMaxIdle(idle int) *http.Client {
+	return ClientBy(tcp.Dialer(dialTimeout).DialContext, idle)
+}
+
+// ClientBy is like ClientMaxIdle, but the returned client dials with the given function, which must
+// bound the time of a dial.
+func ClientBy(dial tcp.DialFunc, idle int) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         tcp.Dialer(dialTimeout).DialContext,
+			DialContext:         dial,
 			MaxIdleConns:        idle,
 			MaxIdleConnsPerHost: idlePerHost,
 			IdleConnTimeout:     idleTimeout,
