reach: serve callers of an instance that is cut from all endpoints

Callers of such an instance were not served (0 of 45 first tries beside 175 of 175), waited until their time limit, and its failures ejected endpoints for all.

Cause: an instance reached endpoints by connections of its own alone, and a failed connection counted against the endpoint whoever made it. All decisions stay with the instance that received the request, so attempts, budgets, notices and refusals count once as before. An endpoint counts as unreachable only if an instance that reaches others does not reach it either; without a path at all a request is refused after two attempts. All dials to endpoints go this way: requests, reservations, reports, checks of the owner, crash checks.

A request that has excluded every endpoint is refused at once; it waited for its whole time before.

Ruled out: decisions alone (every attempt of the cut instance failed), and unreadiness (its callers would be refused, and a zone that is cut as a whole gets them all the same).

--- a/gateway/admin.go
+++ b/gateway/admin.go
@@ -9,6 +9,7 @@
 	"runtime"
 
 	"github.com/linkmast/linkmast/catalog"
+	"github.com/linkmast/linkmast/reach"
 )
 
 // adminHandler returns the handler of the admin address.
@@ -25,6 +26,7 @@
 	all.Set("pools", expvar.Func(func() any { return g.pools.Stats() }))
 	all.Set("store", expvar.Func(func() any { return g.storeStats() }))
 	all.Set("quarantine", expvar.Func(func() any { return g.quarantine.Stats() }))
+	all.Set("reach", expvar.Func(func() any { return g.reachStats() }))
 	all.Set("process", expvar.Func(func() any { return g.processStats() }))
 	w.Header().Set("Content-Type", "application/json")
 	// A write fails only if the client has disconnected.
@@ -66,6 +68,24 @@
 	return f
 }
 
+// reachStats describes the paths to endpoints.
+type reachStats struct {
+	reach.Stats
+	// Forwarding is the number of connections that the instance forwards for others, and Served
+	// their number since the start.
+	Forwarding int64 `json:"forwarding"`
+	Served     int64 `json:"served"`
+}
+
+// reachStats returns the current statistics.
+func (g *Gateway) reachStats() reachStats {
+	return reachStats{
+		Stats:      g.reach.Stats(),
+		Forwarding: g.forwarder.Active(),
+		Served:     g.forwarder.Served(),
+	}
+}
+
 // processStats holds statistics of the process.
 type processStats struct {
 	Goroutines int `json:"goroutines"`
--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -18,12 +18,14 @@
 	"github.com/linkmast/linkmast/pool"
 	"github.com/linkmast/linkmast/pool/poolpb"
 	"github.com/linkmast/linkmast/quarantine"
+	"github.com/linkmast/linkmast/reach/reachpb"
 	"github.com/linkmast/linkmast/relay"
 	"github.com/linkmast/linkmast/settings"
 )
 
-// assemble creates the components in order of their dependencies. PeerListen must be set.
-func (g *Gateway) assemble() {
+// assemble creates the components in order of their dependencies. PeerListen must be set. The
+// function dial opens direct connections to endpoints.
+func (g *Gateway) assemble(dial tcp.DialFunc) {
 	f := g.settings
 	g.self = catalog.Peer{
 		ID:            f.ID,
@@ -39,6 +41,7 @@
 		FirstStart: f.FirstStart,
 		Poll:       time.Duration(f.Times.Revoke) / pollsPerRevoke,
 	}, store, g.peers, g.log.WithName("catalog"))
+	g.assemblePaths(dial)
 	g.notices = notice.New(steady.Now, g.log.WithName("notice"))
 	g.quarantine = quarantine.New(steady.Now, g.retestTurn, g.log.WithName("quarantine"))
 	g.assemblePools()
@@ -67,8 +70,8 @@
 			Overage: f.Cold.Overage,
 			Slack:   f.Cold.Slack,
 		},
-		SlowdownQuerier: platform.NewReports(wirehttp.ClientBy(g.dialEndpoint, maxIdleReportConns), g.recordStatements, g.log.WithName("reports")),
-		Check:           tcp.CheckBy(g.dialEndpoint),
+		SlowdownQuerier: platform.NewReports(g.reports, g.recordStatements, g.log.WithName("reports")),
+		Check:           tcp.CheckBy(g.reach.DialContext),
 		Worth:           f.Worth,
 		Quarantine:      g.quarantine,
 		Notices:         g.notices,
@@ -91,6 +94,7 @@
 	g.rpc = grpc.NewServer(grpc.ReadBufferSize(rpcBufferBytes), grpc.WriteBufferSize(rpcBufferBytes))
 	poolpb.RegisterPoolServer(g.rpc, pool.NewServer(g.pools, g.poolsReady, g.stopping))
 	catalogpb.RegisterCatalogServer(g.rpc, catalog.NewServer(g.catalog, g.stopping))
+	reachpb.RegisterForwardingServer(g.rpc, g.forwarder)
 }
 
 // assembleRelay creates the relay that serves callers.
@@ -106,11 +110,12 @@
 		Placer:     g.placer,
 		Suspicions: g.placer,
 		Quarantine: g.placer,
-		Check:      tcp.CheckBy(g.dialEndpoint),
+		Check:      tcp.CheckBy(g.reach.DialContext),
 		Notices:    g.placer,
 		Wire:       platform.Wire{},
-		Memory:     platform.NewOrders(wirehttp.ClientBy(g.dialEndpoint, 0), g.recordStatements),
+		Memory:     platform.NewOrders(g.orders, g.recordStatements),
 		Upstream:   g.upstream,
+		VerifyPath: g.reach.Verify,
 		Log:        g.log.WithName("relay"),
 	})
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/linkmast/linkmast/peer"
 	"github.com/linkmast/linkmast/pool"
 	"github.com/linkmast/linkmast/quarantine"
+	"github.com/linkmast/linkmast/reach"
 	"github.com/linkmast/linkmast/relay"
 	"github.com/linkmast/linkmast/settings"
 )
@@ -41,8 +42,6 @@
 	log      logr.Logger
 	// droppedLines returns the number of log lines dropped so far.
 	droppedLines func() int64
-	// dialEndpoint opens connections to endpoints.
-	dialEndpoint tcp.DialFunc
 	// self describes this instance to other instances.
 	self    catalog.Peer
 	catalog *catalog.Catalog
@@ -62,6 +61,12 @@
 	notices  *notice.Registry
 	relay    *relay.Relay
 	upstream *upstream.Pool
+	// reach opens the connections to endpoints. forwarder opens those that other instances request.
+	// orders and reports are the clients of engines.
+	reach     *reach.Dialer
+	forwarder *reach.Server
+	orders    *http.Client
+	reports   *http.Client
 	// peers holds the connections to other instances. rpc serves connections from them.
 	peers *peer.Pool
 	rpc   *grpc.Server
@@ -100,20 +105,16 @@
 		settings:     f,
 		log:          p.Log,
 		droppedLines: p.DroppedLines,
-		dialEndpoint: p.DialEndpoint,
-		upstream: upstream.New(upstream.Settings{
-			Dial: p.DialEndpoint,
-		}),
-		callerConns: newConnections(),
-		poolsReady:  make(chan struct{}),
-		stopping:    make(chan struct{}),
+		callerConns:  newConnections(),
+		poolsReady:   make(chan struct{}),
+		stopping:     make(chan struct{}),
 	}
 	l, err := tcp.Listen(f.PeerListen)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
 	g.PeerListen = l.Addr().String()
-	g.assemble()
+	g.assemble(p.DialEndpoint)
 	if err := g.serve(); err != nil {
 		_ = l.Close()
 		return nil, err
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -22,7 +22,8 @@
 
 // Stop ends the instance gracefully and returns when it has ended. The instance reports that it is
 // not ready, but serves new requests for balancerDelay and asks callers to close their connections.
-// Then it closes the address for callers and ends after the last request. When ctx ends, or
+// Then it closes the address for callers and ends after the last request, its own or one that it
+// forwards for another instance. When ctx ends, or
 // stopMargin before the platform's time limit, it cuts off the remaining requests.
 func (g *Gateway) Stop(ctx context.Context) {
 	g.stopOnce.Do(func() {
@@ -41,6 +42,7 @@
 		if err := g.callers.Shutdown(ctx); err != nil {
 			g.log.Info("requests cut off by the end of the stop", "in_flight", g.relay.InFlight())
 		}
+		g.forwarder.Wait(ctx)
 		g.shutdown()
 	})
 	<-g.Done
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -46,6 +46,14 @@
 	Quiet() bool
 }
 
+// via returns the ID of the instance that forwards the connection; empty for a direct one.
+func (c *Conn) via() string {
+	if f, ok := c.net.(interface{ Via() string }); ok {
+		return f.Via()
+	}
+	return ""
+}
+
 // reusable reports whether an idle connection is still open and has no data to read, which it
 // determines with a read that does not block.
 func (c *Conn) reusable() bool {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -187,6 +187,11 @@
 	x.pool.put(x.conn)
 }
 
+// Via returns the ID of the instance that forwards the connection; empty for a direct one.
+func (x *Exchange) Via() string {
+	return x.conn.via()
+}
+
 // MarkComplete records that the body was read to its end. Without this call, Close closes the
 // connection.
 func (x *Exchange) MarkComplete() {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -131,7 +132,26 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
-// Sweep closes the connections whose idle timeout has passed.
+// CloseDirect closes the idle direct connections to an address, or to all addresses if it is empty.
+func (p *Pool) CloseDirect(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for a, list := range p.idle {
+		if address != "" && a != address {
+			continue
+		}
+		p.idle[a] = slices.DeleteFunc(list, func(c *Conn) bool {
+			if c.via() != "" {
+				return false
+			}
+			c.close()
+			return true
+		})
+	}
+}
+
+// Sweep closes the connections whose idle timeout has passed, and the forwarded ones that must not
+// be used any more.
 func (p *Pool) Sweep() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -139,7 +159,7 @@
 	for address, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if now.Sub(c.idleSince) >= c.idleTimeout {
+			if now.Sub(c.idleSince) >= c.idleTimeout || c.via() != "" && !c.reusable() {
 				c.close()
 				continue
 			}
--- a/pool/check.go
+++ b/pool/check.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/linkmast/linkmast/internal/tcp"
 	"github.com/linkmast/linkmast/placement"
 )
 
@@ -163,7 +164,8 @@
 	return !h.answeredAt.IsZero() && now.Sub(h.answeredAt) < verifyInterval
 }
 
-// runChecks connects to all given endpoints and returns the errors of those that fail, by name.
+// runChecks connects to all given endpoints and returns the errors of those that fail, by name. An
+// endpoint to which there is no path does not fail.
 func (s *Scheduler) runChecks(addresses map[string]string) map[string]error {
 	var (
 		mu     sync.Mutex
@@ -175,7 +177,7 @@
 		wait.Go(func() error {
 			ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 			defer cancel()
-			if err := s.settings.Check(ctx, address); err != nil {
+			if err := s.settings.Check(ctx, address); err != nil && !errors.Is(err, tcp.ErrNoPath) {
 				mu.Lock()
 				defer mu.Unlock()
 				failed[endpoint] = err
--- a/pool/unavailable.go
+++ b/pool/unavailable.go
@@ -62,6 +62,8 @@
 	// requests a second all eligible endpoints accept; zero if there are none.
 	soonest time.Time
 	rate    float64
+	// eligible is the number of endpoints that the request may use.
+	eligible int
 	// elsewhere is the earliest end of a back-off or of a wait for a rate limit among the endpoints
 	// that the request must not use; zero if there is none.
 	elsewhere time.Time
@@ -79,6 +81,7 @@
 		case p.isLeaving(e, v):
 			o.someLeaving = true
 		case !p.ineligible(w, e, v):
+			o.eligible++
 			if o.rate == 0 || at.Before(o.soonest) {
 				o.soonest = at
 			}
@@ -100,8 +103,8 @@
 	return p.rateLimits.share(l, w.fallback)
 }
 
-// refuseUnavailable returns a refusal if no endpoint is usable because of departures, back-offs or
-// rate limits, and none accepts the request soon enough; nil otherwise. List has the usable
+// refuseUnavailable returns a refusal if no endpoint is usable because of departures, back-offs,
+// rate limits or the request's own exclusions, and none accepts the request soon enough; nil otherwise. List has the usable
 // endpoints. Ahead is the number of waiting requests that go before this one.
 func (s *Scheduler) refuseUnavailable(p *poolState, w *Waiter, list []*placement.Engine, ahead int, now time.Time) *Refusal {
 	if len(list) > 0 {
@@ -110,6 +113,12 @@
 	o := p.availability(w, now)
 	reason, after := "all endpoints back off or are at their rate limits", o.elsewhere.Sub(now)
 	switch {
+	case o.eligible == 0 && o.elsewhere.IsZero() && len(w.placementRequest.Exclude) > 0 && len(p.list) > 0:
+		// A wait would end only if a new endpoint started meanwhile.
+		reason, after = "request failed at all endpoints", 0
+		if o.someLeaving {
+			after = leavingRetryAfter
+		}
 	case o.rate > 0:
 		at := later(o.soonest, now).Add(seconds(float64(ahead) / o.rate))
 		if !at.After(w.waitsUntil()) {
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -7,10 +7,12 @@
 	"slices"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
 	"golang.org/x/sync/singleflight"
 
 	"github.com/linkmast/linkmast/internal/steady"
+	"github.com/linkmast/linkmast/internal/tcp"
 )
 
 // checkTimeout bounds the check of an endpoint. An ended process refuses connections at once; a
@@ -110,7 +112,7 @@
 func (d *Detector) report(c Crash, suspects []string, request string) bool {
 	for _, address := range suspects {
 		err := d.checkEndpoint(address)
-		if err == nil {
+		if err == nil || errors.Is(err, tcp.ErrNoPath) {
 			continue
 		}
 		d.onCrash()
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -41,6 +41,8 @@
 	singleEndpoint bool
 	// sends counts the attempts that may have reached an endpoint.
 	sends int
+	// noPaths counts the attempts without a path to endpoints.
+	noPaths int
 	// mayHaveRun states that an endpoint may have run the request.
 	mayHaveRun bool
 	// exclude lists the ids of the endpoints that must not get this request, because an attempt
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/linkmast/linkmast/internal/steady"
+	"github.com/linkmast/linkmast/internal/tcp"
 	"github.com/linkmast/linkmast/internal/upstream"
 	"github.com/linkmast/linkmast/notice"
 	"github.com/linkmast/linkmast/pool"
@@ -33,6 +34,8 @@
 	// firstAfter is the time until the first event, or until an answer that is not a stream was
 	// read; zero before.
 	firstAfter time.Duration
+	// via is the instance that forwards the connection to the endpoint; empty for a direct one.
+	via string
 	// longestGap is the longest pause between events so far.
 	longestGap time.Duration
 }
@@ -52,6 +55,9 @@
 	// unsent states that nothing was sent, because an endpoint of the grant became unavailable
 	// after the placement.
 	unsent bool
+	// noPath states that nothing was sent, because neither this instance nor those that it asked
+	// reach endpoints.
+	noPath bool
 	// connectionLost states that the connection to the endpoint ended before the answer was
 	// complete, so that the endpoint may have crashed.
 	connectionLost bool
@@ -88,6 +94,7 @@
 	request := t.buildRequest()
 	watch := t.watch(ctx, cancel)
 	defer func() { t.next = watch.end() }()
+	defer t.verifyLate()()
 	x, err := t.relay.parts.Upstream.Do(ctx, request)
 	if err != nil {
 		// The watch reads the job, so it has to end before the job changes.
@@ -95,9 +102,25 @@
 		return t.handleNoAnswer(err, watch)
 	}
 	defer x.Close()
+	t.via = x.Via()
 	return t.handleAnswer(x, watch)
 }
 
+// pathCheckDelay is the time without an answer of a plain endpoint after which the path to it is
+// verified. Most answers take far less.
+const pathCheckDelay = 500 * time.Millisecond
+
+// verifyLate verifies the path to a plain endpoint if the attempt is not over after pathCheckDelay.
+// The caller calls stop at its end. The watch verifies the paths of streams.
+func (t *attempt) verifyLate() (stop func()) {
+	verify := t.relay.parts.VerifyPath
+	if verify == nil || t.job.route.Kind == route.Streaming {
+		return func() {}
+	}
+	timer := time.AfterFunc(pathCheckDelay, func() { verify(t.grant.Address) })
+	return func() { timer.Stop() }
+}
+
 // buildRequest returns the request for the endpoint and counts it as sent.
 func (t *attempt) buildRequest() upstream.Request {
 	j := t.job
@@ -174,6 +197,13 @@
 	}
 	if errors.As(err, &e) && !e.Sent {
 		t.job.sends--
+		if errors.Is(err, tcp.ErrNoPath) {
+			return result{
+				outcome: pool.Abandoned,
+				noPath:  true,
+				reason:  tcp.ErrNoPath.Error(),
+			}
+		}
 		return result{
 			outcome: pool.Unreachable,
 			reason:  "endpoint can't be reached: " + e.Err.Error(),
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -58,6 +58,9 @@
 	Memory Memory
 	// Upstream holds the connections to endpoints.
 	Upstream *upstream.Pool
+	// VerifyPath checks the path to an endpoint in the background, because an answer is overdue.
+	// Nil disables it.
+	VerifyPath func(address string)
 	// Log receives one line per decision.
 	Log logr.Logger
 }
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -186,6 +186,12 @@
 		return false, j.giveUp("out of time", 0)
 	case j.mayHaveRun && (j.singleEndpoint || !j.route.Idempotent()):
 		return false, j.giveUp(res.reason, 0)
+	case res.noPath:
+		j.noPaths++
+		if j.noPaths < maxNoPath {
+			return true, nil
+		}
+		return false, j.giveUp(res.reason, defaultRetryAfter)
 	case res.unsent, res.outcome == pool.Unreachable && len(j.exclude) <= maxUnreachable:
 		return true, nil
 	case j.out.headSent && res.interrupted && len(j.exclude) <= maxResumes:
@@ -197,10 +203,14 @@
 	return false, j.giveUp(res.reason, defaultRetryAfter)
 }
 
-// Limits on the length of job.exclude for retries beyond the route's number of attempts.
+// Limits on retries beyond the route's number of attempts. Those that don't say otherwise apply to
+// the length of job.exclude.
 const (
 	// maxUnreachable applies after an attempt that could not connect.
 	maxUnreachable = 4
+	// maxNoPath is the number of attempts without a path to endpoints after which a request is
+	// given up, as others would fail as well.
+	maxNoPath = 2
 	// maxResumes applies after a stream was interrupted.
 	maxResumes = 3
 )
@@ -212,7 +222,7 @@
 	l.parts.Log.Info("attempt", "request", j.head.ID, "attempt", t.request.ID, "route", j.route.Name,
 		"version", j.table.Version, "age_ms", age.Milliseconds(), "service", j.service, "customer", j.customer, "prompt", j.head.PromptTokens,
 		"identity", j.history.Identity.String(),
-		"endpoint", t.grant.Instance, "by", t.grant.DecidedBy, "readers", len(t.grant.Shares),
+		"endpoint", t.grant.Instance, "by", t.grant.DecidedBy, "via", t.via, "readers", len(t.grant.Shares),
 		"waited_ms", t.grant.Waited.Milliseconds(), "first_predicted_ms", t.grant.FirstEventIn.Milliseconds(),
 		"first_ms", t.firstAfter.Milliseconds(), "ms", steady.Since(t.startedAt).Milliseconds(),
 		"outcome", res.outcome.String(), "reason", res.reason, "status", res.status, "events", j.out.progress.count,
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -87,6 +87,9 @@
 		return
 	}
 	t := w.attempt
+	if verify := t.relay.parts.VerifyPath; verify != nil {
+		verify(t.grant.Address)
+	}
 	a := t.relay.newPlacementRequest(t.job)
 	a.Exclude = append(a.Exclude[:len(a.Exclude):len(a.Exclude)], t.grant.Instance)
 	a.Replaces = w.describeSilence()
