node: serve callers of a node that is cut from all endpoints

Nodes dial endpoints by package reach, and forward for others.

A stopping instance waits for the connections that it forwards; instances close idle ones through it within a second.

--- a/cmd/linkmast/main.go
+++ b/cmd/linkmast/main.go
@@ -110,7 +110,9 @@
 		log.Info("started", "version", version.String(), "listen", g.Listen, "ready", g.ReadyListen, "admin", g.AdminListen)
 		return g, nil
 	}
-	n, err := node.New(s, log)
+	n, err := node.New(s, node.Parts{
+		Log: log,
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -19,6 +19,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/linkmast/linkmast/instances"
+	"github.com/linkmast/linkmast/internal/tcp"
 	"github.com/linkmast/linkmast/node"
 	"github.com/linkmast/linkmast/rollout"
 	"github.com/linkmast/linkmast/settings"
@@ -47,6 +48,9 @@
 	// Node modifies the settings of each node before the node starts. It may
 	// be nil.
 	Node func(*settings.File)
+	// DialEndpoint returns the function with which the node with an index dials
+	// endpoints. It may be nil.
+	DialEndpoint func(node int) tcp.DialFunc
 	// Logger receives the log lines of the nodes; by default they are
 	// discarded.
 	Logger logr.Logger
@@ -281,6 +285,14 @@
 	})
 }
 
+// dialer returns the function with which a node dials endpoints; nil selects the default.
+func (f *Fleet) dialer(i int) tcp.DialFunc {
+	if f.settings.DialEndpoint == nil {
+		return nil
+	}
+	return f.settings.DialEndpoint(i)
+}
+
 // AddNode starts the node with index i, counted from 0, and adds it to the
 // platform's list of instances.
 func (f *Fleet) AddNode(i int) (*node.Node, error) {
@@ -302,7 +314,10 @@
 		f.settings.Node(s)
 	}
 	s.SetDefaults()
-	n, err := node.New(s, f.settings.Logger.WithValues("node", s.ID))
+	n, err := node.New(s, node.Parts{
+		Log:          f.settings.Logger.WithValues("node", s.ID),
+		DialEndpoint: f.dialer(i),
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -183,6 +183,10 @@
 			return
 		case <-tick.C:
 			g.upstream.Sweep()
+			if g.reach.Leaving() > 0 {
+				g.orders.CloseIdleConnections()
+				g.reports.CloseIdleConnections()
+			}
 		}
 	}
 }
--- a/node/admin.go
+++ b/node/admin.go
@@ -82,7 +82,7 @@
 	return mux
 }
 
-// vars serves the expvar variables of the process and the counters of this node in the format of
+// vars serves the expvar variables of the process, the paths to endpoints and the counters of this node in the format of
 // the expvar handler.
 func (n *Node) vars(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
@@ -90,6 +90,7 @@
 	expvar.Do(func(kv expvar.KeyValue) {
 		out += fmt.Sprintf("%q: %s,\n", kv.Key, kv.Value)
 	})
+	out += fmt.Sprintf("%q: %s,\n", "reach", expvar.Func(func() any { return n.reach.Stats() }))
 	out += fmt.Sprintf("%q: %s}\n", "linkmast", n.entry.Metrics())
 	// A write fails only if the client has disconnected.
 	_, _ = w.Write([]byte(out))
--- a/node/node.go
+++ b/node/node.go
@@ -37,6 +37,8 @@
 	"github.com/linkmast/linkmast/policy"
 	"github.com/linkmast/linkmast/quarantine"
 	"github.com/linkmast/linkmast/quarantine/quarantinepb"
+	"github.com/linkmast/linkmast/reach"
+	"github.com/linkmast/linkmast/reach/reachpb"
 	"github.com/linkmast/linkmast/rollout"
 	"github.com/linkmast/linkmast/rollout/rolloutpb"
 	"github.com/linkmast/linkmast/settings"
@@ -78,8 +80,15 @@
 	callers *http.Server
 	admin   *http.Server
 	rpc     *grpc.Server
+	// reach opens the connections to endpoints, which the client endpoints uses. forwarder opens
+	// those that other instances request.
+	reach     *reach.Dialer
+	forwarder *reach.Server
+	endpoints *http.Client
 	// closing is closed to end the streams of instances that watch this one.
-	closing    chan struct{}
+	closing chan struct{}
+	// stopping is closed when Stop or Close begins.
+	stopping   chan struct{}
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
 	stopOnce   sync.Once
@@ -139,9 +148,21 @@
 	}
 }
 
+// Parts holds the dependencies of a Node.
+type Parts struct {
+	// Log receives the log lines.
+	Log logr.Logger
+	// DialEndpoint opens connections to endpoints; nil selects a tcp.Dialer.
+	DialEndpoint tcp.DialFunc
+}
+
 // New starts a node. Stop ends it gracefully, Close immediately. New returns an error if it can't
 // load the TLS files or listen on one of the addresses.
-func New(f *settings.File, log logr.Logger) (*Node, error) {
+func New(f *settings.File, p Parts) (*Node, error) {
+	log := p.Log
+	if p.DialEndpoint == nil {
+		p.DialEndpoint = tcp.Dialer(endpointDialTimeout).DialContext
+	}
 	client, server, err := transportCredentials(f.TLS)
 	if err != nil {
 		return nil, err
@@ -163,6 +184,7 @@
 		log:         log,
 		pool:        peer.New(client),
 		closing:     make(chan struct{}),
+		stopping:    make(chan struct{}),
 		cancel:      cancel,
 	}
 	n.self = instances.Instance{
@@ -173,17 +195,21 @@
 		Region:        f.Region,
 		State:         instances.Live,
 	}
-	n.assemble()
+	n.assemble(p.DialEndpoint)
 	n.serve(l, server)
 	n.goroutines.Go(func() { n.followChanges(ctx) })
 	n.goroutines.Go(func() { n.peerGuard.Run(ctx) })
 	n.goroutines.Go(func() { n.watchOwners(ctx) })
+	n.goroutines.Go(func() { n.closeLeaving(ctx) })
 	return n, nil
 }
 
+// endpointDialTimeout bounds the establishment of a connection to an endpoint.
+const endpointDialTimeout = 500 * time.Millisecond
+
 // assemble creates the components. A function that uses a component created later must not be
-// called before that component exists.
-func (n *Node) assemble() {
+// called before that component exists. The function dial opens direct connections to endpoints.
+func (n *Node) assemble(dial tcp.DialFunc) {
 	f := n.settings
 	client := wirehttp.Client()
 	log := logsvc.NewHTTP(client, f.Platform.Log)
@@ -214,8 +240,9 @@
 	n.atomicRollout.Store(n.rollout)
 	n.quarantine = quarantine.New(steady.Now, n.peers.retestTurn, n.log.WithName("quarantine"))
 	n.peerGuard = quarantine.NewPeerGuard(n.quarantine, n.peers, n.log.WithName("quarantine"))
+	n.assemblePaths(dial)
 	endpoints := &endpointClients{
-		client: client,
+		client: n.endpoints,
 	}
 	n.entry = entry.New(entry.Settings{
 		Self:     n.self,
@@ -229,7 +256,7 @@
 		Claimer:       n.claimer,
 		Borrower:      n.borrower,
 		Quarantine:    n.peerGuard,
-		Check:         tcp.Check,
+		Check:         tcp.CheckBy(n.reach.DialContext),
 		Attach:        entry.NewRemote(n.peers),
 		Log:           decisions.WithName("entry"),
 	})
@@ -287,6 +314,7 @@
 	claimpb.RegisterClaimsServer(n.rpc, claim.NewServer(n.writer))
 	claimpb.RegisterAnswersServer(n.rpc, n.entry.Answers)
 	quarantinepb.RegisterQuarantineServer(n.rpc, quarantine.NewServer(n.quarantine))
+	reachpb.RegisterForwardingServer(n.rpc, n.forwarder)
 	limitpb.RegisterLenderServer(n.rpc, limit.NewServer(n.lender, n.quota))
 	n.callers = newServer(n.entry.Handler())
 	n.admin = newServer(n.adminHandler())
--- a/node/stop.go
+++ b/node/stop.go
@@ -10,11 +10,12 @@
 // Stop ends the node gracefully and returns when it has stopped. The node reports that it is not
 // ready, and other instances take over its endpoints, but it serves new requests for the drain
 // time. Then it closes the address for callers and waits for the requests in flight, for the tasks
-// that they left in the background, and for claims to be freed. It cuts off what remains when ctx
-// ends, or StopWithin after the drain time.
+// that they left in the background, for connections that it forwards, and for claims to be freed. It
+// cuts off what remains when ctx ends, or StopWithin after the drain time.
 func (n *Node) Stop(ctx context.Context) {
 	n.stopOnce.Do(func() {
 		n.log.Info("stopping", "in_flight", n.entry.InFlight())
+		close(n.stopping)
 		n.entry.Stop()
 		n.member.Stop()
 		sleep(ctx, time.Duration(n.settings.Times.Drain))
@@ -26,6 +27,7 @@
 		if err := n.entry.Wait(within); err != nil {
 			n.log.Info("requests or background tasks unfinished at the end of the stop", "in_flight", n.entry.InFlight())
 		}
+		n.forwarder.Wait(within)
 		n.awaitFreedClaims(within)
 		n.shutdown()
 	})
@@ -60,7 +62,10 @@
 
 // Close ends the node immediately and cuts off its requests. Tests use it to simulate a crash.
 func (n *Node) Close() {
-	n.stopOnce.Do(n.shutdown)
+	n.stopOnce.Do(func() {
+		close(n.stopping)
+		n.shutdown()
+	})
 	<-n.Done
 }
 
--- a/reach/dialer.go
+++ b/reach/dialer.go
@@ -74,6 +74,8 @@
 
 	// verifiedAt is when Verify last began a check.
 	verifiedAt atomic.Pointer[time.Time]
+	// leaving counts the open connections through instances that will stop.
+	leaving atomic.Int64
 	// forwarded counts the connections through other instances, and noPath the failed dials with
 	// tcp.ErrNoPath.
 	forwarded atomic.Int64
@@ -187,6 +189,12 @@
 	return min(forwardDelay, time.Duration(delayShare*float64(time.Until(end))))
 }
 
+// Leaving returns the number of open connections through instances that will stop. Idle ones should
+// be closed, because these instances wait for them.
+func (d *Dialer) Leaving() int64 {
+	return d.leaving.Load()
+}
+
 // Stats are the counters and the state of a Dialer.
 type Stats struct {
 	// Cut is set while all direct paths are assumed to be broken, and Broken counts those that
--- a/reach/forward.go
+++ b/reach/forward.go
@@ -148,7 +148,7 @@
 	d.peers.opened(p.ID, opened.GetLoad())
 	return forwardResult{
 		peer: p,
-		conn: newForwarded(stream, cancel, p, func() bool { return d.links.suspected(address) }),
+		conn: d.newForwarded(stream, cancel, p, address),
 	}
 }
 
--- a/reach/forwarded.go
+++ b/reach/forwarded.go
@@ -25,6 +25,9 @@
 	stream reachpb.Forwarding_ForwardClient
 	cancel context.CancelFunc
 	peer   Peer
+	// onLeaving is called with 1 when the other instance announces its stop, and with -1 when the
+	// stream has ended after that.
+	onLeaving func(delta int64)
 	// wanted reports whether a new request may use the connection, as there is no direct one.
 	wanted func() bool
 
@@ -41,14 +44,15 @@
 	sending sync.Mutex
 }
 
-// newForwarded returns a connection whose stream has been opened.
-func newForwarded(s reachpb.Forwarding_ForwardClient, cancel context.CancelFunc, p Peer, wanted func() bool) *Forwarded {
+// newForwarded returns a connection through p on a stream that has been opened.
+func (d *Dialer) newForwarded(s reachpb.Forwarding_ForwardClient, cancel context.CancelFunc, p Peer, address string) *Forwarded {
 	f := &Forwarded{
-		stream:   s,
-		cancel:   cancel,
-		peer:     p,
-		wanted:   wanted,
-		received: make(chan []byte),
+		stream:    s,
+		cancel:    cancel,
+		peer:      p,
+		onLeaving: func(delta int64) { d.leaving.Add(delta) },
+		wanted:    func() bool { return d.links.suspected(address) },
+		received:  make(chan []byte),
 	}
 	go f.receive()
 	return f
@@ -73,7 +77,10 @@
 				return
 			}
 		case *reachpb.FromEndpoint_Leaving:
-			f.leaving.Store(true)
+			if !f.leaving.Swap(true) {
+				f.onLeaving(1)
+				defer f.onLeaving(-1)
+			}
 		}
 	}
 }
