catalog: log records that are read and ignored

A record whose offset is not above that of the known record of its key is dropped without a line, so the incident's logs don't tell what the reads after the store's return found. A line is written if its value differs. No logic changes.

--- a/catalog/apply.go
+++ b/catalog/apply.go
@@ -3,6 +3,7 @@
 package catalog
 
 import (
+	"bytes"
 	"time"
 
 	"github.com/linkmast/linkmast/internal/steady"
@@ -87,6 +88,10 @@
 // a new snapshot must be published.
 func (c *Catalog) applyRecord(f Feed, r Record, from recordSource) bool {
 	if old, known := c.records[f][r.Key]; known && r.Offset <= old.Offset {
+		if from == fromStore && !bytes.Equal(r.Value, old.Value) {
+			c.log.Info("record ignored, not newer than the known one", "feed", f.String(), "key", r.Key,
+				"offset", r.Offset, "known", old.Offset)
+		}
 		return false
 	}
 	if held, waits := c.heldRemovals[r.Key]; f == Endpoints && waits && from == fromStore && r.Offset <= held.record.Offset {
