--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -240,6 +240,7 @@
 		Version   int `json:"version"`
 		Endpoints int `json:"endpoints"`
 		Departed  int `json:"departed"`
+		Peers     int `json:"peers"`
 		Following struct {
 			Drained []string `json:"emptied"`
 		} `json:"following"`
