catalog: order records over restorations of the store

Cause: the offset was taken for the order of records. Offsets are given out again after a restoration, so records below the known offset of their key were dropped, and the position of the polls stayed beyond the end. The header that tells was not read.

A position is now the epoch of the store and the offset in it. A poll that is answered from a later epoch reads the feed in full. For three seconds, in which the operator and the endpoints write again, the content of the copy removes and reverts nothing that is known; then the feed is read again and holds. Versions order configurations, whatever their positions. The system's own records that the copy lacks are written again by the readers, in one call on the condition that nothing was written meanwhile. A copy that lacks the version in force confirms it only when it is written again, or after a second. Followers keep what they know in the same way and compare with their upstream once more; an instance that starts compares before it confirms anything.

Ruled out: a follower ahead of its reader (both readers kept version 59 as well).

--- a/catalog/announcing.go
+++ b/catalog/announcing.go
@@ -78,12 +78,17 @@
 	return known
 }
 
-// entryStored reports whether the store is known to contain exactly this entry of an instance.
+// entryStored reports whether the store is known to contain exactly this entry of an instance, also
+// after it has come back from a copy.
 func (c *Catalog) entryStored(p Peer) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	known, _ := c.peers.get(p.ID)
-	return len(c.records[Peers][p.ID].Value) > 0 && known == p
+	r, s := c.records[Peers][p.ID], c.epochs[Peers]
+	if EpochOf(r.Offset) < s.current && s.settled(steady.Now(), settleTime) {
+		return false
+	}
+	return len(r.Value) > 0 && known == p
 }
 
 // announceDue writes the due entries to the store or forwards them to another instance, so that
--- a/catalog/apply.go
+++ b/catalog/apply.go
@@ -55,6 +55,7 @@
 func (c *Catalog) applyBatch(b batch) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.observeEpoch(&b)
 	changed := false
 	if _, had := c.next[b.feed]; !b.more {
 		c.next[b.feed] = max(c.next[b.feed], b.next)
@@ -64,7 +65,9 @@
 	c.suppressRecordLogs = len(b.records) > maxRecordLogs
 	for _, r := range b.records {
 		seen[r.Key] = true
-		changed = c.applyRecord(b.feed, r, b.from) || changed
+		if b.whole == 0 || !c.revertsKnown(b.feed, r) {
+			changed = c.applyRecord(b.feed, r, b.from) || changed
+		}
 	}
 	if c.suppressRecordLogs {
 		c.suppressRecordLogs = false
@@ -84,10 +87,17 @@
 	}
 }
 
+// revertsKnown reports whether a record of a full read must be ignored, because it is probably older
+// than what is known of its key.
+func (c *Catalog) revertsKnown(f Feed, r Record) bool {
+	old, known := c.records[f][r.Key]
+	return known && !c.isTable(f, r.Key) && c.fromCopy(f, old) && !c.advances(f, r)
+}
+
 // applyRecord applies a record if it is newer than the known one of its key. It returns whether
 // a new snapshot must be published.
 func (c *Catalog) applyRecord(f Feed, r Record, from recordSource) bool {
-	if old, known := c.records[f][r.Key]; known && r.Offset <= old.Offset {
+	if old, known := c.records[f][r.Key]; known && r.Offset <= old.Offset && !c.isTable(f, r.Key) {
 		if from == fromStore && !bytes.Equal(r.Value, old.Value) {
 			c.log.Info("record ignored, not newer than the known one", "feed", f.String(), "key", r.Key,
 				"offset", r.Offset, "known", old.Offset)
@@ -99,8 +109,9 @@
 	}
 	switch v := c.store.Decode(f, r).(type) {
 	case *TableChange:
-		c.tableKey = r.Key
-		c.applyTable(v)
+		if !c.applyTable(v, r) {
+			return false
+		}
 	case *DomainDrained:
 		c.drainDomain(v.Domain)
 	case *DomainUndrained:
@@ -148,18 +159,24 @@
 	}
 }
 
-// applyTable puts a configuration into force if its version is higher than the current one.
-func (c *Catalog) applyTable(v *TableChange) {
-	if c.table != nil && v.Table.Version <= c.table.Version {
-		c.log.V(1).Info("configuration ignored, not newer than the one in force", "version", v.Table.Version, "in_force", c.table.Version)
-		return
-	}
+// applyTable puts the configuration of record r into force if its version is higher than the
+// current one, whatever the order of their records. It returns whether to store the record, which is
+// also the case for a later record of the current version.
+func (c *Catalog) applyTable(v *TableChange, r Record) bool {
 	before := int64(0)
 	if c.table != nil {
 		before = c.table.Version
+		if v.Table.Version == before {
+			return r.Offset > c.records[Configurations][c.tableKey].Offset
+		}
+		if v.Table.Version < before {
+			c.log.Info("configuration ignored, older than the one in force", "version", v.Table.Version, "in_force", before)
+			return false
+		}
 	}
-	c.table = v.Table
+	c.table, c.tableKey = v.Table, r.Key
 	c.log.Info("configuration in force", "version", v.Table.Version, "before", before, "routes", len(v.Table.Routes))
+	return true
 }
 
 // applyEndpoint applies the entry of an endpoint. It returns false for a late entry of an older
@@ -243,7 +260,7 @@
 func (c *Catalog) dropMissing(f Feed, whole parts, seen map[string]bool, next int64, from recordSource) bool {
 	changed := false
 	for key, old := range c.records[f] {
-		if seen[key] || !whole.has(key) || len(old.Value) == 0 || old.Offset >= next || c.isTable(f, key) {
+		if seen[key] || !whole.has(key) || len(old.Value) == 0 || old.Offset >= next || c.isTable(f, key) || c.fromCopy(f, old) {
 			continue
 		}
 		// The store no longer keeps the record that deleted the key; its offset was below next.
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -96,6 +96,8 @@
 	// upstreamFreshness holds the root of the followed instance and the number of hops from
 	// there to this instance; nil before the first answer. Its field answered is not used.
 	upstreamFreshness atomic.Pointer[freshness]
+	// compared is set once this instance has received the records that it lacked of another one.
+	compared atomic.Bool
 	// confirmation fires whenever the store or the upstream confirms the configuration.
 	confirmation *signal
 	// topology divides the known instances into readers, relays and followers.
@@ -153,6 +155,8 @@
 	drained map[string]time.Time
 	// banned are the banned requests.
 	banned map[quarantine.Identity]quarantine.Verdict
+	// epochs holds the epochs of the feeds.
+	epochs [len(feeds)]epochState
 	// incarnations identifies late entries of older incarnations.
 	incarnations incarnations
 	// changed is closed and replaced at each change.
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -28,6 +28,8 @@
 	// changes maps the value of a record to the change that Decode returns.
 	changes map[string]catalog.Change
 	first   map[catalog.Feed]int64
+	// epoch counts the calls of restore.
+	epoch   int64
 	down    bool
 	calls   int
 	changed chan struct{}
@@ -183,6 +185,39 @@
 	s.changed = make(chan struct{})
 }
 
+// content returns a copy of all records.
+func (s *fakeStore) content() map[catalog.Feed][]catalog.Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[catalog.Feed][]catalog.Record)
+	for f, list := range s.feeds {
+		out[f] = slices.Clone(list)
+	}
+	return out
+}
+
+// restore replaces all records by those of an earlier content, and begins a new epoch.
+func (s *fakeStore) restore(content map[catalog.Feed][]catalog.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.epoch++
+	s.feeds = make(map[catalog.Feed][]catalog.Record)
+	for f, list := range content {
+		s.feeds[f] = slices.Clone(list)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// positions returns records with their positions in the epoch. The caller holds the lock.
+func (s *fakeStore) positions(records []catalog.Record) []catalog.Record {
+	out := slices.Clone(records)
+	for i := range out {
+		out[i].Offset = catalog.Position(s.epoch, out[i].Offset)
+	}
+	return out
+}
+
 func (s *fakeStore) Page(ctx context.Context, f catalog.Feed, after string) (catalog.Page, error) {
 	s.mu.Lock()
 	slow := s.pageDelay
@@ -215,9 +250,10 @@
 	all := newest(s.feeds[f])
 	slices.SortFunc(all, func(a, b catalog.Record) int { return strings.Compare(a.Key, b.Key) })
 	all = slices.DeleteFunc(all, func(r catalog.Record) bool { return r.Key <= after })
+	all = s.positions(all)
 	page = catalog.Page{
 		Records: all,
-		Next:    s.first[f] + int64(len(s.feeds[f])),
+		Next:    catalog.Position(s.epoch, s.first[f]+int64(len(s.feeds[f]))),
 	}
 	if s.pageSize > 0 && len(all) > s.pageSize {
 		page.Records, page.More = all[:s.pageSize], true
@@ -247,15 +283,19 @@
 	s.mu.Unlock()
 	for {
 		s.mu.Lock()
-		changed, down, first, list := s.changed, s.down, s.first[f], s.feeds[f]
+		changed, down, first, epoch := s.changed, s.down, s.first[f], s.epoch
+		list := s.positions(s.feeds[f])
 		s.mu.Unlock()
+		offset, end := catalog.OffsetOf(from), first+int64(len(list))
 		switch {
 		case down:
 			return nil, 0, errDown
-		case from < first:
+		case epoch > catalog.EpochOf(from):
+			return nil, 0, catalog.ErrRestored
+		case offset < first || offset > end:
 			return nil, 0, catalog.ErrCompacted
-		case from < first+int64(len(list)):
-			return list[from-first:], first + int64(len(list)), nil
+		case offset < end:
+			return list[offset-first:], catalog.Position(epoch, end), nil
 		}
 		select {
 		case <-changed:
@@ -306,6 +346,27 @@
 	return nil
 }
 
+// Rewrite implements catalog.Store.
+func (s *fakeStore) Rewrite(_ context.Context, f catalog.Feed, records []catalog.Record, end int64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	at := s.first[f] + int64(len(s.feeds[f]))
+	switch {
+	case s.down:
+		return errDown
+	case end != catalog.Position(s.epoch, at):
+		return catalog.ErrMoved
+	}
+	for i, r := range records {
+		r.Offset = at + int64(i)
+		s.feeds[f] = append(s.feeds[f], r)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return nil
+}
+
 func (s *fakeStore) Withdraw(context.Context, string) error { return nil }
 
 func version(n int64) catalog.Change {
@@ -497,3 +558,10 @@
 		is.Equal(len(c.Snapshot().Endpoints), 2)
 	})
 }
+
+// callCount returns the number of calls so far.
+func (s *fakeStore) callCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
--- a/catalog/following.go
+++ b/catalog/following.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -123,6 +124,9 @@
 // errLoop ends following an instance whose data comes from this instance.
 var errLoop = errors.New("upstream has its data from this instance")
 
+// errCompare ends following an instance to compare all records with it again.
+var errCompare = errors.New("store was restored, comparing all records")
+
 // errSilent ends following an instance that stopped answering.
 var errSilent = errors.New("does not answer")
 
@@ -140,11 +144,13 @@
 		return err
 	}
 	f := &followStream{
-		catalog: c,
-		stream:  stream,
-		sent:    make(map[int64]time.Time),
-		updates: make(chan *catalogpb.Update),
-		failed:  make(chan error, 1),
+		catalog:      c,
+		stream:       stream,
+		sent:         make(map[int64]time.Time),
+		updates:      make(chan *catalogpb.Update),
+		failed:       make(chan error, 1),
+		openedAt:     steady.Now(),
+		compareDelay: rand.N(maxCompareDelay),
 	}
 	go f.receive(ctx)
 	return f.run(ctx, p, patient)
@@ -160,8 +166,15 @@
 	sent    map[int64]time.Time
 	updates chan *catalogpb.Update
 	failed  chan error
+	// openedAt is when the stream was opened. compareDelay is the delay after which it is opened
+	// again once a restored store has settled, so that all records are compared.
+	openedAt     time.Time
+	compareDelay time.Duration
 }
 
+// maxCompareDelay bounds followStream.compareDelay, over which the instances spread.
+const maxCompareDelay = 2 * time.Second
+
 // receive passes the updates of the stream to run until the stream ends.
 func (f *followStream) receive(ctx context.Context) {
 	for {
@@ -202,6 +215,9 @@
 			if !f.catalog.shouldFollow() {
 				return errReadsStore
 			}
+			if f.catalog.settledSince(f.openedAt, f.compareDelay) {
+				return errCompare
+			}
 			if err := f.ping(); err != nil {
 				return err
 			}
@@ -268,6 +284,8 @@
 func (f *followStream) applyAge(a *catalogpb.Age) error {
 	c := f.catalog
 	c.peerAnswered.mark(steady.Now())
+	// The records that this instance lacked precede the first age.
+	c.compared.Store(true)
 	sent := f.sent[a.GetSeq()]
 	for seq := range f.sent {
 		if seq <= a.GetSeq() {
--- a/catalog/full_read.go
+++ b/catalog/full_read.go
@@ -55,6 +55,11 @@
 		if err != nil {
 			return unread, err
 		}
+		if w.begun && EpochOf(page.Next) != EpochOf(w.next) {
+			w.reset()
+			w.due = true
+			return unread, ErrRestored
+		}
 		w.addPage(page, sent)
 		if page.More {
 			continue
@@ -64,11 +69,49 @@
 		if w.feed == Configurations && len(w.records) > 0 {
 			c.confirmByStore(w.sent)
 		}
+		if err := c.completeRead(ctx, w); err != nil {
+			w.reset()
+			w.due = true
+			return unread, err
+		}
 		w.reset()
 		return next, nil
 	}
 }
 
+// completeRead writes again what the store lacks of the system's own records, and records that the
+// feed was read in full if the store has settled.
+func (c *Catalog) completeRead(ctx context.Context, w *fullRead) error {
+	if w.feed == Peers {
+		if err := c.rewriteLost(ctx, w); err != nil {
+			return err
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := &c.epochs[w.feed]
+	if s.settled(steady.Now(), settleTime) {
+		s.complete = s.current
+	}
+	return nil
+}
+
+// rewriteLost writes the records that the store lacks after a full read. It returns ErrMoved if
+// another instance wrote meanwhile, which may have been the same records.
+func (c *Catalog) rewriteLost(ctx context.Context, w *fullRead) error {
+	lost := c.lostRecords(w.records)
+	if len(lost) == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	if err := c.store.Rewrite(ctx, w.feed, lost, w.next); err != nil {
+		return err
+	}
+	c.log.Info("records written again", "feed", w.feed.String(), "records", len(lost), "first", lost[0].Key)
+	return nil
+}
+
 // readPage reads the next page of a feed.
 func (c *Catalog) readPage(ctx context.Context, w *fullRead) (Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
--- a/catalog/readers.go
+++ b/catalog/readers.go
@@ -81,8 +81,11 @@
 }
 
 // shouldFollow reports whether this instance must follow another one. Only a reader that can
-// read all feeds need not.
+// read all feeds, and needs no comparison, need not.
 func (c *Catalog) shouldFollow() bool {
+	if c.needsComparison() {
+		return true
+	}
 	if !c.storeAnswered.within(c.freshFor()) || c.failing.Load() != 0 {
 		return true
 	}
--- a/catalog/readers_test.go
+++ b/catalog/readers_test.go
@@ -50,6 +50,14 @@
 	return s.fakeStore.Announce(ctx, started)
 }
 
+func (s *countingStore) Rewrite(ctx context.Context, f catalog.Feed, records []catalog.Record, end int64) error {
+	s.calls.Add(1)
+	if s.refused.Load() {
+		return errDown
+	}
+	return s.fakeStore.Rewrite(ctx, f, records, end)
+}
+
 func (s *countingStore) Follow(ctx context.Context, f catalog.Feed, from int64, wait time.Duration) ([]catalog.Record, int64, error) {
 	s.calls.Add(1)
 	if s.refused.Load() {
--- a/catalog/reading.go
+++ b/catalog/reading.go
@@ -26,10 +26,13 @@
 	expireInterval = 100 * time.Millisecond
 )
 
-// confirmByStore records that the store returned the newest configuration for a request sent at
-// the given time.
+// confirmByStore records that the store returned its newest configuration for a request sent at
+// the given time. It confirms the configuration in force unless the store has come back from a copy
+// that may lack it.
 func (c *Catalog) confirmByStore(sent time.Time) {
-	c.confirm(sent)
+	if c.tableConfirmed() {
+		c.confirm(sent)
+	}
 	c.storeAnswered.mark(steady.Now())
 	c.confirmation.fire()
 }
@@ -101,6 +104,11 @@
 		if next == unread && !full.due {
 			next = c.resume(f)
 		}
+		if next != unread && c.recheckDue(f) {
+			next = unread
+			full.reset()
+			full.due = true
+		}
 		var err error
 		if next == unread {
 			next, err = c.readFull(ctx, full)
@@ -114,6 +122,17 @@
 				continue
 			}
 		}
+		if errors.Is(err, ErrRestored) || errors.Is(err, ErrMoved) {
+			c.log.Info("reading the feed in full again", "feed", f.String(), "cause", err.Error())
+			c.holdRemovals(steady.Now())
+			// The polls of the other feeds may wait for offsets that no longer exist.
+			retry.fire()
+			next = unread
+			full.reset()
+			full.due = true
+			sleep(ctx, minPollInterval)
+			continue
+		}
 		if err != nil {
 			failures++
 			c.setFailing(f, true)
@@ -159,7 +178,7 @@
 // poll waits for the next records of a feed, applies them and returns the offset after them. It
 // returns ErrCompacted if the feed must be read in full.
 func (c *Catalog) poll(ctx context.Context, f Feed, from int64, failed bool, retry *signal) (int64, error) {
-	wait := c.pollWait(f, failed)
+	wait := c.untilRecheck(f, c.pollWait(f, failed))
 	ctx, cancel := context.WithTimeout(ctx, wait+pollSlack)
 	defer cancel()
 	interrupted := func() bool { return false }
--- a/catalog/types.go
+++ b/catalog/types.go
@@ -180,13 +180,20 @@
 // records. The feed must then be read in full.
 var ErrCompacted = errors.New("records are no longer kept")
 
+// ErrRestored is returned by Store.Follow when the store has come back from a copy. The feed must
+// then be read in full.
+var ErrRestored = errors.New("store was restored from a copy")
+
+// ErrMoved is returned by Store.Rewrite when records were written meanwhile.
+var ErrMoved = errors.New("feed has further records")
+
 // Record is the newest record of a key. An empty Value deletes the key.
 type Record struct {
 	// Key identifies the entry within its feed.
 	Key string
 	// Value is the content as the platform encoded it.
 	Value []byte
-	// Offset is the position of the record in its feed.
+	// Offset is the position of the record in its feed, as Position returns it.
 	Offset int64
 }
 
@@ -194,7 +201,7 @@
 type Page struct {
 	// Records are the newest records of the keys of this page.
 	Records []Record
-	// Next is the end offset of the feed at the time when this page was read.
+	// Next is the position of the end of the feed at the time when this page was read.
 	Next int64
 	// More is set if further pages exist.
 	More bool
@@ -208,12 +215,17 @@
 	Page(ctx context.Context, f Feed, after string) (Page, error)
 	// Follow returns the records from an offset on and the offset after them. It waits up to
 	// the given time for the first record; if there is none, it returns no records and the same
-	// offset. It returns ErrCompacted if the records at the offset are no longer kept.
+	// offset. It returns ErrCompacted if the records at the offset are no longer kept, and
+	// ErrRestored if the store is in a later epoch.
 	Follow(ctx context.Context, f Feed, from int64, wait time.Duration) (records []Record, next int64, err error)
 	// Decode decodes a record. It returns nil for a record that the catalog ignores.
 	Decode(f Feed, r Record) Change
 	// Announce writes the entries of instances in one call, either all or none.
 	Announce(ctx context.Context, started []Peer) error
+	// Rewrite writes records, of which those without a value delete their keys, in one call,
+	// either all or none. It returns ErrMoved, and writes nothing, unless the feed ends at the
+	// given position.
+	Rewrite(ctx context.Context, f Feed, records []Record, end int64) error
 	// Withdraw deletes the entry of an instance.
 	Withdraw(ctx context.Context, id string) error
 }
--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -125,6 +125,7 @@
 // TestStartAfterRestoredStore checks that an instance that starts before the operator has written
 // again doesn't go back to the configuration of the copy, nor take others with it.
 func TestStartAfterRestoredStore(t *testing.T) {
+	t.Parallel()
 	w := newCluster(t, 2)
 	w.publishKnown("k1", "k2")
 	copied := w.store.Copy()
@@ -139,6 +140,7 @@
 // TestInstanceEntriesAfterRestoredStore checks that the entries of instances that the copy lacks are
 // written again.
 func TestInstanceEntriesAfterRestoredStore(t *testing.T) {
+	t.Parallel()
 	w := newCluster(t, 1)
 	copied := w.store.Copy()
 	for i := 1; i < 3; i++ {
@@ -177,6 +179,7 @@
 // TestEndpointsAfterRestoredStore checks that an endpoint that has left is not used again because
 // the copy has it, and that one that the copy lacks remains in use.
 func TestEndpointsAfterRestoredStore(t *testing.T) {
+	t.Parallel()
 	w := newCluster(t, 3)
 	copied := w.store.Copy()
 	w.store.DeleteEndpoint("p2")
@@ -204,6 +207,7 @@
 // TestUnwrittenEndpointAfterRestoredStore checks that an endpoint that is not written again is gone
 // some seconds later.
 func TestUnwrittenEndpointAfterRestoredStore(t *testing.T) {
+	t.Parallel()
 	w := newCluster(t, 3)
 	copied := w.store.Copy()
 	w.addEndpoint("p3", "plain", nil)
@@ -225,6 +229,7 @@
 
 // TestDrainAfterRestoredStore checks that a drain that the copy lacks goes on.
 func TestDrainAfterRestoredStore(t *testing.T) {
+	t.Parallel()
 	w := newCluster(t, 3)
 	copied := w.store.Copy()
 	w.store.DrainDomain("d9")
