soak: cut instances from all endpoints, and restore the store from a copy

After the recovery one instance is cut with nothing else wrong: its callers must be served like others, and none may wait for its time limit.

Proxies drop the packets of single hosts by a socket filter; each instance connects to endpoints from a loopback address of its own, for which there is the setting endpoint_source.

--- a/cmd/linkmastctl/soak.go
+++ b/cmd/linkmastctl/soak.go
@@ -24,6 +24,7 @@
 	Minutes    float64 `long:"minutes" default:"0.5" description:"how long faults come in a run"`
 	Processes  int     `long:"processes" default:"4" description:"how many instances run"`
 	Statements bool    `long:"statements" description:"endpoints name limits, say that they leave and ask for rest in their answers, too"`
+	Partitions bool    `long:"partitions" description:"instances are cut from all endpoints and the store comes back from copies, too"`
 	Program    string  `long:"program" description:"program of an instance; without it linkmast is built"`
 }
 
@@ -69,6 +70,7 @@
 			Seed:       c.Seed + uint64(i),
 			Length:     time.Duration(c.Minutes * float64(time.Minute)),
 			Statements: c.Statements,
+			Partitions: c.Partitions,
 			Processes:  c.Processes,
 			Out:        os.Stdout,
 		})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"maps"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -98,7 +99,7 @@
 // can't listen on one of the addresses.
 func New(f *settings.File, p Parts) (*Gateway, error) {
 	if p.DialEndpoint == nil {
-		p.DialEndpoint = tcp.Dialer(endpointDialTimeout).DialContext
+		p.DialEndpoint = tcp.DialerFrom(endpointDialTimeout, net.ParseIP(f.EndpointSource)).DialContext
 	}
 	g := &Gateway{
 		Done:         make(chan struct{}),
--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -42,6 +42,18 @@
 	}
 }
 
+// DialerFrom is like Dialer, but connections have the given local IP address. Nil means that the
+// system chooses one.
+func DialerFrom(timeout time.Duration, local net.IP) *net.Dialer {
+	d := Dialer(timeout)
+	if local != nil {
+		d.LocalAddr = &net.TCPAddr{
+			IP: local,
+		}
+	}
+	return d
+}
+
 // Listen listens on a TCP address. Accepted connections have the same options as those of
 // Dialer.
 func Listen(address string) (net.Listener, error) {
--- a/internal/tcp/tcptest/proxy.go
+++ b/internal/tcp/tcptest/proxy.go
@@ -5,6 +5,7 @@
 package tcptest
 
 import (
+	"context"
 	"io"
 	"net"
 	"sync"
@@ -43,11 +44,14 @@
 	// discarded since a call of Silence.
 	conns  map[net.Conn]struct{}
 	silent map[net.Conn]struct{}
+	// dropped has the hosts whose packets are dropped, by IP address: for each, how many
+	// partitions there are.
+	dropped map[string]int
 }
 
 // NewProxy starts a proxy to a target address. The caller must call Close to stop it.
 func NewProxy(target string) (*Proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := listen("127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
@@ -58,11 +62,19 @@
 		linkChanged: make(chan struct{}),
 		conns:       make(map[net.Conn]struct{}),
 		silent:      make(map[net.Conn]struct{}),
+		dropped:     make(map[string]int),
 	}
 	go p.accept(l)
 	return p, nil
 }
 
+// listen listens on an address without Multipath TCP, which supports no packet filters.
+func listen(address string) (net.Listener, error) {
+	var c net.ListenConfig
+	c.SetMultipathTCP(false)
+	return c.Listen(context.Background(), "tcp", address)
+}
+
 // Set replaces the faults of the link.
 func (p *Proxy) Set(l Link) {
 	p.mu.Lock()
@@ -88,7 +100,7 @@
 // Resume makes the proxy listen on its address again after Refuse. It returns the error of
 // listening.
 func (p *Proxy) Resume() error {
-	l, err := net.Listen("tcp", p.Address)
+	l, err := listen(p.Address)
 	if err != nil {
 		return err
 	}
@@ -99,7 +111,7 @@
 	}
 	p.listener = l
 	go p.accept(l)
-	return nil
+	return p.filter()
 }
 
 // Silence makes the proxy discard all further data of the connections that are open now,
--- a/node/node.go
+++ b/node/node.go
@@ -161,7 +161,7 @@
 func New(f *settings.File, p Parts) (*Node, error) {
 	log := p.Log
 	if p.DialEndpoint == nil {
-		p.DialEndpoint = tcp.Dialer(endpointDialTimeout).DialContext
+		p.DialEndpoint = tcp.DialerFrom(endpointDialTimeout, net.ParseIP(f.EndpointSource)).DialContext
 	}
 	client, server, err := transportCredentials(f.TLS)
 	if err != nil {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -38,6 +38,9 @@
 	// ReadyListen is the address for the readiness checks of a load balancer; the default is
 	// "127.0.0.1:8083".
 	ReadyListen string `toml:"ready_listen"`
+	// EndpointSource is the local IP address of connections to endpoints, for a host with several;
+	// by default the system chooses one.
+	EndpointSource string `toml:"endpoint_source"`
 	// FirstStart is set if all instances are starting at the same time, so that their entries
 	// appear in the store only gradually.
 	FirstStart bool `toml:"first_start"`
@@ -294,6 +297,9 @@
 			wrong = append(wrong, name+" must be a host and port, is "+`"`+v+`"`)
 		}
 	}
+	if f.EndpointSource != "" && net.ParseIP(f.EndpointSource) == nil {
+		wrong = append(wrong, "endpoint_source must be an IP address, is `"+f.EndpointSource+"`")
+	}
 	if f.Strategy != Weighed && f.Strategy != Naive {
 		wrong = append(wrong, `strategy must be "weighed" or "naive"`)
 	}
--- a/soak/check_abandoned.go
+++ b/soak/check_abandoned.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/linkmast/linkmast/internal/tcp/tcptest"
 	"github.com/linkmast/linkmast/platform/platformtest"
 )
 
@@ -40,7 +41,9 @@
 			continue
 		}
 		_, link := endpointLinks[p.fault.Kind]
-		link = link || p.fault.Kind == endpointsSilent
+		// A partition that drops packets also keeps a cancellation from the endpoint, at the cut
+		// instance and where that one forwards for others.
+		link = link || p.fault.Kind == endpointsSilent || partitionFaults[p.fault.Kind] == tcptest.Drop
 		frozen := p.fault.Kind == "freeze" && p.fault.Target%len(d.processes) == x.Instance
 		if link || frozen {
 			return true
--- a/soak/check_final.go
+++ b/soak/check_final.go
@@ -39,12 +39,13 @@
 	return out
 }
 
-// checkRecovery checks that requests sent from the given time on are served. It ignores
-// requests that were canceled early or used another key than steadyKey.
-func checkRecovery(history []Exchange, from time.Time) []Violation {
+// checkRecovery checks that requests that were sent and ended between the given times are served. It
+// ignores requests that were canceled early or used another key than steadyKey. The next fault, which
+// begins at the second time, may have ended the others.
+func checkRecovery(history []Exchange, from, to time.Time) []Violation {
 	served, all := 0, 0
 	for _, x := range history {
-		if x.Sent.Before(from) || x.CancelsEarly || x.Key != steadyKey {
+		if x.Sent.Before(from) || x.Ended.After(to) || x.CancelsEarly || x.Key != steadyKey {
 			continue
 		}
 		all++
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -79,6 +79,10 @@
 	drains []drainPeriod
 	// crashSends lists the exchanges of requests that crash endpoints.
 	crashSends []Exchange
+	// standinErrors lists the errors of stand-ins that could not cause a fault.
+	standinErrors []error
+	// restoring is locked while the store is restored from a copy.
+	restoring sync.Mutex
 	// stalls lists the intervals in which a runnable thread waited for a processor.
 	stalls []stall
 	// keys maps each of the customer's keys to the time of its revocation; zero for valid
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -8,7 +8,8 @@
 // and SIGCONT, SIGHUP), faults of the store and of endpoints, proxies that delay, reset or
 // block connections in one or both directions, connections that discard all data, revoked
 // keys, endpoints that leave or restart, drained failure domains, requests that crash
-// endpoints, and the loss of all instances during an outage of the store. Faults may overlap
+// endpoints, the loss of all instances during an outage of the store and, on request, instances cut
+// from all endpoints and a store that comes back from a copy. Faults may overlap
 // and repeat. Callers cancel some requests early and reuse a connection as long as the process
 // keeps it open. After the last fault, the system must recover.
 //
--- a/soak/play.go
+++ b/soak/play.go
@@ -74,6 +74,10 @@
 		e.setFaults(platformtest.EndpointFaults{})
 		return
 	}
+	if k, ok := partitionFaults[s.Kind]; ok {
+		d.partition(p, k, s.For)
+		return
+	}
 	if l, ok := storeLinks[s.Kind]; ok {
 		p.store.Set(l)
 		time.Sleep(s.For)
@@ -161,6 +165,8 @@
 		d.leaveByAnswers(e, s.For)
 	case "key taken away":
 		d.rotateKey()
+	case storeRestored:
+		d.restoreStore(s.For)
 	case "store connections silent":
 		p.store.Silence()
 	case endpointsSilent:
--- a/soak/process.go
+++ b/soak/process.go
@@ -29,6 +29,8 @@
 	ready  string
 	// settings is the path of the instance's settings file.
 	settings string
+	// source is the IP address from which the instance connects to endpoints.
+	source string
 	// store is the proxy between the instance and the store.
 	store *tcptest.Proxy
 
@@ -63,6 +65,7 @@
 peer_listen = %q
 admin_listen = "127.0.0.1:0"
 peers = [%s]
+endpoint_source = %q
 [platform]
 store = %q
 [retries]
@@ -101,10 +104,18 @@
 	return "", errors.New("no free port for an instance")
 }
 
+// sourceOf returns the IP address of the connections to endpoints of instance i, a loopback address
+// of its own, so that the proxies can distinguish the instances.
+func sourceOf(i int) string {
+	const perByte = 250
+	return fmt.Sprintf("127.0.%d.%d", 1+i/perByte, 1+i%perByte)
+}
+
 // addProcess writes the settings of instance i and starts it, with a proxy to the store.
 func (d *Deployment) addProcess(i int) error {
 	p := &process{
-		name: fmt.Sprintf("n-%d", i),
+		name:   fmt.Sprintf("n-%d", i),
+		source: sourceOf(i),
 	}
 	var err error
 	if p.store, err = tcptest.NewProxy(d.storeAddr); err != nil {
@@ -120,7 +131,7 @@
 		own = d.seedAddresses[i]
 	}
 	p.settings = filepath.Join(d.dir, p.name+".toml")
-	text := fmt.Sprintf(settingsText, p.name, domainOf(i), p.listen, p.ready, own, quoted(d.seedAddresses), p.store.Address, revoke, d.strict, grace)
+	text := fmt.Sprintf(settingsText, p.name, domainOf(i), p.listen, p.ready, own, quoted(d.seedAddresses), p.source, p.store.Address, revoke, d.strict, grace)
 	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
 		return errors.Wrap(err, "write settings of an instance")
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +26,9 @@
 	// Statements adds faults that make endpoints announce rate limits, back-offs or their
 	// leaving in responses.
 	Statements bool
+	// Partitions adds faults that cut instances from all endpoints, and restorations of the store
+	// from a copy.
+	Partitions bool
 	// Processes is the number of instances.
 	Processes int
 	// Out receives the schedule and the result.
@@ -64,8 +68,14 @@
 	if err := d.awaitReady(ctx); err != nil {
 		return nil, err
 	}
-	history := d.loadAndPlay(ctx, s)
-	broken := append(d.check(history), checkRecovery(history, d.recovered)...)
+	history, final := d.loadAndPlay(ctx, s)
+	broken := slices.Concat(d.check(history), d.checkStandins())
+	if final == nil {
+		broken = append(broken, checkRecovery(history, d.recovered, time.Now())...)
+	} else {
+		broken = append(broken, checkRecovery(history, d.recovered, final.from)...)
+		broken = append(broken, final.check(history)...)
+	}
 	d.report(s, history, broken)
 	if len(broken) == 0 {
 		// The instances' logs are kept only if a guarantee was violated.
@@ -77,8 +87,9 @@
 }
 
 // loadAndPlay plays the schedule under load, waits until the load has ended and for settleFor
-// after it, and returns the exchanges of the callers.
-func (d *Deployment) loadAndPlay(ctx context.Context, s Settings) []Exchange {
+// after it, and returns the exchanges of the callers. With Settings.Partitions it also returns the
+// partition at the end.
+func (d *Deployment) loadAndPlay(ctx context.Context, s Settings) ([]Exchange, *finalPartition) {
 	c := &callers{
 		deployment: d,
 	}
@@ -94,14 +105,21 @@
 	if s.Statements {
 		schedule = merge(schedule, DrawStatements(s.Seed, s.Length))
 	}
+	if s.Partitions {
+		schedule = merge(schedule, DrawPartitions(s.Seed, s.Length, s.Processes))
+	}
 	d.play(ctx, schedule, func(f Fault) { _, _ = fmt.Fprintln(s.Out, f) })
 	wait(ctx, recoverWithin)
 	d.recovered = time.Now()
 	wait(ctx, recoverFor)
+	var final *finalPartition
+	if s.Partitions {
+		final = d.cutOne(ctx, s.Seed)
+	}
 	stop()
 	loading.Wait()
 	wait(ctx, settleFor)
-	return append(c.all(), d.crashExchanges()...)
+	return append(c.all(), d.crashExchanges()...), final
 }
 
 // wait sleeps for d or until ctx ends.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -63,7 +63,8 @@
 }
 
 // TestDisturbed guards against wrong excuses for runs that outlast their callers. Only a faulty
-// link to an endpoint and a freeze of the request's instance are excuses.
+// link to an endpoint, a partition that drops packets and a freeze of the request's instance are
+// excuses.
 func TestDisturbed(t *testing.T) {
 	now := time.Now()
 	for _, row := range []struct {
@@ -76,6 +77,8 @@
 		{Fault{Kind: "endpoint link one way", For: time.Second}, now, true},
 		{Fault{Kind: "endpoint link one way", For: time.Second}, now.Add(-time.Minute), false},
 		{Fault{Kind: "kill", Target: 1, For: time.Second}, now, false},
+		{Fault{Kind: "instance cut from endpoints", Target: 2, For: time.Second}, now, true},
+		{Fault{Kind: "instance loses its endpoint connections", Target: 1, For: time.Second}, now, false},
 	} {
 		t.Run(row.fault.String(), func(t *testing.T) {
 			is := is.New(t)
@@ -262,3 +265,58 @@
 		})
 	}
 }
+
+// TestDrawPartitions checks that the schedule depends on the seed alone, reaches all kinds of faults
+// and all instances, and leaves the schedule of Draw as it is.
+func TestDrawPartitions(t *testing.T) {
+	is := is.New(t)
+	const length, processes = time.Hour, 4
+	first := DrawPartitions(5, length, processes)
+	is.Equal(first, DrawPartitions(5, length, processes))
+	kinds, targets := make(map[string]bool), make(map[int]bool)
+	for _, f := range first {
+		kinds[f.Kind] = true
+		targets[f.Target] = true
+		is.True(f.At < length && f.For > 0)
+	}
+	is.Equal(len(kinds), len(partitionFaults)+1)
+	is.Equal(len(targets), processes)
+}
+
+// TestFinalPartition checks which exchanges break the guarantees at an instance cut from endpoints.
+func TestFinalPartition(t *testing.T) {
+	from := time.Now()
+	f := &finalPartition{
+		instance: 1,
+		from:     from,
+		to:       from.Add(finalCut),
+	}
+	exchange := func(instance int, after, took time.Duration, status int) Exchange {
+		return Exchange{
+			Key:      steadyKey,
+			Instance: instance,
+			Sent:     from.Add(after),
+			Ended:    from.Add(after + took),
+			Status:   status,
+			Whole:    status == 200,
+		}
+	}
+	served := exchange(1, 4*time.Second, time.Millisecond, 200)
+	other := exchange(0, 4*time.Second, time.Millisecond, 200)
+	for name, row := range map[string]struct {
+		history []Exchange
+		want    int
+	}{
+		"all served":                   {[]Exchange{served, other}, 0},
+		"refused too early to count":   {[]Exchange{served, other, exchange(1, 2*time.Second, time.Millisecond, 503)}, 0},
+		"refused":                      {[]Exchange{served, other, exchange(1, 4*time.Second, time.Millisecond, 503)}, 1},
+		"refused everywhere":           {[]Exchange{exchange(0, 4*time.Second, 0, 503), exchange(1, 4*time.Second, 0, 503)}, 0},
+		"held until the time limit":    {[]Exchange{served, other, exchange(1, 4*time.Second, requestTimeout, 0)}, 2},
+		"others refused":               {[]Exchange{served, exchange(0, 4*time.Second, 0, 503)}, 0},
+		"nothing sent during this cut": {nil, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(len(f.check(row.history)), row.want)
+		})
+	}
+}
