reach: let the answer about an endpoint hold for 0.2 s

While all endpoints are down, each dial asked another instance, which dialled the endpoint and two others to prove that it reaches any: up to twenty dials for a request. The answer now holds for 0.2 s for all requests of the instance, and so does the finding that an instance reaches no endpoint. TestDialsWhileAllEndpointsAreDown counts: 50 dials of one instance caused fewer than 50 at three others.

--- a/reach/dialer_test.go
+++ b/reach/dialer_test.go
@@ -266,6 +266,29 @@
 	is.True(errors.Is(err, tcp.ErrNoPath))
 }
 
+// TestDialsWhileAllEndpointsAreDown checks that the requests of one instance don't multiply at others
+// while no endpoint accepts connections.
+func TestDialsWhileAllEndpointsAreDown(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 4)
+	for i := range f.endpoints {
+		dead := startEcho(t)
+		f.endpoints[i] = dead.Addr().String()
+		dead.Close()
+	}
+	const dials = 50
+	for i := range dials {
+		_, err := f.dial(i % len(f.endpoints))
+		is.True(err != nil)
+	}
+	made := 0
+	for _, in := range f.instances[1:] {
+		made += in.links.Dials()
+	}
+	is.Equal(f.instances[0].links.Dials(), dials)
+	is.True(made < dials)
+}
+
 func TestNoOtherInstance(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t, 1)
--- a/reach/forward.go
+++ b/reach/forward.go
@@ -46,13 +46,18 @@
 var errNobody = errors.New("no other instance is known")
 
 // forward dials through other instances until one connects, or one that reaches endpoints can't
-// reach this one, or maxPeersAsked have been asked. The channel receives the result.
+// reach this one, or maxPeersAsked have been asked. It asks none if their last answer still holds. The
+// channel receives the result.
 func (d *Dialer) forward(ctx context.Context, address string) chan forwardResult {
 	out := make(chan forwardResult, 1)
+	if r, ok := d.peers.recent(address); ok {
+		out <- r
+		return out
+	}
 	go func() {
 		r := d.askPeers(ctx, address)
 		if ctx.Err() == nil {
-			d.peers.concluded(r.verdict)
+			d.peers.concluded(address, r)
 		}
 		out <- r
 	}()
--- a/reach/links.go
+++ b/reach/links.go
@@ -37,6 +37,8 @@
 	// assumed to be broken.
 	since time.Time
 	cut   bool
+	// unprovenAt is when this instance last found that it reaches no endpoints.
+	unprovenAt time.Time
 	// probedAt is when a direct dial was last made during a cut on a path that is not known to be
 	// broken.
 	probedAt time.Time
@@ -90,6 +92,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.connectedAt = l.now()
+	l.unprovenAt = time.Time{}
 	if l.cut {
 		l.log.Info("endpoints reachable again", "after_ms", l.now().Sub(l.since).Milliseconds(), "broken", len(l.broken))
 	}
@@ -153,6 +156,20 @@
 	return !l.connectedAt.IsZero() && l.now().Sub(l.connectedAt) < provenFor
 }
 
+// disproved reports whether this instance found lately that it reaches no endpoints.
+func (l *links) disproved() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.unprovenAt.IsZero() && l.now().Sub(l.unprovenAt) < verdictFor
+}
+
+// disprove records that this instance reaches no endpoints.
+func (l *links) disprove() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.unprovenAt = l.now()
+}
+
 // state returns the number of broken paths, and whether all are assumed to be broken.
 func (l *links) state() (broken int, cut bool) {
 	l.mu.Lock()
--- a/reach/peers.go
+++ b/reach/peers.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -16,6 +17,9 @@
 	wantedGood = 3
 	// avoidFor is how long an instance that could not forward is asked last.
 	avoidFor = 3 * time.Second
+	// verdictFor is how long the answer about an endpoint holds, so that not every request asks again
+	// while many endpoints are down.
+	verdictFor = 200 * time.Millisecond
 	// trustFor is how long an instance that forwarded is preferred.
 	trustFor = 10 * time.Second
 )
@@ -31,6 +35,14 @@
 	// noPathAt is when those that were asked last were found to reach no endpoints; zero if they
 	// do.
 	noPathAt time.Time
+	// verdicts has the last answers about endpoints that could not be reached, by address.
+	verdicts map[string]conclusion
+}
+
+// conclusion is what the instances that were asked said about an endpoint.
+type conclusion struct {
+	at     time.Time
+	result forwardResult
 }
 
 // goodPeer is an instance that forwarded a connection.
@@ -46,6 +58,7 @@
 		settings: s,
 		good:     make(map[string]goodPeer),
 		bad:      make(map[string]time.Time),
+		verdicts: make(map[string]conclusion),
 	}
 }
 
@@ -72,14 +85,33 @@
 	h.bad[r.peer.ID] = h.settings.Now()
 }
 
-// concluded records whether one of the instances that were asked reaches endpoints.
-func (h *peerHealth) concluded(v verdict) {
+// concluded records what the instances that were asked said about an endpoint.
+func (h *peerHealth) concluded(address string, r forwardResult) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	now := h.settings.Now()
 	h.noPathAt = time.Time{}
-	if v == noPath {
-		h.noPathAt = h.settings.Now()
+	if r.err != nil && r.verdict == noPath {
+		h.noPathAt = now
+	}
+	delete(h.verdicts, address)
+	if r.err == nil || r.verdict == unknown {
+		return
 	}
+	maps.DeleteFunc(h.verdicts, func(_ string, c conclusion) bool { return now.Sub(c.at) > verdictFor })
+	h.verdicts[address] = conclusion{
+		at:     now,
+		result: r,
+	}
+}
+
+// recent returns the last answer about an endpoint that could not be reached, or false if there is
+// none or it is too old.
+func (h *peerHealth) recent(address string) (forwardResult, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c, ok := h.verdicts[address]
+	return c.result, ok && h.settings.Now().Sub(c.at) <= verdictFor
 }
 
 // noneReaches reports whether none of the instances that were asked last reached endpoints, less
--- a/reach/server.go
+++ b/reach/server.go
@@ -182,6 +182,9 @@
 	if s.dialer.links.proven() {
 		return true
 	}
+	if s.dialer.links.disproved() {
+		return false
+	}
 	others := s.endpoints.Others(address, proofEndpoints)
 	if len(others) == 0 {
 		return true
@@ -206,6 +209,7 @@
 			return false
 		}
 	}
+	s.dialer.links.disprove()
 	return false
 }
 
