reach: ask more instances, sooner, before an endpoint counts as unreachable

Up to four instances are asked, 40 ms apart, and none ends the dial by a negative answer; proof that an instance reaches endpoints comes from the same service; the direct dial has eight times its usual duration. Without a path anywhere a request is refused after one full dial. A refused connection still tells a crash where no instance reaches any endpoint of the service.

--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -3,6 +3,8 @@
 package gateway
 
 import (
+	"math/rand/v2"
+
 	"github.com/linkmast/linkmast/catalog"
 	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/internal/tcp"
@@ -66,32 +68,35 @@
 
 // Known implements reach.Endpoints.
 func (k knownEndpoints) Known(address string) bool {
-	s := k.snapshot()
-	if s == nil {
-		return false
+	_, known := k.serviceOf(address)
+	return known
+}
+
+// Others implements reach.Endpoints. It omits endpoints that are leaving.
+func (k knownEndpoints) Others(address string, n int) (service string, others []string) {
+	service, known := k.serviceOf(address)
+	if !known {
+		return "", nil
 	}
-	for _, e := range s.Endpoints {
-		if e.Address == address {
-			return true
+	for _, e := range k.snapshot().Endpoints {
+		if e.Service == service && e.Address != address && !e.Leaving {
+			others = append(others, e.Address)
 		}
 	}
-	return false
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return service, others[:min(n, len(others))]
 }
 
-// Others implements reach.Endpoints. It returns random endpoints that are not leaving.
-func (k knownEndpoints) Others(address string, n int) []string {
+// serviceOf returns the service of the endpoint at an address, or false if there is none.
+func (k knownEndpoints) serviceOf(address string) (string, bool) {
 	s := k.snapshot()
 	if s == nil {
-		return nil
+		return "", false
 	}
-	var out []string
 	for _, e := range s.Endpoints {
-		if len(out) == n {
-			break
-		}
-		if e.Address != address && !e.Leaving {
-			out = append(out, e.Address)
+		if e.Address == address {
+			return e.Service, true
 		}
 	}
-	return out
+	return "", false
 }
--- a/internal/tcp/path.go
+++ b/internal/tcp/path.go
@@ -2,8 +2,18 @@
 
 package tcp
 
-import "github.com/go-faster/errors"
+import (
+	"syscall"
+
+	"github.com/go-faster/errors"
+)
 
 // ErrNoPath is the cause of a failed dial that says nothing about the address: neither this
 // instance nor the others that it asked can reach any endpoint.
 var ErrNoPath = errors.New("no path to endpoints")
+
+// Inconclusive reports whether the error of a dial leaves open whether the address accepts
+// connections: there is no path to endpoints, and the connection was not refused.
+func Inconclusive(err error) bool {
+	return errors.Is(err, ErrNoPath) && !errors.Is(err, syscall.ECONNREFUSED)
+}
--- a/internal/tcp/tcptest/dialer.go
+++ b/internal/tcp/tcptest/dialer.go
@@ -124,7 +124,6 @@
 	// is closed and replaced when healed changes.
 	healed  chan struct{}
 	changed chan struct{}
-	dead    bool
 }
 
 // drop discards the packets of the connection until healed is closed. The connection fails if that
@@ -144,17 +143,18 @@
 		case <-time.After(deadAfter):
 			c.mu.Lock()
 			defer c.mu.Unlock()
-			c.dead = true
 			_ = c.Conn.Close()
 		}
 	}()
 }
 
-// Quiet reports whether the connection is open as far as this host knows.
-func (c *conn) Quiet() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return !c.dead
+// SyscallConn implements syscall.Conn.
+func (c *conn) SyscallConn() (syscall.RawConn, error) {
+	t, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.Errorf("%T has no file descriptor", c.Conn)
+	}
+	return t.SyscallConn()
 }
 
 // Read implements net.Conn. While packets are dropped it returns nothing.
--- a/node/paths.go
+++ b/node/paths.go
@@ -3,7 +3,9 @@
 package node
 
 import (
+	"cmp"
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/linkmast/linkmast/config"
@@ -73,28 +75,40 @@
 
 // Known implements reach.Endpoints.
 func (c configuredEndpoints) Known(address string) bool {
-	return c.find(func(e *config.Endpoint) bool { return e.Address == address }, 1) != nil
+	return c.find(address) != nil
 }
 
-// Others implements reach.Endpoints.
-func (c configuredEndpoints) Others(address string, n int) []string {
-	return c.find(func(e *config.Endpoint) bool { return e.Address != address }, n)
+// Others implements reach.Endpoints. An engine's service is its model.
+func (c configuredEndpoints) Others(address string, n int) (service string, others []string) {
+	found := c.find(address)
+	if found == nil {
+		return "", nil
+	}
+	for i := range c.view().File.Endpoints {
+		e := &c.view().File.Endpoints[i]
+		if serviceOf(e) == serviceOf(found) && e.Address != address {
+			others = append(others, e.Address)
+		}
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return serviceOf(found), others[:min(n, len(others))]
 }
 
-// find returns the addresses of up to n endpoints that satisfy a condition.
-func (c configuredEndpoints) find(wanted func(e *config.Endpoint) bool, n int) []string {
+// serviceOf returns what an endpoint serves: the service of a plain one, the model of an engine.
+func serviceOf(e *config.Endpoint) string {
+	return cmp.Or(e.Service, e.Model)
+}
+
+// find returns the endpoint at an address, or nil if there is none.
+func (c configuredEndpoints) find(address string) *config.Endpoint {
 	v := c.view()
 	if v == nil {
 		return nil
 	}
-	var out []string
 	for i := range v.File.Endpoints {
-		if len(out) == n {
-			break
-		}
-		if e := &v.File.Endpoints[i]; wanted(e) {
-			out = append(out, e.Address)
+		if e := &v.File.Endpoints[i]; e.Address == address {
+			return e
 		}
 	}
-	return out
+	return nil
 }
--- a/pool/check.go
+++ b/pool/check.go
@@ -166,7 +166,7 @@
 }
 
 // runChecks connects to all given endpoints and returns the errors of those that fail, by name. An
-// endpoint to which there is no path does not fail.
+// endpoint does not fail if there is no path to any, unless it refuses the connection.
 func (s *Scheduler) runChecks(addresses map[string]string) map[string]error {
 	var (
 		mu     sync.Mutex
@@ -178,7 +178,7 @@
 		wait.Go(func() error {
 			ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 			defer cancel()
-			if err := s.settings.Check(ctx, address); err != nil && !errors.Is(err, tcp.ErrNoPath) {
+			if err := s.settings.Check(ctx, address); err != nil && !tcp.Inconclusive(err) {
 				mu.Lock()
 				defer mu.Unlock()
 				failed[endpoint] = err
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
 	"golang.org/x/sync/singleflight"
 
@@ -112,7 +111,7 @@
 func (d *Detector) report(c Crash, suspects []string, request string) bool {
 	for _, address := range suspects {
 		err := d.checkEndpoint(address)
-		if err == nil || errors.Is(err, tcp.ErrNoPath) {
+		if err == nil || tcp.Inconclusive(err) {
 			continue
 		}
 		d.onCrash()
--- a/reach/dialer.go
+++ b/reach/dialer.go
@@ -19,9 +19,12 @@
 const (
 	// directTimeout bounds a direct dial.
 	directTimeout = 400 * time.Millisecond
-	// forwardDelay is how long a direct dial may take before another instance is asked.
-	forwardDelay = 100 * time.Millisecond
-	// delayShare is the largest part of the time left for a dial that forwardDelay may take.
+	// A direct dial may take slowFactor times the usual time, within the two bounds, before another
+	// instance is asked.
+	slowFactor      = 8
+	minForwardDelay = 30 * time.Millisecond
+	maxForwardDelay = 100 * time.Millisecond
+	// delayShare is the largest part of the time left for a dial that this delay may take.
 	delayShare = 0.3
 )
 
@@ -133,6 +136,12 @@
 			return nil, ctx.Err()
 		}
 	}
+	if t.direct != nil && d.peers.noneReaches() {
+		// No instance had a path a moment ago, and the direct dial had the usual time.
+		d.noPath.Add(1)
+		t.discardDirect()
+		return nil, t.noPathError()
+	}
 	t.forward = d.forward(forwarding, address)
 	c, err := t.wait(ctx)
 	if errors.Is(err, tcp.ErrNoPath) {
@@ -168,9 +177,10 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), directTimeout)
 	go func() {
 		defer cancel()
+		began := d.settings.Now()
 		c, err := d.parts.Dial(ctx, network, address)
 		if err == nil {
-			d.links.connected(address)
+			d.links.connected(address, d.settings.Now().Sub(began))
 		}
 		out <- dialed{
 			conn: c,
@@ -182,11 +192,11 @@
 
 // delay returns how long to wait for a direct dial before another instance is asked.
 func (d *Dialer) delay(ctx context.Context) time.Duration {
-	end, ok := ctx.Deadline()
-	if !ok {
-		return forwardDelay
+	delay := min(max(slowFactor*d.links.usualTime(), minForwardDelay), maxForwardDelay)
+	if end, ok := ctx.Deadline(); ok {
+		delay = min(delay, time.Duration(delayShare*float64(time.Until(end))))
 	}
-	return min(forwardDelay, time.Duration(delayShare*float64(time.Until(end))))
+	return delay
 }
 
 // Leaving returns the number of open connections through instances that will stop. Idle ones should
@@ -255,16 +265,11 @@
 				t.direct = t.dialer.dialDirect(ctx, "tcp", t.address)
 			}
 		case <-ctx.Done():
-			t.discardDirect()
-			t.discardForward()
-			if t.directErr != nil {
-				return nil, t.directErr
-			}
-			return nil, ctx.Err()
+			return nil, t.outOfTime(ctx)
 		}
 	}
 	if refused.verdict == noPath {
-		return nil, errors.Wrap(tcp.ErrNoPath, t.address)
+		return nil, t.noPathError()
 	}
 	if t.directErr != nil {
 		return nil, t.directErr
@@ -272,6 +277,33 @@
 	return nil, refused.err
 }
 
+// outOfTime returns the error of a dial whose time is over.
+func (t *dial) outOfTime(ctx context.Context) error {
+	t.discardDirect()
+	if t.forward != nil {
+		// The forwarded dial ends with ctx.
+		r := <-t.forward
+		t.forward = nil
+		if r.err == nil {
+			_ = r.conn.Close()
+		} else if r.verdict == noPath {
+			return t.noPathError()
+		}
+	}
+	if t.directErr != nil {
+		return t.directErr
+	}
+	return ctx.Err()
+}
+
+// noPathError returns tcp.ErrNoPath together with the error of the direct dial, if there was one.
+func (t *dial) noPathError() error {
+	if t.directErr == nil {
+		return errors.Wrap(tcp.ErrNoPath, t.address)
+	}
+	return errors.Join(tcp.ErrNoPath, t.directErr)
+}
+
 // useForwarded returns a forwarded connection, and records that the direct path is broken if the
 // direct dial failed. If it is still running, its result decides.
 func (t *dial) useForwarded(r forwardResult) net.Conn {
--- a/reach/dialer_test.go
+++ b/reach/dialer_test.go
@@ -144,14 +144,13 @@
 }
 
 // Others implements reach.Endpoints.
-func (f *fleet) Others(address string, n int) []string {
-	var out []string
+func (f *fleet) Others(address string, n int) (service string, others []string) {
 	for _, e := range f.endpoints {
-		if e != address && len(out) < n {
-			out = append(out, e)
+		if e != address && len(others) < n {
+			others = append(others, e)
 		}
 	}
-	return out
+	return "service", others
 }
 
 // dial dials endpoint e from the first instance within half a second.
@@ -254,6 +253,24 @@
 	is.Equal(f.instances[0].dialer.Stats().Broken, 0)
 }
 
+// TestPeersPartitionedAsWell checks that a dial goes on to other instances if the first ones are cut off
+// too, as half of a fleet may be.
+func TestPeersPartitionedAsWell(t *testing.T) {
+	for _, p := range []tcptest.Partition{tcptest.RefuseNew, tcptest.Drop} {
+		is := is.New(t)
+		f := newFleet(t, 6)
+		for _, in := range f.instances[:3] {
+			in.links.Set(p)
+		}
+		for e := range f.endpoints {
+			c, err := f.dial(e)
+			is.NoErr(err)
+			is.True(via(c) != "b" && via(c) != "c")
+			assertEcho(t, c)
+		}
+	}
+}
+
 // TestDeadEndpointBesidePartitionedInstance checks that an instance without paths doesn't confirm
 // that an endpoint is dead.
 func TestDeadEndpointBesidePartitionedInstance(t *testing.T) {
@@ -264,6 +281,12 @@
 	}
 	_, err := f.dial(0)
 	is.True(errors.Is(err, tcp.ErrNoPath))
+	is.True(!tcp.Inconclusive(err)) // the connection was refused
+	for _, in := range f.instances {
+		in.links.Set(tcptest.Drop)
+	}
+	_, err = f.dial(1)
+	is.True(tcp.Inconclusive(err))
 }
 
 // TestDialsWhileAllEndpointsAreDown checks that the requests of one instance don't multiply at others
--- a/reach/forward.go
+++ b/reach/forward.go
@@ -5,9 +5,11 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
+	"google.golang.org/grpc/connectivity"
 
 	"github.com/linkmast/linkmast/reach/reachpb"
 )
@@ -15,9 +17,10 @@
 // Parameters of requests for forwarded connections.
 const (
 	// maxPeersAsked is the number of instances that one dial asks.
-	maxPeersAsked = 3
-	// askDelay is how long an instance may take to answer before the next one is asked as well.
-	askDelay = 150 * time.Millisecond
+	maxPeersAsked = 4
+	// askDelay is how long an instance may take to answer before the next one is asked as well. One
+	// that reaches the endpoint answers after two round trips.
+	askDelay = 40 * time.Millisecond
 )
 
 // verdict is what the asked instances say about an endpoint that they didn't connect to.
@@ -45,8 +48,8 @@
 // errNobody is the error of a forwarded dial without an instance to ask.
 var errNobody = errors.New("no other instance is known")
 
-// forward dials through other instances until one connects, or one that reaches endpoints can't
-// reach this one, or maxPeersAsked have been asked. It asks none if their last answer still holds. The
+// forward dials through other instances until one connects or maxPeersAsked have been asked. The
+// verdict is that of the one that knows most, as several may be cut off together. It asks none if their last answer still holds. The
 // channel receives the result.
 func (d *Dialer) forward(ctx context.Context, address string) chan forwardResult {
 	out := make(chan forwardResult, 1)
@@ -56,7 +59,7 @@
 	}
 	go func() {
 		r := d.askPeers(ctx, address)
-		if ctx.Err() == nil {
+		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			d.peers.concluded(address, r)
 		}
 		out <- r
@@ -75,6 +78,7 @@
 		err: errNobody,
 	}
 	asked, pending := 0, 0
+	began := d.settings.Now()
 	defer func() {
 		// Connections that come too late are closed.
 		go func(n int) {
@@ -91,31 +95,50 @@
 		select {
 		case <-ctx.Done():
 			final.err = ctx.Err()
+			if d.settings.Now().Sub(began) >= peerDialTimeout && d.connectedToAny(peers[:asked]) {
+				// They had the time to find out, so their own paths are broken or slow.
+				final.verdict = noPath
+			}
 			return final
 		case <-next.C:
-			if asked < len(peers) {
+			switch {
+			case asked < len(peers):
 				p := peers[asked]
 				go func() { answers <- d.ask(ctx, p, address) }()
 				asked++
 				pending++
 				next.Reset(askDelay)
+			case final.verdict == unreachable:
+				return final
 			}
 		case r := <-answers:
 			pending--
 			d.peers.record(r)
-			if r.err == nil || r.verdict == unreachable {
+			if r.err == nil {
 				final = r
 				return final
 			}
 			if r.verdict >= final.verdict {
 				final = r
 			}
-			next.Reset(0)
+			if asked < len(peers) {
+				next.Reset(0)
+			} else {
+				next.Reset(askDelay)
+			}
 		}
 	}
 	return final
 }
 
+// connectedToAny reports whether there is an open connection to one of the instances.
+func (d *Dialer) connectedToAny(peers []Peer) bool {
+	return slices.ContainsFunc(peers, func(p Peer) bool {
+		g, err := d.parts.Connector.Conn(p.Address)
+		return err == nil && g.GetState() == connectivity.Ready
+	})
+}
+
 // ask requests a connection from one instance.
 func (d *Dialer) ask(ctx context.Context, p Peer, address string) forwardResult {
 	fail := func(v verdict, err error) forwardResult {
--- a/reach/links.go
+++ b/reach/links.go
@@ -18,8 +18,6 @@
 	probeInterval = 250 * time.Millisecond
 	// forgetAfter is how long a path counts as broken after its last failure.
 	forgetAfter = 5 * time.Second
-	// provenFor is how long a direct connection proves that this instance reaches endpoints.
-	provenFor = 500 * time.Millisecond
 )
 
 // links holds the state of the direct paths to endpoints. A path is broken if a direct dial failed,
@@ -31,14 +29,14 @@
 	mu sync.Mutex
 	// broken has the broken paths by address.
 	broken map[string]*brokenPath
-	// connectedAt is when a direct dial last succeeded; zero before.
+	// connectedAt is when a direct dial last succeeded; zero before. usual is the moving average of
+	// the time that successful direct dials take.
 	connectedAt time.Time
+	usual       time.Duration
 	// since is when the first of the broken paths was found, and cut is set while all paths are
 	// assumed to be broken.
 	since time.Time
 	cut   bool
-	// unprovenAt is when this instance last found that it reaches no endpoints.
-	unprovenAt time.Time
 	// probedAt is when a direct dial was last made during a cut on a path that is not known to be
 	// broken.
 	probedAt time.Time
@@ -87,12 +85,25 @@
 	return true
 }
 
-// connected records a successful direct dial.
-func (l *links) connected(address string) {
+// usualWeight is the weight of the latest direct dial in the average of their times.
+const usualWeight = 0.1
+
+// usualTime returns the average time of a successful direct dial; zero before the first.
+func (l *links) usualTime() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.usual
+}
+
+// connected records a successful direct dial and its time.
+func (l *links) connected(address string, took time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.connectedAt.IsZero() {
+		l.usual = took
+	}
+	l.usual += time.Duration(usualWeight * float64(took-l.usual))
 	l.connectedAt = l.now()
-	l.unprovenAt = time.Time{}
 	if l.cut {
 		l.log.Info("endpoints reachable again", "after_ms", l.now().Sub(l.since).Milliseconds(), "broken", len(l.broken))
 	}
@@ -149,27 +160,6 @@
 	}
 }
 
-// proven reports whether a direct dial succeeded recently.
-func (l *links) proven() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return !l.connectedAt.IsZero() && l.now().Sub(l.connectedAt) < provenFor
-}
-
-// disproved reports whether this instance found lately that it reaches no endpoints.
-func (l *links) disproved() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return !l.unprovenAt.IsZero() && l.now().Sub(l.unprovenAt) < verdictFor
-}
-
-// disprove records that this instance reaches no endpoints.
-func (l *links) disprove() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.unprovenAt = l.now()
-}
-
 // state returns the number of broken paths, and whether all are assumed to be broken.
 func (l *links) state() (broken int, cut bool) {
 	l.mu.Lock()
--- a/reach/server.go
+++ b/reach/server.go
@@ -25,17 +25,20 @@
 	maxPeerTimeout = time.Second
 	// proofDelay is how long a dial for another instance may take before this one checks whether
 	// it reaches endpoints at all.
-	proofDelay = 60 * time.Millisecond
-	// proofEndpoints is the number of endpoints that it dials to find out.
-	proofEndpoints = 2
+	proofDelay = 30 * time.Millisecond
+	// proofTimeout bounds that check.
+	proofTimeout = 100 * time.Millisecond
+	// proofEndpoints is the number of endpoints that it dials to find out. One of them must accept.
+	proofEndpoints = 3
 )
 
 // Endpoints are the endpoints that an instance forwards to.
 type Endpoints interface {
 	// Known reports whether an endpoint with the address is known.
 	Known(address string) bool
-	// Others returns the addresses of up to n endpoints other than the one at the address.
-	Others(address string, n int) []string
+	// Others returns the service of the endpoint at the address, and the addresses of up to n other
+	// endpoints of it, in random order.
+	Others(address string, n int) (service string, others []string)
 }
 
 // Server forwards connections of other instances to endpoints. It implements
@@ -48,6 +51,7 @@
 	// stopping is closed when the instance begins to stop.
 	stopping <-chan struct{}
 
+	proofs proofs
 	active atomic.Int64
 	// served counts the connections since the start.
 	served atomic.Int64
@@ -163,32 +167,45 @@
 	t := &dial{
 		direct: direct,
 	}
-	select {
-	case r := <-direct:
-		if r.err == nil {
-			return r.conn, true, nil
+	defer t.discardDirect()
+	for {
+		select {
+		case r := <-t.direct:
+			t.direct = nil
+			if r.err == nil {
+				return r.conn, true, nil
+			}
+			return nil, reaches || <-proof, r.err
+		case reaches = <-proof:
+			if !reaches {
+				return nil, false, errors.New("no endpoint answers")
+			}
+			proof = nil
+		case <-ctx.Done():
+			return nil, reaches, ctx.Err()
 		}
-		err = r.err
-	case <-ctx.Done():
-		t.discardDirect()
-		err = ctx.Err()
 	}
-	return nil, <-proof, err
 }
 
-// reaches reports whether this instance has a direct path to endpoints other than the one at the
-// address: it connected to one lately, or does so now. Without others it is assumed to.
+// reaches reports whether this instance has a direct path to other endpoints of the service to which
+// the endpoint at the address belongs. Without others it is assumed to. The answer holds for a while.
 func (s *Server) reaches(ctx context.Context, address string) bool {
-	if s.dialer.links.proven() {
-		return true
-	}
-	if s.dialer.links.disproved() {
-		return false
-	}
-	others := s.endpoints.Others(address, proofEndpoints)
+	service, others := s.endpoints.Others(address, proofEndpoints)
 	if len(others) == 0 {
 		return true
 	}
+	if ok, known := s.proofs.get(service, s.dialer.settings.Now()); known {
+		return ok
+	}
+	ok := s.reachesOne(ctx, others)
+	s.proofs.set(service, ok, s.dialer.settings.Now())
+	return ok
+}
+
+// reachesOne reports whether a direct dial to one of the addresses succeeds within proofTimeout.
+func (s *Server) reachesOne(ctx context.Context, others []string) bool {
+	ctx, cancel := context.WithTimeout(ctx, proofTimeout)
+	defer cancel()
 	results := make(chan bool, len(others))
 	for _, other := range others {
 		go func() {
@@ -209,10 +226,42 @@
 			return false
 		}
 	}
-	s.dialer.links.disprove()
 	return false
 }
 
+// proofs remembers for which services this instance has direct paths. The zero value is empty.
+type proofs struct {
+	mu   sync.Mutex
+	last map[string]proof
+}
+
+// proof is whether an instance had a direct path to a service at some time.
+type proof struct {
+	at time.Time
+	ok bool
+}
+
+// get returns the last proof of a service unless it is older than verdictFor.
+func (p *proofs) get(service string, now time.Time) (ok, known bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	last := p.last[service]
+	return last.ok, !last.at.IsZero() && now.Sub(last.at) <= verdictFor
+}
+
+// set records a proof.
+func (p *proofs) set(service string, ok bool, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.last == nil {
+		p.last = make(map[string]proof)
+	}
+	p.last[service] = proof{
+		at: now,
+		ok: ok,
+	}
+}
+
 // copy forwards bytes in both directions until one side ends.
 func (s *Server) copy(stream reachpb.Forwarding_ForwardServer, conn net.Conn) error {
 	go func() {
