soak: record the last partition among the faults that were played

Its instance had been cut by the last partition, which drops packets, a moment before the caller left, so that the endpoint could not learn of it. The excuse for partitions did not know of that one.

--- a/soak/partition.go
+++ b/soak/partition.go
@@ -23,7 +23,7 @@
 // storeRestored takes the store away for a moment and brings it back from a copy.
 const storeRestored = "store comes back from a copy"
 
-// partitionKinds lists the kinds of faults that DrawPartitions draws.
+// partitionKinds lists the kinds of faults that DrawPartitions draws, the partitions first.
 var partitionKinds = [...]string{
 	"instance gets no new endpoint connections",
 	"instance loses its endpoint connections",
@@ -122,13 +122,18 @@
 
 // cutOne cuts one instance from all endpoints under load, after the system has recovered.
 func (d *Deployment) cutOne(ctx context.Context, seed uint64) *finalPartition {
-	kinds := [...]tcptest.Partition{tcptest.RefuseNew, tcptest.ResetAll, tcptest.Drop}
+	name := partitionKinds[seed%uint64(len(partitionFaults))]
 	f := &finalPartition{
 		instance: int(seed % uint64(len(d.processes))),
-		kind:     kinds[seed%uint64(len(kinds))],
+		kind:     partitionFaults[name],
 		from:     time.Now(),
 	}
 	if ctx.Err() == nil {
+		d.record(Fault{
+			For:    finalCut,
+			Kind:   name,
+			Target: f.instance,
+		})
 		d.partition(d.processes[f.instance], f.kind, finalCut)
 	}
 	f.to = time.Now()
