--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -15,6 +15,9 @@
 
 // assemblePaths creates what connects to endpoints, for this instance and for others.
 func (g *Gateway) assemblePaths(dial tcp.DialFunc) {
+	known := knownEndpoints{
+		snapshot: g.catalog.Snapshot,
+	}
 	g.reach = reach.NewDialer(reach.Settings{
 		Self:          g.self.ID,
 		FailureDomain: g.self.FailureDomain,
@@ -23,12 +26,14 @@
 		Dial:      dial,
 		Peers:     g.forwardingPeers,
 		Connector: g.peers,
-		OnHang:    g.closeHanging,
-		Log:       g.log.WithName("reach"),
+		ServiceOf: func(address string) string {
+			service, _ := known.serviceOf(address)
+			return service
+		},
+		OnHang: g.closeHanging,
+		Log:    g.log.WithName("reach"),
 	})
-	g.forwarder = reach.NewServer(g.reach, knownEndpoints{
-		snapshot: g.catalog.Snapshot,
-	}, g.stopping)
+	g.forwarder = reach.NewServer(g.reach, known, g.stopping)
 	g.upstream = upstream.New(upstream.Settings{
 		Dial: g.reach.DialContext,
 	})
--- a/internal/tcp/tcptest/dialer.go
+++ b/internal/tcp/tcptest/dialer.go
@@ -100,9 +100,8 @@
 		return nil, err
 	}
 	c := &conn{
-		Conn:    n,
-		dialer:  d,
-		changed: make(chan struct{}),
+		Conn:   n,
+		dialer: d,
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -120,10 +119,8 @@
 	dialer *Dialer
 
 	mu sync.Mutex
-	// healed is closed when the packets are no longer dropped; nil while they are not. changed
-	// is closed and replaced when healed changes.
-	healed  chan struct{}
-	changed chan struct{}
+	// healed is closed when the packets are no longer dropped; nil while they are not.
+	healed chan struct{}
 }
 
 // drop discards the packets of the connection until healed is closed. The connection fails if that
@@ -132,8 +129,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.healed = healed
-	close(c.changed)
-	c.changed = make(chan struct{})
 	go func() {
 		select {
 		case <-healed:
--- a/node/paths.go
+++ b/node/paths.go
@@ -17,6 +17,9 @@
 
 // assemblePaths creates what connects to endpoints, for this instance and for others.
 func (n *Node) assemblePaths(dial tcp.DialFunc) {
+	known := configuredEndpoints{
+		view: n.rollout.View,
+	}
 	n.reach = reach.NewDialer(reach.Settings{
 		Self:          n.self.ID,
 		FailureDomain: n.self.FailureDomain,
@@ -25,12 +28,16 @@
 		Dial:      dial,
 		Peers:     n.forwardingPeers,
 		Connector: n.pool,
-		OnHang:    func(string) { n.endpoints.CloseIdleConnections() },
-		Log:       n.log.WithName("reach"),
+		ServiceOf: func(address string) string {
+			if e := known.find(address); e != nil {
+				return serviceOf(e)
+			}
+			return ""
+		},
+		OnHang: func(string) { n.endpoints.CloseIdleConnections() },
+		Log:    n.log.WithName("reach"),
 	})
-	n.forwarder = reach.NewServer(n.reach, configuredEndpoints{
-		view: n.rollout.View,
-	}, n.stopping)
+	n.forwarder = reach.NewServer(n.reach, known, n.stopping)
 	n.endpoints = wirehttp.ClientBy(n.reach.DialContext, 0)
 }
 
--- a/reach/dialer.go
+++ b/reach/dialer.go
@@ -61,6 +61,8 @@
 	Peers func() []Peer
 	// Connector provides the connections to them.
 	Connector Connector
+	// ServiceOf returns the service of the endpoint at an address; empty if it is unknown.
+	ServiceOf func(address string) string
 	// OnHang is called when direct connections were found to hang rather than to be refused, with
 	// the address, or an empty one for all addresses. Nil is ignored.
 	OnHang func(address string)
@@ -101,14 +103,15 @@
 	err  error
 }
 
-// DialContext connects to an endpoint. It dials directly unless the direct path is assumed to be
-// broken, and asks another instance if that fails or takes long. The error is that of the direct
-// dial if an instance that reaches endpoints can't reach this one either, or if none answered. It
-// is tcp.ErrNoPath if those that answered reach no endpoints.
+// DialContext connects to an endpoint. It dials directly, and asks other instances if that fails or
+// takes long, or at once if the direct path is assumed to be broken; such a path is then dialled only
+// now and again. The error is that of the direct dial if an instance that reaches the endpoint's
+// service can't reach the endpoint either, or if no instance answered. It is tcp.ErrNoPath if those
+// that answered don't reach the service.
 func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	suspected := d.links.suspected(address)
 	direct := d.links.allowDirect(address)
-	if suspected && !direct && d.peers.noneReaches() {
+	if suspected && !direct && d.peers.noneReaches(d.parts.ServiceOf(address)) {
 		d.noPath.Add(1)
 		return nil, errors.Wrap(tcp.ErrNoPath, address)
 	}
@@ -117,7 +120,6 @@
 	t := &dial{
 		dialer:  d,
 		address: address,
-		ctx:     forwarding,
 	}
 	if direct {
 		t.direct = d.dialDirect(ctx, network, address)
@@ -136,8 +138,9 @@
 			return nil, ctx.Err()
 		}
 	}
-	if t.direct != nil && d.peers.noneReaches() {
-		// No instance had a path a moment ago, and the direct dial had the usual time.
+	if t.direct != nil && d.peers.noneReaches(d.parts.ServiceOf(address)) {
+		// No instance had a path to the service a moment ago, and the direct dial had the usual
+		// time.
 		d.noPath.Add(1)
 		t.discardDirect()
 		return nil, t.noPathError()
@@ -232,8 +235,6 @@
 type dial struct {
 	dialer  *Dialer
 	address string
-	// ctx is the context of the forwarded dial.
-	ctx context.Context
 	// direct and forward receive the results of the dials; nil if one wasn't started or its result
 	// was received.
 	direct  chan dialed
--- a/reach/dialer_test.go
+++ b/reach/dialer_test.go
@@ -107,6 +107,7 @@
 		Dial:      in.links.DialContext,
 		Peers:     f.peers,
 		Connector: conns,
+		ServiceOf: func(string) string { return "service" },
 		OnHang: func(address string) {
 			in.mu.Lock()
 			defer in.mu.Unlock()
--- a/reach/forward.go
+++ b/reach/forward.go
@@ -29,9 +29,9 @@
 const (
 	// unknown means that none of them answered, or none could say.
 	unknown verdict = iota
-	// noPath means that those that answered reach no endpoint.
+	// noPath means that those that answered reach no endpoint of the service.
 	noPath
-	// unreachable means that one of them reaches other endpoints but not this one.
+	// unreachable means that one of them reaches others of the service but not this one.
 	unreachable
 )
 
@@ -49,8 +49,8 @@
 var errNobody = errors.New("no other instance is known")
 
 // forward dials through other instances until one connects or maxPeersAsked have been asked. The
-// verdict is that of the one that knows most, as several may be cut off together. It asks none if their last answer still holds. The
-// channel receives the result.
+// verdict is that of the one that knows most, as several may be cut off together. It asks none if
+// their last answer still holds. The channel receives the result.
 func (d *Dialer) forward(ctx context.Context, address string) chan forwardResult {
 	out := make(chan forwardResult, 1)
 	if r, ok := d.peers.recent(address); ok {
@@ -60,7 +60,7 @@
 	go func() {
 		r := d.askPeers(ctx, address)
 		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			d.peers.concluded(address, r)
+			d.peers.concluded(address, d.parts.ServiceOf(address), r)
 		}
 		out <- r
 	}()
--- a/reach/peers.go
+++ b/reach/peers.go
@@ -32,9 +32,9 @@
 	// good and bad have the instances that lately could and couldn't forward, by ID.
 	good map[string]goodPeer
 	bad  map[string]time.Time
-	// noPathAt is when those that were asked last were found to reach no endpoints; zero if they
-	// do.
-	noPathAt time.Time
+	// noPathAt is when those that were asked last were found to reach no endpoint of a service, by
+	// service.
+	noPathAt map[string]time.Time
 	// verdicts has the last answers about endpoints that could not be reached, by address.
 	verdicts map[string]conclusion
 }
@@ -58,6 +58,7 @@
 		settings: s,
 		good:     make(map[string]goodPeer),
 		bad:      make(map[string]time.Time),
+		noPathAt: make(map[string]time.Time),
 		verdicts: make(map[string]conclusion),
 	}
 }
@@ -85,14 +86,14 @@
 	h.bad[r.peer.ID] = h.settings.Now()
 }
 
-// concluded records what the instances that were asked said about an endpoint.
-func (h *peerHealth) concluded(address string, r forwardResult) {
+// concluded records what the instances that were asked said about an endpoint of a service.
+func (h *peerHealth) concluded(address, service string, r forwardResult) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.settings.Now()
-	h.noPathAt = time.Time{}
+	delete(h.noPathAt, service)
 	if r.err != nil && r.verdict == noPath {
-		h.noPathAt = now
+		h.noPathAt[service] = now
 	}
 	delete(h.verdicts, address)
 	if r.err == nil || r.verdict == unknown {
@@ -114,12 +115,13 @@
 	return c.result, ok && h.settings.Now().Sub(c.at) <= verdictFor
 }
 
-// noneReaches reports whether none of the instances that were asked last reached endpoints, less
-// than probeInterval ago.
-func (h *peerHealth) noneReaches() bool {
+// noneReaches reports whether none of the instances that were asked last reached a service, less than
+// probeInterval ago.
+func (h *peerHealth) noneReaches(service string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.noPathAt.IsZero() && h.settings.Now().Sub(h.noPathAt) < probeInterval
+	at, found := h.noPathAt[service]
+	return found && h.settings.Now().Sub(at) < probeInterval
 }
 
 // classes of instances, in the order in which they are asked.
