--- a/placement/blocking.go
+++ b/placement/blocking.go
@@ -19,8 +19,7 @@
 const (
 	// blockingPrice is the cost, in units of worth per second, of a stream that keeps all long
 	// prefills off its engine while every engine is busy with one. Prefill earns some five units a
-	// second, and other engines may be as good. From 1 to 5 the score of emulated days changes by
-	// less than 0.005.
+	// second, and other engines may be as good, so it is lower than that.
 	blockingPrice = 2
 	// maxBlockingShare bounds the blocking cost to a fraction of the request's stake, so that
 	// no request becomes late to keep an engine free for others.
@@ -35,8 +34,8 @@
 //	blockingPrice × EngineShare × seconds of decoding × (openFraction before − openFraction after)
 //
 // Streams with short limits therefore gather on the same engines and leave the others to long
-// prefills. Without it, every engine has such streams when a long prompt comes: emulated days with
-// bursts of long prompts before 60 engines had a score of 0.925 instead of 0.947. The cost is at most maxBlockingShare of the request's stake.
+// prefills. Without the cost, every engine would have such streams when a long prompt comes. It is at
+// most maxBlockingShare of the request's stake.
 func (r *Request) blockingCost(e *Engine) float64 {
 	if r.Gap == 0 || r.LongPrefills.MaxGap == 0 {
 		return 0
--- a/placement/simulate.go
+++ b/placement/simulate.go
@@ -195,9 +195,8 @@
 // simulate replaces the estimates of c by simulated ones, for a share that affects more than the
 // next pass of engine i. A stream pauses while the prompts behind its own are prefilled. For
 // streams that are not decoding yet, including the request's own, the estimate would miss these
-// pauses. Without the simulation, prompts are prefilled one after the other on an engine whose first
-// stream then pauses: emulated days with bursts of long prompts before 60 engines had a score of
-// 0.905 instead of 0.926.
+// pauses, and prompts would be prefilled one after the other on an engine whose first stream pauses
+// for each.
 func (ev *evaluation) simulate(c *candidate, i int, p promptShare) {
 	if math.IsNaN(ev.baseLoss[i]) {
 		ev.baseLoss[i] = ev.totalLoss(ev.sim.run(c.engine, nil, ev.now))
