--- a/internal/tcp/path.go
+++ b/internal/tcp/path.go
@@ -8,8 +8,8 @@
 	"github.com/go-faster/errors"
 )
 
-// ErrNoPath is the cause of a failed dial that says nothing about the address: neither this
-// instance nor the others that it asked can reach any endpoint.
+// ErrNoPath is the cause of a failed dial that says nothing about the address: none of the instances
+// that were asked reaches any endpoint of its service.
 var ErrNoPath = errors.New("no path to endpoints")
 
 // Inconclusive reports whether the error of a dial leaves open whether the address accepts
