relay: log how an answer was framed and what was left of its last event

The line of an attempt could not tell an answer with a length or chunks from one that ends with its connection, nor a stream that ends inside an event from a complete one. It has "framing" (length, chunks or close) and "leftover" (bytes after the last complete event) now, and the metric ended_inside_event counts such streams. What is forwarded is as before.

--- /dev/null
+++ b/internal/upstream/framing_test.go
@@ -0,0 +1,39 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package upstream_test
+
+import (
+	"bufio"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/internal/upstream"
+)
+
+// TestFramingOf guards against a response without framing that counts as framed.
+func TestFramingOf(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		head string
+		want upstream.Framing
+	}{
+		{"length", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n", upstream.ByLength},
+		{"empty", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n", upstream.ByLength},
+		{"no content", "HTTP/1.1 204 No Content\r\n", upstream.ByLength},
+		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n", upstream.ByChunks},
+		{"chunks and a length", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n", upstream.ByChunks},
+		{"neither", "HTTP/1.1 200 OK\r\n", upstream.ByClose},
+		{"neither, closing", "HTTP/1.1 200 OK\r\nConnection: close\r\n", upstream.ByClose},
+		{"HTTP/1.0", "HTTP/1.0 200 OK\r\n", upstream.ByClose},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			res, err := http.ReadResponse(bufio.NewReader(strings.NewReader(row.head+"\r\nabc")), nil)
+			is.NoErr(err)
+			is.Equal(upstream.FramingOf(res), row.want)
+		})
+	}
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -38,6 +38,10 @@
 	via string
 	// longestGap is the longest pause between events so far.
 	longestGap time.Duration
+	// framing is how the answer's end is marked; empty without an answer. leftover is the number of
+	// bytes after the last complete event of a stream when its answer ended.
+	framing  string
+	leftover int
 }
 
 // result is the outcome of an attempt.
@@ -243,6 +247,7 @@
 func (t *attempt) handleAnswer(x *upstream.Exchange, w *watch) result {
 	j := t.job
 	res := x.Response
+	t.framing = upstream.FramingOf(res).String()
 	head := t.relay.parts.Wire.Answer(res)
 	if head.NotRun {
 		return t.handleRejection(x, head)
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -226,6 +226,7 @@
 		"waited_ms", t.grant.Waited.Milliseconds(), "first_predicted_ms", t.grant.FirstEventIn.Milliseconds(),
 		"first_ms", t.firstAfter.Milliseconds(), "ms", steady.Since(t.startedAt).Milliseconds(),
 		"outcome", res.outcome.String(), "reason", res.reason, "status", res.status, "events", j.out.progress.count,
+		"framing", t.framing, "leftover", t.leftover,
 		"longest_gap_ms", t.longestGap.Milliseconds(), "target_ms", j.route.Target.Milliseconds(),
 		"gap_ms", j.route.GapTarget.Milliseconds())
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -59,6 +59,10 @@
 // streamEnd forwards what is left of a stream after its endpoint ended it.
 func (t *attempt) streamEnd(x *upstream.Exchange, rest []byte) result {
 	x.MarkComplete()
+	t.leftover = len(rest)
+	if len(rest) > 0 {
+		t.relay.Metrics.add("ended_inside_event")
+	}
 	out := t.job.out
 	if !out.headSent || len(rest) > 0 {
 		out.stream(x.Response, rest)
