gateway: reproduce streams that end inside an event and look complete

The stand-in endpoints can send answers without framing and end streams early, by the end of the connection, a reset or a last chunk. A stream that ends inside an event, without framing or with chunks that end properly, reaches its caller as status 200 with the beginning of the event and a last chunk; a resumable one is not resumed. A reset, and an end of the connection inside chunks, are told apart, and unframed answers that end whole arrive whole.

--- /dev/null
+++ b/gateway/truncated_test.go
@@ -0,0 +1,156 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/internal/tcp/tcptest"
+	"github.com/linkmast/linkmast/platform/platformtest"
+)
+
+// cuts are places and ways in which a stream ends inside an event.
+var cuts = []struct {
+	name string
+	cut  platformtest.Cut
+}{
+	{"inside the first event, closed", platformtest.Cut{Bytes: 9}},
+	{"after one byte, closed", platformtest.Cut{AfterEvents: 3, Bytes: 1}},
+	{"before the blank line, closed", platformtest.Cut{AfterEvents: 3, Bytes: -1}},
+	{"inside an event, chunks ended", platformtest.Cut{AfterEvents: 3, Bytes: 9, End: platformtest.CutFramed}},
+	{"inside an event, reset", platformtest.Cut{AfterEvents: 3, Bytes: 9, End: platformtest.CutReset}},
+}
+
+// newForwardingCluster returns a cluster whose instance 0 reaches endpoints directly, or only through
+// instance 1.
+func newForwardingCluster(t *testing.T, forwarded bool) *cluster {
+	t.Helper()
+	w := newCluster(t, 2)
+	if forwarded {
+		w.links[0].Set(tcptest.RefuseNew)
+		w.await("forwarding", func() bool {
+			return w.send(0, request{id: "forwarding", path: "/safe/"}).status == http.StatusOK
+		})
+	}
+	return w
+}
+
+// forEachPath runs a test on a direct connection and on one through another instance.
+func forEachPath(t *testing.T, run func(t *testing.T, w *cluster)) {
+	t.Helper()
+	for _, forwarded := range []bool{false, true} {
+		t.Run(fmt.Sprintf("forwarded %t", forwarded), func(t *testing.T) {
+			t.Parallel()
+			run(t, newForwardingCluster(t, forwarded))
+		})
+	}
+}
+
+// setEngineFaults sets the faults of the named engines.
+func (w *cluster) setEngineFaults(f platformtest.EndpointFaults, names ...string) {
+	for _, name := range names {
+		w.endpoints[name].SetFaults(f)
+	}
+}
+
+// assertBrokenOff checks that a caller can see that an answer is incomplete, and that it received only
+// complete events.
+func assertBrokenOff(t *testing.T, id string, g response) {
+	t.Helper()
+	is := is.New(t)
+	if g.status == http.StatusOK {
+		is.True(g.err != nil)
+	}
+	if g.status == http.StatusOK {
+		is.Equal(g.body, events(id, strings.Count(g.body, "\n\n")))
+	}
+}
+
+// TestStreamEndsInsideEvent guards against a stream that ends inside an event and looks complete to
+// its caller.
+func TestStreamEndsInsideEvent(t *testing.T) {
+	forEachPath(t, func(t *testing.T, w *cluster) {
+		for n, c := range cuts {
+			for _, unframed := range []bool{true, false} {
+				faults := platformtest.EndpointFaults{Cut: &c.cut, Unframed: unframed}
+				id := fmt.Sprintf("cut-%d%t", n, unframed)
+				t.Run(fmt.Sprintf("%s, unframed %t", c.name, unframed), func(t *testing.T) {
+					w.setEngineFaults(faults, "e1", "e2")
+					assertBrokenOff(t, id+"o", w.send(0, request{id: id + "o", path: "/once/", tokens: 100}))
+					is := is.New(t)
+					is.Equal(w.runs(id+"o"), 1)
+					assertBrokenOff(t, id+"s", w.send(0, request{id: id + "s", path: "/stream/", tokens: 100}))
+				})
+			}
+		}
+	})
+}
+
+// TestStreamResumedAfterEndInsideEvent guards against a resumable stream that is not resumed after
+// its endpoint ended it inside an event.
+func TestStreamResumedAfterEndInsideEvent(t *testing.T) {
+	forEachPath(t, func(t *testing.T, w *cluster) {
+		for n, c := range cuts {
+			t.Run(c.name, func(t *testing.T) {
+				is := is.New(t)
+				used := w.usedEngine(t, fmt.Sprintf("probe-%d", n))
+				w.setEngineFaults(platformtest.EndpointFaults{Cut: &c.cut, Unframed: c.cut.End != platformtest.CutFramed}, used)
+				id := fmt.Sprintf("cut-%d", n)
+				g := w.send(0, request{id: id, path: "/stream/", tokens: 100})
+				w.setEngineFaults(platformtest.EndpointFaults{}, "e1", "e2")
+				assertWhole(t, g)
+				is.Equal(g.body, events(id, 10))
+			})
+		}
+	})
+}
+
+// usedEngine returns the engine that runs a stream now.
+func (w *cluster) usedEngine(t *testing.T, id string) string {
+	t.Helper()
+	// Earlier failures eject an engine for a while.
+	w.await("served", func() bool { return w.send(0, request{id: id, path: "/stream/", tokens: 100}).status == http.StatusOK })
+	for name, e := range w.endpoints {
+		for _, r := range e.Runs() {
+			if r.ID == id {
+				return name
+			}
+		}
+	}
+	t.Fatal("no engine ran the stream")
+	return ""
+}
+
+// TestUnframedAnswers guards against an answer that ends with its connection and does not reach its
+// caller whole, or that was reset and looks complete.
+func TestUnframedAnswers(t *testing.T) {
+	forEachPath(t, func(t *testing.T, w *cluster) {
+		is := is.New(t)
+		for _, e := range w.endpoints {
+			e.SetFaults(platformtest.EndpointFaults{Unframed: true})
+		}
+		for _, p := range paths {
+			id := "whole" + p[1:3]
+			g := w.send(0, request{id: id, path: p, tokens: 100, body: "hello"})
+			assertWhole(t, g)
+			switch p {
+			case "/stream/", "/once/":
+				is.Equal(g.body, events(id, 10))
+			default:
+				is.Equal(g.body, platformtest.PlainAnswer(id, []byte("hello")))
+			}
+		}
+		for _, e := range w.endpoints {
+			e.SetFaults(platformtest.EndpointFaults{Unframed: true, Cut: &platformtest.Cut{AfterEvents: 3, End: platformtest.CutReset}})
+		}
+		for _, p := range paths {
+			g := w.send(0, request{id: "reset" + p[1:3], path: p, tokens: 100})
+			is.True(g.err != nil || g.status != http.StatusOK)
+		}
+	})
+}
