relay: treat a stream that ends inside an event as interrupted

What callers saw: a stream that an engine broke off inside an event ended like a complete one, with status 200, the beginning of the event and a last chunk. A resumable stream was not resumed, and the attempt counted as served.

Cause: the relay took the end of the body for the end of the stream. For an answer without a length or chunks that is the end of the connection, whatever ended it, and an engine can end its chunks properly inside an event as well.

Change: a stream is complete only if its body ended as its framing says and no event had begun. Otherwise the attempt is interrupted as by a reset: the stream is resumed after the last complete event, or the caller's connection is closed without a last chunk; the pool, crash suspicions and the crash check see a failure. A stream without framing and without any event is interrupted too. What follows the last complete event is never forwarded. The attempt's line says "stream ended inside an event", the metric streams_incomplete counts (it replaces ended_inside_event).

Events are found by package sse, as the HTML Standard defines them: line ends LF, CR, CR LF, comments, a byte order mark. Before, only LF counted, so a stream with CR LF arrived as a whole at its end and was never resumed; with the new check alone it would always be incomplete. Comments between events are forwarded as they arrive and no longer count as a first event. An answer on a streaming route whose content type is not that of an event stream is forwarded like other answers.

--- a/gateway/truncated_test.go
+++ b/gateway/truncated_test.go
@@ -110,6 +110,28 @@
 	})
 }
 
+// TestStreamWithCRLF guards against a stream with CR LF that is forwarded only at its end.
+func TestStreamWithCRLF(t *testing.T) {
+	is := is.New(t)
+	w := newCluster(t, 1)
+	used := w.usedEngine(t, "probe")
+	cut := platformtest.Cut{AfterEvents: 3, Bytes: -2, End: platformtest.CutReset}
+	w.setEngineFaults(platformtest.EndpointFaults{CRLF: true}, "e1", "e2")
+	w.setEngineFaults(platformtest.EndpointFaults{CRLF: true, Cut: &cut}, used)
+	g := w.send(0, request{id: "crlf", path: "/stream/", tokens: 100})
+	assertWhole(t, g)
+	is.Equal(g.body, strings.ReplaceAll(events("crlf", 10), "\n", "\r\n"))
+	after := 0
+	for _, e := range w.endpoints {
+		for _, r := range e.Runs() {
+			if r.ID == "crlf" {
+				after = max(after, r.After)
+			}
+		}
+	}
+	is.Equal(after, 3)
+}
+
 // usedEngine returns the engine that runs a stream now.
 func (w *cluster) usedEngine(t *testing.T, id string) string {
 	t.Helper()
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -80,7 +80,6 @@
 	}
 	if len(data) > 0 {
 		a.write(data)
-		a.progress.observe(data)
 	}
 	if a.err == nil {
 		a.err = a.flush.Flush()
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -254,7 +254,7 @@
 	}
 	j.mayHaveRun = true
 	success := res.StatusCode >= http.StatusOK && res.StatusCode < http.StatusMultipleChoices
-	if success && j.route.Kind == route.Streaming {
+	if success && j.route.Kind == route.Streaming && isEventStream(res) {
 		return t.relayStream(x, w)
 	}
 	return t.relayWhole(x, w, success)
--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -48,7 +48,7 @@
 				}
 				time.Sleep(100 * time.Millisecond)
 				if row.got {
-					j.out.progress.observe([]byte("id: 13\n\n"))
+					recordEvents(&j.out.progress, "id: 13\n\n")
 				}
 				time.Sleep(100 * time.Millisecond)
 				resumes, due := j.resumes()
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -3,10 +3,14 @@
 package relay
 
 import (
-	"bytes"
 	"io"
+	"mime"
+	"net/http"
 	"time"
 
+	"github.com/go-faster/errors"
+
+	"github.com/linkmast/linkmast/internal/sse"
 	"github.com/linkmast/linkmast/internal/upstream"
 	"github.com/linkmast/linkmast/pool"
 )
@@ -14,28 +18,47 @@
 // streamBuffer is the size of a read from a stream, in bytes. It holds several events.
 const streamBuffer = 4 << 10
 
-// relayStream forwards events as they arrive. Until the stream ends it forwards only complete
-// events, so that another endpoint can resume the stream after any of them.
+// Reasons why a stream whose end was read is incomplete.
+var (
+	errInsideEvent = errors.New("stream ended inside an event")
+	errNoEvents    = errors.New("connection ended before the first event")
+)
+
+// isEventStream reports whether a response is a stream of events. Without a content type it is assumed
+// to be one.
+func isEventStream(res *http.Response) bool {
+	text := res.Header.Get("Content-Type")
+	if text == "" {
+		return true
+	}
+	name, _, err := mime.ParseMediaType(text)
+	return name == "text/event-stream" && (err == nil || errors.Is(err, mime.ErrInvalidMediaParameter))
+}
+
+// relayStream forwards events as they arrive. It forwards only complete events, so that another
+// endpoint can resume the stream after any of them.
 func (t *attempt) relayStream(x *upstream.Exchange, w *watch) result {
 	out := t.job.out
 	buf := make([]byte, streamBuffer)
-	var rest []byte
+	scanner := sse.Scanner{
+		Continues: out.headSent,
+	}
 	last := time.Time{}
 	for {
 		n, err := x.Response.Body.Read(buf)
-		if n > 0 {
-			rest = append(rest, buf[:n]...)
-			whole := wholeEvents(rest)
-			if whole > 0 {
-				t.recordGap(&last)
-				t.recordFirstEvent()
-				w.recordActivity()
-				out.stream(x.Response, rest[:whole])
-				rest = rest[whole:]
-			}
+		before := scanner.Events()
+		complete := scanner.Add(buf[:n])
+		if scanner.Events() > before {
+			t.recordGap(&last)
+			t.recordFirstEvent()
+			w.recordActivity()
+		}
+		if len(complete) > 0 {
+			out.stream(x.Response, complete)
+			out.progress.record(&scanner, scanner.Events()-before)
 		}
 		if err == io.EOF {
-			return t.streamEnd(x, rest)
+			return t.streamEnd(x, w, &scanner)
 		}
 		if err != nil {
 			return t.handleInterrupted(err, w)
@@ -56,16 +79,17 @@
 	*last = now
 }
 
-// streamEnd forwards what is left of a stream after its endpoint ended it.
-func (t *attempt) streamEnd(x *upstream.Exchange, rest []byte) result {
-	x.MarkComplete()
-	t.leftover = len(rest)
-	if len(rest) > 0 {
-		t.relay.Metrics.add("ended_inside_event")
+// streamEnd returns the result of a stream whose end was read.
+func (t *attempt) streamEnd(x *upstream.Exchange, w *watch, s *sse.Scanner) result {
+	t.leftover = s.Leftover()
+	if err := checkStreamEnd(x.Response, s, t.job.out.progress.last); err != nil {
+		t.relay.Metrics.add("streams_incomplete")
+		return t.handleInterrupted(err, w)
 	}
+	x.MarkComplete()
 	out := t.job.out
-	if !out.headSent || len(rest) > 0 {
-		out.stream(x.Response, rest)
+	if !out.headSent {
+		out.stream(x.Response, nil)
 	}
 	t.recordFirstEvent()
 	return result{
@@ -75,13 +99,16 @@
 	}
 }
 
-// wholeEvents returns the length of the complete events at the start of data.
-func wholeEvents(data []byte) int {
-	end := bytes.LastIndex(data, []byte("\n\n"))
-	if end < 0 {
-		return 0
+// checkStreamEnd returns an error unless a stream whose end was read is complete. LastEvent is the ID of
+// the event after which it was requested; empty for a stream from its start.
+func checkStreamEnd(res *http.Response, s *sse.Scanner, lastEvent string) error {
+	switch {
+	case s.Leftover() > 0:
+		return errInsideEvent
+	case s.Events() == 0 && lastEvent == "" && upstream.FramingOf(res) == upstream.ByClose:
+		return errNoEvents
 	}
-	return end + 2
+	return nil
 }
 
 // streamProgress tracks which events of a stream were sent to the caller.
@@ -89,24 +116,20 @@
 	// last is the id of the last event. It starts as the id that the caller sent to resume a
 	// stream; empty without one.
 	last string
-	// count is the number of events with an id that this instance has sent.
+	// count is the number of events that this instance has sent.
 	count int
-	// at is when the relay last sent an event with an id; zero before the first.
+	// at is when the relay last sent an event; zero before the first.
 	at time.Time
 }
 
-// idField starts the line with an event's id (HTML Standard, section 9.2).
-var idField = []byte("id:")
-
-// observe records the events in data that have an id.
-func (e *streamProgress) observe(data []byte) {
-	for _, line := range bytes.Split(data, []byte("\n")) {
-		value, ok := bytes.CutPrefix(line, idField)
-		if !ok {
-			continue
-		}
-		e.last = string(bytes.TrimSpace(value))
-		e.count++
-		e.at = time.Now()
+// record records that a number of events were sent, the last of which is the scanner's last one.
+func (e *streamProgress) record(s *sse.Scanner, events int) {
+	if events == 0 {
+		return
+	}
+	if s.Identified() {
+		e.last = s.LastID()
 	}
+	e.count += events
+	e.at = time.Now()
 }
--- a/relay/stream_test.go
+++ b/relay/stream_test.go
@@ -3,40 +3,87 @@
 package relay
 
 import (
+	"net/http"
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/internal/sse"
 )
 
-// TestWholeEvents guards against forwarding a part of an event.
-func TestWholeEvents(t *testing.T) {
+// recordEvents records the events of a part of a stream as sent.
+func recordEvents(e *streamProgress, data string) {
+	var s sse.Scanner
+	s.Add([]byte(data))
+	e.record(&s, s.Events())
+}
+
+// TestStreamProgress guards against resuming a stream after the wrong event.
+func TestStreamProgress(t *testing.T) {
+	is := is.New(t)
+	e := streamProgress{
+		last: "4",
+	}
+	recordEvents(&e, "id: 5\ndata: id: 9\n\nid:6\ndata: y\n\n")
+	is.Equal(e.last, "6")
+	is.Equal(e.count, 2)
+	recordEvents(&e, ": comment\n\n")
+	is.Equal(e.last, "6")
+	is.Equal(e.count, 2)
+}
+
+// TestCheckStreamEnd guards against an incomplete stream that counts as complete.
+func TestCheckStreamEnd(t *testing.T) {
 	for _, row := range []struct {
 		name string
 		data string
-		want int
+		// length is the length that the header states; -1 if the connection ended the stream.
+		length int64
+		after  string
+		want   error
 	}{
-		{"empty", "", 0},
-		{"incomplete", "id: 1\ndata: x\n", 0},
-		{"one", "id: 1\ndata: x\n\n", 15},
-		{"one and an incomplete one", "id: 1\ndata: x\n\nid: 2", 15},
-		{"two", "id: 1\n\nid: 2\n\n", 14},
+		{"complete", "id: 1\n\n", 7, "", nil},
+		{"complete, unframed", "id: 1\n\n", -1, "", nil},
+		{"inside an event", "id: 1\n\nid: 2\n", 13, "", errInsideEvent},
+		{"inside an event, unframed", "id: 1\n\nid: 2\n", -1, "", errInsideEvent},
+		{"inside a comment", ": keep", -1, "", errInsideEvent},
+		{"no event", "", 0, "", nil},
+		{"no event, unframed", "", -1, "", errNoEvents},
+		{"a comment, unframed", ": keep-alive\n", -1, "", errNoEvents},
+		{"nothing after the last event, unframed", "", -1, "7", nil},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			is := is.New(t)
-			is.Equal(wholeEvents([]byte(row.data)), row.want)
+			var s sse.Scanner
+			s.Add([]byte(row.data))
+			res := &http.Response{
+				ContentLength: row.length,
+			}
+			is.Equal(checkStreamEnd(res, &s, row.after), row.want)
 		})
 	}
 }
 
-// TestStreamProgress guards against resuming a stream after the wrong event.
-func TestStreamProgress(t *testing.T) {
-	is := is.New(t)
-	e := streamProgress{
-		last: "4",
+// TestIsEventStream guards against an answer of another type that is split into events.
+func TestIsEventStream(t *testing.T) {
+	for _, row := range []struct {
+		contentType string
+		want        bool
+	}{
+		{"", true},
+		{"text/event-stream", true},
+		{"Text/Event-Stream; charset=utf-8", true},
+		{"text/event-stream;", true},
+		{"text/event-stream; charset", true},
+		{"application/json", false},
+		{"text/event-streams", false},
+	} {
+		t.Run(row.contentType, func(t *testing.T) {
+			is := is.New(t)
+			res := &http.Response{
+				Header: http.Header{"Content-Type": {row.contentType}},
+			}
+			is.Equal(isEventStream(res), row.want)
+		})
 	}
-	e.observe([]byte("id: 5\ndata: id: 9\n\nid:6\ndata: y\n\n"))
-	is.Equal(e.last, "6")
-	is.Equal(e.count, 2)
-	e.observe([]byte(": comment\n\n"))
-	is.Equal(e.last, "6")
 }
