tcp: tell a reset from the end of the data after a write has met the reset

What callers could see: an answer that ends with its connection, and was reset while its request was still being written, ended like a complete one, directly and through another instance.

Cause: the kernel reports a reset once. If it fails a write, a concurrent read returns the end of the data. The connections to endpoints are read and written by two goroutines where a body exceeds the buffer, and always where an instance forwards for another one, which passed it on as an orderly end.

Change: reads from connections to endpoints check the state of the connection at the end of the data (TCP_INFO): after a reset it is closed, after the peer's end it is not. The check is made where package reach dials and in the default dialer of package upstream, so that all readers have it.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -35,7 +35,8 @@
 type Settings struct {
 	// DialTimeout bounds the establishment of a connection; the default is 400ms.
 	DialTimeout time.Duration
-	// Dial opens connections; the default is a tcp.Dialer.
+	// Dial opens connections, whose reads must tell a reset from the end of the data; the default
+	// is a tcp.Dialer with tcp.DetectResets.
 	Dial tcp.DialFunc
 }
 
@@ -58,7 +59,7 @@
 		s.DialTimeout = defaultDialTimeout
 	}
 	if s.Dial == nil {
-		s.Dial = tcp.Dialer(s.DialTimeout).DialContext
+		s.Dial = tcp.DetectResets(tcp.Dialer(s.DialTimeout).DialContext)
 	}
 	return &Pool{
 		dial:        s.Dial,
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -300,3 +300,22 @@
 	}
 	is.New(t).Equal(p.Dials(), int64(1))
 }
+
+// TestResetDuringUpload guards against an unframed answer that looks complete because the request's body,
+// which was still being written, met the reset of the connection.
+func TestResetDuringUpload(t *testing.T) {
+	e := newEndpoint(t, func(c net.Conn, r *http.Request, _ int) bool {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\nid: 1\n\n", r.Header.Get("Id"))
+		time.Sleep(5 * time.Millisecond)
+		c.(*net.TCPConn).SetLinger(0)
+		return false
+	})
+	for n := range 50 {
+		p := upstream.New(upstream.Settings{})
+		r := e.request(fmt.Sprint(n))
+		r.Body = make([]byte, 16<<20)
+		if body, err := do(t, p, r); err == nil {
+			t.Fatalf("request %d: %q counts as complete", n, body)
+		}
+	}
+}
--- a/reach/dialer.go
+++ b/reach/dialer.go
@@ -89,6 +89,8 @@
 
 // NewDialer returns a Dialer whose direct paths are assumed to work.
 func NewDialer(s Settings, p Parts) *Dialer {
+	// An answer may end with its connection, so the end and a reset must not be mixed up.
+	p.Dial = tcp.DetectResets(p.Dial)
 	return &Dialer{
 		settings: s,
 		parts:    p,
--- a/reach/dialer_test.go
+++ b/reach/dialer_test.go
@@ -410,6 +410,48 @@
 }
 
 // TestHangReported checks that hanging connections are reported, and refused ones are not.
+// TestResetDuringForwardedUpload guards against a reset that becomes an orderly end because data for the
+// endpoint met it.
+func TestResetDuringForwardedUpload(t *testing.T) {
+	f := newFleet(t, 2)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				c.Write([]byte("answer"))
+				time.Sleep(5 * time.Millisecond)
+				c.(*net.TCPConn).SetLinger(0)
+				c.Close()
+			}()
+		}
+	}()
+	f.endpoints = append(f.endpoints, l.Addr().String())
+	f.instances[0].links.Set(tcptest.RefuseNew)
+	for range 50 {
+		is := is.New(t)
+		c, err := f.dial(len(f.endpoints) - 1)
+		is.NoErr(err)
+		go func() {
+			for {
+				if _, err := c.Write(make([]byte, 64<<10)); err != nil {
+					return
+				}
+			}
+		}()
+		_, err = io.ReadAll(c)
+		is.True(err != nil) // io.ReadAll returns no error at an orderly end
+		c.Close()
+	}
+}
+
 func TestHangReported(t *testing.T) {
 	for name, row := range map[string]struct {
 		partition tcptest.Partition
