relay: reset the connection of an HTTP/1.0 caller whose answer is incomplete

What callers could see: to a caller of HTTP/1.0 the end of the connection is the end of a stream, so a stream that the relay gave up looked complete, whatever the reason.

Cause: the relay ended incomplete answers by closing the connection, which only chunks or a length tell from a proper end.

Change: a caller whose version of HTTP has no chunks sees a reset. Buffering the stream in order to state its length was weighed: it would hold back the events.

An instance that is killed still ends such a connection in order; nothing can be sent then.

--- a/gateway/truncated_test.go
+++ b/gateway/truncated_test.go
@@ -4,9 +4,12 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -132,6 +135,47 @@
 	is.Equal(after, 3)
 }
 
+// TestIncompleteStreamToHTTP10 guards against an incomplete stream that looks complete to a caller of
+// HTTP/1.0, to whom the end of the connection is the end of the stream.
+func TestIncompleteStreamToHTTP10(t *testing.T) {
+	is := is.New(t)
+	w := newCluster(t, 1)
+	data, err := w.sendHTTP10("whole10", "/once/")
+	is.NoErr(err)
+	is.True(strings.HasSuffix(data, "\r\n\r\n"+events("whole10", 10)))
+	for n, c := range cuts {
+		w.setEngineFaults(platformtest.EndpointFaults{Cut: &c.cut, Unframed: true}, "e1", "e2")
+		data, err := w.sendHTTP10(fmt.Sprintf("cut10-%d", n), "/once/")
+		if strings.HasPrefix(data, "HTTP/1.0 200") && err == nil {
+			t.Errorf("%s: %q looks complete", c.name, data)
+		}
+	}
+}
+
+// sendHTTP10 sends a request of HTTP/1.0 to instance 0 and returns what it answers until the end of the
+// connection.
+func (w *cluster) sendHTTP10(id, path string) (string, error) {
+	w.t.Helper()
+	c, err := net.Dial("tcp", w.gateways[0].Listen)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	defer c.Close()
+	h := make(http.Header)
+	platformtest.Caller{
+		ID:     id,
+		Key:    "k1",
+		Wait:   4 * time.Second,
+		Prompt: 100,
+		Output: 100,
+	}.Set(h)
+	fmt.Fprintf(c, "POST %s HTTP/1.0\r\nHost: api.example\r\nContent-Length: 0\r\n", path)
+	h.Write(c)
+	io.WriteString(c, "\r\n")
+	data, err := io.ReadAll(c)
+	return string(data), err
+}
+
 // usedEngine returns the engine that runs a stream now.
 func (w *cluster) usedEngine(t *testing.T, id string) string {
 	t.Helper()
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -32,6 +32,8 @@
 	spent time.Duration
 	// requiresKey states that the route accepts only requests with a customer's key.
 	requiresKey bool
+	// chunks states that the caller's version of HTTP has chunks.
+	chunks bool
 
 	// history holds the request's identity, which is the same for all its tries at any
 	// instance, and its failed attempts.
@@ -108,6 +110,7 @@
 		host:        r.Host,
 		arrived:     arrived,
 		requiresKey: t.KeysRequired && !rt.Public,
+		chunks:      r.ProtoAtLeast(1, 1),
 	}
 }
 
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -14,8 +14,11 @@
 
 // answer writes the answer to the caller.
 type answer struct {
-	w     http.ResponseWriter
-	flush *http.ResponseController
+	w       http.ResponseWriter
+	control *http.ResponseController
+	// chunks states that the caller's version of HTTP has chunks. Without them, the end of the
+	// connection ends an answer without a length.
+	chunks bool
 	// headSent states that the status and header were sent.
 	headSent bool
 	// progress tracks which events of a stream were sent to the caller.
@@ -27,8 +30,9 @@
 // newAnswer returns an answer of which nothing was sent yet.
 func newAnswer(w http.ResponseWriter, j *job) *answer {
 	return &answer{
-		w:     w,
-		flush: http.NewResponseController(w),
+		w:       w,
+		control: http.NewResponseController(w),
+		chunks:  j.chunks,
 		progress: streamProgress{
 			last: j.head.LastEvent,
 		},
@@ -82,7 +86,7 @@
 		a.write(data)
 	}
 	if a.err == nil {
-		a.err = a.flush.Flush()
+		a.err = a.control.Flush()
 	}
 }
 
@@ -90,3 +94,27 @@
 func (a *answer) callerGone() bool {
 	return a.err != nil
 }
+
+// abort ends an incomplete answer in a way that the caller can't take for its proper end, and the
+// handler with it.
+func (a *answer) abort() {
+	if !a.chunks {
+		a.reset()
+	}
+	// The server closes the connection without a last chunk.
+	panic(http.ErrAbortHandler)
+}
+
+// reset resets the caller's connection.
+func (a *answer) reset() {
+	conn, _, err := a.control.Hijack()
+	if err != nil {
+		// The connection has ended already.
+		return
+	}
+	if t, ok := conn.(interface{ SetLinger(sec int) error }); ok {
+		// This fails only on a connection that has ended.
+		_ = t.SetLinger(0)
+	}
+	_ = conn.Close()
+}
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -29,7 +29,7 @@
 
 // finish records how the request ended and sends the final answer if there is one. It panics
 // with http.ErrAbortHandler, which closes the connection, if the caller has disconnected or has
-// received only a part of the answer.
+// received only a part of the answer. Without chunks, a caller of such an answer sees a reset.
 func (l *Relay) finish(ctx context.Context, j *job, w http.ResponseWriter, final *refusal) {
 	took := steady.Since(j.arrived)
 	switch {
@@ -46,7 +46,7 @@
 		l.Metrics.add("cut_off")
 		l.parts.Log.Info("answer cut off", "request", j.head.ID, "route", j.route.Name, "reason", final.reason,
 			"ms", took.Milliseconds(), "sends", j.sends, "events", j.out.progress.count)
-		panic(http.ErrAbortHandler)
+		j.out.abort()
 	case j.failure != nil:
 		l.Metrics.add("failed_by_endpoint")
 		l.parts.Log.Info("endpoint's error answer forwarded", "request", j.head.ID, "route", j.route.Name,
