relay: don't resume a stream whose last event has no ID

What callers could see: a stream whose events have no IDs, interrupted on a resumable route, began anew at another endpoint within the same answer, so the caller received its first events twice.

Cause: a resumption names the last ID, and events without one were not noticed.

Change: after an event without an ID the stream is neither moved for silence nor resumed; if it is interrupted, the caller's connection is closed without a last chunk. Found while tracing what states that a stream is complete.

Evidence: TestStreamWithoutIDsNotResumed failed before (an answer that looked complete, with the first event twice) and passes, with an interruption and with a silence.

--- a/gateway/truncated_test.go
+++ b/gateway/truncated_test.go
@@ -135,6 +135,29 @@
 	is.Equal(after, 3)
 }
 
+// TestStreamWithoutIDsNotResumed guards against events that a caller receives twice because the stream
+// has no ID to resume it after.
+func TestStreamWithoutIDsNotResumed(t *testing.T) {
+	is := is.New(t)
+	w := newCluster(t, 1)
+	used := w.usedEngine(t, "probe")
+	cut := platformtest.Cut{AfterEvents: 3, Bytes: 4}
+	w.setEngineFaults(platformtest.EndpointFaults{OmitIDs: true}, "e1", "e2")
+	w.setEngineFaults(platformtest.EndpointFaults{OmitIDs: true, Cut: &cut}, used)
+	g := w.send(0, request{id: "interrupted", path: "/stream/", tokens: 100})
+	is.True(g.err != nil)
+	is.Equal(w.runs("interrupted"), 1)
+	is.Equal(strings.Count(g.body, "piece 1 of"), 1)
+	w.setEngineFaults(platformtest.EndpointFaults{OmitIDs: true}, "e1", "e2")
+	time.AfterFunc(50*time.Millisecond, func() {
+		w.setEngineFaults(platformtest.EndpointFaults{OmitIDs: true, Silent: true}, "e1", "e2")
+	})
+	g = w.send(0, request{id: "silent", path: "/stream/", tokens: 100})
+	is.True(g.err != nil)
+	is.Equal(w.runs("silent"), 1)
+	is.Equal(strings.Count(g.body, "piece 1 of"), 1)
+}
+
 // TestIncompleteStreamToHTTP10 guards against an incomplete stream that looks complete to a caller of
 // HTTP/1.0, to whom the end of the connection is the end of the stream.
 func TestIncompleteStreamToHTTP10(t *testing.T) {
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -186,6 +186,8 @@
 		return false, j.giveUp("out of time", 0)
 	case j.mayHaveRun && (j.singleEndpoint || !j.route.Idempotent()):
 		return false, j.giveUp(res.reason, 0)
+	case j.out.progress.unidentified:
+		return false, j.giveUp(res.reason+"; its last event has no ID", 0)
 	case res.noPath:
 		j.noPaths++
 		if j.noPaths < maxNoPath {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -52,6 +52,10 @@
 			t.recordGap(&last)
 			t.recordFirstEvent()
 			w.recordActivity()
+			if !identified(&scanner) {
+				// Another endpoint could not tell where to continue.
+				w.end()
+			}
 		}
 		if len(complete) > 0 {
 			out.stream(x.Response, complete)
@@ -116,18 +120,27 @@
 	// last is the id of the last event. It starts as the id that the caller sent to resume a
 	// stream; empty without one.
 	last string
+	// unidentified states that the last event that was sent has no id, so that the stream can't be
+	// resumed after it.
+	unidentified bool
 	// count is the number of events that this instance has sent.
 	count int
 	// at is when the relay last sent an event; zero before the first.
 	at time.Time
 }
 
+// identified reports whether a stream can be resumed after the scanner's last event.
+func identified(s *sse.Scanner) bool {
+	return s.Identified() && s.LastID() != ""
+}
+
 // record records that a number of events were sent, the last of which is the scanner's last one.
 func (e *streamProgress) record(s *sse.Scanner, events int) {
 	if events == 0 {
 		return
 	}
-	if s.Identified() {
+	e.unidentified = !identified(s)
+	if !e.unidentified {
 		e.last = s.LastID()
 	}
 	e.count += events
--- a/relay/stream_test.go
+++ b/relay/stream_test.go
@@ -30,6 +30,14 @@
 	recordEvents(&e, ": comment\n\n")
 	is.Equal(e.last, "6")
 	is.Equal(e.count, 2)
+	is.True(!e.unidentified)
+	recordEvents(&e, "data: z\n\n")
+	is.Equal(e.last, "6")
+	is.True(e.unidentified)
+	recordEvents(&e, "id: 7\n\n")
+	is.True(!e.unidentified)
+	recordEvents(&e, "id\n\n")
+	is.True(e.unidentified)
 }
 
 // TestCheckStreamEnd guards against an incomplete stream that counts as complete.
