relay: check the endpoint of an answer that ended with its connection

What callers could see: an answer without a length or chunks looked complete although its endpoint had crashed between two events, or in the middle of a plain answer; the kernel of an ended process closes its connections in order.

Cause: nothing in the bytes says whether such an answer is whole, and the end of the connection was taken for the endpoint's word.

Change: before such an answer counts as complete, a new connection to its endpoint must be accepted within 250 ms; it takes the place of the one that ended, so it costs no additional one. If it is refused, the attempt is interrupted: another endpoint resumes or repeats it where the route allows, else the caller's answer is broken off. Without a path to endpoints the check is inconclusive and the answer counts as complete. Passing the missing framing on to the caller was weighed: it would cost every such caller its connection, and an orderly end would say no more than the chunks do.

--- a/gateway/truncated_test.go
+++ b/gateway/truncated_test.go
@@ -199,6 +199,51 @@
 	return string(data), err
 }
 
+// TestUnframedAnswerOfCrashedEndpoint guards against an unframed answer that looks complete although its
+// endpoint crashed between two events, or in the middle of an answer without events.
+func TestUnframedAnswerOfCrashedEndpoint(t *testing.T) {
+	plain := crashOptions{
+		service: "plain",
+	}
+	for _, row := range []struct {
+		path    string
+		options crashOptions
+		// retried states that another endpoint may complete the answer.
+		retried bool
+	}{
+		{"/stream/", engineOptions(), true},
+		{"/once/", engineOptions(), false},
+		{"/safe/", plain, true},
+		{"/unsafe/", plain, false},
+	} {
+		t.Run(row.path, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			w := newCrashCluster(t, row.options)
+			for _, x := range w.crashing {
+				x.endpoint.SetFaults(platformtest.EndpointFaults{
+					CrashPrefix:      crashBody,
+					CrashAfterEvents: 3,
+					Unframed:         true,
+				})
+			}
+			assertWhole(t, w.send(0, request{id: "before", path: row.path, tokens: 100}))
+			g := w.send(0, request{id: "crash", path: row.path, body: crashBody, tokens: 100})
+			is.True(w.crashes() > 0)
+			want := platformtest.PlainAnswer("crash", []byte(crashBody))
+			if row.options.model != nil {
+				want = events("crash", 10)
+			}
+			if g.status == http.StatusOK && g.err == nil {
+				is.Equal(g.body, want)
+			}
+			if !row.retried {
+				is.Equal(w.attempts(), 1)
+			}
+		})
+	}
+}
+
 // usedEngine returns the engine that runs a stream now.
 func (w *cluster) usedEngine(t *testing.T, id string) string {
 	t.Helper()
--- a/internal/upstream/framing.go
+++ b/internal/upstream/framing.go
@@ -38,7 +38,7 @@
 	switch {
 	case slices.Contains(res.TransferEncoding, "chunked"):
 		return ByChunks
-	case res.ContentLength < 0:
+	case res.ContentLength < 0 && res.Body != http.NoBody:
 		return ByClose
 	}
 	return ByLength
--- a/internal/upstream/framing_test.go
+++ b/internal/upstream/framing_test.go
@@ -36,4 +36,13 @@
 			is.Equal(upstream.FramingOf(res), row.want)
 		})
 	}
+	t.Run("answer to HEAD", func(t *testing.T) {
+		is := is.New(t)
+		req := &http.Request{
+			Method: http.MethodHead,
+		}
+		res, err := http.ReadResponse(bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\n\r\n")), req)
+		is.NoErr(err)
+		is.Equal(upstream.FramingOf(res), upstream.ByLength)
+	})
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -91,6 +91,11 @@
 		}
 		c.close()
 	}
+	return p.connect(ctx, address)
+}
+
+// connect opens a connection to an address.
+func (p *Pool) connect(ctx context.Context, address string) (*Conn, error) {
 	p.dials.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, p.dialTimeout)
 	defer cancel()
@@ -102,6 +107,17 @@
 	return newConn(n, address), nil
 }
 
+// Prepare opens a connection to an address and keeps it for a later request. It returns the error of
+// the dial.
+func (p *Pool) Prepare(ctx context.Context, address string) error {
+	c, err := p.connect(ctx, address)
+	if err != nil {
+		return err
+	}
+	p.put(c)
+	return nil
+}
+
 // take removes and returns the idle connection to an address that was used last; nil if there
 // is none.
 func (p *Pool) take(address string) *Conn {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -301,6 +301,21 @@
 	is.New(t).Equal(p.Dials(), int64(1))
 }
 
+// TestPrepare guards against a prepared connection that the next request does not use.
+func TestPrepare(t *testing.T) {
+	is := is.New(t)
+	e := newEndpoint(t, func(c net.Conn, r *http.Request, _ int) bool {
+		io.WriteString(c, ok(r.Header.Get("Id"), "hi"))
+		return true
+	})
+	p := upstream.New(upstream.Settings{})
+	is.NoErr(p.Prepare(t.Context(), e.address))
+	_, err := do(t, p, e.request("1"))
+	is.NoErr(err)
+	is.Equal(p.Dials(), int64(1))
+	is.Equal(e.conns.Load(), int64(1))
+}
+
 // TestResetDuringUpload guards against an unframed answer that looks complete because the request's body,
 // which was still being written, met the reset of the connection.
 func TestResetDuringUpload(t *testing.T) {
--- /dev/null
+++ b/relay/ending.go
@@ -0,0 +1,33 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/linkmast/linkmast/internal/tcp"
+	"github.com/linkmast/linkmast/internal/upstream"
+)
+
+// endCheckTimeout bounds the check of an endpoint that ended an answer with the connection. An ended
+// process refuses connections at once.
+const endCheckTimeout = 250 * time.Millisecond
+
+// verifyEnd returns an error if an answer that ended with its connection may have ended because its
+// endpoint did: the endpoint no longer accepts connections. Answers with another framing need no such
+// check. The connection takes the place of the one that ended.
+func (t *attempt) verifyEnd(x *upstream.Exchange) error {
+	if upstream.FramingOf(x.Response) != upstream.ByClose {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(t.caller, endCheckTimeout)
+	defer cancel()
+	err := t.relay.parts.Upstream.Prepare(ctx, t.grant.Address)
+	if err == nil || tcp.Inconclusive(err) {
+		return nil
+	}
+	return errors.Wrap(err, "endpoint ended with the connection")
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -86,8 +86,12 @@
 // streamEnd returns the result of a stream whose end was read.
 func (t *attempt) streamEnd(x *upstream.Exchange, w *watch, s *sse.Scanner) result {
 	t.leftover = s.Leftover()
-	if err := checkStreamEnd(x.Response, s, t.job.out.progress.last); err != nil {
-		t.relay.Metrics.add("streams_incomplete")
+	err := checkStreamEnd(x.Response, s, t.job.out.progress.last)
+	if err == nil {
+		err = t.verifyEnd(x)
+	}
+	if err != nil {
+		t.relay.Metrics.add("answers_incomplete")
 		return t.handleInterrupted(err, w)
 	}
 	x.MarkComplete()
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -42,12 +42,17 @@
 		r.outcome = pool.Failed
 		r.reason = "endpoint's own failure"
 	}
-	t.recordFirstEvent()
 	if len(data) <= maxWhole {
+		if err := t.verifyEnd(x); err != nil {
+			t.relay.Metrics.add("answers_incomplete")
+			return t.handleInterrupted(err, w)
+		}
+		t.recordFirstEvent()
 		x.MarkComplete()
 		j.out.send(x.Response, data)
 		return r
 	}
+	t.recordFirstEvent()
 	return t.relayLarge(x, data, r)
 }
 
@@ -86,7 +91,11 @@
 	out := t.job.out
 	out.sendHead(x.Response, x.Response.ContentLength)
 	out.write(begin)
-	if _, err := io.Copy(out.w, x.Response.Body); err != nil {
+	_, err := io.Copy(out.w, x.Response.Body)
+	if err == nil {
+		err = t.verifyEnd(x)
+	}
+	if err != nil {
 		r.answered = false
 		r.outcome = pool.Failed
 		r.connectionLost = !out.callerGone()
