--- a/internal/upstream/framing.go
+++ b/internal/wirehttp/framing.go
@@ -1,6 +1,6 @@
 // Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
 
-package upstream
+package wirehttp
 
 import (
 	"net/http"
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/internal/tcp"
 	"github.com/linkmast/linkmast/internal/upstream"
+	"github.com/linkmast/linkmast/internal/wirehttp"
 	"github.com/linkmast/linkmast/notice"
 	"github.com/linkmast/linkmast/pool"
 	"github.com/linkmast/linkmast/route"
@@ -247,7 +248,7 @@
 func (t *attempt) handleAnswer(x *upstream.Exchange, w *watch) result {
 	j := t.job
 	res := x.Response
-	t.framing = upstream.FramingOf(res).String()
+	t.framing = wirehttp.FramingOf(res).String()
 	head := t.relay.parts.Wire.Answer(res)
 	if head.NotRun {
 		return t.handleRejection(x, head)
--- a/relay/ending.go
+++ b/relay/ending.go
@@ -10,6 +10,7 @@
 
 	"github.com/linkmast/linkmast/internal/tcp"
 	"github.com/linkmast/linkmast/internal/upstream"
+	"github.com/linkmast/linkmast/internal/wirehttp"
 )
 
 // endCheckTimeout bounds the check of an endpoint that ended an answer with the connection. An ended
@@ -20,7 +21,7 @@
 // endpoint did: the endpoint no longer accepts connections. Answers with another framing need no such
 // check. The connection takes the place of the one that ended.
 func (t *attempt) verifyEnd(x *upstream.Exchange) error {
-	if upstream.FramingOf(x.Response) != upstream.ByClose {
+	if wirehttp.FramingOf(x.Response) != wirehttp.ByClose {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(t.caller, endCheckTimeout)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -12,6 +12,7 @@
 
 	"github.com/linkmast/linkmast/internal/sse"
 	"github.com/linkmast/linkmast/internal/upstream"
+	"github.com/linkmast/linkmast/internal/wirehttp"
 	"github.com/linkmast/linkmast/pool"
 )
 
@@ -113,7 +114,7 @@
 	switch {
 	case s.Leftover() > 0:
 		return errInsideEvent
-	case s.Events() == 0 && lastEvent == "" && upstream.FramingOf(res) == upstream.ByClose:
+	case s.Events() == 0 && lastEvent == "" && wirehttp.FramingOf(res) == wirehttp.ByClose:
 		return errNoEvents
 	}
 	return nil
