plain: check the endpoint of a response that ended with its connection

What callers could see on the log path: half of a plain service's response as a complete one, if the response had neither a length nor chunks and the endpoint crashed.

Cause: the same as in package relay; the end of the connection was taken for the end of the body.

Change: after such a response the endpoint must answer a health query, whatever its status, within 250 ms; otherwise the call has no response, as after a reset.

--- a/plain/plain.go
+++ b/plain/plain.go
@@ -15,6 +15,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -138,21 +139,44 @@
 			Err: errors.Errorf("status %d, not started", res.StatusCode),
 		}
 	}
-	return readAnswer(res)
+	a, err := readAnswer(res)
+	if err == nil && wirehttp.FramingOf(res) == wirehttp.ByClose {
+		err = h.verifyEnd(ctx)
+	}
+	if err != nil {
+		return Answer{}, &CallError{
+			Ran: problem.DidRun,
+			Err: err,
+		}
+	}
+	return a, nil
+}
+
+// endCheckTimeout bounds the check of an endpoint that ended a response with the connection.
+const endCheckTimeout = 250 * time.Millisecond
+
+// verifyEnd returns an error if the endpoint no longer answers, whatever the status. A response that
+// ended with its connection may then have ended because the endpoint did.
+func (h *HTTP) verifyEnd(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
+	defer cancel()
+	res, err := h.get(ctx, "/healthz")
+	if err != nil {
+		return errors.Wrap(err, "endpoint ended with the connection")
+	}
+	wirehttp.Drain(res.Body)
+	return nil
 }
 
-// readAnswer reads the complete response. It returns a *CallError with Ran set to
-// DidRun if the body breaks off or is longer than MaxAnswerBytes.
+// readAnswer reads the complete response. It returns an error if the body breaks off or is longer
+// than MaxAnswerBytes.
 func readAnswer(res *http.Response) (Answer, error) {
 	data, err := io.ReadAll(io.LimitReader(res.Body, MaxAnswerBytes+1))
 	if err == nil && len(data) > MaxAnswerBytes {
 		err = errors.Errorf("answer is above %d bytes", MaxAnswerBytes)
 	}
 	if err != nil {
-		return Answer{}, &CallError{
-			Ran: problem.DidRun,
-			Err: err,
-		}
+		return Answer{}, err
 	}
 	return Answer{
 		Status:      res.StatusCode,
@@ -163,11 +187,7 @@
 
 // Probe implements Client. It requests /healthz and expects the status 200.
 func (h *HTTP) Probe(ctx context.Context) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, h.base+"/healthz", nil)
-	if err != nil {
-		return errors.Wrap(err, "probe plain service")
-	}
-	res, err := h.client.Do(req)
+	res, err := h.get(ctx, "/healthz")
 	if err != nil {
 		return errors.Wrap(err, "probe plain service")
 	}
@@ -177,3 +197,12 @@
 	}
 	return nil
 }
+
+// get requests a path.
+func (h *HTTP) get(ctx context.Context, path string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, h.base+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	return h.client.Do(req)
+}
