soak: end answers early and without framing

These overlap with all other faults; schedules of seeds without the option are unchanged. The callers' check (a complete answer is the whole one) is as it was.

--- a/cmd/linkmastctl/soak.go
+++ b/cmd/linkmastctl/soak.go
@@ -19,13 +19,14 @@
 
 // soakCommand runs the real programs under random faults.
 type soakCommand struct {
-	Seed       uint64  `long:"seed" description:"seed of the first run; without it a fresh one"`
-	Runs       int     `long:"runs" default:"1" description:"how many seeds, counted up"`
-	Minutes    float64 `long:"minutes" default:"0.5" description:"how long faults come in a run"`
-	Processes  int     `long:"processes" default:"4" description:"how many instances run"`
-	Statements bool    `long:"statements" description:"endpoints name limits, say that they leave and ask for rest in their answers, too"`
-	Partitions bool    `long:"partitions" description:"instances are cut from all endpoints and the store comes back from copies, too"`
-	Program    string  `long:"program" description:"program of an instance; without it linkmast is built"`
+	Seed        uint64  `long:"seed" description:"seed of the first run; without it a fresh one"`
+	Runs        int     `long:"runs" default:"1" description:"how many seeds, counted up"`
+	Minutes     float64 `long:"minutes" default:"0.5" description:"how long faults come in a run"`
+	Processes   int     `long:"processes" default:"4" description:"how many instances run"`
+	Statements  bool    `long:"statements" description:"endpoints name limits, say that they leave and ask for rest in their answers, too"`
+	Partitions  bool    `long:"partitions" description:"instances are cut from all endpoints and the store comes back from copies, too"`
+	Truncations bool    `long:"truncations" description:"answers of endpoints end early, or with their connection, too"`
+	Program     string  `long:"program" description:"program of an instance; without it linkmast is built"`
 }
 
 // Execute implements flags.Commander.
@@ -66,13 +67,14 @@
 	bad := 0
 	for i := range c.Runs {
 		broken, err := soak.Run(ctx, soak.Settings{
-			Program:    c.Program,
-			Seed:       c.Seed + uint64(i),
-			Length:     time.Duration(c.Minutes * float64(time.Minute)),
-			Statements: c.Statements,
-			Partitions: c.Partitions,
-			Processes:  c.Processes,
-			Out:        os.Stdout,
+			Program:     c.Program,
+			Seed:        c.Seed + uint64(i),
+			Length:      time.Duration(c.Minutes * float64(time.Minute)),
+			Statements:  c.Statements,
+			Partitions:  c.Partitions,
+			Truncations: c.Truncations,
+			Processes:   c.Processes,
+			Out:         os.Stdout,
 		})
 		if err != nil {
 			return err
--- a/internal/tcp/tcptest/proxy.go
+++ b/internal/tcp/tcptest/proxy.go
@@ -97,7 +97,20 @@
 	p.resetAll()
 }
 
-// Resume makes the proxy listen on its address again after Refuse. It returns the error of
+// End is like Refuse, but closes the open connections in order, as the kernel does for a process that
+// ended.
+func (p *Proxy) End() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	// The listener may be closed already.
+	_ = p.listener.Close()
+	for c := range p.conns {
+		_ = c.Close()
+	}
+	clear(p.conns)
+}
+
+// Resume makes the proxy listen on its address again after Refuse or End. It returns the error of
 // listening.
 func (p *Proxy) Resume() error {
 	l, err := listen(p.Address)
--- a/soak/crash.go
+++ b/soak/crash.go
@@ -43,9 +43,13 @@
 }
 
 // crash makes an endpoint refuse connections, and restarts it under its name after
-// crashDowntime.
+// crashDowntime. Its open connections are reset, or closed in order if its answers are unframed.
 func (d *Deployment) crash(e *endpoint) {
-	e.proxy.Refuse()
+	if e.Faults().Unframed {
+		e.proxy.End()
+	} else {
+		e.proxy.Refuse()
+	}
 	time.AfterFunc(crashDowntime, func() {
 		for e.proxy.Resume() != nil {
 			time.Sleep(listenRetry)
--- a/soak/play.go
+++ b/soak/play.go
@@ -74,6 +74,10 @@
 		e.setFaults(platformtest.EndpointFaults{})
 		return
 	}
+	if f, ok := truncationFaults[s.Kind]; ok {
+		d.truncate(s, e, f)
+		return
+	}
 	if k, ok := partitionFaults[s.Kind]; ok {
 		d.partition(p, k, s.For)
 		return
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -14,7 +14,8 @@
 	At time.Duration
 	// For is how long the fault lasts.
 	For time.Duration
-	// Kind is the kind of the fault: a name from kinds, a key of statementFaults, or saysLeaving.
+	// Kind is the kind of the fault: a name from kinds, a key of statementFaults,
+	// truncationFaults or partitionFaults, saysLeaving or storeRestored.
 	Kind string
 	// Target is an index that selects the process, endpoint, failure domain or route that the
 	// fault affects, modulo their number.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -29,6 +29,8 @@
 	// Partitions adds faults that cut instances from all endpoints, and restorations of the store
 	// from a copy.
 	Partitions bool
+	// Truncations adds faults that make answers of endpoints end early or without framing.
+	Truncations bool
 	// Processes is the number of instances.
 	Processes int
 	// Out receives the schedule and the result.
@@ -108,6 +110,9 @@
 	if s.Partitions {
 		schedule = merge(schedule, DrawPartitions(s.Seed, s.Length, s.Processes))
 	}
+	if s.Truncations {
+		schedule = merge(schedule, DrawTruncations(s.Seed, s.Length))
+	}
 	d.play(ctx, schedule, func(f Fault) { _, _ = fmt.Fprintln(s.Out, f) })
 	wait(ctx, recoverWithin)
 	d.recovered = time.Now()
