pool: never postpone a request that resembles an interrupted one

Cause: several requests of one customer with the same lengths waited for the same endpoint and were declined together. The next placement request of the first was taken for the caller that comes back after the attempt of a later one, and became due when that one was: 245 ms ahead, although its own target had passed. So it waited for the other endpoint's back-off.

Change: a match only makes a request due earlier. A caller that really comes back is due earlier than its new entry instance says, as that counts from now.

Evidence: TestDueTimeOfReconnect, "asked for again beside another like it", gave 50 ms ahead instead of 150 ms ago before, and passes.

--- a/pool/reconnect_burst.go
+++ b/pool/reconnect_burst.go
@@ -148,7 +148,8 @@
 
 // match looks up the interrupted attempt that a request continues, and makes the request due
 // when that attempt was due. A retry by the attempt's own entry instance already has the right
-// due time.
+// due time. So has any request that is due earlier than the attempt that it resembles, which is
+// then another caller's.
 func (r *reconnects) match(w *Waiter, now time.Time) {
 	id := w.workload().id
 	i := slices.IndexFunc(r.interrupted[id], func(c interruptedAttempt) bool {
@@ -160,7 +161,7 @@
 	r.returned++
 	c := r.interrupted[id][i]
 	r.set(id, slices.Delete(r.interrupted[id], i, i+1))
-	if !w.placementRequest.Retry {
+	if !w.placementRequest.Retry && c.dueAt.Before(w.request.TargetAt) {
 		w.request.TargetAt = c.dueAt
 	}
 }
--- a/pool/reconnect_burst_test.go
+++ b/pool/reconnect_burst_test.go
@@ -135,6 +135,22 @@
 			is.Equal(w.request.TargetAt.Sub(c.now), row.want)
 		})
 	}
+	t.Run("asked for again beside another like it", func(t *testing.T) {
+		is := is.New(t)
+		c := newClockPool(1)
+		for _, id := range []string{"first", "second"} {
+			a := stream(0)
+			a.ID = id
+			_, _, ok := c.Submit(a).Decision()
+			is.True(ok)
+			c.now = c.now.Add(200 * time.Millisecond)
+		}
+		c.End("second", "engines", Abandoned, "")
+		c.End("first", "engines", Abandoned, "")
+		again := stream(0)
+		again.Target = -150 * time.Millisecond
+		is.Equal(c.Submit(again).request.TargetAt.Sub(c.now), again.Target)
+	})
 	t.Run("each stream once", func(t *testing.T) {
 		is := is.New(t)
 		c := newClockPool(1)
