pool: don't count a grant that was not used as an interrupted attempt

What callers could see: a new request that resembled one whose grant had been declined counted as that one's caller coming back, so it was due up to the declined one's whole wait earlier, and could be treated as late on arrival.

Cause: a declined or withdrawn grant ended as abandoned, like an attempt that its caller interrupted.

Change: such a grant ends with an outcome of its own, unused; nothing is recorded for it but the end of a probe request, as before.

Evidence: TestUnusedGrantIsNoInterruption gave a due time 100 ms too early with the old outcome.

--- a/account/account.go
+++ b/account/account.go
@@ -186,6 +186,8 @@
 		return Refused
 	case l.Message == "caller gone" || l.Outcome == "abandoned":
 		return CallerGone
+	case l.Outcome == "unused":
+		return InTime
 	case l.Outcome == "silent":
 		return Migrated
 	case l.Outcome != "served":
--- a/account/account_test.go
+++ b/account/account_test.go
@@ -39,6 +39,7 @@
 		{[]string{attempt("a", "silent", 0, 0, 0), attempt("a", "served", 0, 100, 0)}, account.Migrated},
 		{[]string{attempt("a", "failed", 0, 0, 0), attempt("a", "served", 0, 100, 0)}, account.EndpointFailed},
 		{[]string{attempt("a", "silent", 0, 0, 0), attempt("a", "abandoned", 0, 0, 0)}, account.CallerGone},
+		{[]string{attempt("a", "unused", 0, 0, 0), attempt("a", "served", 0, 100, 0)}, account.InTime},
 		{[]string{refused("a"), attempt("a", "served", 0, 100, 0)}, account.Refused},
 	} {
 		t.Run(row.want.String(), func(t *testing.T) {
--- a/pool/ejection.go
+++ b/pool/ejection.go
@@ -75,7 +75,7 @@
 // instance. It reports whether the outcome ejects the endpoint for all instances, except for the
 // short ejection after a rejection.
 func (h *endpointHealth) record(o Outcome, reporter string, own bool, now time.Time) bool {
-	if o == Abandoned {
+	if o == Abandoned || o == Unused {
 		h.own.probing, h.shared.probing = false, false
 		return false
 	}
@@ -136,7 +136,7 @@
 		r.failures = max(r.failures+1, toleratedFailures+1)
 	case Failed, Silent:
 		r.failures++
-	case Abandoned:
+	case Abandoned, Unused:
 	}
 	if r.failures <= toleratedFailures {
 		return false
--- a/pool/link.go
+++ b/pool/link.go
@@ -181,5 +181,5 @@
 		},
 	})
 	// The owner may grant the request before it receives the withdrawal.
-	l.enqueueLocked(endMessage(a.ID, a.Service, Abandoned, ""))
+	l.enqueueLocked(endMessage(a.ID, a.Service, Unused, ""))
 }
--- a/pool/reconnect_burst_test.go
+++ b/pool/reconnect_burst_test.go
@@ -163,6 +163,21 @@
 	})
 }
 
+// TestUnusedGrantIsNoInterruption guards against a grant that was declined, or whose request was withdrawn,
+// and that counts as an attempt whose caller will reconnect.
+func TestUnusedGrantIsNoInterruption(t *testing.T) {
+	is := is.New(t)
+	c := newClockPool(1)
+	_, _, ok := c.Submit(stream(0)).Decision()
+	is.True(ok)
+	c.now = c.now.Add(100 * time.Millisecond)
+	c.End("s0", "engines", Unused, "")
+	other := stream(0)
+	other.ID = "other"
+	is.Equal(c.Submit(other).request.TargetAt.Sub(c.now), other.Target)
+	is.Equal(c.Stats()["engines"].Interrupted, 0)
+}
+
 // TestReconnectBurstSpreads guards against a reconnect burst that is crowded onto few engines, so
 // that some of its streams are predicted to be late.
 func TestReconnectBurstSpreads(t *testing.T) {
--- a/pool/types.go
+++ b/pool/types.go
@@ -141,11 +141,14 @@
 	Abandoned
 	// Misplaced means that another endpoint answered at the address.
 	Misplaced
+	// Unused means that nothing was sent to the endpoint. The entry instance still has the request,
+	// or has given it up.
+	Unused
 )
 
 // String returns the outcome's name as it is logged, or "unknown".
 func (o Outcome) String() string {
-	names := [...]string{"served", "failed", "rejected", "unreachable", "silent", "abandoned", "misplaced"}
+	names := [...]string{"served", "failed", "rejected", "unreachable", "silent", "abandoned", "misplaced", "unused"}
 	if o < 0 || int(o) >= len(names) {
 		return "unknown"
 	}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -194,7 +194,7 @@
 		t.job.sends--
 		t.relay.Metrics.add("places_declined")
 		return result{
-			outcome: pool.Abandoned,
+			outcome: pool.Unused,
 			unsent:  true,
 			culprit: unavailable.endpoint,
 			reason:  unavailable.Error(),
@@ -204,7 +204,7 @@
 		t.job.sends--
 		if errors.Is(err, tcp.ErrNoPath) {
 			return result{
-				outcome: pool.Abandoned,
+				outcome: pool.Unused,
 				noPath:  true,
 				reason:  tcp.ErrNoPath.Error(),
 			}
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -121,7 +121,7 @@
 
 // releasePlacement returns a placement to which nothing was sent.
 func (l *Relay) releasePlacement(p *nextPlacement) {
-	l.parts.Placer.End(p.request.ID, p.request.Service, pool.Abandoned, "")
+	l.parts.Placer.End(p.request.ID, p.request.Service, pool.Unused, "")
 }
 
 // handleResult decides whether another attempt follows t. It keeps a placement that was found
