soak: give each run's requests IDs of their own

The IDs were the same in all soaks, so a run that an instance of another soak caused, after it had taken a port, counted as a late or outlasting run of the request with the same name. Such a run now breaks "endpoints run only requests of callers" and nothing else. Schedules and the load are unchanged.

Not a fix: it tells a fault of soaks that meet from one of the product.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -116,7 +116,7 @@
 	}
 	for n := 0; ctx.Err() == nil; n++ {
 		x := Exchange{
-			ID:       fmt.Sprintf("r%d-%d-%d", instance, number, n),
+			ID:       c.deployment.requestID(fmt.Sprintf("r%d-%d-%d", instance, number, n)),
 			Path:     paths[r.IntN(len(paths))],
 			Key:      steadyKey,
 			Body:     strings.Repeat("b", r.IntN(maxBodyLength)),
--- a/soak/crash.go
+++ b/soak/crash.go
@@ -70,7 +70,7 @@
 	end := time.Now().Add(s.For + 2*detectWithin)
 	for n := 0; time.Now().Before(end); n++ {
 		x := Exchange{
-			ID:       fmt.Sprintf("crash-%d-%d", s.At, n),
+			ID:       d.requestID(fmt.Sprintf("crash-%d-%d", s.At, n)),
 			Path:     paths[s.Target%len(paths)],
 			Key:      steadyKey,
 			Body:     fmt.Sprint(crashBody, s.At),
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -93,7 +94,7 @@
 // newDeployment starts the stand-ins and the given number of instances of a program. On an error
 // it leaves running what it has started.
 func newDeployment(program string, instances int, strict bool) (*Deployment, error) {
-	dir, err := os.MkdirTemp("", "linkmast-soak-")
+	dir, err := os.MkdirTemp("", dirPrefix)
 	if err != nil {
 		return nil, errors.Wrap(err, "create directory of the run")
 	}
@@ -131,6 +132,9 @@
 	return d, nil
 }
 
+// dirPrefix is the prefix of the name of a run's directory.
+const dirPrefix = "linkmast-soak-"
+
 // maxSeeds bounds the number of instances that are seeds for the others.
 const maxSeeds = 3
 
@@ -220,6 +224,12 @@
 	})
 }
 
+// requestID returns the ID of a request from its name within the run. IDs differ between runs, so that
+// a request from another one is recognized.
+func (d *Deployment) requestID(name string) string {
+	return strings.TrimPrefix(filepath.Base(d.dir), dirPrefix) + "-" + name
+}
+
 // logLocation returns a text that says where the instances' logs are.
 func (d *Deployment) logLocation() string {
 	return "logs in " + strings.TrimSuffix(d.dir, "/")
