pool: bound the wait of a request whose grants are declined one after the other

Cause: a request waits for a back-off until it is late, and a late one for 100 ms more. The 100 ms counted from each placement request, so after each decline a late request waited for the next endpoint again.

Change: a request that was placed before, with nothing sent, waits until it is late and no longer. It is refused at once then, with the time of the next endpoint. One that was sent before, or that comes back late, waits as before.

Evidence: TestDeclinedRequestWaitsUntilTarget, "declined and late", was queued before and is refused.

--- a/pool/unavailable.go
+++ b/pool/unavailable.go
@@ -136,8 +136,17 @@
 }
 
 // waitsUntil returns the time until which a request waits for an endpoint that doesn't accept it
-// now: when it becomes late, but at least lateWait after its arrival. A request that would wait
-// longer is refused, so that its caller tries again.
+// now: when it becomes late, but at least lateWait after its arrival unless it has waited before. A
+// request that would wait longer is refused, so that its caller tries again.
 func (w *Waiter) waitsUntil() time.Time {
+	if w.placedInVain() {
+		return w.request.TargetAt
+	}
 	return later(w.request.TargetAt, w.arrived.Add(lateWait))
 }
+
+// placedInVain reports whether the request was placed before and nothing was sent, because the endpoint
+// had become unavailable or unreachable.
+func (w *Waiter) placedInVain() bool {
+	return len(w.placementRequest.Exclude) > 0 && !w.placementRequest.Retry
+}
--- a/pool/unavailable_test.go
+++ b/pool/unavailable_test.go
@@ -130,3 +130,50 @@
 		is.New(t).Equal(g.Instance, "e1")
 	})
 }
+
+// TestDeclinedRequestWaitsUntilTarget guards against waits that add up: a request whose grants are declined
+// one after the other must not wait anew each time although it is late.
+func TestDeclinedRequestWaitsUntilTarget(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		// left is the time left until the request is late.
+		left     time.Duration
+		excludes []string
+		waits    bool
+	}{
+		{"first placement, late", -time.Millisecond, nil, true},
+		{"declined and late", -time.Millisecond, []string{"e0"}, false},
+		{"declined, not late yet", 60 * time.Millisecond, []string{"e0"}, true},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newRateLimitHarness(t, 1, 2, nil)
+			x := w.instances[0].Submit(PlacementRequest{
+				ID:       "declined",
+				Service:  "s",
+				Prompt:   100,
+				Target:   row.left,
+				Deadline: 4 * time.Second,
+				Exclude:  row.excludes,
+				Backoffs: []Backoff{{Instance: "e0", Duration: 3 * time.Second}, {Instance: "e1", Duration: 50 * time.Millisecond}},
+			})
+			_, r, decided := x.Decision()
+			is.Equal(decided, !row.waits)
+			if !row.waits {
+				is.True(r != nil && r.RetryAfter >= 50*time.Millisecond)
+			}
+		})
+	}
+	t.Run("sent before and late", func(t *testing.T) {
+		is := is.New(t)
+		w := Waiter{
+			placementRequest: PlacementRequest{
+				Exclude: []string{"e0"},
+				Retry:   true,
+			},
+			arrived: moment,
+		}
+		w.request.TargetAt = moment.Add(-time.Second)
+		is.Equal(w.waitsUntil(), moment.Add(lateWait))
+	})
+}
