soak: reserve the ports of instances for as long as the soak runs

Cause: a port was free if nothing listened on it at that moment, also if its instance was down.

Change: ports come from blocks of a hundred; a soak holds a block by listening on its first port until it ends.

--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -68,6 +68,8 @@
 	seedAddresses []string
 	endpoints     []*endpoint
 	servers       []*http.Server
+	// ports are the ports of the instances.
+	ports ports
 
 	// recovered is when the system must have recovered from the last fault.
 	recovered time.Time
@@ -118,7 +120,7 @@
 		}
 	}
 	for range min(instances, maxSeeds) {
-		address, err := freeAddress()
+		address, err := d.ports.address()
 		if err != nil {
 			return nil, err
 		}
@@ -200,6 +202,7 @@
 	for _, s := range d.servers {
 		_ = s.Close()
 	}
+	d.ports.close()
 }
 
 // domainOf returns the failure domain of the endpoint or instance with index i.
--- a/soak/process.go
+++ b/soak/process.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -77,33 +76,6 @@
 stop_within = "%s"
 `
 
-// Range of the ports that instances listen on. It lies below Linux's default range of ephemeral
-// ports, so that the kernel does not assign a selected port to another socket before the instance
-// listens on it.
-const (
-	firstPort = 20_000
-	portCount = 10_000
-)
-
-// nextPort is the offset from firstPort of the port that was tried last. It starts at a value
-// that depends on the process ID, so that concurrent soaks try different ports.
-var nextPort = os.Getpid() * 97
-
-// freeAddress returns a loopback address on which nothing listens. Its port is one of the
-// portCount ports from firstPort on. The function is not safe for concurrent use.
-func freeAddress() (string, error) {
-	for range portCount {
-		nextPort = (nextPort + 1) % portCount
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort))
-		if err != nil {
-			continue
-		}
-		defer func() { _ = l.Close() }()
-		return l.Addr().String(), nil
-	}
-	return "", errors.New("no free port for an instance")
-}
-
 // sourceOf returns the IP address of the connections to endpoints of instance i, a loopback address
 // of its own, so that the proxies can distinguish the instances.
 func sourceOf(i int) string {
@@ -123,7 +95,7 @@
 	}
 	own := ""
 	for _, into := range []*string{&p.listen, &p.ready, &own} {
-		if *into, err = freeAddress(); err != nil {
+		if *into, err = d.ports.address(); err != nil {
 			return err
 		}
 	}
