--- a/internal/sse/scanner_test.go
+++ b/internal/sse/scanner_test.go
@@ -120,8 +120,8 @@
 
 // split is a naive reference: the complete part of a stream, found line by line from the start.
 func split(data string) (complete int) {
-	rest, at, inEvent := strings.TrimPrefix(data, "\xEF\xBB\xBF"), 0, false
-	at = len(data) - len(rest)
+	rest := strings.TrimPrefix(data, "\xEF\xBB\xBF")
+	at, inEvent := len(data)-len(rest), false
 	for {
 		n := strings.IndexAny(rest, "\r\n")
 		if n < 0 {
