catalog: adopt the position of a record that the copy has unchanged

What was seen: after the store's return from a copy the calls to it grew with the instances: TestFleetAfterRestore, 251 to 259 calls at 60 and 265 to 278 at 120, where 12 more are allowed, failed in 13 of 40 runs on.

Cause: readers ignored what a full read of a copy said of keys that they knew, also where it said the same. So the entries that the copy had kept a position of the epoch before, and after the settle time each of these instances took its own for missing and announced itself: to the readers, which took it for missing too and wrote it again in many small batches, or to the store itself if its stream was just being opened again (one call of one instance in ten; the trace of calls by instance showed these).

Change: a record with the known value is applied, which gives it its position in the new epoch and hands that on to followers. What differs is ignored as before.

Evidence: TestFleetAfterRestore 40 of 40 runs alone, 243 to 248 calls at 60 and 242 to 250 at 120; the bound is as it was. TestEntriesInCopyNotWrittenAgain: each of 20 entries was written again before, none now. Ruled out in trials: a later check of the own entry, and waiting for the next upstream, alone left a growth of up to 14 calls.

--- a/catalog/apply.go
+++ b/catalog/apply.go
@@ -88,10 +88,13 @@
 }
 
 // revertsKnown reports whether a record of a full read must be ignored, because it is probably older
-// than what is known of its key.
+// than what is known of its key. One with the known value is not, so that its position becomes known.
 func (c *Catalog) revertsKnown(f Feed, r Record) bool {
 	old, known := c.records[f][r.Key]
-	return known && !c.isTable(f, r.Key) && c.fromCopy(f, old) && !c.advances(f, r)
+	if !known || c.isTable(f, r.Key) || bytes.Equal(r.Value, old.Value) {
+		return false
+	}
+	return c.fromCopy(f, old) && !c.advances(f, r)
 }
 
 // applyRecord applies a record if it is newer than the known one of its key. It returns whether
--- a/catalog/restored_test.go
+++ b/catalog/restored_test.go
@@ -259,6 +259,19 @@
 	is.New(t).True(made[fleetSize] <= made[fleetSize/2]+fleetSize/10)
 }
 
+// TestEntriesInCopyNotWrittenAgain guards against instances that write their entries again although the copy
+// has them.
+func TestEntriesInCopyNotWrittenAgain(t *testing.T) {
+	virtualGroup(t, 20, 0, func(t *testing.T, _ *memoryNet, fake *fakeStore, all []*instance) {
+		is := is.New(t)
+		awaitReaders(t, all)
+		content := fake.content()
+		fake.restore(content)
+		time.Sleep(4 * settleTime)
+		is.Equal(len(fake.content()[catalog.Peers]), len(content[catalog.Peers]))
+	})
+}
+
 // TestJoinAfterRestore checks that an instance that starts before the store has settled doesn't make
 // others go back to the copy when they follow it.
 func TestJoinAfterRestore(t *testing.T) {
