gateway: keep crashed endpoints down until they are checked in a test

A test process that stands still for 0.3 s would otherwise find the endpoint back. Checks are unchanged.

--- a/gateway/truncated_test.go
+++ b/gateway/truncated_test.go
@@ -219,6 +219,8 @@
 		t.Run(row.path, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
+			// The endpoint must still be down when it is checked.
+			row.options.downtime = 3 * time.Second
 			w := newCrashCluster(t, row.options)
 			for _, x := range w.crashing {
 				x.endpoint.SetFaults(platformtest.EndpointFaults{
