soak: tell requests apart that crash endpoints at the same moment

Cause: the first fault of each schedule begins at 0.5 s. Two of them sent requests that crash endpoints, on two routes, under the same IDs. A fault of the soak, from its new kind of fault.

Change: IDs and bodies of the new kind have a word of their own; those of earlier schedules are as they were.

--- a/soak/crash.go
+++ b/soak/crash.go
@@ -70,10 +70,10 @@
 	end := time.Now().Add(s.For + 2*detectWithin)
 	for n := 0; time.Now().Before(end); n++ {
 		x := Exchange{
-			ID:       d.requestID(fmt.Sprintf("crash-%d-%d", s.At, n)),
+			ID:       d.requestID(s.crashID(n)),
 			Path:     paths[s.Target%len(paths)],
 			Key:      steadyKey,
-			Body:     fmt.Sprint(crashBody, s.At),
+			Body:     s.crashBody(),
 			Instance: n % len(d.processes),
 		}
 		client := &http.Client{
@@ -89,6 +89,23 @@
 	}
 }
 
+// crashID returns the name of the nth request that a fault sends. It differs between kinds of faults, as
+// the first faults of all schedules begin at the same time.
+func (s Fault) crashID(n int) string {
+	if s.Kind == unframedCrash {
+		return fmt.Sprintf("crash-unframed-%d-%d", s.At, n)
+	}
+	return fmt.Sprintf("crash-%d-%d", s.At, n)
+}
+
+// crashBody returns the body of the requests that a fault sends, which differs in the same way.
+func (s Fault) crashBody() string {
+	if s.Kind == unframedCrash {
+		return fmt.Sprint(crashBody, "unframed ", s.At)
+	}
+	return fmt.Sprint(crashBody, s.At)
+}
+
 // crashExchanges returns the exchanges of requests that crash endpoints.
 func (d *Deployment) crashExchanges() []Exchange {
 	d.mu.Lock()
--- a/soak/truncation_test.go
+++ b/soak/truncation_test.go
@@ -3,6 +3,7 @@
 package soak
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -22,3 +23,20 @@
 	}
 	is.Equal(len(seen), len(truncationFaults))
 }
+
+// TestCrashesAtOneTime guards against two faults that begin together and send requests with the same ID.
+func TestCrashesAtOneTime(t *testing.T) {
+	is := is.New(t)
+	a := Fault{
+		At:   firstFault,
+		Kind: requestCrashes,
+	}
+	b := Fault{
+		At:   firstFault,
+		Kind: unframedCrash,
+	}
+	is.True(a.crashID(0) != b.crashID(0))
+	is.True(a.crashID(0) != a.crashID(1))
+	is.True(a.crashBody() != b.crashBody())
+	is.True(strings.HasPrefix(b.crashBody(), crashBody))
+}
