--- a/soak/truncation.go
+++ b/soak/truncation.go
@@ -20,20 +20,35 @@
 	"endpoint sends unframed answers": {Unframed: true},
 	"endpoint closes unframed answers inside an event": {
 		Unframed: true,
-		Cut:      &platformtest.Cut{AfterEvents: cutAfter, Bytes: cutBytes},
+		Cut: &platformtest.Cut{
+			AfterEvents: cutAfter,
+			Bytes:       cutBytes,
+		},
 	},
 	"endpoint closes unframed answers inside the first event": {
 		Unframed: true,
-		Cut:      &platformtest.Cut{Bytes: -1},
+		Cut: &platformtest.Cut{
+			Bytes: -1,
+		},
 	},
 	"endpoint resets unframed answers": {
 		Unframed: true,
-		Cut:      &platformtest.Cut{AfterEvents: cutAfter, End: platformtest.CutReset},
+		Cut: &platformtest.Cut{
+			AfterEvents: cutAfter,
+			End:         platformtest.CutReset,
+		},
 	},
 	"endpoint ends chunks inside an event": {
-		Cut: &platformtest.Cut{AfterEvents: cutAfter, Bytes: cutBytes, End: platformtest.CutFramed},
+		Cut: &platformtest.Cut{
+			AfterEvents: cutAfter,
+			Bytes:       cutBytes,
+			End:         platformtest.CutFramed,
+		},
+	},
+	unframedCrash: {
+		Unframed:         true,
+		CrashAfterEvents: cutAfter,
 	},
-	unframedCrash: {Unframed: true, CrashAfterEvents: cutAfter},
 }
 
 // unframedCrash makes an endpoint send unframed answers and crash in the middle of one, while a request
