--- a/reach/dialer_test.go
+++ b/reach/dialer_test.go
@@ -409,6 +409,22 @@
 	}
 }
 
+// TestForwardingInstanceLost guards against a connection that seems to end in order when the instance that
+// forwards it is lost.
+func TestForwardingInstanceLost(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 2)
+	f.instances[0].links.Set(tcptest.RefuseNew)
+	c, err := f.dial(0)
+	is.NoErr(err)
+	defer c.Close()
+	is.Equal(via(c), f.instances[1].peer.ID)
+	time.AfterFunc(20*time.Millisecond, f.instances[1].rpc.Stop)
+	_, err = c.Read(make([]byte, 1))
+	is.True(errors.Is(err, syscall.ECONNRESET))
+	is.True(!errors.Is(err, io.EOF))
+}
+
 // TestHangReported checks that hanging connections are reported, and refused ones are not.
 // TestResetDuringForwardedUpload guards against a reset that becomes an orderly end because data for the
 // endpoint met it.
