relay: trust the end of an unframed answer of a leaving endpoint

What callers could see: a complete answer that ends with its connection, of an endpoint that was leaving and ended right after it, counted as interrupted; on a route that can't be repeated it was broken off.

Change: an endpoint that gets no new requests, because it is known to be leaving or for another reason, isn't checked.

--- a/gateway/truncated_test.go
+++ b/gateway/truncated_test.go
@@ -246,6 +246,38 @@
 	}
 }
 
+// TestUnframedAnswerOfLeavingEndpoint guards against a complete answer that counts as interrupted, because
+// its endpoint was leaving and ended right after it.
+func TestUnframedAnswerOfLeavingEndpoint(t *testing.T) {
+	is := is.New(t)
+	o := engineOptions()
+	o.events, o.downtime = 30, 3*time.Second
+	w := newCrashCluster(t, o)
+	for _, x := range w.crashing {
+		x.endpoint.SetFaults(platformtest.EndpointFaults{
+			CrashPrefix:      crashBody,
+			CrashAfterEvents: o.events,
+			Unframed:         true,
+		})
+	}
+	time.AfterFunc(50*time.Millisecond, func() {
+		for _, x := range w.crashing {
+			w.store.PutEndpoint(platformtest.EndpointEntry{
+				Instance: x.endpoint.Name(),
+				Service:  x.service,
+				Address:  x.address,
+				Domain:   "d1",
+				Slots:    8,
+				Leaving:  true,
+			})
+		}
+	})
+	g := w.send(0, request{id: "last", path: "/once/", body: crashBody, tokens: 100})
+	assertWhole(t, g)
+	is.Equal(g.body, events("last", o.events))
+	is.Equal(w.crashes(), 1)
+}
+
 // usedEngine returns the engine that runs a stream now.
 func (w *cluster) usedEngine(t *testing.T, id string) string {
 	t.Helper()
--- a/relay/ending.go
+++ b/relay/ending.go
@@ -24,6 +24,10 @@
 	if wirehttp.FramingOf(x.Response) != wirehttp.ByClose {
 		return nil
 	}
+	if t.relay.findUnavailable(&t.grant) != nil {
+		// An endpoint that is leaving may end in order as soon as its last answer is sent.
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(t.caller, endCheckTimeout)
 	defer cancel()
 	err := t.relay.parts.Upstream.Prepare(ctx, t.grant.Address)
