--- a/internal/wirehttp/wirehttp.go
+++ b/internal/wirehttp/wirehttp.go
@@ -1,7 +1,8 @@
 // Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
 
 // Package wirehttp holds what the HTTP clients and servers of the other packages share: a client
-// with bounded dial times, request bodies that are never sent twice, and JSON responses.
+// with bounded dial times, request bodies that are never sent twice, the framing of responses, and JSON
+// responses.
 package wirehttp
 
 import (
