gateway: require that broken off requests ran in the tests of truncated answers

Cause: a request that was refused because its endpoints were ejected would have passed three of the checks.

Change: streams of both kinds and the reset answers must have run. A comment named something that no row checks, and a condition stood twice.

--- a/gateway/truncated_test.go
+++ b/gateway/truncated_test.go
@@ -68,8 +68,6 @@
 	is := is.New(t)
 	if g.status == http.StatusOK {
 		is.True(g.err != nil)
-	}
-	if g.status == http.StatusOK {
 		is.Equal(g.body, events(id, strings.Count(g.body, "\n\n")))
 	}
 }
@@ -88,6 +86,7 @@
 					is := is.New(t)
 					is.Equal(w.runs(id+"o"), 1)
 					assertBrokenOff(t, id+"s", w.send(0, request{id: id + "s", path: "/stream/", tokens: 100}))
+					is.True(w.runs(id+"s") > 0)
 				})
 			}
 		}
@@ -208,7 +207,7 @@
 	for _, row := range []struct {
 		path    string
 		options crashOptions
-		// retried states that another endpoint may complete the answer.
+		// retried states that other endpoints may run the request as well.
 		retried bool
 	}{
 		{"/stream/", engineOptions(), true},
@@ -319,6 +318,7 @@
 		for _, p := range paths {
 			g := w.send(0, request{id: "reset" + p[1:3], path: p, tokens: 100})
 			is.True(g.err != nil || g.status != http.StatusOK)
+			is.True(w.runs("reset"+p[1:3]) > 0)
 		}
 	})
 }
