tcptest: forward a reset as a reset after data for the target has met it

What was seen: the proxy that stands before endpoints in tests and soaks ended connections in order which its target had reset during an upload, so that a stand-in could make a broken answer look whole.

Cause: the same as in the product; the kernel reports a reset once, and the other goroutine of the proxy reads the end of the data.

Change: at the end of the data the proxy asks for the state of the connection, by the check that tcp.DetectResets makes, which is exported as tcp.EndCause.

Found by looking once more for places that take the end of a connection for the end of its content.

--- a/internal/tcp/reset.go
+++ b/internal/tcp/reset.go
@@ -50,7 +50,7 @@
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	if cause := c.endCause(); cause != nil {
+	if cause := EndCause(c.raw); cause != nil {
 		return n, errors.Wrap(cause, "read")
 	}
 	return n, err
@@ -65,10 +65,11 @@
 // data, the state is another one until this side closes the connection.
 const stateClosed = 7
 
-// endCause returns why the data has ended; nil if the peer has ended it.
-func (c *checkedConn) endCause() error {
+// EndCause returns why the data of a connection has ended, after a read that returned io.EOF: nil if the
+// peer has ended it, syscall.ECONNRESET after a reset.
+func EndCause(conn syscall.RawConn) error {
 	var cause error
-	err := c.raw.Control(func(fd uintptr) {
+	err := conn.Control(func(fd uintptr) {
 		// Without the state, the end can only be taken for the peer's.
 		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 		if err == nil && info.State == stateClosed {
--- a/internal/tcp/tcptest/proxy.go
+++ b/internal/tcp/tcptest/proxy.go
@@ -9,9 +9,12 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/linkmast/linkmast/internal/tcp"
 )
 
 // Link configures the faults of a proxy's connections. The zero value forwards data without
@@ -233,7 +236,7 @@
 				return
 			}
 		}
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && endedInOrder(from) {
 			if t, ok := to.(*net.TCPConn); ok {
 				_ = t.CloseWrite()
 			}
@@ -246,6 +249,17 @@
 	}
 }
 
+// endedInOrder reports whether a connection whose data has ended was not reset. A reset that a write to the
+// connection has met reads as the end of the data.
+func endedInOrder(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	return err == nil && tcp.EndCause(raw) == nil
+}
+
 // isSilent reports whether the proxy discards the data of a connection.
 func (p *Proxy) isSilent(c net.Conn) bool {
 	p.mu.Lock()
--- a/internal/tcp/tcptest/proxy_test.go
+++ b/internal/tcp/tcptest/proxy_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/internal/tcp"
 )
 
 // echo starts a server that sends back what it receives, and returns its address.
@@ -112,3 +114,48 @@
 	n, _ := io.ReadFull(c, buf)
 	return string(buf[:n])
 }
+
+// TestResetDuringUpload guards against a proxy that forwards a reset as an orderly end, because data for the
+// target met it.
+func TestResetDuringUpload(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			c.Write([]byte("answer"))
+			time.Sleep(5 * time.Millisecond)
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		}
+	}()
+	p, err := NewProxy(l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	var d net.Dialer
+	for n := range 100 {
+		c, err := tcp.DetectResets(d.DialContext)(t.Context(), "tcp", p.Address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			for {
+				if _, err := c.Write(make([]byte, 64<<10)); err != nil {
+					return
+				}
+			}
+		}()
+		if _, err := io.ReadAll(c); err == nil {
+			t.Fatalf("connection %d ended in order", n)
+		}
+		c.Close()
+	}
+}
