--- a/pool/client_links_test.go
+++ b/pool/client_links_test.go
@@ -146,6 +146,6 @@
 	close(first.known)
 	close(second.known)
 	ready := time.Now()
-	f.owner("")
+	f.owner()
 	is.True(time.Since(ready) < 200*time.Millisecond) // another try would take 250 ms or more
 }
--- a/pool/crash_test.go
+++ b/pool/crash_test.go
@@ -79,19 +79,19 @@
 	}{
 		{"no failure", func(*fleet) []*node { return nil }},
 		{"owner stops", func(f *fleet) []*node {
-			first := f.owner("")
+			first := f.owner()
 			close(first.closing)
 			f.owner(first.self.ID)
 			return []*node{first}
 		}},
 		{"owner is killed", func(f *fleet) []*node {
-			first := f.owner("")
+			first := f.owner()
 			first.rpc.Stop()
 			f.owner(first.self.ID)
 			return []*node{first}
 		}},
 		{"owner and standby stop", func(f *fleet) []*node {
-			first := f.owner("")
+			first := f.owner()
 			close(first.closing)
 			second := f.owner(first.self.ID)
 			close(second.closing)
@@ -109,7 +109,7 @@
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			f := newFleet(t, 6)
-			owner := f.owner("")
+			owner := f.owner()
 			// Crashes that only the failing owner saw would be lost with it, so others report them.
 			f.without(owner)[0].reportCrash(1)
 			f.without(owner)[4].reportCrash(2)
@@ -160,7 +160,7 @@
 // of it.
 func TestBanKnownToLateInstance(t *testing.T) {
 	f := newFleet(t, 3)
-	f.owner("")
+	f.owner()
 	for i := range 3 {
 		f.nodes[i].reportCrash(i)
 	}
@@ -176,7 +176,7 @@
 func TestAnswerClears(t *testing.T) {
 	t.Run("before the third crash", func(t *testing.T) {
 		f := newFleet(t, 4)
-		f.owner("")
+		f.owner()
 		f.nodes[0].reportCrash(0)
 		f.nodes[1].reportCrash(1)
 		settle()
@@ -188,7 +188,7 @@
 	})
 	t.Run("after the ban", func(t *testing.T) {
 		f := newFleet(t, 4)
-		f.owner("")
+		f.owner()
 		for i := range 3 {
 			f.nodes[i].reportCrash(i)
 		}
@@ -202,7 +202,7 @@
 // because they are reported to a new owner.
 func TestClearedCrashesNotRecounted(t *testing.T) {
 	f := newFleet(t, 6)
-	first := f.owner("")
+	first := f.owner()
 	left := f.without(first)
 	left[0].reportCrash(0)
 	left[1].reportCrash(1)
--- a/pool/drained_test.go
+++ b/pool/drained_test.go
@@ -153,7 +153,7 @@
 	for _, n := range f.nodes {
 		n.scheduler.Update(f.snap)
 	}
-	owner := f.owner("")
+	owner := f.owner()
 	for _, n := range f.nodes {
 		if n == owner {
 			continue
--- a/pool/limit_test.go
+++ b/pool/limit_test.go
@@ -76,7 +76,7 @@
 func TestRateLimitedPlainPoolHasOwner(t *testing.T) {
 	const rate = 10
 	f := newFleet(t, 5)
-	f.owner("")
+	f.owner()
 	load := &plainLoad{}
 	load.run(t, "before", f.nodes, 200*time.Millisecond)
 	load.requests.Wait()
@@ -130,7 +130,7 @@
 // when its pool no longer has an owner.
 func TestReleasedPoolDropsAttempts(t *testing.T) {
 	f := newFleet(t, 5)
-	f.owner("")
+	f.owner()
 	f.nodes[0].recordAnswer("p0", limit(10))
 	assertLimit(t, f.nodes, "p0", 10)
 	settle()
--- a/pool/link_reset_test.go
+++ b/pool/link_reset_test.go
@@ -62,7 +62,7 @@
 func TestOwnerStaysAfterReset(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t, 5)
-	owner := f.owner("")
+	owner := f.owner()
 	time.Sleep(longOpen)
 	f.reset()
 	by := make(map[string]int)
@@ -82,7 +82,7 @@
 func TestAttemptsEndedDuringReset(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t, 2)
-	owner := f.owner("")
+	owner := f.owner()
 	entry := f.nodes[0]
 	if entry == owner {
 		entry = f.nodes[1]
@@ -123,7 +123,7 @@
 	for _, n := range f.nodes {
 		n.learn(f.snap)
 	}
-	owner := f.owner("")
+	owner := f.owner()
 	for owner.scheduler.Stats()["engines"].Placed > 0 {
 		time.Sleep(time.Millisecond)
 	}
--- a/pool/notice_test.go
+++ b/pool/notice_test.go
@@ -48,7 +48,7 @@
 // from the instance that received the answer.
 func TestNoticeReachesAll(t *testing.T) {
 	f := newFleet(t, 6)
-	f.owner("")
+	f.owner()
 	settle()
 	f.nodes[2].recordAnswer("e1", limit(2))
 	assertLimit(t, f.nodes, "e1", 2)
@@ -64,7 +64,7 @@
 		assertLimit(t, []*node{late}, "p1", 3)
 	})
 	t.Run("a new owner", func(t *testing.T) {
-		first := f.owner("")
+		first := f.owner()
 		close(first.closing)
 		second := f.owner(first.self.ID)
 		close(second.closing)
@@ -80,7 +80,7 @@
 // two of them received different values at the same time.
 func TestNoticesAgree(t *testing.T) {
 	f := newFleet(t, 6)
-	f.owner("")
+	f.owner()
 	settle()
 	go f.nodes[1].recordAnswer("e1", limit(2))
 	f.nodes[4].recordAnswer("e1", limit(3))
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"maps"
 	"net"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -25,6 +27,8 @@
 
 // node is one instance of a fleet.
 type node struct {
+	// number is the part of the name after the letter.
+	number    int
 	self      catalog.Peer
 	scheduler *pool.Scheduler
 	client    *pool.Client
@@ -34,6 +38,8 @@
 	closing chan struct{}
 	// listener accepts the connections of other instances.
 	listener *resettable
+	// stop ends the instance without notice.
+	stop func()
 }
 
 // fleet is a group of instances that know each other.
@@ -41,6 +47,8 @@
 	t     *testing.T
 	nodes []*node
 	snap  *catalog.Snapshot
+	// firsts counts the first sends of the requests that owner placed.
+	firsts int
 }
 
 // newFleet returns a fleet of n instances that know the endpoints e0 to e3 of the service "engines"
@@ -106,6 +114,7 @@
 		f.t.Fatal(err)
 	}
 	n := &node{
+		number: i,
 		self: catalog.Peer{
 			ID:       fmt.Sprintf("n%d", i),
 			Address:  l.Addr().String(),
@@ -133,11 +142,12 @@
 	go n.rpc.Serve(n.listener)
 	go n.scheduler.Run(ctx)
 	go n.client.Run(ctx)
-	f.t.Cleanup(func() {
+	n.stop = sync.OnceFunc(func() {
 		cancel()
 		n.rpc.Stop()
 		conns.Close()
 	})
+	f.t.Cleanup(n.stop)
 	// Instances may be reading the snapshot that they have, so a copy is changed.
 	snap := *f.snap
 	snap.Peers = maps.Clone(f.snap.Peers)
@@ -158,14 +168,14 @@
 	}
 }
 
-// owner places requests at all instances except skip until one instance decides on all of them, and
-// returns that one.
-func (f *fleet) owner(skip string) *node {
+// owner places requests at all instances except those in skip until one instance decides on all of
+// them, and returns that one.
+func (f *fleet) owner(skip ...string) *node {
 	f.t.Helper()
 	for round := range 200 {
 		by := make(map[string]int)
 		for i, n := range f.nodes {
-			if n.self.ID == skip {
+			if slices.Contains(skip, n.self.ID) {
 				continue
 			}
 			id := fmt.Sprintf("probe-%s-%d-%d", skip, round, i)
@@ -173,11 +183,12 @@
 			if err != nil {
 				f.t.Fatal(err)
 			}
+			f.firsts++
 			by[g.DecidedBy]++
 			n.client.End(id, "engines", pool.Served, "")
 		}
 		for _, n := range f.nodes {
-			if len(by) == 1 && by[n.self.ID] > 0 && n.self.ID != skip {
+			if len(by) == 1 && by[n.self.ID] > 0 && !slices.Contains(skip, n.self.ID) {
 				return n
 			}
 		}
@@ -209,7 +220,7 @@
 		t.Run(row.name, func(t *testing.T) {
 			is := is.New(t)
 			f := newFleet(t, 4)
-			first := f.owner("")
+			first := f.owner()
 			row.end(first)
 			ended := time.Now()
 			second := f.owner(first.self.ID)
@@ -224,7 +235,7 @@
 func TestTwoOwnersStop(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t, 5)
-	first := f.owner("")
+	first := f.owner()
 	close(first.closing)
 	second := f.owner(first.self.ID)
 	close(second.closing)
@@ -254,7 +265,7 @@
 func TestStandbyKnowsAttempts(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t, 3)
-	first := f.owner("")
+	first := f.owner()
 	var entry *node
 	for _, n := range f.nodes {
 		if n != first {
@@ -274,10 +285,11 @@
 	is.True(err != nil) // all slots are taken
 }
 
-// retryPlaced reports whether a retry is placed.
-func (n *node) retryPlaced(t *testing.T, id string) bool {
+// retryPlaced reports whether a retry is placed on an endpoint of a service.
+func (n *node) retryPlaced(t *testing.T, id, service string) bool {
 	t.Helper()
 	a := request(id)
+	a.Service = service
 	a.Retry = true
 	_, err := n.client.Place(t.Context(), a)
 	var r *pool.Refusal
@@ -285,18 +297,19 @@
 		t.Fatal(err)
 	}
 	if err == nil {
-		n.client.End(id, "engines", pool.Served, "")
+		n.client.End(id, service, pool.Served, "")
 	}
 	return err == nil
 }
 
-// retryEverywhere sends 30 retries through each instance, and returns how many are placed.
-func (f *fleet) retryEverywhere(t *testing.T) int {
+// retryEverywhere sends 30 retries to a service through each instance, and returns how many are
+// placed.
+func (f *fleet) retryEverywhere(t *testing.T, service string) int {
 	t.Helper()
 	granted := 0
 	for i, n := range f.nodes {
 		for k := range 30 {
-			if n.retryPlaced(t, fmt.Sprintf("again-%d-%d", i, k)) {
+			if n.retryPlaced(t, fmt.Sprintf("again-%d-%d", i, k), service) {
 				granted++
 			}
 		}
@@ -310,8 +323,8 @@
 	t.Run("one owner", func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(t, 4)
-		f.owner("")
-		got := f.retryEverywhere(t)
+		f.owner()
+		got := f.retryEverywhere(t, "engines")
 		is.True(got > 0)
 		is.True(got <= 16)
 	})
@@ -322,7 +335,7 @@
 			n.rpc.Stop()
 		}
 		time.Sleep(20 * time.Millisecond)
-		is.True(f.retryEverywhere(t) <= 16)
+		is.True(f.retryEverywhere(t, "engines") <= 16)
 	})
 }
 
@@ -334,7 +347,7 @@
 	f := newFleet(t, 3)
 	// Attempts that f.owner placed occupy the first engines until the owner has received the
 	// reports of their ends.
-	for owner := f.owner(""); owner.scheduler.Stats()["engines"].Placed > 0; {
+	for owner := f.owner(); owner.scheduler.Stats()["engines"].Placed > 0; {
 		time.Sleep(time.Millisecond)
 	}
 	fail := func(n *node, i int) {
@@ -367,7 +380,7 @@
 func TestLeavingKnownToEntry(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t, 3)
-	owner := f.owner("")
+	owner := f.owner()
 	for _, n := range f.nodes {
 		if n == owner {
 			continue
