pool: log each decision on a retry, and count them

An excess of retries could not be traced: nothing said who allowed a retry, as owner or by itself, and how much of the budget it believed to be spent. A line for each retry names the entry instance, the first sends and retries in the window and the limit, and the metrics of a pool have first_sends, retries and retries_refused.

--- a/pool/budget.go
+++ b/pool/budget.go
@@ -58,17 +58,32 @@
 	s.buckets[s.roll(now)].first++
 }
 
-// allowRetry reports whether the budget allows another retry, and counts it if so.
-func (s *retryCounter) allowRetry(now time.Time) bool {
-	i := s.roll(now)
-	first, retried := 0, 0
+// retryUse is the use of a budget in the present window.
+type retryUse struct {
+	// first and retries are the counted first sends and retries.
+	first, retries int
+	// limit is the number of retries that the budget allows.
+	limit float64
+}
+
+// use returns the use of the budget.
+func (s *retryCounter) use(now time.Time) retryUse {
+	s.roll(now)
+	u := retryUse{}
 	for _, bucket := range s.buckets {
-		first += bucket.first
-		retried += bucket.retries
+		u.first += bucket.first
+		u.retries += bucket.retries
 	}
-	if float64(retried+1) > s.budget.Ratio*float64(first)+s.budget.Extra {
+	u.limit = s.budget.Ratio*float64(u.first) + s.budget.Extra
+	return u
+}
+
+// allowRetry reports whether the budget allows another retry, and counts it if so.
+func (s *retryCounter) allowRetry(now time.Time) bool {
+	u := s.use(now)
+	if float64(u.retries+1) > u.limit {
 		return false
 	}
-	s.buckets[i].retries++
+	s.buckets[s.roll(now)].retries++
 	return true
 }
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -191,7 +191,7 @@
 		w.refused <- r
 		return w
 	}
-	if r := p.admit(a, fallback, now); r != nil {
+	if r := s.admit(p, w, now); r != nil {
 		w.refused <- r
 		return w
 	}
--- a/pool/state.go
+++ b/pool/state.go
@@ -35,6 +35,11 @@
 	// the one for decisions as a fallback (see Waiter.fallback).
 	ownerRetries    retryCounter
 	fallbackRetries retryCounter
+	// firstSends, retries and retriesRefused count the first sends and the allowed and refused
+	// retries on which this instance has decided.
+	firstSends     int
+	retries        int
+	retriesRefused int
 	// predictions counts the predictions of first events, and those that were accurate.
 	predictions predictionStats
 	// worth computes a request's worth from its customer, route and size.
@@ -235,21 +240,29 @@
 	return out
 }
 
-// admit counts a first send, or charges a retry to the budget. It returns a refusal if the
-// budget is exhausted.
-func (p *poolState) admit(a PlacementRequest, fallback bool, now time.Time) *Refusal {
+// admit counts a first send, or charges a retry to the budget and logs it. It returns a refusal if
+// the budget is exhausted.
+func (s *Scheduler) admit(p *poolState, w *Waiter, now time.Time) *Refusal {
+	a := &w.placementRequest
 	if !a.Retry {
+		p.firstSends++
 		p.ownerRetries.countFirst(now)
 		p.fallbackRetries.countFirst(now)
 		return nil
 	}
 	counter := &p.ownerRetries
-	if fallback {
+	if w.fallback {
 		counter = &p.fallbackRetries
 	}
-	if counter.allowRetry(now) {
+	allowed := counter.allowRetry(now)
+	u := counter.use(now)
+	s.log.Info("retry", "attempt", a.ID, "service", a.Service, "entry", w.entry, "allowed", allowed, "fallback", w.fallback,
+		"first", u.first, "retries", u.retries, "limit", u.limit)
+	if allowed {
+		p.retries++
 		return nil
 	}
+	p.retriesRefused++
 	return &Refusal{
 		Reason:     "retry budget is spent",
 		RetryAfter: defaultRetryAfter,
--- a/pool/stats.go
+++ b/pool/stats.go
@@ -21,6 +21,12 @@
 	// WithinTolerance counts the first events whose time was off by at most a fifth of the
 	// predicted time.
 	WithinTolerance int `json:"within"`
+	// FirstSends counts the requests that this instance decided on for the first time. Retries and
+	// RetriesRefused count the retries that it charged to the retry budget, or refused because of
+	// it.
+	FirstSends     int `json:"first_sends"`
+	Retries        int `json:"retries"`
+	RetriesRefused int `json:"retries_refused"`
 	// Cold is the number of endpoints that are cold or assumed to be.
 	Cold int `json:"cold"`
 	// ColdPassedOver counts the times at which a placement skipped a cold endpoint because it was
@@ -69,6 +75,9 @@
 			Queued:          len(p.queue),
 			Predicted:       p.predictions.count,
 			WithinTolerance: p.predictions.within,
+			FirstSends:      p.firstSends,
+			Retries:         p.retries,
+			RetriesRefused:  p.retriesRefused,
 			Slow:            p.countSlow(),
 			PaceAsked:       p.slowdowns.queries,
 			PaceChanges:     p.slowdowns.changes,
