pool: count retries by the processes that send them, over all owners

Callers saw nothing; a service received more retries in a window than the budget allows.

Cause: the counts lived in the scheduler of whoever decided. A new owner had counted none of what its predecessor allowed, an instance that was started again none of its own, and a request that reached no endpoint counted as another first send with each placement. The class: state that bounds a sum over time, held by one of several that come and go.

Change: sends are counted by process. Each entry instance keeps its own and reports them in the greeting of a session; owner and standby keep those of all. Extra is divided among the instances, and whoever decides for others uses their parts, so that two owners at a time or instances without one don't add up. Retries count when they are placed, for the whole window, and no longer if nothing was sent. A process with an unknown predecessor uses an eighth of its part for one window.

Evidence: TestRetryBudgetOverOwnerChanges, TestRetryBudgetOfReturningOwner and TestRetryBudgetOfRestartedPlainInstance failed before and pass now, with a lower bound added: three quarters of the budget are used. TestBudgetWithoutOwner expected half of an instance's share, as the other half was the owner's; it expects the whole share now, none of it in the first window, and none of it twice.

Tests of pool and relay pass.

--- a/pool/adopt.go
+++ b/pool/adopt.go
@@ -13,7 +13,8 @@
 
 // adoptFor records an attempt of an entry instance. A known attempt only stops being an orphan. An
 // attempt on an unknown endpoint, or on an earlier incarnation of a known one, is not recorded. It
-// still counts for the retry budget if it is a first send, and may count as a reconnect.
+// still counts for the retry budget, and may count as a reconnect. First sends of this instance are
+// not counted here, as CountFirst counts them.
 func (s *Scheduler) adoptFor(a PlacementRequest, g Grant, entry string, begun bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -23,8 +24,13 @@
 		return
 	}
 	now := s.settings.Now()
-	if !a.Retry {
-		p.ownerRetries.countFirst(now)
+	by := s.processes.of(entry)
+	p.retries.setDecider(by, g.DecidedBy, now)
+	switch {
+	case a.Retry:
+		p.retries.countRetry(&s.processes, by, now)
+	case !a.Counted && entry != s.settings.Self:
+		p.retries.countFirst(&s.processes, by, now)
 	}
 	w := s.newWaiter(p, a, now)
 	p.reconnects.match(w, now)
@@ -42,6 +48,9 @@
 		entry:          entry,
 		watched:        a.watched(),
 	}
+	if a.Retry {
+		at.retryBy = by
+	}
 	if !begun {
 		p.cold.recordPlacement(g.Instance, now)
 	}
--- a/pool/budget.go
+++ b/pool/budget.go
@@ -7,83 +7,75 @@
 )
 
 // Budget bounds how many requests are retried: in a sliding window, at most Ratio times the number
-// of first sends, plus Extra. The zero value allows no retries.
+// of first sends, plus Extra, summed over all instances. The zero value allows no retries.
 type Budget struct {
 	// Ratio is the number of retries allowed for each first send.
 	Ratio float64
 	// Extra is the number of retries allowed in a window in addition.
 	Extra float64
-	// Window is the length of the window. The window moves in steps of a tenth of its length, so
-	// requests older than nine tenths of it may no longer count.
+	// Window is the length of the window.
 	Window time.Duration
 }
 
-// budgetBuckets is the number of buckets into which a window is divided.
-const budgetBuckets = 10
+// Parameters of the windows in which sends are counted.
+const (
+	// windowBuckets is the number of buckets that a window is divided into.
+	windowBuckets = 10
+	// keptBuckets is the number of buckets that are kept: the present one, which has just begun,
+	// and the whole window before it.
+	keptBuckets = windowBuckets + 1
+)
 
-// retryCounter counts first sends and retries in a sliding window, and checks them against a
-// budget.
-type retryCounter struct {
-	budget  Budget
-	buckets [budgetBuckets]struct {
-		first   int
-		retries int
-	}
-	// bucket is the number of the latest bucket, counted from startedAt.
-	bucket int64
-	// startedAt is when the counter was first used.
-	startedAt time.Time
+// sendCounts counts first sends and retries.
+type sendCounts struct {
+	first   int
+	retries int
 }
 
-// roll clears the buckets that have left the window and returns the index of the present bucket.
-// Buckets are counted by the time since startedAt, which the monotonic clock measures, so that a
-// change of the wall clock neither renews the budget nor keeps it exhausted.
-func (s *retryCounter) roll(now time.Time) int {
-	if s.startedAt.IsZero() {
-		s.startedAt = now
-	}
-	bucket := max(int64(now.Sub(s.startedAt)), 0) / max(int64(s.budget.Window)/budgetBuckets, 1)
-	if gap := bucket - s.bucket; gap > 0 {
-		for i := range min(gap, budgetBuckets) {
-			s.buckets[(bucket-i)%budgetBuckets].first = 0
-			s.buckets[(bucket-i)%budgetBuckets].retries = 0
-		}
-		s.bucket = bucket
-	}
-	return int(bucket % budgetBuckets)
+// add adds other counts.
+func (c *sendCounts) add(other sendCounts) {
+	c.first += other.first
+	c.retries += other.retries
 }
 
-// countFirst counts a request that is sent for the first time.
-func (s *retryCounter) countFirst(now time.Time) {
-	s.buckets[s.roll(now)].first++
+// sendWindow counts the first sends and retries of one process in a sliding window. First sends
+// count for at most a window, and retries for at least one, so that the coarse buckets never allow
+// more retries than the budget.
+type sendWindow struct {
+	buckets [keptBuckets]sendCounts
+	// bucket is the number of the present bucket, as of the last call.
+	bucket int64
 }
 
-// retryUse is the use of a budget in the present window.
-type retryUse struct {
-	// first and retries are the counted first sends and retries.
-	first, retries int
-	// limit is the number of retries that the budget allows.
-	limit float64
+// roll clears the buckets that have left the window when the present bucket has the given number.
+func (w *sendWindow) roll(bucket int64) {
+	for i := range min(bucket-w.bucket, keptBuckets) {
+		w.buckets[(bucket-i)%keptBuckets] = sendCounts{}
+	}
+	w.bucket = max(w.bucket, bucket)
 }
 
-// use returns the use of the budget.
-func (s *retryCounter) use(now time.Time) retryUse {
-	s.roll(now)
-	u := retryUse{}
-	for _, bucket := range s.buckets {
-		u.first += bucket.first
-		u.retries += bucket.retries
+// at returns the counts of a bucket, or nil if it is not kept. The window must have been rolled to
+// the present bucket.
+func (w *sendWindow) at(bucket int64) *sendCounts {
+	if bucket > w.bucket || bucket <= w.bucket-keptBuckets || bucket < 0 {
+		return nil
 	}
-	u.limit = s.budget.Ratio*float64(u.first) + s.budget.Extra
-	return u
+	return &w.buckets[bucket%keptBuckets]
 }
 
-// allowRetry reports whether the budget allows another retry, and counts it if so.
-func (s *retryCounter) allowRetry(now time.Time) bool {
-	u := s.use(now)
-	if float64(u.retries+1) > u.limit {
-		return false
+// sum returns the first sends and the retries that count at present.
+func (w *sendWindow) sum() sendCounts {
+	out := sendCounts{}
+	for i := range int64(keptBuckets) {
+		c := w.at(w.bucket - i)
+		if c == nil {
+			break
+		}
+		out.retries += c.retries
+		if i < windowBuckets {
+			out.first += c.first
+		}
 	}
-	s.buckets[s.roll(now)].retries++
-	return true
+	return out
 }
--- a/pool/client.go
+++ b/pool/client.go
@@ -41,6 +41,9 @@
 	// followed is the first part of ownerOrder by service: the instances that placement requests
 	// and reports are sent to. It may contain this instance.
 	followed map[string][]string
+	// deciders has the instance that decides on the requests of this instance, by service, as last
+	// announced, for the pools with an owner.
+	deciders map[string]string
 	// links has the links to other instances by name.
 	links map[string]*ownerLink
 	// attempts has the running attempts of this instance by ID.
@@ -76,6 +79,7 @@
 		ownerOrder: make(map[string][]string),
 		plainOwned: make(map[string]bool),
 		followed:   make(map[string][]string),
+		deciders:   make(map[string]string),
 		wake:       make(chan struct{}, 1),
 		links:      make(map[string]*ownerLink),
 		attempts:   make(map[string]*running),
@@ -128,6 +132,9 @@
 	a.Exclude = append(slices.Clone(a.Exclude), leaving...)
 	a.DrainedDomains = drained
 	a.Backoffs = c.backoffs(a.Service)
+	if !a.Retry && !a.Counted {
+		c.local.CountFirst(a.Service)
+	}
 	fallback := false
 	for range maxPlacementRounds {
 		var g Grant
@@ -141,7 +148,9 @@
 		}
 		break
 	}
-	g, err := c.local.place(ctx, a, fallback)
+	own := a
+	own.Counted = true
+	g, err := c.local.place(ctx, own, fallback)
 	if err == nil {
 		c.recordAttempt(a, g, nil)
 	}
--- a/pool/client_limited.go
+++ b/pool/client_limited.go
@@ -55,6 +55,8 @@
 			}
 		}
 	}
+	c.setDecider(name, c.self.ID)
+	delete(c.deciders, name)
 	delete(c.plainOwned, name)
 	delete(c.ownerOrder, name)
 	delete(c.followed, name)
--- a/pool/client_links.go
+++ b/pool/client_links.go
@@ -72,6 +72,43 @@
 		}
 	}
 	c.announceAttempts()
+	c.announceDeciders()
+}
+
+// announceDeciders tells the followed owners of each pool which of them decides on the requests of
+// this instance, if that has changed. The caller must hold c.mu.
+func (c *Client) announceDeciders() {
+	for service := range c.ownerOrder {
+		if now := c.decider(service); now != c.deciders[service] {
+			c.setDecider(service, now)
+		}
+	}
+}
+
+// decider returns the instance that decides on the requests of this instance in a pool with an
+// owner. The caller must hold c.mu.
+func (c *Client) decider(service string) string {
+	for _, l := range c.linksOf(service) {
+		if l == nil {
+			break
+		}
+		if l.usable() {
+			return l.peer
+		}
+	}
+	return c.self.ID
+}
+
+// setDecider records and announces the instance that decides on the requests of this instance in a
+// pool. The caller must hold c.mu.
+func (c *Client) setDecider(service, instance string) {
+	c.deciders[service] = instance
+	c.local.setDecider(c.self.ID, service, instance)
+	for _, l := range c.linksOf(service) {
+		if l != nil {
+			l.enqueue(deciderMessage(service, instance))
+		}
+	}
 }
 
 // chooseOwners returns the first part of a pool's order of owners, which this instance follows, and
@@ -104,8 +141,10 @@
 		peer:    id,
 		address: address,
 		self: entryInfo{
-			entry:  c.self.ID,
-			domain: c.self.FailureDomain,
+			entry:   c.self.ID,
+			domain:  c.self.FailureDomain,
+			process: c.local.processes.self,
+			running: c.local.running,
 		},
 		dialer:      c.dialer,
 		greeting:    c.greetingMessages,
@@ -140,6 +179,8 @@
 	for _, r := range c.attempts {
 		out = append(out, runningMessage(r))
 	}
+	// The sends come after the running attempts, as they contain these.
+	out = append(out, c.local.sends()...)
 	out = append(out, c.crashMessages()...)
 	for _, n := range c.local.settings.Notices.Notices() {
 		out = append(out, ownerNoticeMessage(n))
--- a/pool/grant.go
+++ b/pool/grant.go
@@ -44,6 +44,10 @@
 	p.markProbes(at, now)
 	p.cold.recordPlacement(at.endpoint, now)
 	p.slowdowns.decidedAt, p.slowdowns.fallback = now, w.fallback
+	p.settleRetry(w)
+	if w.placementRequest.Retry {
+		s.countRetry(p, at, s.processes.of(w.entry), now)
+	}
 	p.attempts[w.placementRequest.ID] = at
 	s.log.Info("place", "attempt", w.placementRequest.ID, "service", w.placementRequest.Service, "prompt", w.placementRequest.Prompt,
 		"returning", w.placementRequest.Returning, "rank", w.placementRequest.Rank, "route_rank", w.placementRequest.RouteRank, "worth", w.request.Worth, "endpoint", g.Instance,
--- a/pool/link.go
+++ b/pool/link.go
@@ -92,8 +92,11 @@
 
 // entryInfo identifies an entry instance to an owner.
 type entryInfo struct {
-	entry  string
-	domain string
+	entry   string
+	domain  string
+	process process
+	// running returns how long ago the process was started.
+	running func() time.Duration
 }
 
 // placementReply is an owner's answer to a placement request.
--- a/pool/link_session.go
+++ b/pool/link_session.go
@@ -67,8 +67,10 @@
 	first := []*poolpb.FromEntry{{
 		Kind: &poolpb.FromEntry_Hello{
 			Hello: &poolpb.Hello{
-				Entry:  l.self.entry,
-				Domain: l.self.domain,
+				Entry:     l.self.entry,
+				Domain:    l.self.domain,
+				Process:   l.self.process.id,
+				RunningUs: l.self.running().Microseconds(),
 			},
 		},
 	}}
--- a/pool/messages.go
+++ b/pool/messages.go
@@ -28,6 +28,7 @@
 		DeadlineUs: a.Deadline.Microseconds(),
 		Exclude:    a.Exclude,
 		Again:      a.Retry,
+		Counted:    a.Counted,
 		Returning:  a.Returning,
 		SpentUs:    a.Elapsed.Microseconds(),
 		Avoid:      a.Avoid,
@@ -66,6 +67,7 @@
 		Deadline:       microseconds(m.GetDeadlineUs()),
 		Exclude:        m.GetExclude(),
 		Retry:          m.GetAgain(),
+		Counted:        m.GetCounted(),
 		Returning:      m.GetReturning(),
 		Elapsed:        microseconds(m.GetSpentUs()),
 		Avoid:          m.GetAvoid(),
@@ -87,6 +89,19 @@
 	return a
 }
 
+// deciderMessage returns the message that names the instance which decides on the requests to a
+// service.
+func deciderMessage(service, instance string) *poolpb.FromEntry {
+	return &poolpb.FromEntry{
+		Kind: &poolpb.FromEntry_Decider{
+			Decider: &poolpb.Decider{
+				Service:  service,
+				Instance: instance,
+			},
+		},
+	}
+}
+
 // microseconds converts a number of microseconds, as sent in messages, to a duration.
 func microseconds(n int64) time.Duration {
 	return time.Duration(n) * time.Microsecond
--- a/pool/messages_test.go
+++ b/pool/messages_test.go
@@ -39,6 +39,7 @@
 			Returning:      true,
 			Elapsed:        7 * time.Millisecond,
 			Retry:          true,
+			Counted:        true,
 			Replaces: ReplacedAttempt{
 				ID:        "b",
 				SilentFor: 8 * time.Millisecond,
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -111,12 +111,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.pool(w.placementRequest.Service)
+	p.settleRetry(w)
 	if i := slices.Index(p.queue, w); i >= 0 {
 		p.queue = slices.Delete(p.queue, i, i+1)
 		return
 	}
 	select {
 	case <-w.granted:
+		if at := p.attempts[w.placementRequest.ID]; at != nil {
+			s.uncountRetry(p, at, s.settings.Now())
+		}
 		p.endAttempt(w.placementRequest.ID)
 	default:
 	}
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -56,6 +56,8 @@
 	log      logr.Logger
 
 	mu sync.Mutex
+	// processes holds the known processes of all instances.
+	processes processes
 	// pools holds the state of each service by name.
 	pools map[string]*poolState
 	// wake receives a value when Run has to review the queued requests.
@@ -80,8 +82,13 @@
 	if s.Notices == nil {
 		s.Notices = notice.New(s.Now, log)
 	}
+	self := process{
+		instance: s.Self,
+		id:       rand.Uint64(),
+	}
 	return &Scheduler{
 		settings:      s,
+		processes:     newProcesses(self, s.Now()),
 		log:           log,
 		pools:         make(map[string]*poolState),
 		wake:          make(chan struct{}, 1),
@@ -110,13 +117,15 @@
 		}
 		p.upsert(e, svc)
 	}
+	s.processes.list(snap.Peers, s.settings.Now())
 	for name, p := range s.pools {
 		p.prune(name, snap)
 		p.cold.configure(s.settings.Cold, snap.Table.Services[name], s.settings.Self, snap.Peers)
 		p.cold.undrained(p.list, p.drained, snap.Drained, s.settings.Now())
 		p.drained = snap.Drained
-		p.shareRetryBudget(s.settings.Retries, len(snap.Peers))
+		p.rateLimits.instances = len(snap.Peers)
 	}
+	s.expireProcesses()
 }
 
 // pool returns the state of a service and creates it if necessary. The caller must hold s.mu.
@@ -130,6 +139,7 @@
 			attempts: make(map[string]*attempt),
 			worth:    worth.New(s.settings.Worth),
 			notices:  s.settings.Notices,
+			retries:  newRetryLedger(s.settings.Retries, s.settings.Now()),
 		}
 		s.pools[service] = p
 	}
@@ -142,7 +152,7 @@
 }
 
 // place places a request of this instance. Fallback, as described at Waiter.fallback, means that
-// the instance may use only its share of the retry budget and of the endpoints' limits.
+// the instance may use only its share of the endpoints' limits.
 func (s *Scheduler) place(ctx context.Context, a PlacementRequest, fallback bool) (Grant, error) {
 	return s.placeFor(ctx, a, s.settings.Self, fallback)
 }
@@ -221,6 +231,7 @@
 // caller must hold s.mu.
 func (s *Scheduler) recordRefusal(p *poolState, w *Waiter, r *Refusal, now time.Time) {
 	work := p.engineTime(w)
+	p.settleRetry(w)
 	p.price.record(work, w.remainingWorth(), now)
 	p.refusedCallers.add(w, now)
 	usable := p.usable(w, now)
@@ -286,6 +297,9 @@
 	if o == Abandoned || o == Failed {
 		p.reconnects.recordInterrupted(at, now)
 	}
+	if o == Unused || o == Unreachable {
+		s.uncountRetry(p, at, now)
+	}
 	p.endAttempt(id)
 	endpoint := at.endpoint
 	if culprit != "" {
--- a/pool/server.go
+++ b/pool/server.go
@@ -57,6 +57,8 @@
 	// it. Both are unset until Hello arrives.
 	entry          string
 	stopMigrations func()
+	// process is the process of the entry instance, unset until Hello arrives.
+	process process
 	// stopNotifying ends the sending of verdicts and notices; nil until Hello arrives.
 	stopNotifying func()
 
@@ -144,7 +146,7 @@
 	s := x.server.scheduler
 	switch k := m.GetKind().(type) {
 	case *poolpb.FromEntry_Hello:
-		x.register(k.Hello.GetEntry())
+		x.register(k.Hello)
 	case *poolpb.FromEntry_Ask:
 		x.place(ctx, decodePlacementRequest(k.Ask))
 	case *poolpb.FromEntry_Withdraw:
@@ -167,6 +169,10 @@
 		s.settings.Quarantine.ApplyVerdict(quarantine.DecodeVerdict(k.Verdict))
 	case *poolpb.FromEntry_Notice:
 		s.settings.Notices.ApplyNotice(decodeNotice(k.Notice))
+	case *poolpb.FromEntry_Decider:
+		s.setDecider(x.entry, k.Decider.GetService(), k.Decider.GetInstance())
+	case *poolpb.FromEntry_Sends:
+		s.applySends(x.entry, k.Sends)
 	case *poolpb.FromEntry_Ping:
 		if k.Ping.GetSeq() == greetingEnd {
 			x.server.endMissingOrphans(x)
--- a/pool/server_orphans.go
+++ b/pool/server_orphans.go
@@ -5,6 +5,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/linkmast/linkmast/pool/poolpb"
 )
 
 // orphanSet has the attempts that were running when a session ended.
@@ -24,23 +26,28 @@
 	return attempts
 }
 
-// register sets the name of the entry instance and registers the session. It does nothing if the
-// session is ending or the entry instance has cancelled it, because nothing would unregister it
+// register sets the entry instance and its process and registers the session. It does nothing if
+// the session is ending or the entry instance has cancelled it, because nothing would unregister it
 // then.
-func (x *session) register(entry string) {
+func (x *session) register(hello *poolpb.Hello) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.ending || x.stream.Context().Err() != nil {
 		return
 	}
-	x.entry = entry
-	x.server.registerSession(x)
+	x.entry = hello.GetEntry()
+	x.process = process{
+		instance: hello.GetEntry(),
+		id:       hello.GetProcess(),
+	}
+	x.server.registerSession(x, microseconds(hello.GetRunningUs()))
 }
 
-// registerSession makes x the newest session of its entry instance. An older session is ended, and
+// registerSession makes x the newest session of its entry instance, whose process has been running
+// for the given time. An older session is ended, and
 // its attempts become orphans until x reports them. An owner that was frozen may handle two
 // sessions in either order. If that ends the live one, the entry instance opens another.
-func (s *Server) registerSession(x *session) {
+func (s *Server) registerSession(x *session, running time.Duration) {
 	s.mu.Lock()
 	old := s.sessions[x.entry]
 	s.sessions[x.entry] = x
@@ -49,6 +56,10 @@
 		old.replace()
 		s.orphanAttempts(old)
 	}
+	if old != nil {
+		s.scheduler.disconnectProcess(old.process)
+	}
+	s.scheduler.connectProcess(x.process, running)
 	x.stopMigrations = s.scheduler.onMigrations(x.entry, x.sendMigration)
 	x.notifyChanges()
 }
@@ -71,6 +82,7 @@
 	s.mu.Lock()
 	if s.sessions[x.entry] == x {
 		delete(s.sessions, x.entry)
+		s.scheduler.disconnectProcess(x.process)
 	}
 	s.mu.Unlock()
 	s.orphanAttempts(x)
--- a/pool/state.go
+++ b/pool/state.go
@@ -31,14 +31,10 @@
 	attempts map[string]*attempt
 	// queue holds the requests that wait for a decision.
 	queue []*Waiter
-	// ownerRetries is the retry budget for decisions as the pool's owner, and fallbackRetries
-	// the one for decisions as a fallback (see Waiter.fallback).
-	ownerRetries    retryCounter
-	fallbackRetries retryCounter
-	// firstSends, retries and retriesRefused count the first sends and the allowed and refused
-	// retries on which this instance has decided.
-	firstSends     int
-	retries        int
+	// retries counts first sends and retries, and bounds the latter.
+	retries retryLedger
+	// retriesAllowed and retriesRefused count the decisions of this instance on retries.
+	retriesAllowed int
 	retriesRefused int
 	// predictions counts the predictions of first events, and those that were accurate.
 	predictions predictionStats
@@ -107,6 +103,9 @@
 	// entry instance is connected. interruptedAt is when that session ended.
 	orphanMark    int64
 	interruptedAt time.Time
+	// retryBy is the process that sends the attempt, if it is a retry that counts for the budget;
+	// else the zero value.
+	retryBy process
 }
 
 // endpoints returns the names of all endpoints of the attempt. The last one answers the request.
@@ -165,31 +164,6 @@
 	})
 }
 
-// shareRetryBudget divides the retry budget of the service, of which only retryBudgetShare is used,
-// among the instances. Half of this part of Extra is for the pool's owner, and half for all
-// instances together while they place without an owner. In a plain pool each instance usually
-// places its own requests, so there the instances share both halves. It also sets the number of
-// instances that share rate limits.
-func (p *poolState) shareRetryBudget(whole Budget, instances int) {
-	p.ownerRetries.budget = Budget{
-		Ratio:  whole.Ratio * retryBudgetShare,
-		Extra:  whole.Extra * retryBudgetShare / 2,
-		Window: whole.Window,
-	}
-	p.fallbackRetries.budget = p.ownerRetries.budget
-	p.fallbackRetries.budget.Extra /= float64(max(instances, 1))
-	p.rateLimits.instances = instances
-	if p.plain {
-		p.fallbackRetries.budget.Extra *= 2
-		p.ownerRetries.budget = p.fallbackRetries.budget
-	}
-}
-
-// retryBudgetShare is the part of the budget that the instances may use. The rest is a
-// margin for the first sends and retries that are counted twice, or not at all, while the owner
-// changes.
-const retryBudgetShare = 0.75
-
 // resolve returns the name of the endpoint with the given name or address, or "" if there is
 // none. Closed endpoints are not found by their address.
 func (p *poolState) resolve(name string) string {
@@ -240,26 +214,26 @@
 	return out
 }
 
-// admit counts a first send, or charges a retry to the budget and logs it. It returns a refusal if
-// the budget is exhausted.
+// admit counts a first send, or reserves a place in the budget for a retry, and logs the decision on
+// a retry. It returns a refusal if the budget is exhausted. The caller must hold s.mu.
 func (s *Scheduler) admit(p *poolState, w *Waiter, now time.Time) *Refusal {
 	a := &w.placementRequest
+	from := s.processes.of(w.entry)
+	p.retries.setDecider(from, s.settings.Self, now)
 	if !a.Retry {
-		p.firstSends++
-		p.ownerRetries.countFirst(now)
-		p.fallbackRetries.countFirst(now)
+		if !a.Counted {
+			p.retries.countFirst(&s.processes, from, now)
+		}
 		return nil
 	}
-	counter := &p.ownerRetries
-	if w.fallback {
-		counter = &p.fallbackRetries
-	}
-	allowed := counter.allowRetry(now)
-	u := counter.use(now)
-	s.log.Info("retry", "attempt", a.ID, "service", a.Service, "entry", w.entry, "allowed", allowed, "fallback", w.fallback,
-		"first", u.first, "retries", u.retries, "limit", u.limit)
+	u := p.retries.use(&s.processes, now)
+	allowed := p.retries.reserve(&u)
+	s.log.Info("retry", "attempt", a.ID, "service", a.Service, "entry", w.entry, "allowed", allowed,
+		"first", u.own.first, "retries", u.own.retries, "limit", u.limit(p.retries.budget), "share", u.share,
+		"total_retries", u.all.retries, "total_limit", u.totalLimit(p.retries.budget), "pending", p.retries.pending)
 	if allowed {
-		p.retries++
+		p.retriesAllowed++
+		w.retryPending = true
 		return nil
 	}
 	p.retriesRefused++
@@ -269,6 +243,29 @@
 	}
 }
 
+// settleRetry ends the reservation of a retry in the budget, as the request is placed, refused or
+// withdrawn.
+func (p *poolState) settleRetry(w *Waiter) {
+	if w.retryPending {
+		w.retryPending = false
+		p.retries.pending--
+	}
+}
+
+// countRetry counts the retry that an attempt of a process makes. The caller must hold s.mu.
+func (s *Scheduler) countRetry(p *poolState, at *attempt, by process, now time.Time) {
+	at.retryBy = by
+	p.retries.countRetry(&s.processes, by, now)
+}
+
+// uncountRetry removes the retry of an attempt that did not reach an endpoint.
+// The caller must hold s.mu.
+func (s *Scheduler) uncountRetry(p *poolState, at *attempt, now time.Time) {
+	if at.retryBy != (process{}) {
+		p.retries.uncountRetry(&s.processes, at.retryBy, at.placedAt, now)
+	}
+}
+
 // defaultRetryAfter is the RetryAfter of a request that exceeds the retry budget.
 const defaultRetryAfter = 500 * time.Millisecond
 
--- a/pool/stats.go
+++ b/pool/stats.go
@@ -21,12 +21,14 @@
 	// WithinTolerance counts the first events whose time was off by at most a fifth of the
 	// predicted time.
 	WithinTolerance int `json:"within"`
-	// FirstSends counts the requests that this instance decided on for the first time. Retries and
-	// RetriesRefused count the retries that it charged to the retry budget, or refused because of
-	// it.
-	FirstSends     int `json:"first_sends"`
-	Retries        int `json:"retries"`
-	RetriesRefused int `json:"retries_refused"`
+	// FirstSends and Retries count the sends in the present window of the instances on whose
+	// requests this one decides, and RetryLimit is the number of retries that these may send.
+	// RetriesAllowed and RetriesRefused count this instance's decisions on retries.
+	FirstSends     int     `json:"first_sends"`
+	Retries        int     `json:"retries"`
+	RetryLimit     float64 `json:"retry_limit"`
+	RetriesAllowed int     `json:"retries_allowed"`
+	RetriesRefused int     `json:"retries_refused"`
 	// Cold is the number of endpoints that are cold or assumed to be.
 	Cold int `json:"cold"`
 	// ColdPassedOver counts the times at which a placement skipped a cold endpoint because it was
@@ -69,14 +71,17 @@
 	defer s.mu.Unlock()
 	out := make(map[string]Stats, len(s.pools))
 	for name, p := range s.pools {
+		retries := p.retries.use(&s.processes, s.settings.Now())
 		out[name] = Stats{
 			Endpoints:       len(p.list),
 			Placed:          len(p.attempts),
 			Queued:          len(p.queue),
 			Predicted:       p.predictions.count,
 			WithinTolerance: p.predictions.within,
-			FirstSends:      p.firstSends,
-			Retries:         p.retries,
+			FirstSends:      retries.own.first,
+			Retries:         retries.own.retries,
+			RetryLimit:      retries.limit(p.retries.budget),
+			RetriesAllowed:  p.retriesAllowed,
 			RetriesRefused:  p.retriesRefused,
 			Slow:            p.countSlow(),
 			PaceAsked:       p.slowdowns.queries,
--- a/pool/types.go
+++ b/pool/types.go
@@ -55,6 +55,9 @@
 	// Retry is set if the entry instance sent the request to an endpoint before. Such a request is
 	// charged to the retry budget.
 	Retry bool
+	// Counted is set if the entry instance has asked for a placement of the request before, so that
+	// it doesn't count as another first send.
+	Counted bool
 	// Replaces is the silent attempt that this one is to replace; its zero value means none.
 	Replaces ReplacedAttempt
 	// Resumed is set if the caller already has events of the stream.
--- a/pool/waiter.go
+++ b/pool/waiter.go
@@ -31,6 +31,8 @@
 	// fallback is set if this instance decides because it reaches none of the instances that come
 	// before it in the pool's order of owners. Others may decide at the same time.
 	fallback bool
+	// retryPending is set while a place in the retry budget is reserved for the request.
+	retryPending bool
 }
 
 // Decision returns the grant or the refusal, once. It returns false if there is no decision yet, or
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -43,6 +43,8 @@
 	singleEndpoint bool
 	// sends counts the attempts that may have reached an endpoint.
 	sends int
+	// counted states that a placement of the request was asked for before.
+	counted bool
 	// noPaths counts the attempts without a path to endpoints.
 	noPaths int
 	// mayHaveRun states that an endpoint may have run the request.
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -109,6 +109,7 @@
 	}
 	a := l.newPlacementRequest(j)
 	a.Resumed, a.DueIn = j.resumes()
+	j.counted = true
 	g, err := l.parts.Placer.Place(ctx, a)
 	if err != nil {
 		return nil, err
@@ -156,6 +157,7 @@
 		Deadline:  j.left(),
 		Exclude:   j.exclude,
 		Retry:     j.sends > 0,
+		Counted:   j.counted,
 		Returning: j.spent > 0,
 		Elapsed:   j.spent,
 	}
