soak: check the retry budget, with many retries while instances stop

No soak counted what endpoints receive beyond the first arrival of a request, so an excess of retries could not show.

--- a/cmd/linkmastctl/soak.go
+++ b/cmd/linkmastctl/soak.go
@@ -26,6 +26,7 @@
 	Statements  bool    `long:"statements" description:"endpoints name limits, say that they leave and ask for rest in their answers, too"`
 	Partitions  bool    `long:"partitions" description:"instances are cut from all endpoints and the store comes back from copies, too"`
 	Truncations bool    `long:"truncations" description:"answers of endpoints end early, or with their connection, too"`
+	Retries     bool    `long:"retries" description:"a narrow retry budget, and many retries while instances stop, too"`
 	Program     string  `long:"program" description:"program of an instance; without it linkmast is built"`
 }
 
@@ -73,6 +74,7 @@
 			Statements:  c.Statements,
 			Partitions:  c.Partitions,
 			Truncations: c.Truncations,
+			Retries:     c.Retries,
 			Processes:   c.Processes,
 			Out:         os.Stdout,
 		})
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -58,7 +58,9 @@
 	program string
 	// strict is true if instances out of touch with the store must refuse revoked keys in
 	// time, too.
-	strict    bool
+	strict bool
+	// budget is the retry budget of the instances.
+	budget    retryBudget
 	dir       string
 	store     *platformtest.Store
 	storeAddr string
@@ -95,7 +97,7 @@
 
 // newDeployment starts the stand-ins and the given number of instances of a program. On an error
 // it leaves running what it has started.
-func newDeployment(program string, instances int, strict bool) (*Deployment, error) {
+func newDeployment(program string, instances int, strict bool, budget retryBudget) (*Deployment, error) {
 	dir, err := os.MkdirTemp("", dirPrefix)
 	if err != nil {
 		return nil, errors.Wrap(err, "create directory of the run")
@@ -103,6 +105,7 @@
 	d := &Deployment{
 		program: program,
 		strict:  strict,
+		budget:  budget,
 		dir:     dir,
 		store:   platformtest.NewStore(),
 		keys: map[string]time.Time{
--- a/soak/play.go
+++ b/soak/play.go
@@ -78,6 +78,10 @@
 		d.truncate(s, e, f)
 		return
 	}
+	if s.Kind == enginesCut {
+		d.cutEngines(s)
+		return
+	}
 	if k, ok := partitionFaults[s.Kind]; ok {
 		d.partition(p, k, s.For)
 		return
--- a/soak/process.go
+++ b/soak/process.go
@@ -68,8 +68,9 @@
 [platform]
 store = %q
 [retries]
-ratio = 0.5
-extra = 200
+ratio = %g
+extra = %d
+window = "%s"
 [times]
 revoke = "%s"
 revoke_strict = %t
@@ -103,7 +104,8 @@
 		own = d.seedAddresses[i]
 	}
 	p.settings = filepath.Join(d.dir, p.name+".toml")
-	text := fmt.Sprintf(settingsText, p.name, domainOf(i), p.listen, p.ready, own, quoted(d.seedAddresses), p.source, p.store.Address, revoke, d.strict, grace)
+	text := fmt.Sprintf(settingsText, p.name, domainOf(i), p.listen, p.ready, own, quoted(d.seedAddresses), p.source, p.store.Address,
+		d.budget.ratio, d.budget.extra, d.budget.window, revoke, d.strict, grace)
 	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
 		return errors.Wrap(err, "write settings of an instance")
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -31,6 +31,9 @@
 	Partitions bool
 	// Truncations adds faults that make answers of endpoints end early or without framing.
 	Truncations bool
+	// Retries narrows the retry budget, and adds faults that cause many retries while instances
+	// stop in quick succession.
+	Retries bool
 	// Processes is the number of instances.
 	Processes int
 	// Out receives the schedule and the result.
@@ -43,6 +46,14 @@
 	return s.Seed%2 == 1
 }
 
+// budget returns the retry budget of the instances.
+func (s *Settings) budget() retryBudget {
+	if s.Retries {
+		return narrowBudget
+	}
+	return wideBudget
+}
+
 // Time limits of a run.
 const (
 	// startWithin bounds the time until all instances are ready after the start.
@@ -62,7 +73,7 @@
 // ended after all instances were ready. Any other error means that the run could not be prepared
 // or cleaned up.
 func Run(ctx context.Context, s Settings) ([]Violation, error) {
-	d, err := newDeployment(s.Program, s.Processes, s.strict())
+	d, err := newDeployment(s.Program, s.Processes, s.strict(), s.budget())
 	if err != nil {
 		return nil, err
 	}
@@ -110,6 +121,9 @@
 	if s.Partitions {
 		schedule = merge(schedule, DrawPartitions(s.Seed, s.Length, s.Processes))
 	}
+	if s.Retries {
+		schedule = merge(schedule, DrawRetries(s.Seed, s.Length, s.Processes))
+	}
 	if s.Truncations {
 		schedule = merge(schedule, DrawTruncations(s.Seed, s.Length))
 	}
@@ -154,6 +168,9 @@
 	}
 	_, _ = fmt.Fprintf(s.Out, "seed %d: %d requests, answers by status %v, %d broken promises\n",
 		s.Seed, len(history), status, len(broken))
+	for _, p := range d.retryPeaks(history) {
+		_, _ = fmt.Fprintln(s.Out, "  "+p.String())
+	}
 	for _, v := range broken {
 		_, _ = fmt.Fprintln(s.Out, "  "+v.String())
 	}
