quarantine: look for endpoints that ended unseen before a ban

Callers of a harmless request were refused for two minutes after endpoints had ended together three times for another cause.

Cause: an end is known only from the requests that it interrupts. If endpoints end together and only one of them runs requests, nobody reports the others, and the end looks like that of a single endpoint under this request. A trace of TestUnrelatedCrashes shows it: three engines ended at 50.611 s and three at 50.813 s, one of each three with the only identity of the test; none of its answers was complete in between.

One that has ended and is not known to have ended before counts as another end at the same moment. A suspected request waits 60 ms longer.

Ruled out: reports that came late or out of order; in the trace all came within 2 ms.

--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -43,7 +43,10 @@
 	}, store, g.peers, g.log.WithName("catalog"))
 	g.assemblePaths(dial)
 	g.notices = notice.New(steady.Now, g.log.WithName("notice"))
-	g.quarantine = quarantine.New(steady.Now, g.retestTurn, g.log.WithName("quarantine"))
+	g.quarantine = quarantine.New(steady.Now, quarantine.Parts{
+		Turn:   g.retestTurn,
+		Survey: g.surveyEndpoints,
+	}, g.log.WithName("quarantine"))
 	g.assemblePools()
 	g.recorder = quarantine.NewRecorder(g.quarantine, store, g.placer.CountsCrashes, g.log.WithName("quarantine"))
 	g.assembleServer()
@@ -79,6 +82,12 @@
 	g.placer = pool.NewClient(g.self, g.pools, g.peers, log)
 }
 
+// surveyEndpoints implements quarantine.Parts.Survey. The registry, which calls it, is created before
+// the pools.
+func (g *Gateway) surveyEndpoints(address string, since time.Time) []string {
+	return g.pools.EndedBeside(address, since)
+}
+
 // retestTurn returns this instance's position in the order in which instances may admit a request
 // again after its ban.
 func (g *Gateway) retestTurn(id quarantine.Identity) quarantine.RetestTurn {
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -480,6 +480,37 @@
 	}
 }
 
+// TestIdleEndpointsEndToo guards against a ban of a harmless request if all engines end at once, time
+// after time, and only one of them runs a request, so that nobody reports the ends of the others.
+func TestIdleEndpointsEndToo(t *testing.T) {
+	is := is.New(t)
+	o := engineOptions()
+	o.events = 1000
+	// Crashes at one address within a second count as one.
+	o.downtime = 1200 * time.Millisecond
+	w := newCrashCluster(t, o)
+	for i := range minCrashes {
+		answered := make(chan response)
+		go func() {
+			answered <- w.send(i%len(w.gateways), request{id: "usual" + strconv.Itoa(i), path: "/once/x", body: "usual", tokens: 500})
+		}()
+		w.await("running", func() bool { return w.answering() == 1 })
+		for _, x := range w.crashing {
+			x.crash()
+		}
+		is.True((<-answered).err != nil)
+		time.Sleep(o.downtime)
+		w.awaitAll("engines are back", func(f stats) bool { return f.Pools[o.service].Endpoints == len(w.crashing) })
+	}
+	reported := 0
+	for _, g := range w.gateways {
+		f := w.stats(g).Quarantine
+		is.Equal(f.Bans, 0)
+		reported += f.Crashes
+	}
+	is.True(reported >= minCrashes)
+}
+
 // TestBrokenAnswersAreNoCrash checks that an interrupted answer doesn't count as a crash if the
 // endpoint is still running.
 func TestBrokenAnswersAreNoCrash(t *testing.T) {
--- a/node/node.go
+++ b/node/node.go
@@ -238,7 +238,9 @@
 		RepeatAfter: time.Duration(f.Times.RepeatConfiguration),
 	}, log, n.peers, n.log.WithName("rollout"))
 	n.atomicRollout.Store(n.rollout)
-	n.quarantine = quarantine.New(steady.Now, n.peers.retestTurn, n.log.WithName("quarantine"))
+	n.quarantine = quarantine.New(steady.Now, quarantine.Parts{
+		Turn: n.peers.retestTurn,
+	}, n.log.WithName("quarantine"))
 	n.peerGuard = quarantine.NewPeerGuard(n.quarantine, n.peers, n.log.WithName("quarantine"))
 	n.assemblePaths(dial)
 	endpoints := &endpointClients{
--- a/quarantine/admission_test.go
+++ b/quarantine/admission_test.go
@@ -47,11 +47,13 @@
 func bannedRegistries(n int) []*Registry {
 	var all []*Registry
 	for i := range n {
-		all = append(all, New(time.Now, func(Identity) RetestTurn {
-			return RetestTurn{
-				Position:  i,
-				Instances: n,
-			}
+		all = append(all, New(time.Now, Parts{
+			Turn: func(Identity) RetestTurn {
+				return RetestTurn{
+					Position:  i,
+					Instances: n,
+				}
+			},
 		}, logr.Discard()))
 	}
 	crashThrice(all[0])
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -18,6 +18,9 @@
 // host without power never answers.
 const checkTimeout = 250 * time.Millisecond
 
+// surveyDelay is the time that a survey of the other endpoints usually takes at the most.
+const surveyDelay = 60 * time.Millisecond
+
 // Checker opens a connection to an endpoint and closes it again.
 type Checker func(ctx context.Context, address string) error
 
@@ -101,7 +104,7 @@
 	}
 	select {
 	case <-ctx.Done():
-	case <-time.After(steady.Until(h.crashedAt.Add(SettleDelay))):
+	case <-time.After(steady.Until(h.crashedAt.Add(SettleDelay + surveyDelay))):
 	}
 	h.crashedAt = time.Time{}
 }
--- a/quarantine/end.go
+++ b/quarantine/end.go
@@ -68,39 +68,88 @@
 	return false
 }
 
-// settle decides whether a crash counts. At the limit it bans the identity, unless another suspect
-// explains the crashes; one crash before the limit it notifies the listeners of the suspicion.
-func (r *Registry) settle(id Identity, attempt string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+// linkOf returns the suspect whose chain has an attempt, and the index of the attempt's link; nil if
+// there is none. The caller must hold the lock.
+func (r *Registry) linkOf(id Identity, attempt string) (*suspect, int) {
 	s := r.suspects[id]
 	if s == nil {
-		return
+		return nil, 0
 	}
 	i := s.indexOfAttempt(attempt)
 	if i < 0 {
+		return nil, 0
+	}
+	return s, i
+}
+
+// dropIfCommon removes a link of a chain whose endpoint ended together with others, and reports
+// whether it did. The caller must hold the lock.
+func (r *Registry) dropIfCommon(id Identity, s *suspect, i int) bool {
+	if !r.hasCommonCause(id, s, s.chain[i].end) {
+		return false
+	}
+	r.stats.Common++
+	s.chain = slices.Delete(s.chain, i, i+1)
+	return true
+}
+
+// limit returns the number of crashes in a row that ban an identity: one if an earlier ban is still
+// kept. The caller must hold the lock.
+func (r *Registry) limit(id Identity) int {
+	if r.retainedBan(id, r.now()) != nil {
+		return 1
+	}
+	return crashLimit
+}
+
+// surveyAndBan bans an identity if the endpoint of the crash that reached the limit ended alone.
+// Endpoints that ran no request may have ended with it, which nobody has reported then.
+func (r *Registry) surveyAndBan(id Identity, attempt, endpoint string, endedAt time.Time) {
+	ended := r.parts.Survey(endpoint, endedAt.Add(-commonCauseWindow))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, i := r.linkOf(id, attempt)
+	if s == nil {
 		return
 	}
-	if r.hasCommonCause(id, s, s.chain[i].end) {
-		r.stats.Common++
-		s.chain = slices.Delete(s.chain, i, i+1)
+	for _, address := range ended {
+		if r.ends[address] == nil {
+			r.ends[address] = &endpointEnd{
+				at: s.chain[i].end.at,
+			}
+		}
+	}
+	if r.dropIfCommon(id, s, i) {
+		r.log.Info("other endpoints ended with that of the request", "identity", id.String(), "attempt", attempt, "others", len(ended))
+		return
+	}
+	if s.settledCount() >= r.limit(id) {
+		r.ban(id, r.now())
+	}
+}
+
+// settle decides whether a crash counts. At the limit it decides on a ban of the identity; one crash
+// before the limit it notifies the listeners of the suspicion.
+func (r *Registry) settle(id Identity, attempt string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, i := r.linkOf(id, attempt)
+	if s == nil || r.dropIfCommon(id, s, i) {
 		return
 	}
 	s.chain[i].settled = true
 	r.stats.Counted++
-	now := r.now()
-	limit := crashLimit
-	if r.retainedBan(id, now) != nil {
-		limit = 1
-	}
-	n := s.settledCount()
+	n, limit := s.settledCount(), r.limit(id)
 	r.log.Info("request crashed its endpoint", "identity", id.String(), "attempt", attempt, "in_a_row", n, "limit", limit)
 	switch {
 	case n >= limit && r.isExplained(id, s):
 		r.stats.Common++
 		s.chain = nil
+	case n >= limit && r.parts.Survey != nil:
+		end := s.chain[i].crash
+		go r.surveyAndBan(id, attempt, end.Endpoint, end.EndedAt)
 	case n >= limit:
-		r.ban(id, now)
+		r.ban(id, r.now())
 	case n == limit-1:
 		r.notifyListeners(Verdict{
 			Identity: id,
--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -69,9 +69,9 @@
 // Registry holds what one instance knows of requests that crash endpoints. It is safe for
 // concurrent use.
 type Registry struct {
-	now  func() time.Time
-	turn func(Identity) RetestTurn
-	log  logr.Logger
+	now   func() time.Time
+	parts Parts
+	log   logr.Logger
 
 	mu       sync.Mutex
 	suspects map[Identity]*suspect
@@ -104,16 +104,25 @@
 	Cleared int `json:"cleared"`
 }
 
-// New returns an empty registry. The function now returns the time, and turn the position of this
-// instance in the order in which instances admit requests of an identity after its ban; nil means
-// that there are no other instances.
-func New(now func() time.Time, turn func(Identity) RetestTurn, log logr.Logger) *Registry {
-	if turn == nil {
-		turn = func(Identity) RetestTurn { return RetestTurn{} }
+// Parts are the functions that a registry uses. Each may be nil.
+type Parts struct {
+	// Turn returns the position of this instance in the order in which instances admit requests of
+	// an identity after its ban. Without it there are no other instances.
+	Turn func(Identity) RetestTurn
+	// Survey returns the addresses of the endpoints beside the one at the given address that have
+	// ended since a given time, whether or not they ran requests. It may take some time. Without
+	// it, an end is known only from the requests that it interrupted.
+	Survey func(address string, since time.Time) []string
+}
+
+// New returns an empty registry. The function now returns the time.
+func New(now func() time.Time, parts Parts, log logr.Logger) *Registry {
+	if parts.Turn == nil {
+		parts.Turn = func(Identity) RetestTurn { return RetestTurn{} }
 	}
 	return &Registry{
 		now:             now,
-		turn:            turn,
+		parts:           parts,
 		log:             log,
 		suspects:        make(map[Identity]*suspect),
 		bans:            make(map[Identity]*ban),
--- a/quarantine/registry_test.go
+++ b/quarantine/registry_test.go
@@ -16,7 +16,7 @@
 
 // newTestRegistry returns an empty registry for tests in virtual time.
 func newTestRegistry() *Registry {
-	return New(time.Now, nil, logr.Discard())
+	return New(time.Now, Parts{}, logr.Discard())
 }
 
 // inVirtualTime runs a test in virtual time.
@@ -107,6 +107,43 @@
 	}
 }
 
+// TestSurvey guards against a ban by a crash beside which other endpoints ended that ran no request,
+// and against a survey that takes earlier ends, or those under the request itself, for such ones.
+func TestSurvey(t *testing.T) {
+	for _, row := range []struct {
+		name   string
+		ended  []string
+		banned bool
+	}{
+		{"no other end", nil, true},
+		{"an idle endpoint", []string{"e8"}, false},
+		{"endpoints that the request has crashed", []string{"e1", "e2"}, true},
+		{"an endpoint that ended before, under another request", []string{"e9"}, true},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				is := is.New(t)
+				surveys := 0
+				b := New(time.Now, Parts{
+					Survey: func(address string, _ time.Time) []string {
+						surveys++
+						is.Equal(address, "e3")
+						time.Sleep(20 * time.Millisecond)
+						return row.ended
+					},
+				}, logr.Discard())
+				reportCrashes(b, []crashedAttempt{
+					{"a", "e1", 0, 100, 0}, {"x", "e9", 0, 160, 2}, {"b", "e2", 110, 300, 0}, {"c", "e3", 305, 500, 0},
+				}...)
+				time.Sleep(20 * time.Millisecond)
+				synctest.Wait()
+				is.Equal(surveys, 1) // none before the last crash
+				assertBanned(t, b, row.banned)
+			})
+		})
+	}
+}
+
 // TestConsecutiveCrashesOfOneRequest guards against attempts of one request, known to follow each
 // other, that don't count because they crash their endpoints within milliseconds.
 func TestConsecutiveCrashesOfOneRequest(t *testing.T) {
