gateway: keep the ports of crashed endpoints from other processes in tests

TestUnrelatedCrashes failed once in 72 rounds, six at a time, on the number of crashes: an endpoint could not listen again in time, as its port had been taken while it was down. Each test process uses a loopback address of its own for these endpoints now, which no other one connects from or listens on.

--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -4,8 +4,10 @@
 
 import (
 	"cmp"
+	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"sync"
@@ -78,7 +80,7 @@
 		CrashPrefix:      crashBody,
 		CrashAfterEvents: o.crashAfter,
 	})
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", ownHost()+":0")
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -88,6 +90,13 @@
 	return x
 }
 
+// ownHost returns a loopback address of this test process, so that no other process takes the port of
+// an endpoint that is down.
+func ownHost() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>15&0x3f, pid>>7&0xff, 1+pid&0x7f)
+}
+
 // start starts the endpoint, under a new name unless sameName is set, and writes its store entry.
 func (x *crashingEndpoint) start(l net.Listener) {
 	x.mu.Lock()
