--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -18,8 +18,14 @@
 // host without power never answers.
 const checkTimeout = 250 * time.Millisecond
 
-// surveyDelay is the time that a survey of the other endpoints usually takes at the most.
-const surveyDelay = 60 * time.Millisecond
+// The time until a crash has been judged.
+const (
+	// surveyDelay is the time that a survey of the other endpoints usually takes at the most.
+	surveyDelay = 60 * time.Millisecond
+	// DecisionDelay is the time from a crash for which a suspected request that crashed its endpoint
+	// isn't sent again.
+	DecisionDelay = SettleDelay + surveyDelay
+)
 
 // Checker opens a connection to an endpoint and closes it again.
 type Checker func(ctx context.Context, address string) error
@@ -104,7 +110,7 @@
 	}
 	select {
 	case <-ctx.Done():
-	case <-time.After(steady.Until(h.crashedAt.Add(SettleDelay + surveyDelay))):
+	case <-time.After(steady.Until(h.crashedAt.Add(DecisionDelay))):
 	}
 	h.crashedAt = time.Time{}
 }
