relay: log the parts of prompts that requests share

The records of requests that crash endpoints could not tell what these requests have in common: the wire names the parts of a prompt, which were read as one hash. No decision changes.

--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -33,8 +33,10 @@
 // RequestHistory tracks the failed attempts that an entry instance makes for one request of a
 // caller.
 type RequestHistory struct {
-	// Identity is the identity of the request.
+	// Identity is the identity of the request, and Parts are those of the parts of its prompt that
+	// it may share with others.
 	Identity Identity
+	Parts    []Identity
 	// Request is the request's id for the log.
 	Request string
 
@@ -94,10 +96,10 @@
 	}
 	h.lastFailed = a.Attempt
 	if !d.guard.Suspected(h.Identity) {
-		go d.report(c, a.Suspects, h.Request)
+		go d.report(c, a.Suspects, h)
 		return
 	}
-	if d.report(c, a.Suspects, h.Request) {
+	if d.report(c, a.Suspects, h) {
 		h.crashedAt = c.EndedAt
 	}
 }
@@ -117,15 +119,15 @@
 
 // report checks the suspects in order, reports the crash of the first that has ended, and reports
 // whether there was one.
-func (d *Detector) report(c Crash, suspects []string, request string) bool {
+func (d *Detector) report(c Crash, suspects []string, h *RequestHistory) bool {
 	for _, address := range suspects {
 		err := d.checkEndpoint(address)
 		if err == nil || tcp.Inconclusive(err) {
 			continue
 		}
 		d.onCrash()
-		d.log.Info("endpoint ended under a request", "request", request, "attempt", c.Attempt,
-			"identity", c.Identity.String(), "address", address, "cause", err.Error())
+		d.log.Info("endpoint ended under a request", "request", h.Request, "attempt", c.Attempt,
+			"identity", c.Identity.String(), "parts", Texts(h.Parts), "address", address, "cause", err.Error())
 		c.Endpoint = address
 		c.OtherEndpoints = slices.DeleteFunc(slices.Clone(c.OtherEndpoints), func(other string) bool { return other == address })
 		d.guard.ReportCrash(c)
--- a/quarantine/identity.go
+++ b/quarantine/identity.go
@@ -18,13 +18,24 @@
 // wrote them), customer and body. Request ids don't count. The identity is the start of a SHA-256
 // hash, so that callers can't construct a body that collides with another request.
 func Identify(target, customer string, body []byte) Identity {
+	return identityOf(body, target, customer)
+}
+
+// IdentifyPart returns the identity of a part of prompts, given by its id, for the endpoints of a
+// service. It differs from the identities of requests.
+func IdentifyPart(service, id string) Identity {
+	return identityOf([]byte(id), service)
+}
+
+// identityOf hashes texts, each after its length, and then data.
+func identityOf(data []byte, texts ...string) Identity {
 	h := sha256.New()
 	// Write never returns an error for a hash.
-	for _, part := range [...]string{target, customer} {
-		_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(part))))
-		_, _ = h.Write([]byte(part))
+	for _, text := range texts {
+		_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(text))))
+		_, _ = h.Write([]byte(text))
 	}
-	_, _ = h.Write(body)
+	_, _ = h.Write(data)
 	return Identity(binary.BigEndian.Uint64(h.Sum(nil)))
 }
 
@@ -37,6 +48,15 @@
 	return Identity(n), nil
 }
 
+// Texts returns the identities as they appear in logs.
+func Texts(ids []Identity) []string {
+	out := make([]string, 0, len(ids))
+	for _, id := range ids {
+		out = append(out, id.String())
+	}
+	return out
+}
+
 // String returns the identity in hexadecimal, as it appears in logs.
 func (i Identity) String() string {
 	return strconv.FormatUint(uint64(i), 16)
--- a/quarantine/identity_test.go
+++ b/quarantine/identity_test.go
@@ -33,6 +33,17 @@
 	}
 }
 
+// TestIdentifyPart guards against parts that are mistaken for each other or for a request.
+func TestIdentifyPart(t *testing.T) {
+	is := is.New(t)
+	base := IdentifyPart("engines", "5c1e")
+	is.Equal(IdentifyPart("engines", "5c1e"), base)
+	is.True(IdentifyPart("engines", "5c1f") != base)
+	is.True(IdentifyPart("other", "5c1e") != base)
+	is.True(IdentifyPart("engines5", "c1e") != base)
+	is.True(Identify("engines", "", []byte("5c1e")) != base)
+}
+
 // BenchmarkIdentify identifies a request with a body of 20 KB, about 5,000 tokens.
 func BenchmarkIdentify(b *testing.B) {
 	body := make([]byte, 20<<10)
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -94,11 +95,23 @@
 	}
 	j.history = quarantine.RequestHistory{
 		Identity: quarantine.Identify(j.target, j.customer, j.body),
+		Parts:    partIdentities(j.service, h.Parts),
 		Request:  h.ID,
 	}
 	return j, nil
 }
 
+// partIdentities returns the identities of the parts of a prompt, each once.
+func partIdentities(service string, ids []string) []quarantine.Identity {
+	var out []quarantine.Identity
+	for _, id := range ids {
+		if part := quarantine.IdentifyPart(service, id); !slices.Contains(out, part) {
+			out = append(out, part)
+		}
+	}
+	return out
+}
+
 // newJob returns the job of a request on route rt.
 func newJob(h RequestHead, r *http.Request, rt *route.Route, t *route.Table, arrived time.Time) *job {
 	return &job{
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/pool"
+	"github.com/linkmast/linkmast/quarantine"
 	"github.com/linkmast/linkmast/route"
 )
 
@@ -225,7 +226,7 @@
 	age, _ := l.parts.Age()
 	l.parts.Log.Info("attempt", "request", j.head.ID, "attempt", t.request.ID, "route", j.route.Name,
 		"version", j.table.Version, "age_ms", age.Milliseconds(), "service", j.service, "customer", j.customer, "prompt", j.head.PromptTokens,
-		"identity", j.history.Identity.String(),
+		"identity", j.history.Identity.String(), "parts", quarantine.Texts(j.history.Parts),
 		"endpoint", t.grant.Instance, "by", t.grant.DecidedBy, "via", t.via, "readers", len(t.grant.Shares),
 		"waited_ms", t.grant.Waited.Milliseconds(), "first_predicted_ms", t.grant.FirstEventIn.Milliseconds(),
 		"first_ms", t.firstAfter.Milliseconds(), "ms", steady.Since(t.startedAt).Milliseconds(),
--- a/relay/types.go
+++ b/relay/types.go
@@ -24,6 +24,9 @@
 	// Content is a hash of the list of parts that make up the prompt; zero if the caller sends
 	// no such list.
 	Content uint64
+	// Parts has the ids of the parts of the prompt that other requests may share, in order; nil if
+	// the caller names none.
+	Parts []string
 	// OutputTokens is the upper bound of the answer's length in tokens.
 	OutputTokens int
 	// LikelyOutput is the caller's estimate of the answer's length in tokens; zero if it sends
