--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -79,6 +79,7 @@
 	x.endpoint.SetFaults(platformtest.EndpointFaults{
 		CrashPrefix:      crashBody,
 		CrashAfterEvents: o.crashAfter,
+		CrashPart:        o.part,
 	})
 	l, err := net.Listen("tcp", ownHost()+":0")
 	if err != nil {
@@ -187,6 +188,10 @@
 	sameName bool
 	// downtime is how long an endpoint is down after a crash. Zero means the constant downtime.
 	downtime time.Duration
+	// part is the part of prompts that crashes engines; empty means none.
+	part string
+	// endpoints is the number of endpoints; zero means six.
+	endpoints int
 	// crashHelpers makes endpoints that share in the prefill of a request crash with the endpoint
 	// that runs it.
 	crashHelpers bool
@@ -200,7 +205,7 @@
 	}
 }
 
-// newCrashCluster starts three instances and six crashing endpoints of one service. It removes the
+// newCrashCluster starts three instances and the crashing endpoints of one service. It removes the
 // default endpoints of newCluster.
 func newCrashCluster(t *testing.T, o crashOptions) *crashCluster {
 	t.Helper()
@@ -211,7 +216,7 @@
 	if o.crashHelpers {
 		w.maxCrashesPerAttempt = 3
 	}
-	for i := range 6 {
+	for i := range cmp.Or(o.endpoints, 6) {
 		w.crashing = append(w.crashing, w.addCrashing("m"+strconv.Itoa(i), o))
 	}
 	// The default endpoints are removed only when all endpoints are known, because an instance that
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -293,6 +293,8 @@
 	tokens int
 	output int
 	wait   int
+	// parts has the ids of the parts of the prompt, of which the last is the request's own.
+	parts []string
 }
 
 // response is the answer that a caller received.
@@ -327,6 +329,7 @@
 		Wait:   time.Duration(c.wait) * time.Millisecond,
 		Prompt: c.tokens,
 		Output: max(c.output, 100),
+		Parts:  c.parts,
 	}.Set(req.Header)
 	res, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
