quarantine: ban parts of prompts under which engines end

Cause: the quarantine knows a request by path, customer and body, and nothing links requests that differ. The class: a bound for each identity where the cause is in what identities share.

Change: crash reports name the parts that the answering engine's prompt shares with others. The owner counts the ends under each part by different requests, once for those at one moment. What tells the guilty part from those that sound requests have is an answer: instances remember the parts that were answered, reply to the owner's suspicion, and report the next answer. One registry, verdict and store record serves requests and parts; a refusal names which.

Pool TestPartCrashesCounted has changes of the owner.

Calls of the guard take the keys of a request instead of its identity, and tests were changed for that alone; TestCrashMessages allows eight bytes for each part and no more for the rest.

All tests of quarantine, pool, relay, platform, entry, fleet, node and cmd pass.

--- a/entry/crash.go
+++ b/entry/crash.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/problem"
 	"github.com/linkmast/linkmast/quarantine"
 )
@@ -25,9 +26,9 @@
 	if e.parts.Quarantine == nil {
 		return func() {}, nil
 	}
-	p, after, ok := e.parts.Quarantine.Admit(j.history.Identity)
-	if !ok {
-		return nil, e.banProblem(j, after)
+	p, ban := e.parts.Quarantine.Admit(j.history.Keys())
+	if ban != nil {
+		return nil, e.banProblem(j, ban)
 	}
 	j.singleEndpoint = p.SingleEndpoint
 	return p.Release, nil
@@ -39,17 +40,17 @@
 	if e.parts.Quarantine == nil {
 		return nil
 	}
-	after, banned := e.parts.Quarantine.BanRemaining(j.history.Identity)
-	if !banned {
+	ban := e.parts.Quarantine.BanOf(j.history.Keys())
+	if ban == nil {
 		return nil
 	}
-	return e.banProblem(j, after)
+	return e.banProblem(j, ban)
 }
 
 // banProblem returns the refusal of a request that is banned because it crashes endpoints.
-func (e *Entry) banProblem(j *job, after time.Duration) *problem.Error {
+func (e *Entry) banProblem(j *job, b *quarantine.Ban) *problem.Error {
 	e.metrics.add("refused_quarantine", 1)
-	p := problem.Busy(problem.CodeCrashes, quarantine.BannedDetail, after)
+	p := problem.Busy(problem.CodeCrashes, b.Detail(), b.Remaining)
 	p.Ran = j.runState()
 	return p
 }
@@ -74,7 +75,7 @@
 // reportServed reports a complete answer to the quarantine.
 func (e *Entry) reportServed(j *job) {
 	if e.parts.Quarantine != nil {
-		e.parts.Quarantine.ReportAnswered(j.history.Identity)
+		e.parts.Quarantine.ReportAnswered(j.history.Keys(), steady.Now())
 	}
 }
 
--- a/pool/client_crashes.go
+++ b/pool/client_crashes.go
@@ -53,9 +53,14 @@
 }
 
 // ReportCrash records a crash of an endpoint during an attempt and reports it to the owners of the
-// common pool.
+// common pool. This instance counts the parts of the prompt itself only if it is one of these owners,
+// or reaches none: it knows too little of the answers that others have received.
 func (c *Client) ReportCrash(crash quarantine.Crash) {
-	c.local.settings.Quarantine.ReportCrash(crash)
+	local := crash
+	if !c.countsParts() {
+		local.Parts = nil
+	}
+	c.local.settings.Quarantine.ReportCrash(local)
 	now := c.local.settings.Now()
 	c.mu.Lock()
 	c.crashes = slices.DeleteFunc(c.crashes, func(old quarantine.Crash) bool { return now.Sub(old.EndedAt) > maxCrashAge })
@@ -67,37 +72,55 @@
 	c.broadcast(c.commonPool(), crashMessage(crash, now), nil)
 }
 
-// ReportAnswered records that a request got a whole answer. If that clears a suspected or banned
-// request, the owners of the common pool are notified.
-func (c *Client) ReportAnswered(id quarantine.Identity) {
-	if !c.local.settings.Quarantine.ReportAnswered(id) {
-		return
+// countsParts reports whether this instance counts the ends of endpoints under the parts of prompts:
+// it is one of the followed owners of the common pool, or reaches none of them.
+func (c *Client) countsParts() bool {
+	reached := false
+	for _, l := range c.owners(c.commonPool()) {
+		if l == nil {
+			return true
+		}
+		reached = reached || l.usable()
+	}
+	return !reached
+}
+
+// ReportAnswered records that a request got a whole answer. If that concerns a suspected or banned
+// request or part, the owners of the common pool are notified.
+func (c *Client) ReportAnswered(k quarantine.Keys, startedAt time.Time) {
+	for _, v := range c.local.settings.Quarantine.ReportAnswered(k, startedAt) {
+		c.broadcast(c.commonPool(), ownerVerdictMessage(v), nil)
 	}
-	c.broadcast(c.commonPool(), ownerVerdictMessage(quarantine.Verdict{
-		Identity: id,
-		State:    quarantine.Cleared,
-	}), nil)
 }
 
 // Admit decides by the local registry whether a request may run now. See quarantine.Registry.Admit
 // for the results.
-func (c *Client) Admit(id quarantine.Identity) (quarantine.Admission, time.Duration, bool) {
-	return c.local.settings.Quarantine.Admit(id)
+func (c *Client) Admit(k quarantine.Keys) (quarantine.Admission, *quarantine.Ban) {
+	return c.local.settings.Quarantine.Admit(k)
 }
 
-// Suspected reports whether a request is suspected of crashing endpoints.
-func (c *Client) Suspected(id quarantine.Identity) bool {
-	return c.local.settings.Quarantine.Suspected(id)
+// Suspected reports whether a request or a part of its prompt is suspected of crashing endpoints.
+func (c *Client) Suspected(k quarantine.Keys) bool {
+	return c.local.settings.Quarantine.Suspected(k)
 }
 
-// BanRemaining returns how much longer a request is banned, and whether it is.
-func (c *Client) BanRemaining(id quarantine.Identity) (time.Duration, bool) {
-	return c.local.settings.Quarantine.BanRemaining(id)
+// BanOf returns the ban in force for a request, or nil.
+func (c *Client) BanOf(k quarantine.Keys) *quarantine.Ban {
+	return c.local.settings.Quarantine.BanOf(k)
 }
 
-// learnVerdict applies a verdict that an owner sent.
+// learnVerdict applies a verdict that an owner sent. It answers the suspicion of a part with the last
+// answer to a request with it, which may show that the part is not the cause.
 func (c *Client) learnVerdict(v quarantine.Verdict) {
-	c.local.settings.Quarantine.ApplyVerdict(v)
+	registry := c.local.settings.Quarantine
+	registry.ApplyVerdict(v)
+	if v.State != quarantine.Suspected || !v.Part {
+		return
+	}
+	if answer, ok := registry.LastAnswer(v.Identity); ok {
+		// The caller holds the lock of the link that the answer may go out on.
+		go c.broadcast(c.commonPool(), ownerVerdictMessage(answer), nil)
+	}
 }
 
 // crashMessages returns the messages that bring an owner up to date: the recent crashes that this
@@ -107,8 +130,8 @@
 	var out []*poolpb.FromEntry
 	registry := c.local.settings.Quarantine
 	for _, crash := range c.crashes {
-		// Requests that are banned or were cleared are not counted.
-		if registry.HasSuspect(crash.Identity) {
+		// Requests that are banned or were cleared are not counted, and neither are banned parts.
+		if registry.HasSuspect(crash.Identity) || len(crash.Parts) > 0 {
 			out = append(out, crashMessage(crash, now))
 		}
 	}
--- a/pool/crash_test.go
+++ b/pool/crash_test.go
@@ -17,6 +17,11 @@
 // crashingRequest is the identity of the request that crashes endpoints in these tests.
 const crashingRequest quarantine.Identity = 7
 
+// crashingKeys are the keys of this request.
+var crashingKeys = quarantine.Keys{
+	Request: crashingRequest,
+}
+
 // reportCrash reports to this instance that an attempt of the request crashed endpoint i.
 func (n *node) reportCrash(i int) {
 	began := time.Now()
@@ -58,10 +63,10 @@
 	t.Helper()
 	for _, n := range nodes {
 		end := time.Now().Add(time.Second)
-		_, banned := n.client.BanRemaining(crashingRequest)
+		banned := n.client.BanOf(crashingKeys) != nil
 		for banned != want && time.Now().Before(end) {
 			time.Sleep(5 * time.Millisecond)
-			_, banned = n.client.BanRemaining(crashingRequest)
+			banned = n.client.BanOf(crashingKeys) != nil
 		}
 		if banned != want {
 			t.Fatalf("instance %s: request banned: %v, want %v", n.self.ID, banned, want)
@@ -180,7 +185,7 @@
 		f.nodes[0].reportCrash(0)
 		f.nodes[1].reportCrash(1)
 		settle()
-		f.nodes[3].client.ReportAnswered(crashingRequest)
+		f.nodes[3].client.ReportAnswered(crashingKeys, time.Now())
 		time.Sleep(50 * time.Millisecond)
 		f.nodes[2].reportCrash(2)
 		settle()
@@ -193,7 +198,7 @@
 			f.nodes[i].reportCrash(i)
 		}
 		assertBanned(t, f.nodes, true)
-		f.nodes[3].client.ReportAnswered(crashingRequest)
+		f.nodes[3].client.ReportAnswered(crashingKeys, time.Now())
 		assertBanned(t, f.nodes, false)
 	})
 }
@@ -207,7 +212,7 @@
 	left[0].reportCrash(0)
 	left[1].reportCrash(1)
 	settle()
-	left[3].client.ReportAnswered(crashingRequest)
+	left[3].client.ReportAnswered(crashingKeys, time.Now())
 	time.Sleep(50 * time.Millisecond)
 	close(first.closing)
 	second := f.owner(first.self.ID)
@@ -229,6 +234,95 @@
 		f.nodes[i%3].client.End(id, "engines", pool.Failed, "")
 	}
 	settle()
-	is.New(t).True(!f.nodes[0].client.Suspected(crashingRequest))
+	is.New(t).True(!f.nodes[0].client.Suspected(crashingKeys))
 	assertBanned(t, f.nodes, false)
 }
+
+// badPart and goodPart are the identities of parts of prompts, of which the first crashes engines.
+const (
+	badPart  quarantine.Identity = 100
+	goodPart quarantine.Identity = 101
+)
+
+// reportPartCrash reports to this instance that an attempt of a request of its own, with both parts,
+// crashed endpoint i.
+func (n *node) reportPartCrash(i int) {
+	began := n.now()
+	time.Sleep(20 * time.Millisecond)
+	n.client.ReportCrash(quarantine.Crash{
+		Attempt:   fmt.Sprintf("%s-part-%d", n.self.ID, i),
+		Endpoint:  fmt.Sprint("part-e", i),
+		Identity:  quarantine.Identity(1000 + i),
+		Parts:     []quarantine.Identity{goodPart, badPart},
+		StartedAt: began,
+		EndedAt:   n.now(),
+	})
+	time.Sleep(60 * time.Millisecond)
+}
+
+// answer reports a complete answer to a request with the good part to this instance.
+func (n *node) answer() {
+	n.client.ReportAnswered(quarantine.Keys{
+		Request: 5000,
+		Parts:   []quarantine.Identity{goodPart},
+	}, n.now())
+}
+
+// bans reports whether the instance refuses requests with a part.
+func (n *node) bans(part quarantine.Identity) bool {
+	return n.client.BanOf(quarantine.Keys{
+		Request: 5000,
+		Parts:   []quarantine.Identity{part},
+	}) != nil
+}
+
+// TestPartCrashesCounted guards against requests with a part that crashes engines if the instance that
+// counts fails, and against a ban of a part whose answers only other instances have seen.
+func TestPartCrashesCounted(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		// between runs after the second crash, and returns the instances that are gone.
+		between func(f *fleet) []*node
+	}{
+		{"no failure", func(*fleet) []*node { return nil }},
+		{"owner is killed", func(f *fleet) []*node {
+			first := f.owner()
+			first.rpc.Stop()
+			f.owner(first.self.ID)
+			return []*node{first}
+		}},
+		{"owner and standby stop", func(f *fleet) []*node {
+			first := f.owner()
+			close(first.closing)
+			second := f.owner(first.self.ID)
+			close(second.closing)
+			time.Sleep(600 * time.Millisecond)
+			return []*node{first, second}
+		}},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, 6)
+			owner := f.owner()
+			f.passWindow() // the instances have existed for long enough to know the answers
+			others := f.without(owner)
+			others[2].answer()
+			others[0].reportPartCrash(1)
+			others[4].reportPartCrash(2)
+			settle()
+			gone := row.between(f)
+			left := f.without(gone...)
+			for i := range 3 {
+				left[i%len(left)].reportPartCrash(3 + i)
+			}
+			end := time.Now().Add(2 * time.Second)
+			for _, n := range left {
+				for !n.bans(badPart) && time.Now().Before(end) {
+					time.Sleep(5 * time.Millisecond)
+				}
+				is.True(n.bans(badPart))
+				is.True(!n.bans(goodPart))
+			}
+		})
+	}
+}
--- a/pool/link_session.go
+++ b/pool/link_session.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 	"google.golang.org/grpc"
 
+	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/pool/poolpb"
 	"github.com/linkmast/linkmast/quarantine"
 )
@@ -192,7 +193,7 @@
 	case *poolpb.FromOwner_Move:
 		go l.onMigrate(k.Move.GetId(), k.Move.GetEndpoint(), l.peer)
 	case *poolpb.FromOwner_Verdict:
-		l.onVerdict(quarantine.DecodeVerdict(k.Verdict))
+		l.onVerdict(quarantine.DecodeVerdict(k.Verdict, steady.Now()))
 	case *poolpb.FromOwner_Notice:
 		l.onNotice(decodeNotice(k.Notice))
 	case *poolpb.FromOwner_Pong:
--- a/pool/messages.go
+++ b/pool/messages.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/notice"
 	"github.com/linkmast/linkmast/pool/poolpb"
 	"github.com/linkmast/linkmast/quarantine"
@@ -285,7 +286,7 @@
 func ownerVerdictMessage(v quarantine.Verdict) *poolpb.FromEntry {
 	return &poolpb.FromEntry{
 		Kind: &poolpb.FromEntry_Verdict{
-			Verdict: quarantine.EncodeVerdict(v),
+			Verdict: quarantine.EncodeVerdict(v, steady.Now()),
 		},
 	}
 }
@@ -294,7 +295,7 @@
 func entryVerdictMessage(v quarantine.Verdict) *poolpb.FromOwner {
 	return &poolpb.FromOwner{
 		Kind: &poolpb.FromOwner_Verdict{
-			Verdict: quarantine.EncodeVerdict(v),
+			Verdict: quarantine.EncodeVerdict(v, steady.Now()),
 		},
 	}
 }
--- a/pool/messages_test.go
+++ b/pool/messages_test.go
@@ -106,6 +106,7 @@
 			Endpoint:        "10.128.100.100:8080",
 			OtherEndpoints:  []string{"10.128.100.101:8080"},
 			Identity:        1 << 63,
+			Parts:           []quarantine.Identity{1 << 62, 1 << 61},
 			StartedAt:       now.Add(-2 * time.Second),
 			EndedAt:         now.Add(-time.Second),
 		}
@@ -113,21 +114,30 @@
 		m := crashMessage(c, now)
 		is.Equal(quarantine.DecodeCrash(m.GetCrashed(), now), c)
 		c.OtherEndpoints = nil
+		is.True(proto.Size(crashMessage(c, now)) <= 192+4+2*8) // each part adds its hash
+		c.Parts = nil
 		is.True(proto.Size(crashMessage(c, now)) <= 192)
 		c.OtherEndpoints = []string{"10.128.100.101:8080", "10.128.100.102:8080"}
 		is.True(proto.Size(crashMessage(c, now)) <= 192+2*24) // each engine of a joint prefill adds its address
 	})
 	t.Run("verdict", func(t *testing.T) {
 		is := is.New(t)
+		now := time.Now()
 		v := quarantine.Verdict{
 			Identity:  1 << 63,
+			Part:      true,
 			State:     quarantine.Banned,
 			Remaining: 24 * time.Hour,
 			BanCount:  9,
+			Since:     now.Add(-time.Second),
+			StartedAt: now.Add(-2 * time.Second),
 		}
 		assertSet(t, v)
-		is.Equal(quarantine.DecodeVerdict(entryVerdictMessage(v).GetVerdict()), v)
-		is.Equal(quarantine.DecodeVerdict(ownerVerdictMessage(v).GetVerdict()), v)
+		is.Equal(quarantine.DecodeVerdict(quarantine.EncodeVerdict(v, now), now), v)
+		// Bans have no times.
+		v.Since, v.StartedAt = time.Time{}, time.Time{}
+		is.Equal(quarantine.DecodeVerdict(entryVerdictMessage(v).GetVerdict(), now), v)
+		is.Equal(quarantine.DecodeVerdict(ownerVerdictMessage(v).GetVerdict(), now), v)
 		is.True(proto.Size(entryVerdictMessage(v)) <= 32)
 	})
 }
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -40,6 +40,8 @@
 	closing chan struct{}
 	// listener accepts the connections of other instances.
 	listener *resettable
+	// now is the clock of the scheduler.
+	now func() time.Time
 	// stop ends the instance without notice.
 	stop func()
 }
@@ -147,6 +149,7 @@
 			Listener: l,
 		},
 	}
+	n.now = func() time.Time { return steady.Now().Add(time.Duration(f.advance.Load())) }
 	n.scheduler = pool.NewScheduler(pool.Settings{
 		Self: n.self.ID,
 		Retries: pool.Budget{
@@ -154,7 +157,7 @@
 			Extra:  16,
 			Window: 10 * time.Second,
 		},
-		Now: func() time.Time { return steady.Now().Add(time.Duration(f.advance.Load())) },
+		Now: n.now,
 	}, logr.Discard())
 	conns := peer.New(nil)
 	n.client = pool.NewClient(n.self, n.scheduler, &cutDialer{
--- a/pool/server.go
+++ b/pool/server.go
@@ -166,7 +166,7 @@
 	case *poolpb.FromEntry_Crashed:
 		s.settings.Quarantine.ReportCrash(quarantine.DecodeCrash(k.Crashed, s.settings.Now()))
 	case *poolpb.FromEntry_Verdict:
-		s.settings.Quarantine.ApplyVerdict(quarantine.DecodeVerdict(k.Verdict))
+		s.settings.Quarantine.ApplyVerdict(quarantine.DecodeVerdict(k.Verdict, s.settings.Now()))
 	case *poolpb.FromEntry_Notice:
 		s.settings.Notices.ApplyNotice(decodeNotice(k.Notice))
 	case *poolpb.FromEntry_Decider:
--- a/quarantine/admission.go
+++ b/quarantine/admission.go
@@ -18,35 +18,47 @@
 // successive instances, unless there are so many that maxTurnsDuration shortens it.
 const retestDelay = 2 * time.Second
 
-// Admit admits a request, or returns the time after which the caller may retry. After a ban each
-// instance admits one request of the identity at a time, and the instances start to do so one after
-// another. If all started at the end of the ban, a request sent to all of them would crash as many
-// endpoints as there are instances.
-func (r *Registry) Admit(id Identity) (a Admission, after time.Duration, ok bool) {
+// Admit admits a request, or returns the ban that prevents it. After a ban each instance admits one
+// request of the identity at a time, and the instances start to do so one after another. If all
+// started at the end of the ban, a request sent to all of them would crash as many endpoints as there
+// are instances.
+func (r *Registry) Admit(k Keys) (Admission, *Ban) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	free := Admission{
-		Release: func() {},
-	}
 	now := r.now()
-	b := r.retainedBan(id, now)
-	if b == nil {
-		return free, 0, true
+	var retests []*ban
+	for id, part := range k.all {
+		b := r.retainedBan(id, now)
+		if b == nil {
+			continue
+		}
+		if b.active(now) || b.retestRunning || now.Before(r.retestAllowedFrom(id, b)) {
+			r.stats.Refused++
+			return Admission{}, &Ban{
+				Identity:  id,
+				Part:      part,
+				Remaining: max(b.until.Sub(now), retestDelay),
+			}
+		}
+		retests = append(retests, b)
 	}
-	if b.active(now) || b.retestRunning || now.Before(r.retestAllowedFrom(id, b)) {
-		r.stats.Refused++
-		return Admission{}, max(b.until.Sub(now), retestDelay), false
+	for _, b := range retests {
+		b.retestRunning = true
 	}
-	b.retestRunning = true
 	return Admission{
-		SingleEndpoint: true,
-		Release: func() {
-			r.mu.Lock()
-			defer r.mu.Unlock()
-			b.retestRunning = false
-			b.retestFrom = r.now().Add(retestDelay)
-		},
-	}, 0, true
+		SingleEndpoint: len(retests) > 0,
+		Release:        func() { r.endRetests(retests) },
+	}, nil
+}
+
+// endRetests ends the admission of a request after the bans.
+func (r *Registry) endRetests(bans []*ban) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, b := range bans {
+		b.retestRunning = false
+		b.retestFrom = r.now().Add(retestDelay)
+	}
 }
 
 // maxTurnsDuration bounds the time from the end of a ban until all instances may admit requests of
--- a/quarantine/admission_test.go
+++ b/quarantine/admission_test.go
@@ -18,27 +18,27 @@
 	inVirtualTime(t, func(t *testing.T) {
 		is := is.New(t)
 		b := newTestRegistry()
-		p, _, ok := b.Admit(1)
-		is.True(ok && !p.SingleEndpoint)
+		p, ban := b.Admit(request(1))
+		is.True(ban == nil && !p.SingleEndpoint)
 		p.Release()
 		crashThrice(b)
-		_, after, ok := b.Admit(1)
-		is.True(!ok)
-		is.True(after <= firstBanDuration && after > firstBanDuration-time.Second)
-		_, _, ok = b.Admit(2)
-		is.True(ok)
+		_, ban = b.Admit(request(1))
+		is.True(ban != nil)
+		is.True(ban.Remaining <= firstBanDuration && ban.Remaining > firstBanDuration-time.Second)
+		_, ban = b.Admit(request(2))
+		is.True(ban == nil)
 		time.Sleep(firstBanDuration)
-		p, _, ok = b.Admit(1)
-		is.True(ok && p.SingleEndpoint)
-		_, after, ok = b.Admit(1)
-		is.True(!ok)
-		is.Equal(after, retestDelay)
+		p, ban = b.Admit(request(1))
+		is.True(ban == nil && p.SingleEndpoint)
+		_, ban = b.Admit(request(1))
+		is.True(ban != nil)
+		is.Equal(ban.Remaining, retestDelay)
 		p.Release()
-		_, _, ok = b.Admit(1)
-		is.True(!ok) // the result of the last one may not be known yet
+		_, ban = b.Admit(request(1))
+		is.True(ban != nil) // the result of the last one may not be known yet
 		time.Sleep(retestDelay)
-		_, _, ok = b.Admit(1)
-		is.True(ok)
+		_, ban = b.Admit(request(1))
+		is.True(ban == nil)
 	})
 }
 
@@ -91,8 +91,8 @@
 				ran := 0
 				for range int(time.Minute / every) {
 					for i, b := range all {
-						p, _, ok := b.Admit(1)
-						if !ok {
+						p, ban := b.Admit(request(1))
+						if ban != nil {
 							continue
 						}
 						ran++
@@ -102,7 +102,7 @@
 							p.Release()
 							for _, other := range all {
 								if !row.crashes {
-									other.ReportAnswered(1)
+									other.ReportAnswered(request(1), time.Now())
 									continue
 								}
 								other.ReportCrash(Crash{
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -47,6 +47,14 @@
 	crashedAt time.Time
 }
 
+// Keys returns the keys of the request.
+func (h *RequestHistory) Keys() Keys {
+	return Keys{
+		Request: h.Identity,
+		Parts:   h.Parts,
+	}
+}
+
 // FailedAttempt is an attempt that failed, possibly because one of its endpoints crashed.
 type FailedAttempt struct {
 	// Attempt is the id of the attempt.
@@ -95,7 +103,7 @@
 		EndedAt:         steady.Now(),
 	}
 	h.lastFailed = a.Attempt
-	if !d.guard.Suspected(h.Identity) {
+	if !d.guard.Suspected(h.Keys()) {
 		go d.report(c, a.Suspects, h)
 		return
 	}
@@ -129,6 +137,9 @@
 		d.log.Info("endpoint ended under a request", "request", h.Request, "attempt", c.Attempt,
 			"identity", c.Identity.String(), "parts", Texts(h.Parts), "address", address, "cause", err.Error())
 		c.Endpoint = address
+		if len(c.OtherEndpoints) > 0 && address == c.OtherEndpoints[0] {
+			c.Parts = h.Parts
+		}
 		c.OtherEndpoints = slices.DeleteFunc(slices.Clone(c.OtherEndpoints), func(other string) bool { return other == address })
 		d.guard.ReportCrash(c)
 		return true
--- a/quarantine/end.go
+++ b/quarantine/end.go
@@ -22,16 +22,17 @@
 	SettleDelay = 2 * commonCauseWindow
 	// endRetention is the least time for which the end of an endpoint is kept, unless the endpoint
 	// ends again. Older ones are removed when a new one is recorded.
-	endRetention = 2 * time.Second
-	// maxIdentitiesPerEnd bounds the requests that are recorded for one end. It exceeds the number
-	// of slots of an engine.
-	maxIdentitiesPerEnd = 64
+	endRetention = 10 * time.Second
+	// maxIdentitiesPerEnd bounds the requests and parts that are recorded for one end. It exceeds
+	// the number of slots of an engine with some parts for each.
+	maxIdentitiesPerEnd = 512
 )
 
 // endpointEnd is one end of an endpoint.
 type endpointEnd struct {
 	at time.Time
-	// identities are the requests that the endpoint was running, as far as reported.
+	// identities are the requests that the endpoint was running, and their parts, as far as
+	// reported.
 	identities []Identity
 }
 
@@ -46,12 +47,20 @@
 		}
 		r.ends[c.Endpoint] = e
 	}
-	if len(e.identities) < maxIdentitiesPerEnd && !slices.Contains(e.identities, c.Identity) {
-		e.identities = append(e.identities, c.Identity)
+	e.add(c.Identity)
+	for _, part := range c.Parts {
+		e.add(part)
 	}
 	return e
 }
 
+// add records an identity, unless there are too many.
+func (e *endpointEnd) add(id Identity) {
+	if len(e.identities) < maxIdentitiesPerEnd && !slices.Contains(e.identities, id) {
+		e.identities = append(e.identities, id)
+	}
+}
+
 // hasCommonCause reports whether an endpoint that did not run the suspect's requests ended at the
 // same time as e, so that the suspect's requests are not the cause. An endpoint that took part in a
 // joint prefill of the suspect counts as having run it, even if its end was reported only by other
@@ -112,13 +121,7 @@
 	if s == nil {
 		return
 	}
-	for _, address := range ended {
-		if r.ends[address] == nil {
-			r.ends[address] = &endpointEnd{
-				at: s.chain[i].end.at,
-			}
-		}
-	}
+	r.recordSurveyed(ended, s.chain[i].end)
 	if r.dropIfCommon(id, s, i) {
 		r.log.Info("other endpoints ended with that of the request", "identity", id.String(), "attempt", attempt, "others", len(ended))
 		return
@@ -128,6 +131,18 @@
 	}
 }
 
+// recordSurveyed records the endpoints that a survey found ended beside an end that was reported,
+// except for those whose ends are known. The caller must hold the lock.
+func (r *Registry) recordSurveyed(addresses []string, beside *endpointEnd) {
+	for _, address := range addresses {
+		if r.ends[address] == nil {
+			r.ends[address] = &endpointEnd{
+				at: beside.at,
+			}
+		}
+	}
+}
+
 // settle decides whether a crash counts. At the limit it decides on a ban of the identity; one crash
 // before the limit it notifies the listeners of the suspicion.
 func (r *Registry) settle(id Identity, attempt string) {
@@ -151,9 +166,6 @@
 	case n >= limit:
 		r.ban(id, r.now())
 	case n == limit-1:
-		r.notifyListeners(Verdict{
-			Identity: id,
-			State:    Suspected,
-		})
+		r.notifyListeners(suspicion(id, s))
 	}
 }
--- a/quarantine/explain.go
+++ b/quarantine/explain.go
@@ -9,10 +9,12 @@
 
 // isExplained reports whether another suspect explains the crashes of a suspect: its chain contains
 // the same endpoint ends, and its attempts had run for a shorter time on average. The request that
-// arrived last at these endpoints is the more likely cause. The caller must hold the lock.
+// arrived last at these endpoints is the more likely cause. Requests are only explained by requests
+// and parts by parts: a part that many share is at every end, too. A part that was answered before
+// does not explain one that never was. The caller must hold the lock.
 func (r *Registry) isExplained(id Identity, s *suspect) bool {
 	for other, o := range r.suspects {
-		if other != id && o.containsEndsOf(s) && o.meanRunTime() < s.meanRunTime() {
+		if other != id && o.part == s.part && o.containsEndsOf(s) && o.meanRunTime() < s.meanRunTime() && (!o.answered || s.answered) {
 			return true
 		}
 	}
--- a/quarantine/grpc.go
+++ b/quarantine/grpc.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/grpc"
 
+	"github.com/linkmast/linkmast/internal/steady"
 	"github.com/linkmast/linkmast/quarantine/quarantinepb"
 )
 
@@ -32,7 +33,7 @@
 
 // Tell implements quarantinepb.QuarantineServer.
 func (s *Server) Tell(_ context.Context, in *quarantinepb.Verdict) (*quarantinepb.Taken, error) {
-	s.registry.ApplyVerdict(DecodeVerdict(in))
+	s.registry.ApplyVerdict(DecodeVerdict(in, steady.Now()))
 	return &quarantinepb.Taken{}, nil
 }
 
@@ -44,6 +45,6 @@
 
 // SendVerdict sends a verdict over a connection to another instance.
 func SendVerdict(ctx context.Context, conn grpc.ClientConnInterface, v Verdict) error {
-	_, err := quarantinepb.NewQuarantineClient(conn).Tell(ctx, EncodeVerdict(v))
+	_, err := quarantinepb.NewQuarantineClient(conn).Tell(ctx, EncodeVerdict(v, steady.Now()))
 	return err
 }
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -5,19 +5,18 @@
 import "time"
 
 // Guard decides whether a request may be sent to endpoints, depending on whether requests of its
-// identity crash them.
+// identity, or with one of its parts, crash them.
 type Guard interface {
-	// Admit admits a request, or returns the time after which the caller may retry.
-	Admit(id Identity) (a Admission, after time.Duration, ok bool)
-	// BanRemaining returns how much longer a request is banned, and whether it is banned.
-	BanRemaining(id Identity) (remaining time.Duration, banned bool)
-	// Suspected reports whether the identity has recent crashes, or a ban that is still kept.
-	Suspected(id Identity) bool
+	// Admit admits a request, or returns the ban that prevents it.
+	Admit(k Keys) (Admission, *Ban)
+	// BanOf returns the ban in force for a request, or nil.
+	BanOf(k Keys) *Ban
+	// Suspected reports whether the identity or a part has recent crashes, or a ban that is still
+	// kept.
+	Suspected(k Keys) bool
 	// ReportCrash reports an attempt whose endpoint has ended.
 	ReportCrash(c Crash)
-	// ReportAnswered reports a complete answer, which clears the identity.
-	ReportAnswered(id Identity)
+	// ReportAnswered reports a complete answer to an attempt that was started at the given time. It
+	// clears the identity, and the parts if the attempt was started after their first crash.
+	ReportAnswered(k Keys, startedAt time.Time)
 }
-
-// BannedDetail is the reason in refusals of banned requests.
-const BannedDetail = "the request ended several endpoints that ran it"
--- a/quarantine/peerguard.go
+++ b/quarantine/peerguard.go
@@ -234,15 +234,13 @@
 }
 
 // Admit implements Guard.
-func (g *PeerGuard) Admit(id Identity) (Admission, time.Duration, bool) { return g.registry.Admit(id) }
+func (g *PeerGuard) Admit(k Keys) (Admission, *Ban) { return g.registry.Admit(k) }
 
-// BanRemaining implements Guard.
-func (g *PeerGuard) BanRemaining(id Identity) (time.Duration, bool) {
-	return g.registry.BanRemaining(id)
-}
+// BanOf implements Guard.
+func (g *PeerGuard) BanOf(k Keys) *Ban { return g.registry.BanOf(k) }
 
 // Suspected implements Guard.
-func (g *PeerGuard) Suspected(id Identity) bool { return g.registry.Suspected(id) }
+func (g *PeerGuard) Suspected(k Keys) bool { return g.registry.Suspected(k) }
 
 // ReportCrash implements Guard.
 func (g *PeerGuard) ReportCrash(c Crash) {
@@ -254,15 +252,11 @@
 }
 
 // ReportAnswered implements Guard.
-func (g *PeerGuard) ReportAnswered(id Identity) {
-	if !g.registry.ReportAnswered(id) {
-		return
+func (g *PeerGuard) ReportAnswered(k Keys, startedAt time.Time) {
+	for _, v := range g.registry.ReportAnswered(k, startedAt) {
+		g.enqueue(outgoing{
+			to:      g.otherCountingInstances(v.Identity),
+			verdict: v,
+		})
 	}
-	g.enqueue(outgoing{
-		to: g.otherCountingInstances(id),
-		verdict: Verdict{
-			Identity: id,
-			State:    Cleared,
-		},
-	})
 }
--- a/quarantine/peerguard_test.go
+++ b/quarantine/peerguard_test.go
@@ -147,7 +147,7 @@
 func (c *cluster) assertBannedAt(t *testing.T, want bool) {
 	t.Helper()
 	for _, instance := range c.instances {
-		if _, banned := instance.guard.BanRemaining(1); banned != want && !c.hasStopped(instance.name) {
+		if banned := instance.guard.BanOf(request(1)) != nil; banned != want && !c.hasStopped(instance.name) {
 			t.Errorf("banned at %s: %t", instance.name, banned)
 		}
 	}
@@ -175,13 +175,13 @@
 		}},
 		{"an answer at one instance clears the request at all instances", func(t *testing.T, c *cluster) {
 			c.crashAt(2, 3, 4)
-			c.instances[5].guard.ReportAnswered(1)
+			c.instances[5].guard.ReportAnswered(request(1), time.Now())
 			time.Sleep(time.Second)
 			c.assertBannedAt(t, false)
 		}},
 		{"an answer between crashes clears", func(t *testing.T, c *cluster) {
 			c.crashAt(2, 3)
-			c.instances[5].guard.ReportAnswered(1) // it knows that the request is suspected
+			c.instances[5].guard.ReportAnswered(request(1), time.Now()) // it knows that the request is suspected
 			time.Sleep(time.Second)
 			c.crashAt(4)
 			c.assertBannedAt(t, false)
--- a/quarantine/record_test.go
+++ b/quarantine/record_test.go
@@ -180,7 +180,7 @@
 			k.crashThrice()
 			time.Sleep(10 * time.Millisecond)
 			k.syncStored(m)
-			k.registry.ReportAnswered(1)
+			k.registry.ReportAnswered(request(1), time.Now())
 			time.Sleep(10 * time.Millisecond)
 			is.Equal(len(m.all()), 0)
 		}},
@@ -190,7 +190,7 @@
 			m.writeDelay = time.Second / 2
 			k.crashThrice()
 			time.Sleep(10 * time.Millisecond)
-			k.registry.ReportAnswered(1)
+			k.registry.ReportAnswered(request(1), time.Now())
 			time.Sleep(2 * time.Second)
 			is.Equal(len(m.all()), 0)
 		}},
--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -24,6 +24,8 @@
 	// minBanRetention is the least time for which an expired ban is kept, so that a request that
 	// returns within it is banned again after one crash.
 	minBanRetention = time.Hour
+	// maxRecentAnswers bounds the parts whose last answers are kept.
+	maxRecentAnswers = 8192
 	// suspectRetention is the time after the last report of a suspect from which its next crash
 	// starts a new count: much longer than callers take to retry.
 	suspectRetention = 10 * time.Minute
@@ -52,6 +54,8 @@
 	// decidedAt is when this instance decided on the ban; zero if it learned of it from another
 	// instance or the store.
 	decidedAt time.Time
+	// since is when the first of the crashes that led to the ban of a part ended; zero if unknown.
+	since time.Time
 	// recorded reports whether the platform's store has the ban.
 	recorded bool
 }
@@ -85,7 +89,14 @@
 	listeners map[*func(Verdict)]struct{}
 	// changed receives a value when the store may need to be written to.
 	changed chan struct{}
-	stats   Stats
+	// answers has the time at which the latest answered attempt with each part was started, and
+	// answersPurgedAt is when old ones were last dropped. createdAt is when the registry was created.
+	answers         map[Identity]time.Time
+	answersPurgedAt time.Time
+	createdAt       time.Time
+	// recentStarts has the starts of the last answered attempts with parts, the oldest first.
+	recentStarts []time.Time
+	stats        Stats
 }
 
 // Stats are the counters of a registry.
@@ -130,6 +141,8 @@
 		pendingErasures: make(map[Identity]time.Time),
 		listeners:       make(map[*func(Verdict)]struct{}),
 		changed:         make(chan struct{}, 1),
+		answers:         make(map[Identity]time.Time),
+		createdAt:       now(),
 	}
 }
 
@@ -156,13 +169,25 @@
 	now := r.now()
 	r.stats.Crashes++
 	end := r.recordEnd(c, now)
-	if old := r.retainedBan(c.Identity, now); old != nil && c.StartedAt.Before(old.until) {
-		// An attempt that started before the end of the ban doesn't prolong it.
-		return
-	}
-	if r.suspectFor(c.Identity, now).extend(c, end) {
+	if !r.startedDuringBan(c.Identity, c, now) && r.suspectFor(c.Identity, now).extend(c, end) {
 		time.AfterFunc(SettleDelay, func() { r.settle(c.Identity, c.Attempt) })
 	}
+	var extended []Identity
+	for _, part := range c.Parts {
+		if !r.startedDuringBan(part, c, now) && r.partSuspectFor(part, now).extendPart(c, end) {
+			extended = append(extended, part)
+		}
+	}
+	if len(extended) > 0 {
+		time.AfterFunc(SettleDelay, func() { r.settleParts(extended, end) })
+	}
+}
+
+// startedDuringBan reports whether the attempt of a crash started before the end of a ban, which it
+// doesn't prolong then. The caller must hold the lock.
+func (r *Registry) startedDuringBan(id Identity, c Crash, now time.Time) bool {
+	old := r.retainedBan(id, now)
+	return old != nil && c.StartedAt.Before(old.until)
 }
 
 // retainedBan returns the ban of an identity, in force or expired, unless its retention time is
@@ -190,10 +215,11 @@
 	return s
 }
 
-// ban bans an identity, for longer than its previous ban if that is still kept. The caller must
-// hold the lock.
+// ban bans the identity of a suspect, for longer than its previous ban if that is still kept. The
+// caller must hold the lock.
 func (r *Registry) ban(id Identity, now time.Time) {
-	r.dropExplained(r.suspects[id])
+	s := r.suspects[id]
+	r.dropExplained(s)
 	length, times := firstBanDuration, 1
 	if old := r.retainedBan(id, now); old != nil {
 		length, times = min(old.duration*banGrowthFactor, maxBanDuration), old.count+1
@@ -203,10 +229,12 @@
 		duration:  length,
 		count:     times,
 		decidedAt: now,
+		since:     s.since(),
 	}, now)
-	r.log.Info("request is banned", "identity", id.String(), "for_ms", length.Milliseconds(), "times", times)
+	r.log.Info("request is banned", "identity", id.String(), "part", s.part, "for_ms", length.Milliseconds(), "times", times)
 	r.notifyListeners(Verdict{
 		Identity:  id,
+		Part:      s.part,
 		State:     Banned,
 		Remaining: length,
 		BanCount:  times,
@@ -239,12 +267,29 @@
 	}
 }
 
-// ReportAnswered records a complete answer, which proves that requests of the identity don't always
-// crash their endpoints, and clears the identity. It reports whether it was suspected or banned.
-func (r *Registry) ReportAnswered(id Identity) bool {
+// ReportAnswered records a complete answer to an attempt that was started at the given time. It
+// proves that the request doesn't always crash its endpoint, and clears its identity. What it proves
+// of the parts is described at answeredPart. It returns the verdicts that the instances which count
+// crashes need to know.
+func (r *Registry) ReportAnswered(k Keys, startedAt time.Time) []Verdict {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.clear(id)
+	var out []Verdict
+	if r.clear(k.Request) {
+		out = append(out, Verdict{
+			Identity: k.Request,
+			State:    Cleared,
+		})
+	}
+	if len(k.Parts) > 0 {
+		r.recordStart(startedAt)
+	}
+	for _, part := range k.Parts {
+		if r.answeredPart(part, startedAt) {
+			out = append(out, partAnswer(part, startedAt))
+		}
+	}
+	return out
 }
 
 // clear removes the suspect and the ban of an identity, and reports whether there was either. The
@@ -276,9 +321,16 @@
 	now := r.now()
 	switch v.State {
 	case Cleared:
+		if v.Part && !v.StartedAt.IsZero() {
+			r.answeredPart(v.Identity, v.StartedAt)
+			return
+		}
 		r.clear(v.Identity)
 	case Suspected:
-		r.suspectFor(v.Identity, now)
+		s := r.suspectFor(v.Identity, now)
+		if v.Part {
+			s.part, s.announcedSince = true, v.Since
+		}
 	case Banned:
 		if r.applyBan(v, now) {
 			r.notifyListeners(v)
@@ -311,11 +363,16 @@
 	return true
 }
 
-// Suspected reports whether a suspect or a ban, in force or expired, is known for an identity.
-func (r *Registry) Suspected(id Identity) bool {
+// Suspected reports whether a suspect or a ban, in force or expired, is known for one of the keys.
+func (r *Registry) Suspected(k Keys) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.suspects[id] != nil || r.bans[id] != nil
+	for id := range k.all {
+		if r.suspects[id] != nil || r.bans[id] != nil {
+			return true
+		}
+	}
+	return false
 }
 
 // HasSuspect reports whether crashes of an identity are being counted.
@@ -325,16 +382,26 @@
 	return r.suspects[id] != nil
 }
 
-// BanRemaining returns how much longer an identity is banned, and whether it is banned.
-func (r *Registry) BanRemaining(id Identity) (time.Duration, bool) {
+// BanOf returns the ban in force for one of the keys that ends last, or nil.
+func (r *Registry) BanOf(k Keys) *Ban {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	b := r.bans[id]
-	if b == nil {
-		return 0, false
+	now := r.now()
+	var out *Ban
+	for id, part := range k.all {
+		b := r.bans[id]
+		if b == nil || !b.active(now) {
+			continue
+		}
+		if left := b.until.Sub(now); out == nil || left > out.Remaining {
+			out = &Ban{
+				Identity:  id,
+				Part:      part,
+				Remaining: left,
+			}
+		}
 	}
-	left := b.until.Sub(r.now())
-	return left, left > 0
+	return out
 }
 
 // Verdicts returns what another instance that starts needs to know: the bans in force, and the
@@ -356,15 +423,24 @@
 	}
 	for id, s := range r.suspects {
 		if s.settledCount() >= crashLimit-1 {
-			out = append(out, Verdict{
-				Identity: id,
-				State:    Suspected,
-			})
+			out = append(out, suspicion(id, s))
 		}
 	}
 	return out
 }
 
+// suspicion returns the verdict that makes instances report answers to requests of a suspect.
+func suspicion(id Identity, s *suspect) Verdict {
+	v := Verdict{
+		Identity: id,
+		State:    Suspected,
+	}
+	if s.part {
+		v.Part, v.Since = true, s.since()
+	}
+	return v
+}
+
 // Stats returns the counters and the present numbers of suspects and bans.
 func (r *Registry) Stats() Stats {
 	r.mu.Lock()
--- a/quarantine/registry_test.go
+++ b/quarantine/registry_test.go
@@ -25,6 +25,18 @@
 	synctest.Test(t, f)
 }
 
+// request returns the keys of a request without parts.
+func request(id Identity) Keys {
+	return Keys{
+		Request: id,
+	}
+}
+
+// answered reports a complete answer to a request, and whether others need to know of it.
+func answered(b *Registry, id Identity) bool {
+	return len(b.ReportAnswered(request(id), time.Now())) > 0
+}
+
 // crashedAttempt is an attempt that crashed its endpoint. Times are in ms from the call of
 // reportCrashes.
 type crashedAttempt struct {
@@ -59,8 +71,7 @@
 // assertBanned checks whether request 1 is banned.
 func assertBanned(t *testing.T, b *Registry, want bool) {
 	t.Helper()
-	_, banned := b.BanRemaining(1)
-	is.New(t).Equal(banned, want)
+	is.New(t).Equal(b.BanOf(request(1)) != nil, want)
 }
 
 // TestConsecutiveCrashes guards against bans by crashes that overlap or have another cause, and
@@ -235,10 +246,10 @@
 				b := newTestRegistry()
 				reportCrashes(b, row.runs...)
 				assertBanned(t, b, true)
-				_, other := b.BanRemaining(2)
+				other := b.BanOf(request(2)) != nil
 				is.New(t).True(!other)
 				reportCrashes(b, crashedAttempt{"w", "e4", 0, 100, 2})
-				_, other = b.BanRemaining(2)
+				other = b.BanOf(request(2)) != nil
 				is.New(t).True(!other)
 			})
 		})
@@ -284,7 +295,7 @@
 	}{
 		{"between crashes", func(is *is.I, b *Registry) {
 			reportCrashes(b, crashedAttempt{"a", "e1", 0, 100, 0}, crashedAttempt{"b", "e2", 110, 200, 0})
-			is.True(b.ReportAnswered(1))
+			is.True(answered(b, 1))
 			reportCrashes(b, crashedAttempt{"c", "e3", 0, 100, 0}, crashedAttempt{"d", "e4", 110, 200, 0})
 		}, false},
 		{"before the third crash is settled", func(is *is.I, b *Registry) {
@@ -296,16 +307,16 @@
 				StartedAt: time.Now().Add(-90 * time.Millisecond),
 				EndedAt:   time.Now(),
 			})
-			is.True(b.ReportAnswered(1))
+			is.True(answered(b, 1))
 			time.Sleep(SettleDelay)
 		}, false},
 		{"after the ban, by an attempt that was running", func(is *is.I, b *Registry) {
 			crashThrice(b)
-			is.True(b.ReportAnswered(1))
+			is.True(answered(b, 1))
 		}, false},
 		{"another request answered", func(is *is.I, b *Registry) {
 			crashThrice(b)
-			is.True(!b.ReportAnswered(2))
+			is.True(!answered(b, 2))
 		}, true},
 	} {
 		t.Run(row.name, func(t *testing.T) {
@@ -340,7 +351,7 @@
 			crashThrice(b)
 			left := time.Duration(0)
 			for i := range 6 {
-				left, _ = b.BanRemaining(1)
+				left = b.BanOf(request(1)).Remaining
 				is.True(left <= maxBanDuration)
 				time.Sleep(left + time.Second)
 				reportCrashes(b, crashedAttempt{"after " + strconv.Itoa(i), "e" + strconv.Itoa(i), 0, 100, 0})
@@ -386,16 +397,16 @@
 		})
 		crashThrice(one)
 		assertBanned(t, other, true)
-		one.ReportAnswered(1)
+		answered(one, 1)
 		assertBanned(t, other, false)
 		is.Equal(states, []State{Suspected, Banned, Cleared})
 		other.ApplyVerdict(Verdict{
 			Identity: 3,
 			State:    Suspected,
 		})
-		is.True(other.Suspected(3))
-		is.True(other.ReportAnswered(3)) // the answer cleared a suspect
-		is.True(!other.Suspected(3))
+		is.True(other.Suspected(request(3)))
+		is.True(answered(other, 3)) // the answer cleared a suspect
+		is.True(!other.Suspected(request(3)))
 	})
 }
 
@@ -492,7 +503,7 @@
 		})
 	}
 	for i := 0; b.Loop(); i++ {
-		if p, _, ok := registry.Admit(Identity(maxBans + i)); ok {
+		if p, ban := registry.Admit(request(Identity(maxBans + i))); ban == nil {
 			p.Release()
 		}
 	}
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -18,6 +18,16 @@
 	chain []chainLink
 	// lastSeen is when a crash or a suspicion of the identity was last reported.
 	lastSeen time.Time
+	// part is set if the identity is that of a part of prompts.
+	part bool
+	// announcedSince is the end of the first crash under a part as the instance that counts stated
+	// it; zero without such a statement.
+	announcedSince time.Time
+	// answered is set if an attempt with the part that was started before the first crash has been
+	// answered.
+	answered bool
+	// announcedAt is when the suspicion was first announced; zero before.
+	announcedAt time.Time
 }
 
 // chainLink is one crash of a chain.
--- a/quarantine/types.go
+++ b/quarantine/types.go
@@ -15,6 +15,9 @@
 	Identity Identity
 	// Endpoint is the address of the endpoint that ended.
 	Endpoint string
+	// Parts are the identities of the parts of the prompt, if the endpoint that ended is the one that
+	// was to answer; nil otherwise.
+	Parts []Identity
 	// OtherEndpoints are the addresses of the other endpoints of the attempt's joint prefill. They
 	// may end at the same moment, which may be known only from crashes of other requests.
 	OtherEndpoints []string
@@ -60,6 +63,13 @@
 	// Remaining is how much longer a ban lasts. It is relative because the clocks of instances may
 	// differ.
 	Remaining time.Duration
+	// Part is set if the identity is that of a part of prompts.
+	Part bool
+	// Since is when the first crash under a suspected part ended; zero in other verdicts.
+	Since time.Time
+	// StartedAt is when an answered attempt with a part was started, in the report of an entry
+	// instance that is not sure whether this clears the part; zero in other verdicts.
+	StartedAt time.Time
 	// BanCount is how often the identity has been banned since it was last cleared.
 	BanCount int
 }
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -15,32 +15,40 @@
 // already down or could not help, and raises no suspicion.
 const helperBlameDelay = 300 * time.Millisecond
 
-// enterQuarantine admits a request to run, or refuses it while its identity is banned or being
-// retested. The caller calls release when the request has ended.
+// enterQuarantine admits a request to run, or refuses it while its identity or a part of its prompt is
+// banned or being retested. The caller calls release when the request has ended.
 func (l *Relay) enterQuarantine(j *job) (release func(), ref *refusal) {
 	if l.parts.Quarantine == nil {
 		return func() {}, nil
 	}
-	p, after, ok := l.parts.Quarantine.Admit(j.history.Identity)
-	if !ok {
+	p, ban := l.parts.Quarantine.Admit(j.history.Keys())
+	if ban != nil {
 		l.Metrics.add("refused_quarantine")
-		return nil, serviceUnavailable(quarantine.BannedDetail, after)
+		l.logBan(j, ban)
+		return nil, serviceUnavailable(ban.Detail(), ban.Remaining)
 	}
 	j.singleEndpoint = p.SingleEndpoint
 	return p.Release, nil
 }
 
-// checkBan returns the final answer to a request whose identity was banned after its admission,
+// checkBan returns the final answer to a request that was banned after its admission,
 // or nil. The relay calls it before and after it waits for a placement.
 func (l *Relay) checkBan(j *job) *refusal {
 	if l.parts.Quarantine == nil {
 		return nil
 	}
-	after, banned := l.parts.Quarantine.BanRemaining(j.history.Identity)
-	if !banned {
+	ban := l.parts.Quarantine.BanOf(j.history.Keys())
+	if ban == nil {
 		return nil
 	}
-	return j.giveUp(quarantine.BannedDetail, after)
+	l.logBan(j, ban)
+	return j.giveUp(ban.Detail(), ban.Remaining)
+}
+
+// logBan logs what a request is refused for.
+func (l *Relay) logBan(j *job, b *quarantine.Ban) {
+	l.parts.Log.Info("banned", "request", j.head.ID, "identity", b.Identity.String(), "part", b.Part,
+		"for_ms", b.Remaining.Milliseconds(), "sends", j.sends)
 }
 
 // reportOutcome reports to the quarantine that an attempt was answered, or that an endpoint
@@ -50,7 +58,7 @@
 		return
 	}
 	if res.answered && res.outcome == pool.Served {
-		l.parts.Quarantine.ReportAnswered(t.job.history.Identity)
+		l.parts.Quarantine.ReportAnswered(t.job.history.Keys(), t.startedAt)
 		return
 	}
 	suspects := t.suspects(res)
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -33,20 +33,26 @@
 }
 
 // Admit implements quarantine.Guard.
-func (l *fakeGuard) Admit(quarantine.Identity) (quarantine.Admission, time.Duration, bool) {
+func (l *fakeGuard) Admit(k quarantine.Keys) (quarantine.Admission, *quarantine.Ban) {
 	return quarantine.Admission{
 		SingleEndpoint: l.suspected,
 		Release:        func() {},
-	}, time.Minute, !l.banned
+	}, l.BanOf(k)
 }
 
-// BanRemaining implements quarantine.Guard.
-func (l *fakeGuard) BanRemaining(quarantine.Identity) (time.Duration, bool) {
-	return time.Minute, l.banned
+// BanOf implements quarantine.Guard.
+func (l *fakeGuard) BanOf(k quarantine.Keys) *quarantine.Ban {
+	if !l.banned {
+		return nil
+	}
+	return &quarantine.Ban{
+		Identity:  k.Request,
+		Remaining: time.Minute,
+	}
 }
 
 // Suspected implements quarantine.Guard.
-func (l *fakeGuard) Suspected(quarantine.Identity) bool { return l.suspected }
+func (l *fakeGuard) Suspected(quarantine.Keys) bool { return l.suspected }
 
 // ReportCrash implements quarantine.Guard.
 func (l *fakeGuard) ReportCrash(c quarantine.Crash) {
@@ -56,7 +62,7 @@
 }
 
 // ReportAnswered implements quarantine.Guard.
-func (l *fakeGuard) ReportAnswered(quarantine.Identity) {
+func (l *fakeGuard) ReportAnswered(quarantine.Keys, time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.served++
