--- a/cmd/linkmastctl/soak.go
+++ b/cmd/linkmastctl/soak.go
@@ -27,6 +27,7 @@
 	Partitions  bool    `long:"partitions" description:"instances are cut from all endpoints and the store comes back from copies, too"`
 	Truncations bool    `long:"truncations" description:"answers of endpoints end early, or with their connection, too"`
 	Retries     bool    `long:"retries" description:"a narrow retry budget, and many retries while instances stop, too"`
+	Parts       bool    `long:"parts" description:"a part of prompts crashes engines, too"`
 	Program     string  `long:"program" description:"program of an instance; without it linkmast is built"`
 }
 
@@ -75,6 +76,7 @@
 			Partitions:  c.Partitions,
 			Truncations: c.Truncations,
 			Retries:     c.Retries,
+			Parts:       c.Parts,
 			Processes:   c.Processes,
 			Out:         os.Stdout,
 		})
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -39,6 +39,8 @@
 	Whole bool
 	// Signed is true if the response carried an endpoint's proof of origin.
 	Signed bool
+	// Parts has the ids of the parts of the prompt; nil if the caller names none.
+	Parts []string
 	// CancelsEarly is true if the caller was set to cancel the request early. The answer may
 	// have come before.
 	CancelsEarly bool
@@ -73,6 +75,8 @@
 	// callerSlack is how much longer than requestTimeout a caller waits for the answer or
 	// refusal.
 	callerSlack = time.Second
+	// teams is the number of the parts of which each prompt has one in the middle.
+	teams = 3
 	// outputTokens is the maximum length of the answer that callers name in their requests, in
 	// tokens.
 	outputTokens = 100
@@ -122,6 +126,7 @@
 			Body:     strings.Repeat("b", r.IntN(maxBodyLength)),
 			Instance: instance,
 		}
+		x.Parts = []string{"base", fmt.Sprint("team", number%teams), x.ID}
 		switch r.IntN(4) {
 		case 0:
 			x.Key = c.deployment.currentKey()
@@ -192,6 +197,7 @@
 		Wait:   requestTimeout,
 		Prompt: prompt,
 		Output: outputTokens,
+		Parts:  x.Parts,
 	}.Set(req.Header)
 	return req, nil
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -60,7 +60,7 @@
 			})
 		}
 	}
-	return slices.Concat(out, d.checkCrashes(), d.checkRetries(history), d.checkStatements(sent), d.checkFinalState())
+	return slices.Concat(out, d.checkCrashes(), d.checkRetries(history), d.checkParts(history), d.checkStatements(sent), d.checkFinalState())
 }
 
 // checkExchange checks one exchange and the runs of its request.
--- a/soak/play.go
+++ b/soak/play.go
@@ -78,6 +78,10 @@
 		d.truncate(s, e, f)
 		return
 	}
+	if s.Kind == partCrashes {
+		d.sendCrashingParts(s)
+		return
+	}
 	if s.Kind == enginesCut {
 		d.cutEngines(s)
 		return
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -34,6 +34,8 @@
 	// Retries narrows the retry budget, and adds faults that cause many retries while instances
 	// stop in quick succession.
 	Retries bool
+	// Parts adds faults in which a part of prompts crashes engines.
+	Parts bool
 	// Processes is the number of instances.
 	Processes int
 	// Out receives the schedule and the result.
@@ -124,6 +126,9 @@
 	if s.Retries {
 		schedule = merge(schedule, DrawRetries(s.Seed, s.Length, s.Processes))
 	}
+	if s.Parts {
+		schedule = merge(schedule, DrawParts(s.Seed, s.Length))
+	}
 	if s.Truncations {
 		schedule = merge(schedule, DrawTruncations(s.Seed, s.Length))
 	}
