catalog: end the stream of a follower that ends while a ping waits

Callers saw nothing; an instance that had lost a follower could go on serving its stream until the next change, and counted it among its followers.

Cause: the goroutine that receives pings returned without a word if the stream ended while a ping waited for the serving goroutine, which was sending. Both cases of its select were ready then, and the serving one waits for a ping, a failure, a change or the stop of the instance. It waits for the end of the stream as well now.

--- a/catalog/server.go
+++ b/catalog/server.go
@@ -109,6 +109,9 @@
 		select {
 		case err := <-f.failed:
 			return err
+		case <-f.stream.Context().Done():
+			// A ping that was waiting for this loop hides the end from receive.
+			return f.stream.Context().Err()
 		case <-closing:
 			return nil
 		case p := <-f.pings:
--- a/catalog/server_test.go
+++ b/catalog/server_test.go
@@ -3,7 +3,9 @@
 package catalog
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -53,6 +55,73 @@
 	is.Equal(len(stream.sent), 3)
 }
 
+// endingStream is a follower's stream that ends while a message is being sent and a ping waits.
+type endingStream struct {
+	grpc.BidiStreamingServer[catalogpb.Ping, catalogpb.Update]
+
+	ctx   context.Context
+	pings chan *catalogpb.Ping
+	// sent is closed when the message has been sent.
+	sent chan struct{}
+}
+
+// Context implements grpc.ServerStream.
+func (s *endingStream) Context() context.Context { return s.ctx }
+
+// Recv implements grpc.BidiStreamingServer.
+func (s *endingStream) Recv() (*catalogpb.Ping, error) {
+	select {
+	case p := <-s.pings:
+		return p, nil
+	case <-s.ctx.Done():
+		return nil, s.ctx.Err()
+	}
+}
+
+// Send implements grpc.BidiStreamingServer.
+func (s *endingStream) Send(*catalogpb.Update) error {
+	<-s.sent
+	return nil
+}
+
+// TestStreamEndsDuringSend guards against a follower's stream that is served forever, because it ended
+// while a ping was waiting for a message to be sent.
+func TestStreamEndsDuringSend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, end := context.WithCancel(t.Context())
+		stream := &endingStream{
+			ctx:   ctx,
+			pings: make(chan *catalogpb.Ping, 2),
+			sent:  make(chan struct{}),
+		}
+		closing := make(chan struct{})
+		server := NewServer(New(Settings{}, plainStore{}, nil, logr.Discard()), closing)
+		server.catalog.apply(Configurations, []Record{record(0, 1)}, 2, allParts, fromStore)
+		server.catalog.confirmByStore(time.Now())
+		served := make(chan error, 1)
+		go func() { served <- server.Follow(stream) }()
+		stream.pings <- &catalogpb.Ping{
+			Id: "f",
+		}
+		synctest.Wait()
+		stream.pings <- &catalogpb.Ping{
+			Seq: 1,
+		}
+		synctest.Wait()
+		end()
+		synctest.Wait()
+		close(stream.sent)
+		synctest.Wait()
+		select {
+		case err := <-served:
+			is.New(t).True(err != nil)
+		default:
+			t.Error("the stream is still served")
+			close(closing)
+		}
+	})
+}
+
 // TestFollowersLimit checks that followers above the limit are rejected, and that a follower
 // may reconnect before its old stream has ended.
 func TestFollowersLimit(t *testing.T) {
