quarantine: don't ban a part that all prompts have while engines end

Cause: three weak spots of the evidence that it was not the cause. Crashes that are reported late, by an instance that was suspended or to a new owner, counted although an attempt from after them had been answered. The ten other answers could be those of another service, whose endpoints did not end.

Change: a crash that ended before an answered attempt began doesn't count; other answers count if they share a part with what ran on the ended endpoints and lack the suspected one; three events of a stream clear its parts like a complete answer, as what crashes an engine when it begins to answer does not get there.

--- a/pool/client_crashes.go
+++ b/pool/client_crashes.go
@@ -88,7 +88,18 @@
 // ReportAnswered records that a request got a whole answer. If that concerns a suspected or banned
 // request or part, the owners of the common pool are notified.
 func (c *Client) ReportAnswered(k quarantine.Keys, startedAt time.Time) {
-	for _, v := range c.local.settings.Quarantine.ReportAnswered(k, startedAt) {
+	c.reportVerdicts(c.local.settings.Quarantine.ReportAnswered(k, startedAt))
+}
+
+// ReportProgress records that an answer has got so far that it clears the parts of its prompt. If that
+// concerns a suspected or banned part, the owners of the common pool are notified.
+func (c *Client) ReportProgress(parts []quarantine.Identity, startedAt time.Time) {
+	c.reportVerdicts(c.local.settings.Quarantine.ReportProgress(parts, startedAt))
+}
+
+// reportVerdicts sends verdicts to the owners of the common pool.
+func (c *Client) reportVerdicts(verdicts []quarantine.Verdict) {
+	for _, v := range verdicts {
 		c.broadcast(c.commonPool(), ownerVerdictMessage(v), nil)
 	}
 }
--- a/quarantine/answers.go
+++ b/quarantine/answers.go
@@ -4,37 +4,71 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
-// maxRecentStarts bounds the answered attempts whose starts are kept; no decision needs more.
-const maxRecentStarts = 4 * minOtherAnswers
+// maxRecentAttempts bounds the answered attempts that are kept.
+const maxRecentAttempts = 4 * minOtherAnswers
+
+// recentAnswer is an answered attempt with parts.
+type recentAnswer struct {
+	parts     []Identity
+	startedAt time.Time
+}
 
 // answerPurgeInterval is the least time between two searches for answers that are too old.
 const answerPurgeInterval = time.Second
 
-// recordStart records the start of an answered attempt with parts. The caller must hold the lock.
-func (r *Registry) recordStart(at time.Time) {
-	if len(r.recentStarts) >= maxRecentStarts {
-		r.recentStarts = append(r.recentStarts[:0], r.recentStarts[1:]...)
+// recordAnswer records an answered attempt with parts. The caller must hold the lock.
+func (r *Registry) recordAnswer(parts []Identity, startedAt time.Time) {
+	if len(r.recentAnswers) >= maxRecentAttempts {
+		r.recentAnswers = slices.Delete(r.recentAnswers, 0, 1)
 	}
-	r.recentStarts = append(r.recentStarts, at)
+	r.recentAnswers = append(r.recentAnswers, recentAnswer{
+		parts:     parts,
+		startedAt: startedAt,
+	})
 }
 
-// answeredSince returns how many of the last answered attempts were started after a time. The caller
-// must hold the lock.
-func (r *Registry) answeredSince(since time.Time) int {
+// otherAnswers returns how many of the last answered attempts were started after the first crash of a
+// suspected part, didn't have this part, and have a part in common with those that ran on the
+// endpoints that ended: others tell nothing of these endpoints. The caller must hold the lock.
+func (r *Registry) otherAnswers(part Identity, s *suspect) int {
 	n := 0
-	for _, at := range r.recentStarts {
-		if at.After(since) {
+	for _, a := range r.recentAnswers {
+		if a.startedAt.After(s.since()) && !slices.Contains(a.parts, part) && s.ranBeside(a.parts) {
 			n++
 		}
 	}
 	return n
 }
 
-// answeredPart records a complete answer to a request with a part, whose attempt was started at the
-// given time. If that was after the first crash under the part, the part is not the cause, and is
+// ranBeside reports whether one of the parts ran on an endpoint of the chain.
+func (s *suspect) ranBeside(parts []Identity) bool {
+	return slices.ContainsFunc(parts, func(part Identity) bool {
+		return slices.ContainsFunc(s.chain, func(l chainLink) bool { return slices.Contains(l.end.identities, part) })
+	})
+}
+
+// answeredParts calls answeredPart for each of the parts of an attempt, and returns the reports. The
+// caller must hold the lock.
+func (r *Registry) answeredParts(parts []Identity, startedAt time.Time) []Verdict {
+	if len(parts) == 0 {
+		return nil
+	}
+	r.recordAnswer(parts, startedAt)
+	var out []Verdict
+	for _, part := range parts {
+		if r.answeredPart(part, startedAt) {
+			out = append(out, partAnswer(part, startedAt))
+		}
+	}
+	return out
+}
+
+// answeredPart records an answer to a request with a part, complete or begun as MinProgress says, whose
+// attempt was started at the given time. If that was after the first crash under the part, the part is not the cause, and is
 // cleared. An earlier one shows only that it was not the cause before. AnsweredPart reports whether
 // the instances that count crashes need to know of the answer: the part is suspected or banned, and
 // the answer tells more than the last. The caller must hold the lock.
--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -183,7 +183,7 @@
 	if s.settledRequests() < limit {
 		return false
 	}
-	return limit < answeredPartLimit || r.answeredSince(s.since()) >= minOtherAnswers
+	return limit < answeredPartLimit || r.otherAnswers(id, s) >= minOtherAnswers
 }
 
 // addressOf returns the address of an endpoint that ended; empty if it is no longer known.
--- a/quarantine/part_test.go
+++ b/quarantine/part_test.go
@@ -16,19 +16,21 @@
 // partEvent is something that a registry learns of parts. Times are in ms from the call of play.
 type partEvent struct {
 	startMs, endMs int
+	// lateMs is the time from the end to the report.
+	lateMs int
 	// endpoint is the endpoint that ended under the attempt; empty if the attempt was answered.
 	endpoint string
 	request  Identity
 	parts    []Identity
 }
 
-// play reports events in the order of their ends, and waits until crashes have been judged.
+// play reports events in the order of their reports, and waits until crashes have been judged.
 func play(b *Registry, events ...partEvent) {
 	start := time.Now()
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
-	slices.SortStableFunc(events, func(x, y partEvent) int { return x.endMs - y.endMs })
+	slices.SortStableFunc(events, func(x, y partEvent) int { return x.endMs + x.lateMs - y.endMs - y.lateMs })
 	for i, e := range events {
-		time.Sleep(time.Until(at(e.endMs)))
+		time.Sleep(time.Until(at(e.endMs + e.lateMs)))
 		if e.endpoint == "" {
 			b.ReportAnswered(Keys{
 				Request: e.request,
@@ -109,6 +111,10 @@
 			parts:    []Identity{base},
 		})
 	}
+	late := crashesOf(6, base)
+	for i := range late {
+		late[i].lateMs = 1000
+	}
 	// A request with a rare part runs longer at each endpoint that ends.
 	beside := crashesOf(3, bad)
 	for i := range 3 {
@@ -140,12 +146,16 @@
 		{name: "two that crash", events: slices.Concat(spread(crashesOf(3, bad)), shift(spread(crashesOf(3, rare)), 100, "f")), banned: []Identity{bad, rare}},
 		{name: "a rare one beside it", events: beside, banned: []Identity{bad}},
 		{name: "answered since", events: slices.Concat(crashesOf(6, bad), answers(1, 110, 290, bad))},
-		{name: "answered before", before: answers(1, 0, 50, bad), events: slices.Concat(crashesOf(3, bad), answers(12, 110, 290, base))},
-		{name: "answered before, five crashes", before: answers(1, 0, 50, bad), events: slices.Concat(crashesOf(5, bad), answers(12, 110, 290, base)), banned: []Identity{bad}},
+		{name: "answered before", before: answers(1, 0, 50, bad), events: slices.Concat(crashesOf(3, base, bad), answers(12, 110, 290, base))},
+		{name: "answered before, five crashes", before: answers(1, 0, 50, bad), events: slices.Concat(crashesOf(5, base, bad), answers(12, 110, 290, base)), banned: []Identity{bad}},
 		{name: "answered before, nothing else is answered", before: answers(1, 0, 50, base), events: crashesOf(9, base)},
-		{name: "attempt from before is answered", before: answers(1, 0, 50, bad), events: slices.Concat(crashesOf(5, bad), answers(1, 0, 290, bad), answers(12, 110, 290, base)), banned: []Identity{bad}},
-		{name: "answers may be unknown", young: true, events: slices.Concat(crashesOf(3, bad), answers(12, 110, 290, base))},
-		{name: "answers may be unknown, five crashes", young: true, events: slices.Concat(crashesOf(5, bad), answers(12, 110, 290, base)), banned: []Identity{bad}},
+		{name: "attempt from before is answered", before: answers(1, 0, 50, bad), events: slices.Concat(crashesOf(5, base, bad), answers(1, 0, 290, bad), answers(12, 110, 290, base)), banned: []Identity{bad}},
+		{name: "reported late, answered meanwhile", events: slices.Concat(late, answers(12, 700, 900, base))},
+		{name: "reported late to a new instance, answered meanwhile", young: true, events: slices.Concat(late, answers(12, 700, 900, base))},
+		{name: "reported late, answered between them", young: true, events: slices.Concat(late, answers(12, 350, 450, base), answers(12, 350, 450, team))},
+		{name: "only other endpoints answer", young: true, events: slices.Concat(crashesOf(9, base), answers(12, 110, 290, rare))},
+		{name: "answers may be unknown", young: true, events: slices.Concat(crashesOf(3, base, bad), answers(12, 110, 290, base))},
+		{name: "answers may be unknown, five crashes", young: true, events: slices.Concat(crashesOf(5, base, bad), answers(12, 110, 290, base)), banned: []Identity{bad}},
 		{name: "all endpoints end, nothing is answered", young: true, events: crashesOf(12, base, team)},
 	} {
 		t.Run(row.name, func(t *testing.T) {
@@ -227,6 +237,20 @@
 	}
 }
 
+// TestPartProgress guards against a suspected part that is not cleared by a stream that has begun, and
+// against a request that is.
+func TestPartProgress(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newTestRegistry()
+		play(b, crashesOf(2, base)...)
+		is.True(b.Suspected(Keys{Parts: []Identity{base}}))
+		is.Equal(len(b.ReportProgress([]Identity{base}, time.Now())), 1)
+		is.True(!b.Suspected(Keys{Parts: []Identity{base}}))
+		is.True(b.Suspected(request(1)))
+	})
+}
+
 // TestPartVerdicts guards against answers that an instance knows of and the one that counts does not
 // learn.
 func TestPartVerdicts(t *testing.T) {
@@ -280,7 +304,7 @@
 			}, time.Now())
 		}
 		is.True(len(b.answers) <= maxRecentAnswers)
-		is.True(len(b.recentStarts) <= maxRecentStarts)
+		is.True(len(b.recentAnswers) <= maxRecentAttempts)
 		play(b, crashesOf(4*maxPartLinks, bad)...)
 		is.True(len(b.suspects[bad].chain) <= maxPartLinks)
 	})
--- a/quarantine/peerguard.go
+++ b/quarantine/peerguard.go
@@ -253,7 +253,17 @@
 
 // ReportAnswered implements Guard.
 func (g *PeerGuard) ReportAnswered(k Keys, startedAt time.Time) {
-	for _, v := range g.registry.ReportAnswered(k, startedAt) {
+	g.report(g.registry.ReportAnswered(k, startedAt))
+}
+
+// ReportProgress implements Guard.
+func (g *PeerGuard) ReportProgress(parts []Identity, startedAt time.Time) {
+	g.report(g.registry.ReportProgress(parts, startedAt))
+}
+
+// report queues verdicts for the other instances that count the crashes of their identities.
+func (g *PeerGuard) report(verdicts []Verdict) {
+	for _, v := range verdicts {
 		g.enqueue(outgoing{
 			to:      g.otherCountingInstances(v.Identity),
 			verdict: v,
--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -94,9 +94,9 @@
 	answers         map[Identity]time.Time
 	answersPurgedAt time.Time
 	createdAt       time.Time
-	// recentStarts has the starts of the last answered attempts with parts, the oldest first.
-	recentStarts []time.Time
-	stats        Stats
+	// recentAnswers has the last answered attempts with parts, the oldest first.
+	recentAnswers []recentAnswer
+	stats         Stats
 }
 
 // Stats are the counters of a registry.
@@ -174,7 +174,12 @@
 	}
 	var extended []Identity
 	for _, part := range c.Parts {
-		if !r.startedDuringBan(part, c, now) && r.partSuspectFor(part, now).extendPart(c, end) {
+		// An attempt that was started after the end and has been answered shows that the part isn't the
+		// cause. The report may come late, from an instance that was suspended or has a new owner.
+		if r.answers[part].After(end.at) || r.startedDuringBan(part, c, now) {
+			continue
+		}
+		if r.partSuspectFor(part, now).extendPart(c, end) {
 			extended = append(extended, part)
 		}
 	}
@@ -281,15 +286,16 @@
 			State:    Cleared,
 		})
 	}
-	if len(k.Parts) > 0 {
-		r.recordStart(startedAt)
-	}
-	for _, part := range k.Parts {
-		if r.answeredPart(part, startedAt) {
-			out = append(out, partAnswer(part, startedAt))
-		}
-	}
-	return out
+	return append(out, r.answeredParts(k.Parts, startedAt)...)
+}
+
+// ReportProgress records that an attempt which was started at the given time has written so much of
+// its answer that the parts don't crash endpoints which begin to answer. It returns the verdicts that
+// the instances which count crashes need to know.
+func (r *Registry) ReportProgress(parts []Identity, startedAt time.Time) []Verdict {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.answeredParts(parts, startedAt)
 }
 
 // clear removes the suspect and the ban of an identity, and reports whether there was either. The
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -37,6 +37,8 @@
 	firstAfter time.Duration
 	// via is the instance that forwards the connection to the endpoint; empty for a direct one.
 	via string
+	// progressed is set once the quarantine knows that the answer has begun.
+	progressed bool
 	// longestGap is the longest pause between events so far.
 	longestGap time.Duration
 	// framing is how the answer's end is marked; empty without an answer. leftover is the number of
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -58,7 +58,11 @@
 		return
 	}
 	if res.answered && res.outcome == pool.Served {
-		l.parts.Quarantine.ReportAnswered(t.job.history.Keys(), t.startedAt)
+		k := t.job.history.Keys()
+		if t.progressed {
+			k.Parts = nil
+		}
+		l.parts.Quarantine.ReportAnswered(k, t.startedAt)
 		return
 	}
 	suspects := t.suspects(res)
@@ -73,6 +77,15 @@
 	})
 }
 
+// reportProgress reports to the quarantine, once, that the endpoint has sent enough events of a stream.
+func (t *attempt) reportProgress(events int) {
+	if t.relay.parts.Quarantine == nil || t.progressed || events < quarantine.MinProgress {
+		return
+	}
+	t.progressed = true
+	t.relay.parts.Quarantine.ReportProgress(t.job.history.Parts, t.startedAt)
+}
+
 // suspects returns the addresses of the endpoints that may have crashed during an attempt.
 func (t *attempt) suspects(res result) []string {
 	switch {
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -30,6 +30,10 @@
 	mu      sync.Mutex
 	crashes []quarantine.Crash
 	served  int
+	// progress has the number of parts of each report of progress, and servedParts that of each
+	// report of a complete answer.
+	progress    []int
+	servedParts []int
 }
 
 // Admit implements quarantine.Guard.
@@ -62,10 +66,18 @@
 }
 
 // ReportAnswered implements quarantine.Guard.
-func (l *fakeGuard) ReportAnswered(quarantine.Keys, time.Time) {
+func (l *fakeGuard) ReportAnswered(k quarantine.Keys, _ time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.served++
+	l.servedParts = append(l.servedParts, len(k.Parts))
+}
+
+// ReportProgress implements quarantine.Guard.
+func (l *fakeGuard) ReportProgress(parts []quarantine.Identity, _ time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.progress = append(l.progress, len(parts))
 }
 
 // newCrashTest returns a relay with a guard and an attempt at endpoint e1 with e2 as a helper
@@ -274,3 +286,35 @@
 	})
 	is.True(!again)
 }
+
+// TestProgressReportedOnce guards against parts of prompts whose answers the quarantine learns of too
+// early, never, or twice.
+func TestProgressReportedOnce(t *testing.T) {
+	for _, row := range []struct {
+		name        string
+		events      []int
+		progress    []int
+		servedParts []int
+	}{
+		{"no stream", nil, nil, []int{2}},
+		{"short stream", []int{1, 2}, nil, []int{2}},
+		{"stream", []int{1, 2, 3, 4, 9}, []int{2}, []int{0}},
+		{"many events at once", []int{9, 10}, []int{2}, []int{0}},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			guard := &fakeGuard{}
+			l, a := newCrashTest(guard)
+			a.job.history.Parts = []quarantine.Identity{1, 2}
+			for _, n := range row.events {
+				a.reportProgress(n)
+			}
+			l.reportOutcome(a, result{
+				outcome:  pool.Served,
+				answered: true,
+			})
+			is.Equal(guard.progress, row.progress)
+			is.Equal(guard.servedParts, row.servedParts)
+		})
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -53,6 +53,7 @@
 			t.recordGap(&last)
 			t.recordFirstEvent()
 			w.recordActivity()
+			t.reportProgress(scanner.Events())
 			if !identified(&scanner) {
 				// Another endpoint could not tell where to continue.
 				w.end()
