pool: don't take the client's lock in a link that learns a verdict

Five of six processes of TestUnrelatedCrashesWithParts, six at a time, hung until they were ended after 14 minutes: an instance served nothing more.

Cause: the answer to the suspicion of a part was sent in a goroutine of its own, but the service that it goes to was determined before that, with the client's lock, while the caller holds the lock of a link. relink takes both in the other order. A dump of the goroutines shows learnVerdict waiting for the one and chooseOwners for the other.

--- a/pool/client_crashes.go
+++ b/pool/client_crashes.go
@@ -121,7 +121,8 @@
 }
 
 // learnVerdict applies a verdict that an owner sent. It answers the suspicion of a part with the last
-// answer to a request with it, which may show that the part is not the cause.
+// answer to a request with it, which may show that the part is not the cause. The caller holds the lock
+// of a link, so c.mu must not be taken here.
 func (c *Client) learnVerdict(v quarantine.Verdict) {
 	registry := c.local.settings.Quarantine
 	registry.ApplyVerdict(v)
@@ -129,8 +130,7 @@
 		return
 	}
 	if answer, ok := registry.LastAnswer(v.Identity); ok {
-		// The caller holds the lock of the link that the answer may go out on.
-		go c.broadcast(c.commonPool(), ownerVerdictMessage(answer), nil)
+		go c.reportVerdicts([]quarantine.Verdict{answer})
 	}
 }
 
