pool: one table of failures for the tests of counted crashes

TestPartCrashesCounted repeated the failures of TestCrashesCounted and lacked two of them; it has all five now. A comment of the retry ledger is worded more clearly.

--- a/pool/crash_test.go
+++ b/pool/crash_test.go
@@ -74,44 +74,47 @@
 	}
 }
 
+// ownerFailures are failures of instances that count crashes.
+var ownerFailures = []struct {
+	name string
+	// fail returns the instances that are gone.
+	fail func(f *fleet) []*node
+}{
+	{"no failure", func(*fleet) []*node { return nil }},
+	{"owner stops", func(f *fleet) []*node {
+		first := f.owner()
+		close(first.closing)
+		f.owner(first.self.ID)
+		return []*node{first}
+	}},
+	{"owner is killed", func(f *fleet) []*node {
+		first := f.owner()
+		first.rpc.Stop()
+		f.owner(first.self.ID)
+		return []*node{first}
+	}},
+	{"owner and standby stop", func(f *fleet) []*node {
+		first := f.owner()
+		close(first.closing)
+		second := f.owner(first.self.ID)
+		close(second.closing)
+		// The remaining instances find both sessions closed and open sessions to the next two
+		// owners.
+		time.Sleep(600 * time.Millisecond)
+		return []*node{first, second}
+	}},
+	{"all connections are reset", func(f *fleet) []*node {
+		for _, n := range f.nodes {
+			n.listener.reset()
+		}
+		return nil
+	}},
+}
+
 // TestCrashesCounted guards against crashes that are lost when the instance that counts them fails:
 // the request must be banned everywhere after the third one.
 func TestCrashesCounted(t *testing.T) {
-	for _, row := range []struct {
-		name string
-		// between runs after the second crash, and returns the instances that are gone.
-		between func(f *fleet) []*node
-	}{
-		{"no failure", func(*fleet) []*node { return nil }},
-		{"owner stops", func(f *fleet) []*node {
-			first := f.owner()
-			close(first.closing)
-			f.owner(first.self.ID)
-			return []*node{first}
-		}},
-		{"owner is killed", func(f *fleet) []*node {
-			first := f.owner()
-			first.rpc.Stop()
-			f.owner(first.self.ID)
-			return []*node{first}
-		}},
-		{"owner and standby stop", func(f *fleet) []*node {
-			first := f.owner()
-			close(first.closing)
-			second := f.owner(first.self.ID)
-			close(second.closing)
-			// The remaining instances find both sessions closed and open sessions to the next two
-			// owners.
-			time.Sleep(600 * time.Millisecond)
-			return []*node{first, second}
-		}},
-		{"all connections are reset", func(f *fleet) []*node {
-			for _, n := range f.nodes {
-				n.listener.reset()
-			}
-			return nil
-		}},
-	} {
+	for _, row := range ownerFailures {
 		t.Run(row.name, func(t *testing.T) {
 			f := newFleet(t, 6)
 			owner := f.owner()
@@ -119,7 +122,7 @@
 			f.without(owner)[0].reportCrash(1)
 			f.without(owner)[4].reportCrash(2)
 			settle()
-			gone := row.between(f)
+			gone := row.fail(f)
 			left := f.without(gone...)
 			assertBanned(t, left, false)
 			left[len(left)/2].reportCrash(3)
@@ -279,27 +282,7 @@
 // TestPartCrashesCounted guards against requests with a part that crashes engines if the instance that
 // counts fails, and against a ban of a part whose answers only other instances have seen.
 func TestPartCrashesCounted(t *testing.T) {
-	for _, row := range []struct {
-		name string
-		// between runs after the second crash, and returns the instances that are gone.
-		between func(f *fleet) []*node
-	}{
-		{"no failure", func(*fleet) []*node { return nil }},
-		{"owner is killed", func(f *fleet) []*node {
-			first := f.owner()
-			first.rpc.Stop()
-			f.owner(first.self.ID)
-			return []*node{first}
-		}},
-		{"owner and standby stop", func(f *fleet) []*node {
-			first := f.owner()
-			close(first.closing)
-			second := f.owner(first.self.ID)
-			close(second.closing)
-			time.Sleep(600 * time.Millisecond)
-			return []*node{first, second}
-		}},
-	} {
+	for _, row := range ownerFailures {
 		t.Run(row.name, func(t *testing.T) {
 			is := is.New(t)
 			f := newFleet(t, 6)
@@ -310,7 +293,7 @@
 			others[0].reportPartCrash(1)
 			others[4].reportPartCrash(2)
 			settle()
-			gone := row.between(f)
+			gone := row.fail(f)
 			left := f.without(gone...)
 			for i := range 3 {
 				left[i%len(left)].reportPartCrash(3 + i)
--- a/pool/retries.go
+++ b/pool/retries.go
@@ -54,8 +54,8 @@
 
 // retryUse is the use of a budget in the present window, as one instance knows it.
 type retryUse struct {
-	// own has the sends of the processes whose requests this instance decides on, and all those of
-	// all known processes. First sends of processes that have ended are missing from own.
+	// own has the sends of the processes whose requests this instance decides on, and all has the
+	// sends of all known processes. First sends of processes that have ended are missing from own.
 	own, all sendCounts
 	// share is the part of Extra that this instance may use.
 	share float64
