quarantine: name the dependencies of a registry as such

The struct was called Parts, as in other packages, where parts of prompts are what the package is about. Only names change; the tests of quarantine and those of crashes in pool pass.

--- a/fleet/vnode_test.go
+++ b/fleet/vnode_test.go
@@ -287,7 +287,7 @@
 	n.claimer = claim.NewClaimer(n.claimServices)
 	n.lender = limit.NewLender(0)
 	n.borrower = limit.NewBorrower(id, n)
-	n.registry = quarantine.New(steady.Now, quarantine.Parts{}, logr.Discard())
+	n.registry = quarantine.New(steady.Now, quarantine.Dependencies{}, logr.Discard())
 	n.peerGuard = quarantine.NewPeerGuard(n.registry, n, logr.Discard())
 	n.entry = entry.New(entry.Settings{
 		Self:     self,
--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -43,7 +43,7 @@
 	}, store, g.peers, g.log.WithName("catalog"))
 	g.assemblePaths(dial)
 	g.notices = notice.New(steady.Now, g.log.WithName("notice"))
-	g.quarantine = quarantine.New(steady.Now, quarantine.Parts{
+	g.quarantine = quarantine.New(steady.Now, quarantine.Dependencies{
 		Turn:   g.retestTurn,
 		Survey: g.surveyEndpoints,
 	}, g.log.WithName("quarantine"))
@@ -82,7 +82,7 @@
 	g.placer = pool.NewClient(g.self, g.pools, g.peers, log)
 }
 
-// surveyEndpoints implements quarantine.Parts.Survey. The registry, which calls it, is created before
+// surveyEndpoints implements quarantine.Dependencies.Survey. The registry, which calls it, is created before
 // the pools.
 func (g *Gateway) surveyEndpoints(address string, since time.Time) []string {
 	return g.pools.EndedBeside(address, since)
--- a/node/node.go
+++ b/node/node.go
@@ -238,7 +238,7 @@
 		RepeatAfter: time.Duration(f.Times.RepeatConfiguration),
 	}, log, n.peers, n.log.WithName("rollout"))
 	n.atomicRollout.Store(n.rollout)
-	n.quarantine = quarantine.New(steady.Now, quarantine.Parts{
+	n.quarantine = quarantine.New(steady.Now, quarantine.Dependencies{
 		Turn: n.peers.retestTurn,
 	}, n.log.WithName("quarantine"))
 	n.peerGuard = quarantine.NewPeerGuard(n.quarantine, n.peers, n.log.WithName("quarantine"))
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -77,7 +77,7 @@
 		s.Draw = rand.N[time.Duration]
 	}
 	if s.Quarantine == nil {
-		s.Quarantine = quarantine.New(s.Now, quarantine.Parts{}, log)
+		s.Quarantine = quarantine.New(s.Now, quarantine.Dependencies{}, log)
 	}
 	if s.Notices == nil {
 		s.Notices = notice.New(s.Now, log)
--- a/quarantine/admission.go
+++ b/quarantine/admission.go
@@ -81,7 +81,7 @@
 // must hold the lock.
 func (r *Registry) retestAllowedFrom(id Identity, b *ban) time.Time {
 	if b.retestFrom.IsZero() {
-		b.retestFrom = b.until.Add(r.parts.Turn(id).delay())
+		b.retestFrom = b.until.Add(r.deps.Turn(id).delay())
 	}
 	return b.retestFrom
 }
--- a/quarantine/admission_test.go
+++ b/quarantine/admission_test.go
@@ -47,7 +47,7 @@
 func bannedRegistries(n int) []*Registry {
 	var all []*Registry
 	for i := range n {
-		all = append(all, New(time.Now, Parts{
+		all = append(all, New(time.Now, Dependencies{
 			Turn: func(Identity) RetestTurn {
 				return RetestTurn{
 					Position:  i,
--- a/quarantine/end.go
+++ b/quarantine/end.go
@@ -114,7 +114,7 @@
 // surveyAndBan bans an identity if the endpoint of the crash that reached the limit ended alone.
 // Endpoints that ran no request may have ended with it, which nobody has reported then.
 func (r *Registry) surveyAndBan(id Identity, attempt, endpoint string, endedAt time.Time) {
-	ended := r.parts.Survey(endpoint, endedAt.Add(-commonCauseWindow))
+	ended := r.deps.Survey(endpoint, endedAt.Add(-commonCauseWindow))
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s, i := r.linkOf(id, attempt)
@@ -160,7 +160,7 @@
 	case n >= limit && r.isExplained(id, s):
 		r.stats.Common++
 		s.chain = nil
-	case n >= limit && r.parts.Survey != nil:
+	case n >= limit && r.deps.Survey != nil:
 		end := s.chain[i].crash
 		go r.surveyAndBan(id, attempt, end.Endpoint, end.EndedAt)
 	case n >= limit:
--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -147,8 +147,8 @@
 // its last end did not end together with others.
 func (r *Registry) judgePart(id Identity, end *endpointEnd) {
 	var ended []string
-	if r.parts.Survey != nil && r.atPartLimit(id) {
-		ended = r.parts.Survey(r.addressOf(end), end.at.Add(-commonCauseWindow))
+	if r.deps.Survey != nil && r.atPartLimit(id) {
+		ended = r.deps.Survey(r.addressOf(end), end.at.Add(-commonCauseWindow))
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/quarantine/part_test.go
+++ b/quarantine/part_test.go
@@ -296,7 +296,7 @@
 func TestPartsStaySmall(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
 		is := is.New(t)
-		b := New(time.Now, Parts{}, logr.Discard())
+		b := New(time.Now, Dependencies{}, logr.Discard())
 		for i := range 3 * maxRecentAnswers {
 			b.ReportAnswered(Keys{
 				Request: Identity(i),
--- a/quarantine/record_test.go
+++ b/quarantine/record_test.go
@@ -82,7 +82,7 @@
 // newRecordingInstance starts a recorder that runs until the test ends.
 func newRecordingInstance(t *testing.T, m *memoryStore, owner bool) *recordingInstance {
 	k := &recordingInstance{
-		registry: New(time.Now, Parts{}, logr.Discard()),
+		registry: New(time.Now, Dependencies{}, logr.Discard()),
 	}
 	go NewRecorder(k.registry, m, func() bool { return owner }, logr.Discard()).Run(t.Context())
 	return k
--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -74,7 +74,7 @@
 // concurrent use.
 type Registry struct {
 	now   func() time.Time
-	parts Parts
+	deps  Dependencies
 	log   logr.Logger
 
 	mu       sync.Mutex
@@ -115,8 +115,8 @@
 	Cleared int `json:"cleared"`
 }
 
-// Parts are the functions that a registry uses. Each may be nil.
-type Parts struct {
+// Dependencies are the functions that a registry uses. Each may be nil.
+type Dependencies struct {
 	// Turn returns the position of this instance in the order in which instances admit requests of
 	// an identity after its ban. Without it there are no other instances.
 	Turn func(Identity) RetestTurn
@@ -127,13 +127,13 @@
 }
 
 // New returns an empty registry. The function now returns the time.
-func New(now func() time.Time, parts Parts, log logr.Logger) *Registry {
-	if parts.Turn == nil {
-		parts.Turn = func(Identity) RetestTurn { return RetestTurn{} }
+func New(now func() time.Time, deps Dependencies, log logr.Logger) *Registry {
+	if deps.Turn == nil {
+		deps.Turn = func(Identity) RetestTurn { return RetestTurn{} }
 	}
 	return &Registry{
 		now:             now,
-		parts:           parts,
+		deps:            deps,
 		log:             log,
 		suspects:        make(map[Identity]*suspect),
 		bans:            make(map[Identity]*ban),
--- a/quarantine/registry_test.go
+++ b/quarantine/registry_test.go
@@ -16,7 +16,7 @@
 
 // newTestRegistry returns an empty registry for tests in virtual time.
 func newTestRegistry() *Registry {
-	return New(time.Now, Parts{}, logr.Discard())
+	return New(time.Now, Dependencies{}, logr.Discard())
 }
 
 // inVirtualTime runs a test in virtual time.
@@ -135,7 +135,7 @@
 			inVirtualTime(t, func(t *testing.T) {
 				is := is.New(t)
 				surveys := 0
-				b := New(time.Now, Parts{
+				b := New(time.Now, Dependencies{
 					Survey: func(address string, _ time.Time) []string {
 						surveys++
 						is.Equal(address, "e3")
