--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -73,9 +73,9 @@
 // Registry holds what one instance knows of requests that crash endpoints. It is safe for
 // concurrent use.
 type Registry struct {
-	now   func() time.Time
-	deps  Dependencies
-	log   logr.Logger
+	now  func() time.Time
+	deps Dependencies
+	log  logr.Logger
 
 	mu       sync.Mutex
 	suspects map[Identity]*suspect
