--- a/soak/callers.go
+++ b/soak/callers.go
@@ -126,7 +126,9 @@
 			Body:     strings.Repeat("b", r.IntN(maxBodyLength)),
 			Instance: instance,
 		}
-		x.Parts = []string{"base", fmt.Sprint("team", number%teams), x.ID}
+		if c.deployment.namesParts {
+			x.Parts = []string{"base", fmt.Sprint("team", number%teams), x.ID}
+		}
 		switch r.IntN(4) {
 		case 0:
 			x.Key = c.deployment.currentKey()
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -60,11 +60,13 @@
 	// time, too.
 	strict bool
 	// budget is the retry budget of the instances.
-	budget    retryBudget
-	dir       string
-	store     *platformtest.Store
-	storeAddr string
-	processes []*process
+	budget retryBudget
+	// namesParts is set if callers name the parts of their prompts.
+	namesParts bool
+	dir        string
+	store      *platformtest.Store
+	storeAddr  string
+	processes  []*process
 	// seedAddresses lists the peer addresses of the seeds: the first instances, which each
 	// instance contacts when it starts.
 	seedAddresses []string
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -34,7 +34,8 @@
 	// Retries narrows the retry budget, and adds faults that cause many retries while instances
 	// stop in quick succession.
 	Retries bool
-	// Parts adds faults in which a part of prompts crashes engines.
+	// Parts makes callers name the parts of their prompts, and adds faults in which one of these
+	// crashes engines.
 	Parts bool
 	// Processes is the number of instances.
 	Processes int
@@ -80,6 +81,7 @@
 		return nil, err
 	}
 	defer d.close()
+	d.namesParts = s.Parts
 	if err := d.awaitReady(ctx); err != nil {
 		return nil, err
 	}
