soak: an endpoint that is down doesn't crash again

Cause: each crash of an endpoint scheduled a restart of its own. An instance that checks then finds the endpoint accepting: an answer without framing that was broken off looked complete, and the crash was not reported. That is the limit which docs/design/answers.md and quarantine.md name, but not the fault that the soak meant to play. Change: a crash while the endpoint is down has no effect, and a restart ends the wait. TestCrashWhileDown failed before.

--- a/soak/crash.go
+++ b/soak/crash.go
@@ -45,24 +45,39 @@
 }
 
 // crash makes an endpoint refuse connections, and restarts it under its name after
-// crashDowntime. Its open connections are reset, or closed in order if its answers are unframed.
+// crashDowntime. Its open connections are reset, or closed in order if its answers are unframed. An
+// endpoint that is down can't crash again.
 func (d *Deployment) crash(e *endpoint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e.down {
+		return
+	}
+	e.down = true
 	if e.Faults().Unframed {
 		e.proxy.End()
 	} else {
 		e.proxy.Refuse()
 	}
 	time.AfterFunc(crashDowntime, func() {
-		for e.proxy.Resume() != nil {
+		for !d.resume(e) {
 			time.Sleep(listenRetry)
 		}
-		d.mu.Lock()
-		e.startedAt = time.Now()
-		d.mu.Unlock()
 		d.writeEntry(e, false)
 	})
 }
 
+// resume restarts an endpoint after a crash, and reports whether it could listen on its address.
+func (d *Deployment) resume(e *endpoint) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e.proxy.Resume() != nil {
+		return false
+	}
+	e.down, e.startedAt = false, time.Now()
+	return true
+}
+
 // sendCrashing repeatedly sends a request that crashes endpoints, for the duration of a fault
 // and 2*detectWithin beyond it. The fault's target selects the route.
 func (d *Deployment) sendCrashing(s Fault) {
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -51,6 +51,8 @@
 	// startedAt is when the endpoint last restarted without getting a new name; zero if it never
 	// has.
 	startedAt time.Time
+	// down reports whether the endpoint has crashed and not restarted yet.
+	down bool
 }
 
 // Deployment holds the processes under test, the stand-ins around them, and the records of a run.
