quarantine: tell the ends of two processes at one address apart

Cause: reports of ends at one address within a second counted as one end. If an endpoint is back sooner and ends again, its second end kept the time of the first. Another endpoint that ended together with it then seemed to have ended alone, so a sound request was banned; and a request that crashed the same endpoint twice had only one of the crashes counted. Change: a crash report names the incarnation of the endpoint (a hash of its name and start). An attempt that was started after the known end, on another incarnation, is the sign of another end; everything else is as before, as instances may know outdated incarnations, and later attempts at an endpoint that stays down have the one that ended. Tests: TestEndsOfIncarnations, two rows failed before; the others hold what must stay. TestCrashMessages has the new field, with the same bound. Ruled out: telling them apart by the start of the attempt alone. Requests that are sent to endpoints which stay silent would count as so many ends (a trial; the fourth row).

--- a/pool/messages_test.go
+++ b/pool/messages_test.go
@@ -104,6 +104,7 @@
 			Attempt:         "0123456789abcdef.an-instance-of-a-long-name-17.zz",
 			PreviousAttempt: "0123456789abcdef.an-instance-of-a-long-name-17.zy",
 			Endpoint:        "10.128.100.100:8080",
+			Incarnation:     1 << 60,
 			OtherEndpoints:  []string{"10.128.100.101:8080"},
 			Identity:        1 << 63,
 			Parts:           []quarantine.Identity{1 << 62, 1 << 61},
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -64,6 +64,8 @@
 	// Endpoints are the addresses of the endpoints that worked on the attempt. The first is the one
 	// that the request was sent to.
 	Endpoints []string
+	// Incarnation identifies the process of the first of them; zero if it is unknown.
+	Incarnation Incarnation
 	// Suspects are the addresses of the endpoints that may have ended.
 	Suspects []string
 }
@@ -98,6 +100,7 @@
 		Attempt:         a.Attempt,
 		PreviousAttempt: h.lastFailed,
 		Identity:        h.Identity,
+		Incarnation:     a.Incarnation,
 		OtherEndpoints:  a.Endpoints,
 		StartedAt:       a.StartedAt,
 		EndedAt:         steady.Now(),
@@ -139,6 +142,8 @@
 		c.Endpoint = address
 		if len(c.OtherEndpoints) > 0 && address == c.OtherEndpoints[0] {
 			c.Parts = h.Parts
+		} else {
+			c.Incarnation = 0
 		}
 		c.OtherEndpoints = slices.DeleteFunc(slices.Clone(c.OtherEndpoints), func(other string) bool { return other == address })
 		d.guard.ReportCrash(c)
--- a/quarantine/end.go
+++ b/quarantine/end.go
@@ -12,7 +12,7 @@
 const (
 	// sameEndWindow is the greatest difference between the times that two reports give for the same
 	// end of an endpoint. It covers detection by silence and is shorter than the restart of an
-	// endpoint.
+	// endpoint whose incarnations aren't known.
 	sameEndWindow = time.Second
 	// commonCauseWindow is the most time between the ends of two endpoints that are attributed to a
 	// common cause. It covers the delays with which instances notice an end.
@@ -31,6 +31,8 @@
 // endpointEnd is one end of an endpoint.
 type endpointEnd struct {
 	at time.Time
+	// incarnation is the process of the endpoint that ended; zero if unknown.
+	incarnation Incarnation
 	// identities are the requests that the endpoint was running, and their parts, as far as
 	// reported.
 	identities []Identity
@@ -40,10 +42,11 @@
 // before, and adds the crash's identity to it. The caller must hold the lock.
 func (r *Registry) recordEnd(c Crash, now time.Time) *endpointEnd {
 	e := r.ends[c.Endpoint]
-	if e == nil || c.EndedAt.Sub(e.at).Abs() > sameEndWindow {
+	if e == nil || !e.matches(c) {
 		maps.DeleteFunc(r.ends, func(_ string, old *endpointEnd) bool { return now.Sub(old.at) > endRetention })
 		e = &endpointEnd{
-			at: c.EndedAt,
+			at:          c.EndedAt,
+			incarnation: c.Incarnation,
 		}
 		r.ends[c.Endpoint] = e
 	}
@@ -54,6 +57,14 @@
 	return e
 }
 
+// matches reports whether a crash of the endpoint is this end of it. An attempt that was started later, on
+// another incarnation, shows that the endpoint has restarted in between. Of an attempt from before the end,
+// the incarnation may be an outdated one.
+func (e *endpointEnd) matches(c Crash) bool {
+	restarted := e.incarnation != 0 && c.Incarnation != 0 && e.incarnation != c.Incarnation && c.StartedAt.After(e.at)
+	return !restarted && c.EndedAt.Sub(e.at).Abs() <= sameEndWindow
+}
+
 // add records an identity, unless there are too many.
 func (e *endpointEnd) add(id Identity) {
 	if len(e.identities) < maxIdentitiesPerEnd && !slices.Contains(e.identities, id) {
--- a/quarantine/identity.go
+++ b/quarantine/identity.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"strconv"
+	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -27,6 +28,16 @@
 	return identityOf([]byte(id), service)
 }
 
+// Incarnation identifies a process of an endpoint, of which there may be several at one address, one
+// after the other. The zero value means that it is unknown.
+type Incarnation uint64
+
+// IdentifyIncarnation returns the incarnation of the endpoint with the given name that was started at a
+// time, which counts in milliseconds. The time is zero if the endpoint has not restarted under its name.
+func IdentifyIncarnation(name string, startedAt time.Time) Incarnation {
+	return Incarnation(identityOf(binary.BigEndian.AppendUint64(nil, uint64(startedAt.UnixMilli())), name))
+}
+
 // identityOf hashes texts, each after its length, and then data.
 func identityOf(data []byte, texts ...string) Identity {
 	h := sha256.New()
--- a/quarantine/messages.go
+++ b/quarantine/messages.go
@@ -11,14 +11,15 @@
 // EncodeCrash returns the message for a crash. Its times are sent as ages at now.
 func EncodeCrash(c Crash, now time.Time) *quarantinepb.Crashed {
 	return &quarantinepb.Crashed{
-		Attempt:  c.Attempt,
-		Before:   c.PreviousAttempt,
-		Identity: uint64(c.Identity),
-		Endpoint: c.Endpoint,
-		Others:   c.OtherEndpoints,
-		Parts:    encodeIdentities(c.Parts),
-		BeganUs:  now.Sub(c.StartedAt).Microseconds(),
-		EndedUs:  now.Sub(c.EndedAt).Microseconds(),
+		Attempt:     c.Attempt,
+		Before:      c.PreviousAttempt,
+		Identity:    uint64(c.Identity),
+		Endpoint:    c.Endpoint,
+		Incarnation: uint64(c.Incarnation),
+		Others:      c.OtherEndpoints,
+		Parts:       encodeIdentities(c.Parts),
+		BeganUs:     now.Sub(c.StartedAt).Microseconds(),
+		EndedUs:     now.Sub(c.EndedAt).Microseconds(),
 	}
 }
 
@@ -30,6 +31,7 @@
 		PreviousAttempt: m.GetBefore(),
 		Identity:        Identity(m.GetIdentity()),
 		Endpoint:        m.GetEndpoint(),
+		Incarnation:     Incarnation(m.GetIncarnation()),
 		OtherEndpoints:  m.GetOthers(),
 		Parts:           decodeIdentities(m.GetParts()),
 		StartedAt:       ago(m.GetBeganUs()),
--- a/quarantine/registry_test.go
+++ b/quarantine/registry_test.go
@@ -118,6 +118,70 @@
 	}
 }
 
+// incarnationCrash is an attempt that crashed an incarnation of an endpoint.
+type incarnationCrash struct {
+	crashedAttempt
+
+	incarnation Incarnation
+}
+
+// TestEndsOfIncarnations guards against taking the ends of two incarnations of an endpoint for one: other
+// endpoints then seem not to have ended together with one of them, or a request to have crashed fewer.
+func TestEndsOfIncarnations(t *testing.T) {
+	for _, row := range []struct {
+		name   string
+		runs   []incarnationCrash
+		banned bool
+	}{
+		{"other endpoints end again", []incarnationCrash{
+			{crashedAttempt{"w", "e2", 0, 100, 2}, 21},
+			{crashedAttempt{"a", "e1", 400, 500, 1}, 11}, {crashedAttempt{"x", "e2", 410, 500, 3}, 22},
+			{crashedAttempt{"b", "e3", 810, 900, 1}, 31}, {crashedAttempt{"y", "e1", 820, 900, 4}, 12},
+			{crashedAttempt{"c", "e4", 1210, 1300, 1}, 41}, {crashedAttempt{"z", "e1", 1220, 1300, 5}, 13},
+		}, false},
+		{"an endpoint ends again under the request", []incarnationCrash{
+			{crashedAttempt{"a", "e1", 0, 100, 1}, 11}, {crashedAttempt{"b", "e2", 110, 300, 1}, 21},
+			{crashedAttempt{"c", "e1", 310, 500, 1}, 12},
+		}, true},
+		{"one end, and an outdated incarnation in a report", []incarnationCrash{
+			{crashedAttempt{"a", "e1", 0, 100, 1}, 12}, {crashedAttempt{"x", "e1", 10, 101, 2}, 11},
+			{crashedAttempt{"b", "e2", 110, 200, 1}, 21}, {crashedAttempt{"c", "e3", 210, 300, 1}, 31},
+		}, true},
+		{"endpoints that end together stay silent for later attempts", []incarnationCrash{
+			{crashedAttempt{"v", "e1", 0, 100, 2}, 11}, {crashedAttempt{"w", "e2", 0, 100, 3}, 21},
+			{crashedAttempt{"x", "e3", 0, 100, 4}, 31},
+			{crashedAttempt{"a", "e1", 110, 300, 1}, 11}, {crashedAttempt{"b", "e2", 310, 500, 1}, 21},
+			{crashedAttempt{"c", "e3", 510, 700, 1}, 31},
+		}, false},
+		{"unknown incarnations", []incarnationCrash{
+			{crashedAttempt{"a", "e1", 0, 100, 1}, 0}, {crashedAttempt{"b", "e2", 110, 300, 1}, 0},
+			{crashedAttempt{"c", "e1", 310, 500, 1}, 0},
+		}, false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				b := newTestRegistry()
+				start := time.Now()
+				at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+				for _, r := range row.runs {
+					time.Sleep(time.Until(at(r.endMs)))
+					b.ReportCrash(Crash{
+						Attempt:     r.attempt,
+						Endpoint:    r.endpoint,
+						Incarnation: r.incarnation,
+						Identity:    r.identity,
+						StartedAt:   at(r.startMs),
+						EndedAt:     at(r.endMs),
+					})
+				}
+				time.Sleep(SettleDelay)
+				synctest.Wait()
+				assertBanned(t, b, row.banned)
+			})
+		})
+	}
+}
+
 // TestSurvey guards against a ban by a crash beside which other endpoints ended that ran no request,
 // and against a survey that takes earlier ends, or those under the request itself, for such ones.
 func TestSurvey(t *testing.T) {
--- a/quarantine/types.go
+++ b/quarantine/types.go
@@ -13,8 +13,10 @@
 	PreviousAttempt string
 	// Identity is the identity of the request.
 	Identity Identity
-	// Endpoint is the address of the endpoint that ended.
-	Endpoint string
+	// Endpoint is the address of the endpoint that ended, and Incarnation identifies its process; zero
+	// if that is unknown.
+	Endpoint    string
+	Incarnation Incarnation
 	// Parts are the identities of the parts of the prompt, if the endpoint that ended is the one that
 	// was to answer; nil otherwise.
 	Parts []Identity
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -70,10 +70,11 @@
 		return
 	}
 	l.detector.AttemptFailed(&t.job.history, quarantine.FailedAttempt{
-		Attempt:   t.request.ID,
-		StartedAt: t.startedAt,
-		Endpoints: t.addresses(),
-		Suspects:  suspects,
+		Attempt:     t.request.ID,
+		StartedAt:   t.startedAt,
+		Endpoints:   t.addresses(),
+		Incarnation: quarantine.IdentifyIncarnation(t.grant.Instance, t.grant.StartedAt),
+		Suspects:    suspects,
 	})
 }
 
