quarantine: count an end that a survey finds of an endpoint that has restarted

Cause: a survey of endpoints beside one that ended left out those with a known end, for ten seconds, as they may have been down since. An endpoint that was back in the meantime and ended again without a request, together with the other, was left out as well, so a sound request could be banned. Change: a survey names the incarnation that ended. If it is another one than that of the known end, more than a second before, it has ended anew. Test: TestSurvey, "an endpoint that ended long before and again", failed before; "and is still down" holds what must stay.

--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -84,7 +84,7 @@
 
 // surveyEndpoints implements quarantine.Dependencies.Survey. The registry, which calls it, is created before
 // the pools.
-func (g *Gateway) surveyEndpoints(address string, since time.Time) []string {
+func (g *Gateway) surveyEndpoints(address string, since time.Time) []quarantine.EndedEndpoint {
 	return g.pools.EndedBeside(address, since)
 }
 
--- a/quarantine/end.go
+++ b/quarantine/end.go
@@ -143,12 +143,15 @@
 }
 
 // recordSurveyed records the endpoints that a survey found ended beside an end that was reported,
-// except for those whose ends are known. The caller must hold the lock.
-func (r *Registry) recordSurveyed(addresses []string, beside *endpointEnd) {
-	for _, address := range addresses {
-		if r.ends[address] == nil {
-			r.ends[address] = &endpointEnd{
-				at: beside.at,
+// except for those whose ends are known. An endpoint that has restarted since its known end has ended
+// anew. The caller must hold the lock.
+func (r *Registry) recordSurveyed(ended []EndedEndpoint, beside *endpointEnd) {
+	for _, e := range ended {
+		known := r.ends[e.Address]
+		if known == nil || beside.at.Sub(known.at) > sameEndWindow && known.incarnation != 0 && known.incarnation != e.Incarnation {
+			r.ends[e.Address] = &endpointEnd{
+				at:          beside.at,
+				incarnation: e.Incarnation,
 			}
 		}
 	}
--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -146,7 +146,7 @@
 // judgePart bans a part if it is at its limit, no other part explains the ends, and the endpoint of
 // its last end did not end together with others.
 func (r *Registry) judgePart(id Identity, end *endpointEnd) {
-	var ended []string
+	var ended []EndedEndpoint
 	if r.deps.Survey != nil && r.atPartLimit(id) {
 		ended = r.deps.Survey(r.addressOf(end), end.at.Add(-commonCauseWindow))
 	}
--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -120,10 +120,10 @@
 	// Turn returns the position of this instance in the order in which instances admit requests of
 	// an identity after its ban. Without it there are no other instances.
 	Turn func(Identity) RetestTurn
-	// Survey returns the addresses of the endpoints beside the one at the given address that have
+	// Survey returns the endpoints beside the one at the given address that have
 	// ended since a given time, whether or not they ran requests. It may take some time. Without
 	// it, an end is known only from the requests that it interrupted.
-	Survey func(address string, since time.Time) []string
+	Survey func(address string, since time.Time) []EndedEndpoint
 }
 
 // New returns an empty registry. The function now returns the time.
--- a/quarantine/registry_test.go
+++ b/quarantine/registry_test.go
@@ -187,26 +187,37 @@
 func TestSurvey(t *testing.T) {
 	for _, row := range []struct {
 		name   string
-		ended  []string
+		ended  []EndedEndpoint
 		banned bool
 	}{
 		{"no other end", nil, true},
-		{"an idle endpoint", []string{"e8"}, false},
-		{"endpoints that the request has crashed", []string{"e1", "e2"}, true},
-		{"an endpoint that ended before, under another request", []string{"e9"}, true},
+		{"an idle endpoint", []EndedEndpoint{{"e8", 81}}, false},
+		{"endpoints that the request has crashed", []EndedEndpoint{{"e1", 11}, {"e2", 21}}, true},
+		{"an endpoint that ended before, under another request", []EndedEndpoint{{"e9", 91}}, true},
+		{"an endpoint that ended long before and is still down", []EndedEndpoint{{"e0", 1}}, true},
+		{"an endpoint that ended long before and again", []EndedEndpoint{{"e0", 2}}, false},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			inVirtualTime(t, func(t *testing.T) {
 				is := is.New(t)
 				surveys := 0
 				b := New(time.Now, Dependencies{
-					Survey: func(address string, _ time.Time) []string {
+					Survey: func(address string, _ time.Time) []EndedEndpoint {
 						surveys++
 						is.Equal(address, "e3")
 						time.Sleep(20 * time.Millisecond)
 						return row.ended
 					},
 				}, logr.Discard())
+				b.ReportCrash(Crash{
+					Attempt:     "v",
+					Endpoint:    "e0",
+					Incarnation: 1,
+					Identity:    2,
+					StartedAt:   time.Now(),
+					EndedAt:     time.Now(),
+				})
+				time.Sleep(2 * time.Second)
 				reportCrashes(b, []crashedAttempt{
 					{"a", "e1", 0, 100, 0}, {"x", "e9", 0, 160, 2}, {"b", "e2", 110, 300, 0}, {"c", "e3", 305, 500, 0},
 				}...)
--- a/quarantine/types.go
+++ b/quarantine/types.go
@@ -29,6 +29,12 @@
 	EndedAt   time.Time
 }
 
+// EndedEndpoint is an endpoint that was found to have ended, with its last incarnation.
+type EndedEndpoint struct {
+	Address     string
+	Incarnation Incarnation
+}
+
 // State says whether the requests of an identity may run.
 type State int
 
