--- a/gateway/unrelated_test.go
+++ b/gateway/unrelated_test.go
@@ -30,6 +30,7 @@
 		if i%4 != 0 {
 			return
 		}
+		w.await("running", func() bool { return w.answering() > 0 })
 		for _, x := range w.crashing {
 			x.crash()
 		}
