pool: forget the failure rate of a plain endpoint that gets no requests

Cause: the failure rate of an endpoint changes with its requests only, and a plain endpoint that had failed got none while the load of the others was lower than its penalty: at little load never again. Test: TestPlainEndpointUsedAgain failed before. Ruled out: a rate that decays. Among idle endpoints any rest of it keeps the endpoint last.

--- a/pool/ejection.go
+++ b/pool/ejection.go
@@ -48,8 +48,9 @@
 	// report them.
 	shared ejectionRecord
 	// failureRate is the moving average of the part of requests that were not served, without
-	// abandoned ones.
+	// abandoned ones, and ratedAt is when it was last updated.
 	failureRate float64
+	ratedAt     time.Time
 	// reporter is the instance that reported the last failure, and reportedAt when it did.
 	reporter   string
 	reportedAt time.Time
@@ -68,8 +69,22 @@
 	startedAt time.Time
 }
 
-// rateWeight is the weight of the latest outcome in the failure rate.
-const rateWeight = 0.1
+// Parameters of the failure rate.
+const (
+	// rateWeight is the weight of the latest outcome.
+	rateWeight = 0.1
+	// rateLifetime is how long the rate holds without new outcomes. Without it, a plain endpoint that
+	// gets no requests because of its failures would never be tried again.
+	rateLifetime = 10 * time.Second
+)
+
+// recentFailureRate returns the failure rate; zero if it is too old to hold.
+func (h *endpointHealth) recentFailureRate(now time.Time) float64 {
+	if now.Sub(h.ratedAt) > rateLifetime {
+		return 0
+	}
+	return h.failureRate
+}
 
 // record updates the health by an outcome that an instance reported. Own is set if that was this
 // instance. It reports whether the outcome ejects the endpoint for all instances, except for the
@@ -83,7 +98,9 @@
 	if o == Served {
 		failed = 0
 	}
+	h.failureRate = h.recentFailureRate(now)
 	h.failureRate += rateWeight * (failed - h.failureRate)
+	h.ratedAt = now
 	if own {
 		h.own.record(o, now)
 	}
--- a/pool/plain.go
+++ b/pool/plain.go
@@ -20,7 +20,7 @@
 	}
 	slowdowns := p.plainSlowdowns(now)
 	best := slices.MinFunc(list, func(a, b *placement.Engine) int {
-		return cmp.Or(cmp.Compare(p.load(a, slowdowns), p.load(b, slowdowns)),
+		return cmp.Or(cmp.Compare(p.load(a, slowdowns, now), p.load(b, slowdowns, now)),
 			cmp.Compare(p.health[b.Instance].preference, p.health[a.Instance].preference))
 	})
 	addPlain(best, w.placementRequest.ID)
@@ -42,10 +42,10 @@
 // load returns the load that a request finds on a plain endpoint: the number of requests for each
 // slot, plus a penalty for recent failures. For an endpoint in slowdowns, the number of requests,
 // including the new one, is multiplied by its slowdown, and the new one is then subtracted.
-func (p *poolState) load(e *placement.Engine, slowdowns map[string]float64) float64 {
+func (p *poolState) load(e *placement.Engine, slowdowns map[string]float64, now time.Time) float64 {
 	busy := float64(len(e.Jobs))
 	if slowdown, slow := slowdowns[e.Instance]; slow {
 		busy = (busy+1)*slowdown - 1
 	}
-	return busy/float64(e.Slots) + failureWeight*p.health[e.Instance].failureRate
+	return busy/float64(e.Slots) + failureWeight*p.health[e.Instance].recentFailureRate(now)
 }
--- a/pool/plain_test.go
+++ b/pool/plain_test.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -81,3 +82,28 @@
 	s.End("one", "plain", pool.Served, "")
 	is.Equal(placePlain(t, s, "three"), first)
 }
+
+// TestPlainEndpointUsedAgain guards against a plain endpoint that failed and then gets no requests while
+// others are idle, so that its failures are never forgotten.
+func TestPlainEndpointUsedAgain(t *testing.T) {
+	for _, o := range []pool.Outcome{pool.Rejected, pool.Failed} {
+		t.Run(fmt.Sprint(o), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newPlainSchedulers(1, 2)[0]
+				try := func(i int, o pool.Outcome) string {
+					id := fmt.Sprint("r", i)
+					endpoint := placePlain(t, s, id)
+					s.End(id, "plain", o, "")
+					return endpoint
+				}
+				first := try(0, o)
+				for i := range 3 {
+					is.True(try(1+i, pool.Served) != first) // another one while the failure is recent
+				}
+				time.Sleep(30 * time.Second)
+				is.Equal(try(4, pool.Served), first)
+			})
+		})
+	}
+}
