quarantine: use what other instances know of answers after a restart

An instance that had been running for under ten seconds took answers for unknown, although entry instances tell it the last answer that they know of a suspected part. An owner that was started again, and is the owner again, was therefore slower for ten seconds. Change: answers are known once half of the processes with a session, its own included, have been running for so long. Tests: TestPartsOfRestartedOwner failed before; TestAnswersKnownSince. Ruled out: the age of the oldest process alone, as an instance without callers knows no answers.

--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -44,8 +44,9 @@
 	g.assemblePaths(dial)
 	g.notices = notice.New(steady.Now, g.log.WithName("notice"))
 	g.quarantine = quarantine.New(steady.Now, quarantine.Dependencies{
-		Turn:   g.retestTurn,
-		Survey: g.surveyEndpoints,
+		Turn:              g.retestTurn,
+		Survey:            g.surveyEndpoints,
+		AnswersKnownSince: g.answersKnownSince,
 	}, g.log.WithName("quarantine"))
 	g.assemblePools()
 	g.recorder = quarantine.NewRecorder(g.quarantine, store, g.placer.CountsCrashes, g.log.WithName("quarantine"))
@@ -88,6 +89,11 @@
 	return g.pools.EndedBeside(address, since)
 }
 
+// answersKnownSince implements quarantine.Dependencies.AnswersKnownSince.
+func (g *Gateway) answersKnownSince() time.Time {
+	return g.pools.AnswersKnownSince()
+}
+
 // retestTurn returns this instance's position in the order in which instances may admit a request
 // again after its ban.
 func (g *Gateway) retestTurn(id quarantine.Identity) quarantine.RetestTurn {
--- a/pool/processes.go
+++ b/pool/processes.go
@@ -4,6 +4,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/linkmast/linkmast/catalog"
@@ -154,6 +155,26 @@
 	return out
 }
 
+// medianStart returns a time before which at least half of the connected processes were started.
+func (t *processes) medianStart() time.Time {
+	var starts []time.Time
+	for _, r := range t.records {
+		if r.connected {
+			starts = append(starts, r.startedAt)
+		}
+	}
+	slices.SortFunc(starts, time.Time.Compare)
+	return starts[(len(starts)-1)/2]
+}
+
+// AnswersKnownSince returns the time since which this instance and the entry instances with sessions know
+// the answers that they have received: half of them have been running for so long.
+func (s *Scheduler) AnswersKnownSince() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.processes.medianStart()
+}
+
 // connectProcess records that a process of an entry instance has opened a session.
 func (s *Scheduler) connectProcess(p process, running time.Duration) {
 	s.mu.Lock()
--- a/pool/retries_test.go
+++ b/pool/retries_test.go
@@ -101,6 +101,46 @@
 	is.Equal(use().all, sendCounts{})
 }
 
+// TestAnswersKnownSince guards against an instance that takes answers for known although most of those that
+// report them have just been started, or for unknown because it has been itself.
+func TestAnswersKnownSince(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		// running has the time that each connected process has been running; the first is the
+		// instance's own.
+		running []time.Duration
+		known   time.Duration
+	}{
+		{"alone", []time.Duration{3 * time.Second}, 3 * time.Second},
+		{"just started among others", []time.Duration{time.Second, time.Minute, time.Hour}, time.Minute},
+		{"most have just been started", []time.Duration{time.Hour, 2 * time.Second, time.Second}, 2 * time.Second},
+		{"one of two has", []time.Duration{time.Second, time.Minute}, time.Minute},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Now()
+			s := NewScheduler(Settings{
+				Self: "own",
+				Now:  func() time.Time { return now },
+			}, logr.Discard())
+			now = now.Add(row.running[0])
+			for i, running := range row.running[1:] {
+				p := process{
+					instance: fmt.Sprint("n", i),
+				}
+				s.connectProcess(p, running)
+				gone := process{
+					instance: p.instance,
+					id:       1,
+				}
+				s.connectProcess(gone, 9*time.Hour)
+				s.disconnectProcess(gone)
+			}
+			is.Equal(now.Sub(s.AnswersKnownSince()), row.known)
+		})
+	}
+}
+
 // testScheduler returns the scheduler of an instance that has been running for longer than a window
 // and knows a service "s" with one endpoint; without a model, the service is plain.
 func testScheduler(self string, now func() time.Time, model ...*batch.Model) *Scheduler {
--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -23,7 +23,7 @@
 	// instances know of have been reported.
 	answerDelay = 150 * time.Millisecond
 	// answerRetention is how long answers to requests with a part are remembered, and
-	// minAnswerMemory how long a registry must have existed to be taken to know them.
+	// minAnswerMemory how long they must have been to be taken to be known.
 	answerRetention = time.Minute
 	minAnswerMemory = 10 * time.Second
 	// maxPartLinks bounds the ends in the chain of a part.
@@ -94,6 +94,7 @@
 // parts with two ends that count, and decides on the ban of those at their limit once the answers
 // that others know have been reported.
 func (r *Registry) settleParts(parts []Identity, end *endpointEnd) {
+	known := r.knowsAnswers()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
@@ -113,7 +114,7 @@
 			s.announcedAt = now
 			r.notifyListeners(suspicion(id, s))
 		}
-		if n >= r.partLimit(id, s) {
+		if n >= r.partLimit(id, s, known) {
 			r.log.Info("part of prompts is under ended endpoints", "identity", id.String(), "ends", s.settledCount(),
 				"requests", n, "answered", s.answered)
 			r.judgePartLater(id, end, now)
@@ -121,13 +122,23 @@
 	}
 }
 
-// partLimit returns the number of requests that ban a part. The caller must hold the lock.
-func (r *Registry) partLimit(id Identity, s *suspect) int {
-	now := r.now()
+// knowsAnswers reports whether the answers of some time are known, to this instance or to those that
+// report them to it. The caller must not hold the lock.
+func (r *Registry) knowsAnswers() bool {
+	since := r.createdAt
+	if r.deps.AnswersKnownSince != nil {
+		since = r.deps.AnswersKnownSince()
+	}
+	return r.now().Sub(since) >= minAnswerMemory
+}
+
+// partLimit returns the number of requests that ban a part. Known states whether earlier answers are
+// known. The caller must hold the lock.
+func (r *Registry) partLimit(id Identity, s *suspect, known bool) int {
 	switch {
-	case r.retainedBan(id, now) != nil:
+	case r.retainedBan(id, r.now()) != nil:
 		return 1
-	case s.answered || now.Sub(r.createdAt) < minAnswerMemory:
+	case s.answered || !known:
 		return answeredPartLimit
 	}
 	return partLimit
@@ -146,8 +157,9 @@
 // judgePart bans a part if it is at its limit, no other part explains the ends, and the endpoint of
 // its last end did not end together with others.
 func (r *Registry) judgePart(id Identity, end *endpointEnd) {
+	known := r.knowsAnswers()
 	var ended []EndedEndpoint
-	if r.deps.Survey != nil && r.atPartLimit(id) {
+	if r.deps.Survey != nil && r.atPartLimit(id, known) {
 		ended = r.deps.Survey(r.addressOf(end), end.at.Add(-commonCauseWindow))
 	}
 	r.mu.Lock()
@@ -158,7 +170,7 @@
 		return
 	}
 	i := slices.IndexFunc(s.chain, func(l chainLink) bool { return l.end == end })
-	if i < 0 || r.dropIfCommon(id, s, i) || !r.reachesPartLimit(id, s) {
+	if i < 0 || r.dropIfCommon(id, s, i) || !r.reachesPartLimit(id, s, known) {
 		return
 	}
 	if r.isExplained(id, s) {
@@ -169,17 +181,17 @@
 }
 
 // atPartLimit reports whether a part is to be banned if nothing else explains its ends.
-func (r *Registry) atPartLimit(id Identity) bool {
+func (r *Registry) atPartLimit(id Identity, known bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.suspects[id]
-	return s != nil && r.reachesPartLimit(id, s) && !r.isExplained(id, s)
+	return s != nil && r.reachesPartLimit(id, s, known) && !r.isExplained(id, s)
 }
 
 // reachesPartLimit reports whether enough endpoints ended under a part to ban it. The caller must
 // hold the lock.
-func (r *Registry) reachesPartLimit(id Identity, s *suspect) bool {
-	limit := r.partLimit(id, s)
+func (r *Registry) reachesPartLimit(id Identity, s *suspect, known bool) bool {
+	limit := r.partLimit(id, s, known)
 	if s.settledRequests() < limit {
 		return false
 	}
--- a/quarantine/part_test.go
+++ b/quarantine/part_test.go
@@ -174,6 +174,30 @@
 	}
 }
 
+// TestPartsOfRestartedOwner guards against an instance that needs more crashes than others because it has
+// just been started, although those that report answers to it have not.
+func TestPartsOfRestartedOwner(t *testing.T) {
+	for _, row := range []struct {
+		name   string
+		since  time.Duration
+		banned bool
+	}{
+		{"others are old", minAnswerMemory, true},
+		{"others are young", minAnswerMemory / 2, false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				since := time.Now().Add(-row.since)
+				b := New(time.Now, Dependencies{
+					AnswersKnownSince: func() time.Time { return since },
+				}, logr.Discard())
+				play(b, crashesOf(3, base, bad)...)
+				assertPartBanned(t, b, bad, row.banned)
+			})
+		})
+	}
+}
+
 // spread doubles the times between events.
 func spread(events []partEvent) []partEvent {
 	for i := range events {
--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -124,6 +124,9 @@
 	// ended since a given time, whether or not they ran requests. It may take some time. Without
 	// it, an end is known only from the requests that it interrupted.
 	Survey func(address string, since time.Time) []EndedEndpoint
+	// AnswersKnownSince returns the time since which answers are known to this instance or to those
+	// that report them when a part is suspected. Without it, that is the creation of the registry.
+	AnswersKnownSince func() time.Time
 }
 
 // New returns an empty registry. The function now returns the time.
