relay: don't take an answer for complete that can't be checked

Cause: an answer without framing that ends in order with its connection counts as complete if its endpoint accepts a new connection. Without a path to endpoints the check was inconclusive, and the answer counted as complete, too, although its endpoint may have ended. Change: it is interrupted then, like one whose endpoint refuses: resumed or repeated where the route allows, else broken off. Test: TestVerifyEnd, "no path to endpoints", failed before. Weighed: a complete answer is broken off if the instance loses its paths in the moment between. The caller learns that, and not that of an answer cut off.

--- a/relay/ending.go
+++ b/relay/ending.go
@@ -8,7 +8,6 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/linkmast/linkmast/internal/tcp"
 	"github.com/linkmast/linkmast/internal/upstream"
 	"github.com/linkmast/linkmast/internal/wirehttp"
 )
@@ -18,8 +17,8 @@
 const endCheckTimeout = 250 * time.Millisecond
 
 // verifyEnd returns an error if an answer that ended with its connection may have ended because its
-// endpoint did: the endpoint no longer accepts connections. Answers with another framing need no such
-// check. The connection takes the place of the one that ended.
+// endpoint did: the endpoint no longer accepts connections, or can't be reached to find out. Answers with
+// another framing need no such check. The connection takes the place of the one that ended.
 func (t *attempt) verifyEnd(x *upstream.Exchange) error {
 	if wirehttp.FramingOf(x.Response) != wirehttp.ByClose {
 		return nil
@@ -30,9 +29,8 @@
 	}
 	ctx, cancel := context.WithTimeout(t.caller, endCheckTimeout)
 	defer cancel()
-	err := t.relay.parts.Upstream.Prepare(ctx, t.grant.Address)
-	if err == nil || tcp.Inconclusive(err) {
-		return nil
+	if err := t.relay.parts.Upstream.Prepare(ctx, t.grant.Address); err != nil {
+		return errors.Wrap(err, "endpoint ended with the connection")
 	}
-	return errors.Wrap(err, "endpoint ended with the connection")
+	return nil
 }
