--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -114,9 +114,10 @@
 			s.announcedAt = now
 			r.notifyListeners(suspicion(id, s))
 		}
-		if n >= r.partLimit(id, s, known) {
+		if limit := r.partLimit(id, s, known); n >= limit {
 			r.log.Info("part of prompts is under ended endpoints", "identity", id.String(), "ends", s.settledCount(),
-				"requests", n, "answered", s.answered)
+				"requests", n, "limit", limit, "answered", s.answered, "other_answers", r.otherAnswers(id, s),
+				"explained", r.isExplained(id, s))
 			r.judgePartLater(id, end, now)
 		}
 	}
