--- a/quarantine/answers.go
+++ b/quarantine/answers.go
@@ -68,10 +68,10 @@
 }
 
 // answeredPart records an answer to a request with a part, complete or begun as MinProgress says, whose
-// attempt was started at the given time. If that was after the first crash under the part, the part is not the cause, and is
-// cleared. An earlier one shows only that it was not the cause before. AnsweredPart reports whether
-// the instances that count crashes need to know of the answer: the part is suspected or banned, and
-// the answer tells more than the last. The caller must hold the lock.
+// attempt was started at the given time. If that was after the first crash under the part, the part is not
+// the cause, and is cleared. An earlier one shows only that it was not the cause before. AnsweredPart
+// reports whether the instances that count crashes need to know of the answer: the part is suspected or
+// banned, and the answer tells more than the last. The caller must hold the lock.
 func (r *Registry) answeredPart(id Identity, startedAt time.Time) bool {
 	r.rememberAnswer(id, startedAt)
 	if b := r.bans[id]; b != nil && startedAt.After(b.since) {
