linkmastctl: end the instances of a soak that is terminated

Cause: only an interrupt ended a soak in order; after SIGTERM its instances went on, and joined soaks that got the port of their store later. Change: SIGTERM is handled like an interrupt, as in demo and standin.

--- a/cmd/linkmastctl/soak.go
+++ b/cmd/linkmastctl/soak.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -33,7 +34,7 @@
 
 // Execute implements flags.Commander.
 func (c *soakCommand) Execute([]string) error {
-	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt)
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
 	if c.Seed == 0 {
 		c.Seed = uint64(rand.Uint32())
