quarantine: keep a ban that was learned when an older attempt is answered

Cause: only the instance that decided on the ban of a part knew when the first crash under it was. For all others, and after a read from the store, that time was zero, so an answer to any attempt with the part, also one from before the first crash, lifted the ban there, and could erase its record from the store. A part that was answered before and then began to crash engines was let through again. Change: who learns of a ban takes the first crash from the suspicion that preceded it, else the moment at which it learns. An answer to an older attempt is reported to those who decided, and changes nothing by itself. Test: TestLearnedPartBan, with and without the suspicion, failed before. Ruled out: only the second half, as the owner never lost its ban; the entry instance and the record did. Measured: package quarantine, and gateway TestCrashingPart, TestCrashingRequest, TestBanOutlivesInstances and TestUnrelatedCrashesWithParts, one run each, pass. Found by reading.

--- a/quarantine/answers.go
+++ b/quarantine/answers.go
@@ -74,8 +74,12 @@
 // banned, and the answer tells more than the last. The caller must hold the lock.
 func (r *Registry) answeredPart(id Identity, startedAt time.Time) bool {
 	r.rememberAnswer(id, startedAt)
-	if b := r.bans[id]; b != nil && startedAt.After(b.since) {
-		return r.clear(id)
+	if b := r.bans[id]; b != nil {
+		if startedAt.After(b.since) {
+			return r.clear(id)
+		}
+		// The instance that decided on the ban may know an earlier first crash.
+		return b.decidedAt.IsZero()
 	}
 	s := r.suspects[id]
 	switch {
--- a/quarantine/part_test.go
+++ b/quarantine/part_test.go
@@ -261,6 +261,37 @@
 	}
 }
 
+// TestLearnedPartBan guards against a ban of a part that an instance learned of, with or without its
+// suspicion, and drops when an attempt from before the crashes is answered.
+func TestLearnedPartBan(t *testing.T) {
+	for _, suspected := range []bool{true, false} {
+		t.Run("suspected before "+strconv.FormatBool(suspected), func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				start := time.Now()
+				counts, entry := newTestRegistry(), newTestRegistry()
+				counts.OnVerdict(func(v Verdict) {
+					if v.State == Banned || suspected {
+						entry.ApplyVerdict(v)
+					}
+				})
+				time.Sleep(minAnswerMemory)
+				play(counts, crashesOf(3, bad)...)
+				assertPartBanned(t, entry, bad, true)
+				k := Keys{
+					Request: 7,
+					Parts:   []Identity{bad},
+				}
+				entry.ReportAnswered(k, start)
+				entry.ReportProgress(k.Parts, start)
+				assertPartBanned(t, entry, bad, true)
+				time.Sleep(time.Second)
+				entry.ReportAnswered(k, time.Now())
+				assertPartBanned(t, entry, bad, false)
+			})
+		})
+	}
+}
+
 // TestPartProgress guards against a suspected part that is not cleared by a stream that has begun, and
 // against a request that is.
 func TestPartProgress(t *testing.T) {
--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -54,7 +54,8 @@
 	// decidedAt is when this instance decided on the ban; zero if it learned of it from another
 	// instance or the store.
 	decidedAt time.Time
-	// since is when the first of the crashes that led to the ban of a part ended; zero if unknown.
+	// since is when the first of the crashes that led to the ban of a part ended. If this instance
+	// doesn't know that, it is when it learned of the ban.
 	since time.Time
 	// recorded reports whether the platform's store has the ban.
 	recorded bool
@@ -362,10 +363,15 @@
 	if length <= 0 {
 		return false
 	}
+	since := now
+	if s := r.suspects[v.Identity]; s != nil && !s.since().IsZero() {
+		since = s.since()
+	}
 	r.storeBan(v.Identity, &ban{
 		until:    until,
 		duration: length,
 		count:    v.BanCount,
+		since:    since,
 	}, now)
 	r.log.Info("request is banned", "identity", v.Identity.String(), "for_ms", length.Milliseconds(), "times", v.BanCount,
 		"by", "another instance")
