--- a/review/testbed/testbed.go
+++ b/review/testbed/testbed.go
@@ -125,7 +125,7 @@
 			exited: make(chan struct{}),
 		}
 		for _, into := range []*string{&in.Listen, &in.Ready, &in.peer} {
-			address, err := freeAddress()
+			address, err := FreeAddress()
 			if err != nil {
 				return err
 			}
@@ -205,8 +205,8 @@
 	return res.StatusCode == http.StatusOK
 }
 
-// freeAddress returns a loopback address on which nothing listens.
-func freeAddress() (string, error) {
+// FreeAddress returns a loopback address on which nothing listens.
+func FreeAddress() (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", errors.Wrap(err, "find a free port")
