review: start the instances on ports that no connection takes

The drivers took free ports of the range from which the kernel serves outgoing connections, and let them go before the instances listened. Shown by starting three instances over and over, eight such loops side by side: 6 of 480 starts failed, each with 'bind: address already in use' in the log of the instance that was not ready. Change: ports come from below that range, each once for a case, and an instance that ends before it is ready is reported at once with its last line. Rules, checks, bounds and loads of the cases are unchanged.

--- a/review/cases/suspended/replicas.go
+++ b/review/cases/suspended/replicas.go
@@ -96,7 +96,7 @@
 // startAll starts n engines.
 func (p *replicas) startAll(n int) error {
 	for i := range n {
-		address, err := testbed.FreeAddress()
+		address, err := p.bed.FreeAddress()
 		if err != nil {
 			return err
 		}
--- a/review/testbed/testbed.go
+++ b/review/testbed/testbed.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -79,6 +80,8 @@
 
 	dir     string
 	servers []*http.Server
+	// port is the port that FreeAddress returned last, less firstPort.
+	port int
 }
 
 // New returns a bed without instances, whose record is written to a file.
@@ -95,6 +98,7 @@
 		Store:  platformtest.NewStore(),
 		Record: r,
 		dir:    dir,
+		port:   rand.IntN(ports),
 	}, nil
 }
 
@@ -125,7 +129,7 @@
 			exited: make(chan struct{}),
 		}
 		for _, into := range []*string{&in.Listen, &in.Ready, &in.peer} {
-			address, err := FreeAddress()
+			address, err := b.FreeAddress()
 			if err != nil {
 				return err
 			}
@@ -155,7 +159,7 @@
 // launch starts the process of an instance as the deploy file does: the settings file is named by the
 // environment.
 func (b *Bed) launch(in *Instance) error {
-	out, err := os.Create(filepath.Join(b.dir, in.Name+".log"))
+	out, err := os.Create(b.logPath(in))
 	if err != nil {
 		return errors.Wrap(err, "create log")
 	}
@@ -189,12 +193,31 @@
 			if time.Now().After(until) {
 				return errors.Errorf("%s is not ready after %s", in.Name, startTimeout)
 			}
-			time.Sleep(50 * time.Millisecond)
+			select {
+			case <-in.exited:
+				return errors.Errorf("%s ended before it was ready: %s", in.Name, b.lastLine(in))
+			case <-time.After(50 * time.Millisecond):
+			}
 		}
 	}
 	return nil
 }
 
+// lastLine returns the last line of an instance's log.
+func (b *Bed) lastLine(in *Instance) string {
+	text, err := os.ReadFile(b.logPath(in))
+	if err != nil {
+		return err.Error()
+	}
+	lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+	return lines[len(lines)-1]
+}
+
+// logPath returns the path of an instance's log.
+func (b *Bed) logPath(in *Instance) string {
+	return filepath.Join(b.dir, in.Name+".log")
+}
+
 // isReady makes one readiness check.
 func isReady(client *http.Client, in *Instance) bool {
 	res, err := client.Get("http://" + in.Ready + "/ready")
@@ -205,14 +228,26 @@
 	return res.StatusCode == http.StatusOK
 }
 
-// FreeAddress returns a loopback address on which nothing listens.
-func FreeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "find a free port")
+// The ports of processes that listen by themselves. They lie below those that the kernel gives to outgoing
+// connections (32768 and up on Linux), so no connection takes one between the choice and the start.
+const (
+	firstPort = 12_000
+	ports     = 20_000
+)
+
+// FreeAddress returns a loopback address on which nothing listens. It returns each address once.
+func (b *Bed) FreeAddress() (string, error) {
+	for range ports {
+		b.port = (b.port + 1) % ports
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+b.port)
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		return address, nil
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", errors.New("no port is free")
 }
 
 // Close kills the instances, ends the stand-ins and removes the temporary folder.
