catalog: say how many records a read left in the store

Cause: a poll can return only the first of the new records, as the store bounds an answer at 1,024 KB, and nothing showed that.

Change: Store.Follow returns the end of the feed beside the records; the catalog logs a read that leaves records in the store and shows their number as following.backlog on the admin address. What is done with an answer is unchanged.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -93,6 +93,9 @@
 	upstreamLost timestamp
 	// failing has one bit per feed, which is set if the last read of that feed failed.
 	failing atomic.Int64
+	// backlog has, for each feed, the number of records that the last poll left in the store; zero
+	// while this instance doesn't read the feed.
+	backlog [len(feeds)]atomic.Int64
 	// upstreamFreshness holds the root of the followed instance and the number of hops from
 	// there to this instance; nil before the first answer. Its field answered is not used.
 	upstreamFreshness atomic.Pointer[freshness]
--- a/catalog/readers_test.go
+++ b/catalog/readers_test.go
@@ -58,20 +58,20 @@
 	return s.fakeStore.Rewrite(ctx, f, records, end)
 }
 
-func (s *countingStore) Follow(ctx context.Context, f catalog.Feed, from int64, wait time.Duration) ([]catalog.Record, int64, error) {
+func (s *countingStore) Follow(ctx context.Context, f catalog.Feed, from int64, wait time.Duration) (catalog.Changes, error) {
 	s.calls.Add(1)
 	if s.refused.Load() {
-		return nil, 0, errDown
+		return catalog.Changes{}, errDown
 	}
-	records, next, err := s.fakeStore.Follow(ctx, f, from, wait)
+	changes, err := s.fakeStore.Follow(ctx, f, from, wait)
 	if s.silent.Load() {
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return catalog.Changes{}, ctx.Err()
 	}
 	if s.refused.Load() {
-		return nil, 0, errDown
+		return catalog.Changes{}, errDown
 	}
-	return records, next, err
+	return changes, err
 }
 
 // instance is a catalog with its gRPC server.
--- a/catalog/reading.go
+++ b/catalog/reading.go
@@ -97,6 +97,7 @@
 		if !c.shouldRead() || c.skipsFeed(f) {
 			sleep(ctx, roleCheckInterval)
 			c.setFailing(f, false)
+			c.backlog[f].Store(0)
 			next, failures = unread, 0
 			full.reset()
 			continue
@@ -188,19 +189,31 @@
 		defer stop()
 	}
 	sent := steady.Now()
-	records, next, err := c.store.Follow(ctx, f, from, wait)
+	changes, err := c.store.Follow(ctx, f, from, wait)
 	if err != nil && interrupted() {
 		return from, nil
 	}
 	if err != nil {
 		return from, err
 	}
-	c.apply(f, records, next, 0, fromStore)
+	c.apply(f, changes.Records, changes.Next, 0, fromStore)
+	c.recordBacklog(f, changes)
 	switch {
 	case f == Configurations:
 		c.confirmByStore(sent)
-	case len(records) > 0:
+	case len(changes.Records) > 0:
 		sleep(ctx, minPollInterval-steady.Since(sent))
 	}
-	return next, nil
+	return changes.Next, nil
+}
+
+// recordBacklog records how many records of a feed a poll left in the store, and logs it if there are
+// any.
+func (c *Catalog) recordBacklog(f Feed, changes Changes) {
+	n := changes.Backlog()
+	c.backlog[f].Store(n)
+	if n > 0 {
+		c.log.Info("read only a part of the new records", "feed", f.String(), "records", len(changes.Records),
+			"next", changes.Next, "backlog", n)
+	}
 }
--- a/catalog/stats.go
+++ b/catalog/stats.go
@@ -20,6 +20,9 @@
 	PendingEntries int `json:"newcomers"`
 	// Reads is set if the store has recently answered this instance.
 	Reads bool `json:"reads"`
+	// Backlog is the number of records of all feeds that the last polls left in the store. It is
+	// above zero only while this instance has more new records to read than one answer holds.
+	Backlog int64 `json:"backlog"`
 	// Followers is the number of instances that follow this one.
 	Followers int `json:"followers"`
 	// Hops is the number of links between this instance and Root, which is the ID of the
@@ -42,6 +45,7 @@
 		Instances:      c.topology.Load().total,
 		PendingEntries: c.pending.count(),
 		Reads:          c.storeAnswered.within(c.freshFor()),
+		Backlog:        c.totalBacklog(),
 		Followers:      c.followers.count(),
 		Hops:           source.hops,
 		Root:           source.root,
@@ -50,6 +54,15 @@
 	}
 }
 
+// totalBacklog returns the number of records that the last polls of all feeds left in the store.
+func (c *Catalog) totalBacklog() int64 {
+	total := int64(0)
+	for i := range c.backlog {
+		total += c.backlog[i].Load()
+	}
+	return total
+}
+
 // drainedDomains returns the drained failure domains in alphabetical order.
 func (c *Catalog) drainedDomains() []string {
 	c.mu.Lock()
--- a/catalog/store_test.go
+++ b/catalog/store_test.go
@@ -42,6 +42,8 @@
 	pageSize     int
 	readRate     float64
 	readingUntil time.Time
+	// readLimit is the maximum number of records that Follow returns; zero means no limit.
+	readLimit int
 	// missWakeUps is set if new records don't wake waiting polls.
 	missWakeUps bool
 }
@@ -271,7 +273,7 @@
 	return b
 }
 
-func (s *fakeStore) Follow(ctx context.Context, f catalog.Feed, from int64, wait time.Duration) ([]catalog.Record, int64, error) {
+func (s *fakeStore) Follow(ctx context.Context, f catalog.Feed, from int64, wait time.Duration) (catalog.Changes, error) {
 	timeout := time.After(wait)
 	s.mu.Lock()
 	s.calls++
@@ -284,24 +286,38 @@
 		offset, end := catalog.OffsetOf(from), first+int64(len(list))
 		switch {
 		case down:
-			return nil, 0, errDown
+			return catalog.Changes{}, errDown
 		case epoch > catalog.EpochOf(from):
-			return nil, 0, catalog.ErrRestored
+			return catalog.Changes{}, catalog.ErrRestored
 		case offset < first || offset > end:
-			return nil, 0, catalog.ErrCompacted
+			return catalog.Changes{}, catalog.ErrCompacted
 		case offset < end:
-			return list[offset-first:], catalog.Position(epoch, end), nil
+			return s.changesOf(list[offset-first:], from, catalog.Position(epoch, end)), nil
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			return nil, from, nil
+			return s.changesOf(nil, from, from), nil
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return catalog.Changes{}, ctx.Err()
 		}
 	}
 }
 
+// changesOf returns the answer to a read, with at most readLimit of the new records.
+func (s *fakeStore) changesOf(records []catalog.Record, from, end int64) catalog.Changes {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.readLimit > 0 && len(records) > s.readLimit {
+		records = records[:s.readLimit]
+	}
+	return catalog.Changes{
+		Records: records,
+		Next:    from + int64(len(records)),
+		End:     end,
+	}
+}
+
 // newest returns the newest record of each key, without deleted keys.
 func newest(records []catalog.Record) []catalog.Record {
 	last := make(map[string]catalog.Record)
--- a/catalog/types.go
+++ b/catalog/types.go
@@ -207,17 +207,33 @@
 	More bool
 }
 
+// Changes are the records that one read of a feed returned.
+type Changes struct {
+	// Records are the records from the position of the read on.
+	Records []Record
+	// Next is the position after the last of them.
+	Next int64
+	// End is the position of the end of the feed when the store answered. It exceeds Next if the
+	// answer contains only the first of the new records.
+	End int64
+}
+
+// Backlog returns the number of records between Next and the end of the feed.
+func (c Changes) Backlog() int64 {
+	return max(c.End-c.Next, 0)
+}
+
 // Store gives access to the platform's store.
 type Store interface {
 	// Page returns the newest records of the keys after the given one, or from the first key if
 	// it is empty. Successive pages are not a consistent snapshot. To receive the changes made
 	// in the meantime, follow the feed from Next of the first page.
 	Page(ctx context.Context, f Feed, after string) (Page, error)
-	// Follow returns the records from an offset on and the offset after them. It waits up to
-	// the given time for the first record; if there is none, it returns no records and the same
-	// offset. It returns ErrCompacted if the records at the offset are no longer kept, and
-	// ErrRestored if the store is in a later epoch.
-	Follow(ctx context.Context, f Feed, from int64, wait time.Duration) (records []Record, next int64, err error)
+	// Follow returns the records from an offset on, of which the store may return only the first
+	// ones. It waits up to the given time for the first record; if there is none, Next and End of
+	// the result are that offset. It returns ErrCompacted if the records at the offset are no
+	// longer kept, and ErrRestored if the store is in a later epoch.
+	Follow(ctx context.Context, f Feed, from int64, wait time.Duration) (Changes, error)
 	// Decode decodes a record. It returns nil for a record that the catalog ignores.
 	Decode(f Feed, r Record) Change
 	// Announce writes the entries of instances in one call, either all or none.
