catalog: don't confirm the configuration by a read of a part

Cause: poll confirmed the configuration after each answer, also after one that holds only the first 1,024 KB of the new records. Requests, and the followers that the age is passed on to, then took an old configuration for the newest.

Why this works: the answer states the end of the feed. Only a poll that reached it had seen everything that the store had accepted when the poll was sent, which is what the age promises. The next poll follows at once, so the configuration is confirmed one read later.

The stand-in of the store now keeps to the limit of a read.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -45,10 +45,13 @@
 			c.Run(ctx)
 			close(done)
 		}()
+		// A test that fails ends here too.
+		defer func() {
+			cancel()
+			<-done
+		}()
 		time.Sleep(10 * time.Millisecond)
 		f(is.New(t), s, c)
-		cancel()
-		<-done
 	})
 }
 
--- a/catalog/reading.go
+++ b/catalog/reading.go
@@ -19,8 +19,8 @@
 	// pageTimeout is the timeout of reading one page.
 	pageTimeout = 2 * time.Second
 	// minPollInterval is the minimum time between two polls for endpoints or instances if the
-	// first one returned records. Entries that return one by one after an outage are then read
-	// together.
+	// first one returned all new records. Entries that return one by one after an outage are then
+	// read together.
 	minPollInterval = 100 * time.Millisecond
 	// expireInterval is how often held removals are checked.
 	expireInterval = 100 * time.Millisecond
@@ -177,7 +177,8 @@
 }
 
 // poll waits for the next records of a feed, applies them and returns the offset after them. It
-// returns ErrCompacted if the feed must be read in full.
+// returns ErrCompacted if the feed must be read in full. An answer that leaves records in the store
+// confirms nothing, since one of these may replace the configuration in force.
 func (c *Catalog) poll(ctx context.Context, f Feed, from int64, failed bool, retry *signal) (int64, error) {
 	wait := c.untilRecheck(f, c.pollWait(f, failed))
 	ctx, cancel := context.WithTimeout(ctx, wait+pollSlack)
@@ -198,15 +199,27 @@
 	}
 	c.apply(f, changes.Records, changes.Next, 0, fromStore)
 	c.recordBacklog(f, changes)
-	switch {
-	case f == Configurations:
+	if f == Configurations && changes.Backlog() == 0 {
 		c.confirmByStore(sent)
-	case len(changes.Records) > 0:
-		sleep(ctx, minPollInterval-steady.Since(sent))
 	}
+	sleep(ctx, pollInterval(f, changes)-steady.Since(sent))
 	return changes.Next, nil
 }
 
+// pollInterval returns the minimum time between a poll that returned the given changes and the next
+// one. An answer that contains only the first of the new records is followed by the next poll at
+// once, unless it contains none.
+func pollInterval(f Feed, changes Changes) time.Duration {
+	partial, empty := changes.Backlog() > 0, len(changes.Records) == 0
+	switch {
+	case partial && empty:
+		return minPollInterval
+	case !partial && !empty && f != Configurations:
+		return minPollInterval
+	}
+	return 0
+}
+
 // recordBacklog records how many records of a feed a poll left in the store, and logs it if there are
 // any.
 func (c *Catalog) recordBacklog(f Feed, changes Changes) {
--- a/catalog/store_test.go
+++ b/catalog/store_test.go
@@ -43,7 +43,11 @@
 	readRate     float64
 	readingUntil time.Time
 	// readLimit is the maximum number of records that Follow returns; zero means no limit.
-	readLimit int
+	// readDelay is how long it takes to send them. If withholdRecords is set, Follow announces new
+	// records by the end of the feed, but returns none.
+	readLimit       int
+	readDelay       time.Duration
+	withholdRecords bool
 	// missWakeUps is set if new records don't wake waiting polls.
 	missWakeUps bool
 }
@@ -149,6 +153,27 @@
 	s.changed = make(chan struct{})
 }
 
+// limitReads makes each read return at most limit records, after a delay.
+func (s *fakeStore) limitReads(limit int, delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readLimit, s.readDelay = limit, delay
+}
+
+// setWithholdRecords sets whether Follow returns no records.
+func (s *fakeStore) setWithholdRecords(withhold bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.withholdRecords = withhold
+}
+
+// limitPages makes each page contain at most size records, and sets the delay of each page.
+func (s *fakeStore) limitPages(size int, delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pageSize, s.pageDelay = size, delay
+}
+
 func (s *fakeStore) setMissWakeUps() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -292,30 +317,39 @@
 		case offset < first || offset > end:
 			return catalog.Changes{}, catalog.ErrCompacted
 		case offset < end:
-			return s.changesOf(list[offset-first:], from, catalog.Position(epoch, end)), nil
+			return s.changesOf(ctx, list[offset-first:], from, catalog.Position(epoch, end))
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			return s.changesOf(nil, from, from), nil
+			return s.changesOf(ctx, nil, from, from)
 		case <-ctx.Done():
 			return catalog.Changes{}, ctx.Err()
 		}
 	}
 }
 
-// changesOf returns the answer to a read, with at most readLimit of the new records.
-func (s *fakeStore) changesOf(records []catalog.Record, from, end int64) catalog.Changes {
+// changesOf returns the answer to a read, with at most readLimit of the new records, after readDelay.
+func (s *fakeStore) changesOf(ctx context.Context, records []catalog.Record, from, end int64) (catalog.Changes, error) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.readLimit > 0 && len(records) > s.readLimit {
-		records = records[:s.readLimit]
+	limit, delay, withhold := s.readLimit, s.readDelay, s.withholdRecords
+	s.mu.Unlock()
+	if limit > 0 && len(records) > limit {
+		records = records[:limit]
+	}
+	if withhold {
+		records = nil
+	}
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+		return catalog.Changes{}, ctx.Err()
 	}
 	return catalog.Changes{
 		Records: records,
 		Next:    from + int64(len(records)),
 		End:     end,
-	}
+	}, nil
 }
 
 // newest returns the newest record of each key, without deleted keys.
--- a/gateway/configchange_test.go
+++ b/gateway/configchange_test.go
@@ -16,8 +16,8 @@
 )
 
 // publishLarge publishes the next version of the configuration, which has only the route /safe/ and
-// a number of copies of it under other prefixes.
-func (w *cluster) publishLarge(more int) {
+// a number of copies of it under other prefixes, and one customer that has the keys.
+func (w *cluster) publishLarge(more int, keys ...string) {
 	w.version++
 	routes := []route.Route{{
 		Name:        "/safe/",
@@ -38,7 +38,7 @@
 	w.store.Publish(w.version, routes, map[string]*batch.Model{
 		"engines": fastEngine(),
 		"plain":   nil,
-	}, 1<<20, []route.Customer{{ID: "c1", Keys: []string{"k1"}}})
+	}, 1<<20, []route.Customer{{ID: "c1", Keys: keys}})
 }
 
 // TestAcceptsDuringConfigurationChanges guards against instances that don't accept or serve new
@@ -51,7 +51,7 @@
 	var all sync.WaitGroup
 	all.Go(func() {
 		for range versions {
-			w.publishLarge(1400)
+			w.publishLarge(1400, "k1")
 			time.Sleep(50 * time.Millisecond)
 		}
 	})
