relay: read the age of the configuration before the configuration

What callers would see: a request with a revoked key is admitted, or one that the newest configuration allows gets 401 or 404, if a newer version is applied and confirmed while the request is admitted.

Failed before: relay TestAgeOfReplacedConfiguration (admitted, 401, 404; 503 wanted).

--- a/relay/admit.go
+++ b/relay/admit.go
@@ -65,26 +65,27 @@
 // admit matches a request to a route and customer and reads its body.
 func (l *Relay) admit(h RequestHead, r *http.Request, arrived time.Time) (*job, *refusal) {
 	firstTry, returning := l.timeouts.observe(h.Wait)
-	snapshot := l.awaitConfiguration(r.Context(), h.Wait, firstTry)
-	if snapshot == nil {
+	known := l.awaitConfiguration(r.Context(), h.Wait, firstTry)
+	if known.snapshot == nil {
 		return nil, serviceUnavailable("no configuration yet", l.retryAfterOutage(h.Wait))
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
-	rt := snapshot.Table.Match(r.Host, path)
+	table := known.snapshot.Table
+	rt := table.Match(r.Host, path)
 	if rt == nil {
-		return l.refuseUnknown("no route", http.StatusNotFound, h, snapshot.Table)
+		return l.refuseUnknown("no route", http.StatusNotFound, h, known)
 	}
-	j := newJob(h, r, rt, snapshot.Table, arrived)
+	j := newJob(h, r, rt, table, arrived)
 	if returning {
 		j.spent = timeSpent(h.Wait, rt)
 	}
 	if j.requiresKey {
-		if late := l.tooOldForKeys(h.Wait); late != nil {
+		if late := l.tooOldForKeys(known, h.Wait); late != nil {
 			return nil, late
 		}
-		c, ok := snapshot.Table.Customer(h.Key)
+		c, ok := table.Customer(h.Key)
 		if !ok {
-			return l.refuseUnknown("unknown key", http.StatusUnauthorized, h, snapshot.Table)
+			return l.refuseUnknown("unknown key", http.StatusUnauthorized, h, known)
 		}
 		j.customer, j.rank = c.ID, c.Rank
 	}
@@ -157,11 +158,11 @@
 
 // refuseUnknown refuses a request whose route or key the configuration does not contain. If the
 // configuration is too old to be sure of that, the answer is 503.
-func (l *Relay) refuseUnknown(reason string, status int, h RequestHead, t *route.Table) (*job, *refusal) {
-	if late := l.tooOld(h.Wait); late != nil {
+func (l *Relay) refuseUnknown(reason string, status int, h RequestHead, known configuration) (*job, *refusal) {
+	if late := l.tooOld(known, h.Wait); late != nil {
 		return nil, late
 	}
-	l.parts.Log.Info("not allowed", "request", h.ID, "reason", reason, "version", t.Version, "status", status)
+	l.parts.Log.Info("not allowed", "request", h.ID, "reason", reason, "version", known.snapshot.Table.Version, "status", status)
 	return nil, &refusal{
 		status: status,
 		reason: reason,
--- a/relay/configuration.go
+++ b/relay/configuration.go
@@ -23,14 +23,34 @@
 	configPollInterval = 10 * time.Millisecond
 )
 
-// awaitConfiguration returns the catalog's snapshot. If the snapshot is not usable yet, the
-// function waits until it is, for at most configWaitShare of the caller's timeout, because the
-// caller may have no further try. It does not wait on a probable first try (firstTry), if the
-// caller names no timeout, or if maxConfigWaiters requests are waiting already. If the wait ends
-// without a usable snapshot, it returns the current one, which is nil if there is no
-// configuration.
-func (l *Relay) awaitConfiguration(ctx context.Context, wait time.Duration, firstTry bool) *catalog.Snapshot {
-	if known, ok := l.usableSnapshot(); ok {
+// configuration is what the catalog knows at one moment.
+type configuration struct {
+	// snapshot is nil if there is no configuration.
+	snapshot *catalog.Snapshot
+	// age is an upper bound of the snapshot's age, and aged is set if it is known.
+	age  time.Duration
+	aged bool
+}
+
+// currentConfiguration returns the catalog's snapshot with its age. It reads the age first: a
+// version that is confirmed in between then makes the snapshot newer than its age, whereas in the
+// other order an old snapshot would get the age of its successor.
+func (l *Relay) currentConfiguration() configuration {
+	age, aged := l.parts.Age()
+	return configuration{
+		snapshot: l.parts.Snapshot(),
+		age:      age,
+		aged:     aged,
+	}
+}
+
+// awaitConfiguration returns the current configuration. If it is not usable yet, the function
+// waits until it is, for at most configWaitShare of the caller's timeout, because the caller may
+// have no further try. It does not wait on a probable first try (firstTry), if the caller names no
+// timeout, or if maxConfigWaiters requests are waiting already. If the wait ends without a usable
+// configuration, it returns the current one.
+func (l *Relay) awaitConfiguration(ctx context.Context, wait time.Duration, firstTry bool) configuration {
+	if known := l.currentConfiguration(); l.usable(known) {
 		return known
 	}
 	waiters := l.configWaiters.Add(1)
@@ -40,8 +60,8 @@
 		until = until.Add(time.Duration(configWaitShare * float64(wait)))
 	}
 	for {
-		known, ok := l.usableSnapshot()
-		if ok || !steady.Now().Before(until) {
+		known := l.currentConfiguration()
+		if l.usable(known) || !steady.Now().Before(until) {
 			return known
 		}
 		select {
@@ -52,34 +72,27 @@
 	}
 }
 
-// usableSnapshot returns the catalog's snapshot, nil if there is none, and whether it suffices
-// to decide on requests. With StrictKeys it does so only once the age of the configuration is
-// known.
-func (l *Relay) usableSnapshot() (*catalog.Snapshot, bool) {
-	known := l.parts.Snapshot()
-	_, aged := l.parts.Age()
-	return known, known != nil && (aged || !l.settings.StrictKeys)
+// usable reports whether a configuration suffices to decide on requests. With StrictKeys it does
+// so only if its age is known.
+func (l *Relay) usable(c configuration) bool {
+	return c.snapshot != nil && (c.aged || !l.settings.StrictKeys)
 }
 
 // tooOldForKeys returns a refusal for a request that needs a key if StrictKeys is set and the
 // configuration is too old, as the key may have been revoked since. Wait is the caller's
 // timeout, or what is left of it.
-func (l *Relay) tooOldForKeys(wait time.Duration) *refusal {
+func (l *Relay) tooOldForKeys(c configuration, wait time.Duration) *refusal {
 	if !l.settings.StrictKeys {
 		return nil
 	}
-	return l.tooOld(wait)
+	return l.tooOld(c, wait)
 }
 
 // tooOld returns a refusal if MaxAge is set and the age of the configuration has reached it or
 // is unknown. A newer configuration may contain what this one lacks. Wait is the caller's
 // timeout.
-func (l *Relay) tooOld(wait time.Duration) *refusal {
-	if l.settings.MaxAge == 0 {
-		return nil
-	}
-	age, ok := l.parts.Age()
-	if ok && age < l.settings.MaxAge {
+func (l *Relay) tooOld(c configuration, wait time.Duration) *refusal {
+	if l.settings.MaxAge == 0 || c.aged && c.age < l.settings.MaxAge {
 		return nil
 	}
 	return serviceUnavailable("configuration is too old", l.retryAfterOutage(wait))
--- a/relay/configuration_test.go
+++ b/relay/configuration_test.go
@@ -3,6 +3,8 @@
 package relay
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -12,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/linkmast/linkmast/catalog"
+	"github.com/linkmast/linkmast/route"
 )
 
 // TestAwaitConfiguration guards against requests that fail although a configuration is about to
@@ -55,7 +58,7 @@
 					Age: func() (time.Duration, bool) { return 0, time.Since(began) >= row.aged },
 				})
 				got := l.awaitConfiguration(t.Context(), row.wait, row.common)
-				is.Equal(got != nil, row.served)
+				is.Equal(got.snapshot != nil, row.served)
 				took := time.Since(began)
 				is.True(took >= row.want)
 				is.True(took <= row.want+2*configPollInterval)
@@ -64,6 +67,63 @@
 	}
 }
 
+// TestAgeOfReplacedConfiguration guards against decisions by an old configuration that is taken for
+// the newest, because its successor is confirmed while a request is admitted.
+func TestAgeOfReplacedConfiguration(t *testing.T) {
+	const maxAge = 4 * time.Second
+	old := &catalog.Snapshot{
+		Table: route.New(1, []route.Route{{
+			Host:   "api.example",
+			Prefix: "/safe/",
+			Shares: []route.Share{{
+				Service: "plain",
+				Weight:  1,
+			}},
+		}}, nil, []route.Customer{{
+			ID:   "c1",
+			Keys: []string{"revoked"},
+		}}, true, route.Limits{}),
+	}
+	for _, row := range []struct {
+		name, path, key string
+	}{
+		{"key revoked since", "/safe/x", "revoked"},
+		{"key added since", "/safe/x", "added"},
+		{"route added since", "/added/x", "revoked"},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			confirmed := false
+			l := New(Settings{
+				StrictKeys: true,
+				MaxAge:     maxAge,
+			}, Parts{
+				Snapshot: func() *catalog.Snapshot {
+					// The successor is applied and confirmed as soon as the old one was taken.
+					confirmed = true
+					return old
+				},
+				Age: func() (time.Duration, bool) {
+					if confirmed {
+						return 0, true
+					}
+					return maxAge, true
+				},
+			})
+			r := httptest.NewRequest(http.MethodGet, row.path, nil)
+			r.Host = "api.example"
+			_, refused := l.admit(RequestHead{
+				ID:   "r",
+				Key:  row.key,
+				Wait: time.Second,
+			}, r, time.Now())
+			is.True(refused != nil)
+			is.Equal(refused.status, http.StatusServiceUnavailable)
+			is.True(refused.after > 0)
+		})
+	}
+}
+
 // TestConfigWaitersBounded guards against unbounded memory: requests beyond maxConfigWaiters
 // must return at once.
 func TestConfigWaitersBounded(t *testing.T) {
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -83,7 +83,7 @@
 		return true, nil
 	}
 	if j.requiresKey && !j.mayHaveRun {
-		if late := l.tooOldForKeys(j.left()); late != nil {
+		if late := l.tooOldForKeys(l.currentConfiguration(), j.left()); late != nil {
 			l.releasePlacement(p)
 			return false, late
 		}
