catalog: don't take a page without records for the last one

What callers would see: endpoints count as deleted, since a page of a full read has no records but announces another page.

Cause: the decoder dropped the announcement of such a page, to end the read. A page that was repeated was read without end.

Why this works: only a page that announces no other one ends a read. A page that announces one but doesn't lead to it is an error, after which the read goes on with the same key.

--- a/catalog/full_read.go
+++ b/catalog/full_read.go
@@ -6,6 +6,8 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/linkmast/linkmast/internal/steady"
 )
 
@@ -35,6 +37,16 @@
 	}
 }
 
+// errNoProgress is the error for a page that announces another one but doesn't lead to it. It
+// doesn't prove that further keys are deleted.
+var errNoProgress = errors.New("page announces further records but has no new last key")
+
+// advancesTo reports whether a page has records and doesn't end with the same key as the one before.
+func (r *fullRead) advancesTo(p Page) bool {
+	n := len(p.Records)
+	return n > 0 && p.Records[n-1].Key != r.after
+}
+
 // addPage appends a page that was requested at the given time.
 func (r *fullRead) addPage(p Page, sent time.Time) {
 	if !r.begun {
@@ -60,6 +72,9 @@
 			w.due = true
 			return unread, ErrRestored
 		}
+		if page.More && !w.advancesTo(page) {
+			return unread, errNoProgress
+		}
 		w.addPage(page, sent)
 		if page.More {
 			continue
--- a/catalog/full_read_test.go
+++ b/catalog/full_read_test.go
@@ -66,3 +66,64 @@
 	is.Equal(c.endpoints.len(), len(s.pages))
 	is.Equal(*whole, fullRead{feed: Endpoints})
 }
+
+// announcingStore answers with its pages in turn, and repeats the last one.
+type announcingStore struct {
+	plainStore
+
+	pages []Page
+	calls int
+}
+
+// Page implements Store.
+func (s *announcingStore) Page(context.Context, Feed, string) (Page, error) {
+	p := s.pages[min(s.calls, len(s.pages)-1)]
+	s.calls++
+	return p, nil
+}
+
+// pageOf returns a page with records of the given keys.
+func pageOf(more bool, keys ...string) Page {
+	p := Page{
+		Next: 10,
+		More: more,
+	}
+	for i, key := range keys {
+		p.Records = append(p.Records, Record{
+			Key:    key,
+			Value:  []byte("x"),
+			Offset: int64(i),
+		})
+	}
+	return p
+}
+
+// TestPagesWithoutProgress guards against endpoints that are taken for deleted, and against a read
+// without end, if a page announces further records but doesn't lead to them.
+func TestPagesWithoutProgress(t *testing.T) {
+	for _, row := range []struct {
+		name  string
+		pages []Page
+		err   error
+		// left is the number of endpoints that are known afterwards.
+		left int
+	}{
+		{"last page is empty", []Page{pageOf(true, "a"), pageOf(false)}, nil, 1},
+		{"empty page announces more", []Page{pageOf(true, "a"), pageOf(true)}, errNoProgress, 2},
+		{"first page is empty and announces more", []Page{pageOf(true)}, errNoProgress, 2},
+		{"page is repeated", []Page{pageOf(true, "a")}, errNoProgress, 2},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			c := New(Settings{}, &announcingStore{
+				pages: row.pages,
+			}, nil, logr.Discard())
+			c.apply(Endpoints, pageOf(false, "a", "b").Records, 2, allParts, fromStore)
+			_, err := c.readFull(t.Context(), &fullRead{
+				feed: Endpoints,
+			})
+			is.Equal(err, row.err)
+			is.Equal(c.endpoints.len(), row.left)
+		})
+	}
+}
