upstream: limit the heads of responses and the answers that are skipped

What callers saw: an endpoint that sends a head without an end held a request until its deadline, although another endpoint could have served it, and the instance kept all bytes: 1.7 GB and more for 24 requests.

Cause: http.ReadResponse reads lines without a limit from a connection, and an answer to another request was read to its end.

Why this works: the connection's reader fails after 64 KB of one head, and an answer that is skipped may have 1 MB; one that only the end of the connection ends isn't read at all, as no other can follow. The connection is closed at once, and the attempt counts as interrupted, so the request is sent elsewhere where its route allows. It is no crash.

Failed before: gateway TestHeadWithoutEnd (4 s, then 504) and TestMemoryOfAnswersWithoutEnd (3,437 MB allocated for a status line, 2,721 for a header line, 1,949 for a header of many lines, 256 allowed).

--- /dev/null
+++ b/gateway/endless_test.go
@@ -0,0 +1,140 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/platform/platformtest"
+)
+
+// endlessPause is the pause between writes of parts without an end, so that a test of code without
+// limits ends by the callers' timeouts before it needs too much memory.
+const endlessPause = time.Millisecond
+
+// endlessHeads are the parts that precede the body of an answer.
+var endlessHeads = []platformtest.EndlessPart{
+	platformtest.EndlessStatus,
+	platformtest.EndlessHeaderLine,
+	platformtest.EndlessHeader,
+	platformtest.EndlessOther,
+}
+
+// setEndless makes a part of the answers of the named endpoints have no end.
+func (w *cluster) setEndless(part platformtest.EndlessPart, afterEvents int, names ...string) {
+	for _, name := range names {
+		w.endpoints[name].SetFaults(platformtest.EndpointFaults{
+			Endless: &platformtest.Endless{
+				Part:        part,
+				AfterEvents: afterEvents,
+				Pause:       endlessPause,
+			},
+		})
+	}
+}
+
+// maxDelay is the maximum time until the answer to a request with a timeout of 4 s.
+const maxDelay = time.Second
+
+// sendWithin sends a request to instance 0 and checks that the answer takes at most maxDelay.
+func (w *cluster) sendWithin(t *testing.T, c request) response {
+	t.Helper()
+	began := time.Now()
+	g := w.send(0, c)
+	if took := time.Since(began); took > maxDelay {
+		t.Errorf("%s took %s", c.id, took)
+	}
+	return g
+}
+
+// TestHeadWithoutEnd guards against an answer whose head has no end: it takes up memory until the
+// request's deadline, although another endpoint could serve the request.
+func TestHeadWithoutEnd(t *testing.T) {
+	forEachPath(t, func(t *testing.T, w *cluster) {
+		for n, part := range endlessHeads {
+			t.Run(part.String(), func(t *testing.T) {
+				is := is.New(t)
+				plain := w.runsAt(t, fmt.Sprint("plain", n), "/safe/")
+				engine := w.runsAt(t, fmt.Sprint("engine", n), "/stream/")
+				before := w.totalRuns(plain) + w.totalRuns(engine)
+				w.setEndless(part, 0, plain, engine)
+				for i := range 6 {
+					id := fmt.Sprintf("%d-%d", n, i)
+					assertWhole(t, w.sendWithin(t, request{id: "safe" + id, path: "/safe/"}))
+					g := w.sendWithin(t, request{id: "stream" + id, path: "/stream/", tokens: 100})
+					assertWhole(t, g)
+					is.Equal(g.body, events("stream"+id, 10))
+				}
+				is.True(w.totalRuns(plain)+w.totalRuns(engine) >= before+2)
+				w.setEndless(part, 0, "p1", "p2", "e1", "e2")
+				for _, path := range []string{"/unsafe/", "/once/"} {
+					id := fmt.Sprintf("%s%d", path, n)
+					g := w.sendWithin(t, request{id: id, path: path, tokens: 100})
+					is.NoErr(g.err)
+					is.True(g.status == http.StatusBadGateway || w.runs(id) == 0)
+					is.True(w.runs(id) <= 1)
+				}
+				w.setEngineFaults(platformtest.EndpointFaults{}, "p1", "p2", "e1", "e2")
+			})
+		}
+	})
+}
+
+// discardAnswer sends a request to instance 0 and reads the answer without keeping it. It returns an
+// error unless the answer is complete.
+func (w *cluster) discardAnswer(c request) error {
+	res, err := http.DefaultTransport.RoundTrip(w.newRequest(0, c))
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	_, err = io.Copy(io.Discard, res.Body)
+	return err
+}
+
+// TestMemoryOfAnswersWithoutEnd guards against memory that grows with the bytes of answers whose head
+// has no end, while all endpoints send such answers.
+func TestMemoryOfAnswersWithoutEnd(t *testing.T) {
+	const (
+		requests = 24
+		wait     = time.Second
+		// maxAllocated is the memory in bytes that an instance may use.
+		maxAllocated = 256 << 20
+	)
+	w := newCluster(t, 1)
+	for _, row := range []struct {
+		part platformtest.EndlessPart
+		path string
+	}{
+		{platformtest.EndlessStatus, "/safe/"},
+		{platformtest.EndlessHeaderLine, "/stream/"},
+		{platformtest.EndlessHeader, "/safe/"},
+		{platformtest.EndlessOther, "/stream/"},
+	} {
+		t.Run(row.part.String(), func(t *testing.T) {
+			w.setEndless(row.part, 0, "p1", "p2", "e1", "e2")
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			var all sync.WaitGroup
+			for i := range requests {
+				all.Go(func() {
+					// The request may fail.
+					_ = w.discardAnswer(request{id: fmt.Sprint(row.part, "-", i), path: row.path, tokens: 100, wait: int(wait.Milliseconds())})
+				})
+			}
+			all.Wait()
+			runtime.ReadMemStats(&after)
+			if n := after.TotalAlloc - before.TotalAlloc; n > maxAllocated {
+				t.Errorf("%d requests allocated %d MB in %d runs", requests, n>>20, w.totalRuns("p1", "p2", "e1", "e2"))
+			}
+		})
+	}
+}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -306,8 +306,8 @@
 	err error
 }
 
-// send sends a request to instance i on a new connection and returns the answer.
-func (w *cluster) send(i int, c request) response {
+// newRequest returns the request that send sends.
+func (w *cluster) newRequest(i int, c request) *http.Request {
 	if c.method == "" {
 		c.method = http.MethodPost
 	}
@@ -331,7 +331,12 @@
 		Output: max(c.output, 100),
 		Parts:  c.parts,
 	}.Set(req.Header)
-	res, err := http.DefaultTransport.RoundTrip(req)
+	return req
+}
+
+// send sends a request to instance i on a new connection and returns the answer.
+func (w *cluster) send(i int, c request) response {
+	res, err := http.DefaultTransport.RoundTrip(w.newRequest(i, c))
 	if err != nil {
 		return response{
 			err: err,
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -21,8 +21,10 @@
 	net net.Conn
 	// address is the endpoint's host and port.
 	address string
-	reader  *bufio.Reader
-	writer  *bufio.Writer
+	// reader reads from head, which limits the size of heads.
+	reader *bufio.Reader
+	head   *headReader
+	writer *bufio.Writer
 	// idleSince is when the connection became idle, and idleTimeout how long it may be reused
 	// from then on.
 	idleSince   time.Time
@@ -31,10 +33,14 @@
 
 // newConn wraps a new connection to an address.
 func newConn(c net.Conn, address string) *Conn {
+	head := &headReader{
+		r: c,
+	}
 	return &Conn{
 		net:         c,
 		address:     address,
-		reader:      bufio.NewReaderSize(c, bufferBytes),
+		reader:      bufio.NewReaderSize(head, bufferBytes),
+		head:        head,
 		writer:      bufio.NewWriterSize(c, bufferBytes),
 		idleTimeout: defaultIdleTimeout,
 	}
--- a/internal/upstream/doc.go
+++ b/internal/upstream/doc.go
@@ -7,5 +7,5 @@
 //
 // This package writes a request once, to one connection, and its errors report whether the
 // endpoint may have received any of it. Responses to other requests are skipped, and an idle
-// connection with unexpected data on it is closed.
+// connection with unexpected data on it is closed. The size of a response's head is limited.
 package upstream
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/linkmast/linkmast/internal/wirehttp"
 )
 
 // Request is a request to an endpoint.
@@ -158,7 +160,9 @@
 		Method: r.Method,
 	}
 	for range maxResponses {
+		x.conn.head.begin()
 		res, err := http.ReadResponse(x.conn.reader, req)
+		x.conn.head.end()
 		if err != nil {
 			return errors.Wrap(err, "read answer")
 		}
@@ -170,13 +174,25 @@
 			x.Response = res
 			return nil
 		}
-		if _, err := io.Copy(io.Discard, res.Body); err != nil || res.Close {
-			return errors.New("response to another request, after which the connection ended")
+		if res.Close || wirehttp.FramingOf(res) == wirehttp.ByClose {
+			return errors.New("response to another request, after which the connection ends")
+		}
+		if err := skip(res.Body); err != nil {
+			return errors.Wrap(err, "response to another request")
 		}
 	}
 	return errors.New("too many responses that don't answer the request")
 }
 
+// skip reads a body to its end. It returns ErrUnbounded if the body exceeds maxSkipped.
+func skip(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxSkipped+1))
+	if err == nil && n > maxSkipped {
+		err = ErrUnbounded
+	}
+	return err
+}
+
 // release ends an exchange of which nothing was sent. It returns the connection to the pool, or
 // closes it if the context has ended.
 func (x *Exchange) release() {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -55,9 +55,10 @@
 	culprit string
 	// answered states that the caller has received a complete answer.
 	answered bool
-	// interrupted states that the connection failed before the answer was complete, and neither
-	// the caller, the deadline nor the relay ended it. A stream may then be resumed beyond the
-	// route's number of attempts. It is not set for answers that are too large to buffer.
+	// interrupted states that the connection failed before the answer was complete, or that the
+	// answer exceeded a limit, and neither the caller nor the deadline ended it. A stream may then
+	// be resumed beyond the route's number of attempts. It is not set once an answer that is too
+	// large to buffer is being forwarded.
 	interrupted bool
 	// unsent states that nothing was sent, because an endpoint of the grant became unavailable
 	// after the placement.
@@ -240,6 +241,10 @@
 	case t.job.out.callerGone():
 		res.outcome = pool.Abandoned
 		res.reason = "caller gone"
+	case errors.Is(err, upstream.ErrUnbounded):
+		// The endpoint still runs, so this is no crash.
+		res.interrupted = true
+		t.relay.Metrics.add("answers_unbounded")
 	default:
 		res.interrupted, res.connectionLost = true, true
 	}
