relay: limit the bytes of a stream without the end of an event

What callers saw: a stream stood still until its silence was noticed (1.4 s) or, where it can't be resumed, until its deadline, while the instance kept the bytes of an event without an end or forwarded comments without an end.

Cause: the scanner keeps an event until it ends, and comments count as activity of nobody.

Why this works: above 256 KB since the last complete event the attempt is interrupted, so the stream is resumed elsewhere where its route allows.

Failed before: gateway TestEventWithoutEnd (1.4 s resumed, 4 s once; 1 s allowed) and TestMemoryOfAnswersWithoutEnd (event, 316 MB).

--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"runtime"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -88,6 +89,36 @@
 	})
 }
 
+// TestEventWithoutEnd guards against a stream that takes up memory, or is not resumed elsewhere, as an
+// event or the comments before it have no end.
+func TestEventWithoutEnd(t *testing.T) {
+	for _, row := range []struct {
+		part  platformtest.EndlessPart
+		after int
+	}{
+		{platformtest.EndlessEvent, 0},
+		{platformtest.EndlessEvent, 3},
+		{platformtest.EndlessComments, 0},
+		{platformtest.EndlessComments, 3},
+	} {
+		t.Run(fmt.Sprintf("%s after %d events", row.part, row.after), func(t *testing.T) {
+			forEachPath(t, func(t *testing.T, w *cluster) {
+				is := is.New(t)
+				used := w.usedEngine(t, "probe")
+				w.setEndless(row.part, row.after, used)
+				g := w.sendWithin(t, request{id: "resumed", path: "/stream/", tokens: 100})
+				assertWhole(t, g)
+				is.Equal(withoutComments(g.body), events("resumed", 10))
+				is.Equal(w.runs("resumed"), 2)
+				w.setEndless(row.part, row.after, "e1", "e2")
+				g = w.sendWithin(t, request{id: "once", path: "/once/", tokens: 100})
+				is.True(g.err != nil || g.status != http.StatusOK)
+				is.Equal(w.runs("once"), 1)
+			})
+		})
+	}
+}
+
 // discardAnswer sends a request to instance 0 and reads the answer without keeping it. It returns an
 // error unless the answer is complete.
 func (w *cluster) discardAnswer(c request) error {
@@ -100,8 +131,13 @@
 	return err
 }
 
+// withoutComments returns a stream without its comments.
+func withoutComments(body string) string {
+	return strings.ReplaceAll(body, ": comment\n", "")
+}
+
 // TestMemoryOfAnswersWithoutEnd guards against memory that grows with the bytes of answers whose head
-// has no end, while all endpoints send such answers.
+// or event has no end, while all endpoints send such answers.
 func TestMemoryOfAnswersWithoutEnd(t *testing.T) {
 	const (
 		requests = 24
@@ -118,6 +154,7 @@
 		{platformtest.EndlessHeaderLine, "/stream/"},
 		{platformtest.EndlessHeader, "/safe/"},
 		{platformtest.EndlessOther, "/stream/"},
+		{platformtest.EndlessEvent, "/stream/"},
 	} {
 		t.Run(row.part.String(), func(t *testing.T) {
 			w.setEndless(row.part, 0, "p1", "p2", "e1", "e2")
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -19,6 +19,10 @@
 // streamBuffer is the size of a read from a stream, in bytes. It holds several events.
 const streamBuffer = 4 << 10
 
+// maxEventBytes is the maximum size in bytes of an event, together with the comments and blank lines
+// before it.
+const maxEventBytes = 256 << 10
+
 // Reasons why a stream whose end was read is incomplete.
 var (
 	errInsideEvent = errors.New("stream ended inside an event")
@@ -45,11 +49,15 @@
 		Continues: out.headSent,
 	}
 	last := time.Time{}
+	// sinceEvent is the number of bytes read since the last complete event arrived.
+	sinceEvent := 0
 	for {
 		n, err := x.Response.Body.Read(buf)
 		before := scanner.Events()
 		complete := scanner.Add(buf[:n])
+		sinceEvent += n
 		if scanner.Events() > before {
+			sinceEvent = 0
 			t.recordGap(&last)
 			t.recordFirstEvent()
 			w.recordActivity()
@@ -72,6 +80,9 @@
 		if out.callerGone() {
 			return t.handleInterrupted(errCallerGone, w)
 		}
+		if sinceEvent > maxEventBytes {
+			return t.handleInterrupted(errors.Wrap(upstream.ErrUnbounded, "event"), w)
+		}
 	}
 }
 
