relay: try another endpoint before a body without a length grows

What callers saw: a body without an end was forwarded until the deadline.

Cause: an answer above 1 MB is forwarded as it comes, whatever its framing.

Why this works: an answer that doesn't state its length may have no end, so above 1 MB it is tried elsewhere if the route allows, unless a larger one on the route has been complete; the endpoint isn't blamed for it. What is forwarded is cut off at 64 MB, and the caller sees that it is incomplete.

Ruled out: a larger buffer (24 requests would fill an instance's memory); no limit but the deadline (a caller would receive up to 1 GB on its link).

Failed before: gateway TestBodyWithoutEnd (4.2 s; 1 s allowed).

--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -119,6 +119,36 @@
 	}
 }
 
+// TestBodyWithoutEnd guards against a body without an end that a caller receives until the deadline
+// although another endpoint could serve the request.
+func TestBodyWithoutEnd(t *testing.T) {
+	for _, part := range []platformtest.EndlessPart{platformtest.EndlessBody, platformtest.EndlessChunks} {
+		t.Run(part.String(), func(t *testing.T) {
+			forEachPath(t, func(t *testing.T, w *cluster) {
+				is := is.New(t)
+				used := w.runsAt(t, "probe", "/safe/")
+				w.setEndless(part, 0, used)
+				before := w.totalRuns(used)
+				for i := range 6 {
+					assertWhole(t, w.sendWithin(t, request{id: fmt.Sprint("safe", i), path: "/safe/"}))
+				}
+				is.True(w.totalRuns(used) > before)
+				for _, name := range []string{"p1", "p2"} {
+					w.endpoints[name].SetFaults(platformtest.EndpointFaults{
+						Endless: &platformtest.Endless{
+							Part: part,
+						},
+					})
+				}
+				began := time.Now()
+				is.True(w.discardAnswer(request{id: "unsafe", path: "/unsafe/"}) != nil) // the caller sees that the answer is incomplete
+				is.True(time.Since(began) <= maxDelay)
+				is.Equal(w.runs("unsafe"), 1)
+			})
+		})
+	}
+}
+
 // discardAnswer sends a request to instance 0 and reads the answer without keeping it. It returns an
 // error unless the answer is complete.
 func (w *cluster) discardAnswer(c request) error {
@@ -155,6 +185,7 @@
 		{platformtest.EndlessHeader, "/safe/"},
 		{platformtest.EndlessOther, "/stream/"},
 		{platformtest.EndlessEvent, "/stream/"},
+		{platformtest.EndlessBody, "/safe/"},
 	} {
 		t.Run(row.part.String(), func(t *testing.T) {
 			w.setEndless(row.part, 0, "p1", "p2", "e1", "e2")
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -79,6 +79,8 @@
 	// a usable configuration.
 	inFlight      atomic.Int64
 	configWaiters atomic.Int64
+	// largeAnswers holds the routes on which an answer that is too large to buffer was complete.
+	largeAnswers nameSet
 	// detector finds out whether a failed attempt crashed its endpoint. It is used only with a
 	// quarantine.
 	detector *quarantine.Detector
