wirehttp: limit the heads and JSON bodies of the answers to own calls

Cause: the same as for answers to requests; net/http accepts heads of 10 MB, and a JSON decoder keeps a value until it ends.

Change: 64 KB for heads, 64 MB for JSON bodies (engine, logsvc, instances, weights); the store's and the reports' bodies had limits.

--- a/engine/http.go
+++ b/engine/http.go
@@ -108,7 +108,7 @@
 	if out == nil {
 		return nil
 	}
-	if err := json.NewDecoder(res.Body).Decode(out); err != nil {
+	if err := wirehttp.DecodeJSON(res.Body, out); err != nil {
 		return errors.Wrap(err, "decode response of engine")
 	}
 	return nil
--- a/instances/instances.go
+++ b/instances/instances.go
@@ -13,7 +13,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"strconv"
 
@@ -139,7 +138,7 @@
 	if res.StatusCode != http.StatusOK {
 		return l, errors.Errorf("list instances: status %d", res.StatusCode)
 	}
-	if err := json.NewDecoder(res.Body).Decode(&l); err != nil {
+	if err := wirehttp.DecodeJSON(res.Body, &l); err != nil {
 		return l, errors.Wrap(err, "list instances")
 	}
 	return l, nil
--- a/internal/wirehttp/wirehttp.go
+++ b/internal/wirehttp/wirehttp.go
@@ -17,8 +17,15 @@
 	"github.com/linkmast/linkmast/internal/tcp"
 )
 
-// MaxErrorBody bounds how much of an error response is read, in bytes.
-const MaxErrorBody = 64 << 10
+// Limits of responses, in bytes.
+const (
+	// MaxErrorBody bounds how much of an error response is read.
+	MaxErrorBody = 64 << 10
+	// maxHead bounds the head of a response.
+	maxHead = 64 << 10
+	// maxJSON bounds the body of a response that DecodeJSON decodes.
+	maxJSON = 64 << 20
+)
 
 // Timeouts of Client.
 const (
@@ -29,9 +36,9 @@
 // idlePerHost bounds the idle connections to one address.
 const idlePerHost = 64
 
-// Client returns an HTTP client that dials within a bounded time, follows no redirects and
-// keeps connections open between calls. The caller bounds the duration of a call by its
-// context.
+// Client returns an HTTP client that dials within a bounded time, follows no redirects, limits the
+// heads of responses and keeps connections open between calls. The caller bounds the duration of a
+// call by its context, and the size of a body as it reads it.
 func Client() *http.Client {
 	return ClientMaxIdle(0)
 }
@@ -47,11 +54,12 @@
 func ClientBy(dial tcp.DialFunc, idle int) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dial,
-			MaxIdleConns:        idle,
-			MaxIdleConnsPerHost: idlePerHost,
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
+			DialContext:            dial,
+			MaxIdleConns:           idle,
+			MaxIdleConnsPerHost:    idlePerHost,
+			IdleConnTimeout:        idleTimeout,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxHead,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
@@ -107,6 +115,11 @@
 	_ = body.Close()
 }
 
+// DecodeJSON decodes the body of a response into v. It returns an error for a body above the limit.
+func DecodeJSON(body io.Reader, v any) error {
+	return json.NewDecoder(io.LimitReader(body, maxJSON)).Decode(v)
+}
+
 // JSON sends a response with the given status and v encoded as JSON.
 func JSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
--- a/logsvc/logsvc.go
+++ b/logsvc/logsvc.go
@@ -135,7 +135,7 @@
 		}
 	}
 	var a AppendAnswer
-	if err := json.NewDecoder(res.Body).Decode(&a); err != nil {
+	if err := wirehttp.DecodeJSON(res.Body, &a); err != nil {
 		return 0, &Error{
 			Unknown: true,
 			Err:     err,
@@ -170,7 +170,7 @@
 			Err: errors.Errorf("read: status %d", res.StatusCode),
 		}
 	}
-	if err := json.NewDecoder(res.Body).Decode(&b); err != nil {
+	if err := wirehttp.DecodeJSON(res.Body, &b); err != nil {
 		return b, &Error{
 			Err: err,
 		}
--- a/weights/weights.go
+++ b/weights/weights.go
@@ -12,7 +12,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -89,7 +88,7 @@
 	default:
 		return p, errors.Errorf("request weight permit: unexpected status %d", res.StatusCode)
 	}
-	if err := json.NewDecoder(res.Body).Decode(&p); err != nil {
+	if err := wirehttp.DecodeJSON(res.Body, &p); err != nil {
 		return p, errors.Wrap(err, "decode weight permit")
 	}
 	return p, nil
