gateway: test large answers with and without a length

Guards what the limit of answers without a length must not break: an answer of 3 MB reaches its caller whole, and only the first one on a route runs twice.

--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -149,6 +149,44 @@
 	}
 }
 
+// TestLargeAnswer guards against a large answer that has an end and is taken for one without, or that
+// runs at two endpoints again and again.
+func TestLargeAnswer(t *testing.T) {
+	const extra = 3 << 20
+	for _, row := range []struct {
+		name   string
+		faults platformtest.EndpointFaults
+		// first is the number of endpoints that run the first request that may be repeated.
+		first int
+	}{
+		{"length", platformtest.EndpointFaults{ExtraBytes: extra, StateLength: true}, 1},
+		{"chunks", platformtest.EndpointFaults{ExtraBytes: extra}, 2},
+		{"end of the connection", platformtest.EndpointFaults{ExtraBytes: extra, Unframed: true}, 2},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			forEachPath(t, func(t *testing.T, w *cluster) {
+				is := is.New(t)
+				w.setEngineFaults(row.faults, "p1", "p2")
+				for i, c := range []struct {
+					path string
+					runs int
+				}{
+					{"/safe/", row.first},
+					{"/safe/", 1},
+					{"/unsafe/", 1},
+					{"/safe/", 1},
+				} {
+					id := fmt.Sprint("large", i)
+					g := w.send(0, request{id: id, path: c.path})
+					assertWhole(t, g)
+					is.Equal(g.body, platformtest.PlainAnswer(id, nil)+strings.Repeat(".", extra))
+					is.Equal(w.runs(id), c.runs)
+				}
+			})
+		})
+	}
+}
+
 // discardAnswer sends a request to instance 0 and reads the answer without keeping it. It returns an
 // error unless the answer is complete.
 func (w *cluster) discardAnswer(c request) error {
