soak: endpoints keep their ports while they are down

Cause: endpoints listened on ports that the kernel gives out, so another process could take one while the endpoint was down.

Change: they get ports of the blocks that no other soak uses, as instances do. The checks are unchanged.

Suspected only: the other process had ended when this was traced.

--- a/internal/tcp/tcptest/proxy.go
+++ b/internal/tcp/tcptest/proxy.go
@@ -52,9 +52,14 @@
 	dropped map[string]int
 }
 
-// NewProxy starts a proxy to a target address. The caller must call Close to stop it.
+// NewProxy starts a proxy to a target address on a free port. The caller must call Close to stop it.
 func NewProxy(target string) (*Proxy, error) {
-	l, err := listen("127.0.0.1:0")
+	return NewProxyAt("127.0.0.1:0", target)
+}
+
+// NewProxyAt is like NewProxy, but the proxy listens on the given address.
+func NewProxyAt(address, target string) (*Proxy, error) {
+	l, err := listen(address)
 	if err != nil {
 		return nil, err
 	}
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -74,7 +74,7 @@
 	seedAddresses []string
 	endpoints     []*endpoint
 	servers       []*http.Server
-	// ports are the ports of the instances.
+	// ports are the ports of the instances and of the endpoints.
 	ports ports
 
 	// recovered is when the system must have recovered from the last fault.
@@ -181,11 +181,15 @@
 		e.service = engineService
 		e.Engine = engineModel()
 	}
-	address, err := d.serve(e.Endpoint)
+	target, err := d.serve(e.Endpoint)
 	if err != nil {
 		return err
 	}
-	if e.proxy, err = tcptest.NewProxy(address); err != nil {
+	address, err := d.ports.address()
+	if err != nil {
+		return err
+	}
+	if e.proxy, err = tcptest.NewProxyAt(address, target); err != nil {
 		return errors.Wrap(err, "start proxy to an endpoint")
 	}
 	e.Crash = func([]string) { d.crash(e) }
--- a/soak/ports.go
+++ b/soak/ports.go
@@ -9,8 +9,8 @@
 	"github.com/go-faster/errors"
 )
 
-// Range of the ports that instances listen on. It lies below Linux's default range of ephemeral
-// ports, so that the kernel does not assign a selected port to another socket before the instance
+// Range of the ports that instances and endpoints listen on. It lies below Linux's default range of
+// ephemeral ports, so that the kernel does not assign a selected port to another socket while no one
 // listens on it.
 const (
 	firstPort = 20_000
@@ -20,8 +20,8 @@
 )
 
 // ports hands out the ports of blocks that no other soak on this host uses. A soak holds a block by
-// listening on its first port. Without this, an instance that is down could lose its port to another
-// soak. The zero value holds no block.
+// listening on its first port. Without this, an instance or endpoint that is down could lose its port
+// to another soak. The zero value holds no block.
 type ports struct {
 	held []net.Listener
 	// next is the next port to hand out, and end the first port after the last block.
@@ -61,7 +61,7 @@
 		p.next, p.end = first+1, first+portsPerBlock
 		return nil
 	}
-	return errors.New("no free block of ports for instances")
+	return errors.New("no free block of ports")
 }
 
 // close gives the blocks up.
