soak: two periods of leaving are not one

By the trace, endpoint 6 announced that it leaves at 2.75 s, restarted as e-6.3, answered 60 requests without the announcement, and announced it again at 11.61 s; the request was the one that was answered with the second announcement first.

Cause: the check told periods apart by 19.2 s only, the longest that two can last, and took the second for a part of the first.

Why this is as strict: an endpoint that answers without the announcement has restarted, so within one period nothing changes, and each later period is checked by its own first announcement.

Failed before: TestCheckStatements (leaving twice); late requests in the second period are still found.

--- a/soak/statements.go
+++ b/soak/statements.go
@@ -115,6 +115,8 @@
 	announced := make(map[int]time.Time)
 	for _, a := range all {
 		if !a.Faults.Leaving {
+			// The endpoint has restarted, so a later announcement belongs to another period.
+			clear(announced)
 			continue
 		}
 		first, known := announced[a.instance]
@@ -137,7 +139,7 @@
 // Times for the check of announcements of leaving.
 const (
 	// maxLeavingPeriod is longer than any period in which an endpoint announces its leaving. A
-	// later announcement belongs to another period.
+	// later announcement belongs to another period, even if no request arrived in between.
 	maxLeavingPeriod = 2 * (2*minDurationMS + 2*durationSpreadMS) * time.Millisecond
 	// answerWithin bounds the time until the instance has received the header of a response.
 	answerWithin = time.Second
--- a/soak/statements_test.go
+++ b/soak/statements_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -44,6 +45,16 @@
 	}{
 		{"leaving, requests in time", leave, arrivalsEvery(begin, 20, 100*time.Millisecond, leaving), false},
 		{"leaving, late requests", leave, arrivalsEvery(begin, 5, time.Second, leaving), true},
+		{"leaving twice", leave, slices.Concat(
+			arrivalsEvery(begin, 5, 100*time.Millisecond, leaving),
+			arrivalsEvery(begin.Add(time.Second), 5, time.Second, platformtest.EndpointFaults{}),
+			arrivalsEvery(begin.Add(6*time.Second), 5, 100*time.Millisecond, leaving),
+		), false},
+		{"leaving twice, late requests the second time", leave, slices.Concat(
+			arrivalsEvery(begin, 5, 100*time.Millisecond, leaving),
+			arrivalsEvery(begin.Add(time.Second), 5, time.Second, platformtest.EndpointFaults{}),
+			arrivalsEvery(begin.Add(6*time.Second), 5, time.Second, leaving),
+		), true},
 		{"not leaving", leave, arrivalsEvery(begin, 5, time.Second, platformtest.EndpointFaults{}), false},
 		{"limit kept", (*Deployment).checkLimits, arrivalsEvery(begin, 20, 500*time.Millisecond, limit), false},
 		{"limit exceeded", (*Deployment).checkLimits, arrivalsEvery(begin, 60, 100*time.Millisecond, limit), true},
