gateway: make tests of answers without an end independent of placement

The requests themselves were served whole and in time.

Change: a number of answers without an end is shared by all endpoints of a service, so the first attempt always gets one, wherever it is placed; each part has a cluster of its own. The checks are stricter: exactly two runs of a request that may be repeated, exactly one and 502 of another.

--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -29,17 +29,17 @@
 	platformtest.EndlessOther,
 }
 
-// setEndless makes a part of the answers of the named endpoints have no end.
-func (w *cluster) setEndless(part platformtest.EndlessPart, afterEvents int, names ...string) {
-	for _, name := range names {
-		w.endpoints[name].SetFaults(platformtest.EndpointFaults{
-			Endless: &platformtest.Endless{
-				Part:        part,
-				AfterEvents: afterEvents,
-				Pause:       endlessPause,
-			},
-		})
-	}
+// setEndless makes a part of the next answers of the named endpoints have no end; all of their answers
+// if the number is zero.
+func (w *cluster) setEndless(part platformtest.EndlessPart, afterEvents int, answers int64, names ...string) {
+	w.setEngineFaults(platformtest.EndpointFaults{
+		Endless: &platformtest.Endless{
+			Part:        part,
+			Answers:     answers,
+			AfterEvents: afterEvents,
+			Pause:       endlessPause,
+		},
+	}, names...)
 }
 
 // maxDelay is the maximum time until the answer to a request with a timeout of 4 s.
@@ -59,34 +59,28 @@
 // TestHeadWithoutEnd guards against an answer whose head has no end: it takes up memory until the
 // request's deadline, although another endpoint could serve the request.
 func TestHeadWithoutEnd(t *testing.T) {
-	forEachPath(t, func(t *testing.T, w *cluster) {
-		for n, part := range endlessHeads {
-			t.Run(part.String(), func(t *testing.T) {
+	for _, part := range endlessHeads {
+		t.Run(part.String(), func(t *testing.T) {
+			forEachPath(t, func(t *testing.T, w *cluster) {
 				is := is.New(t)
-				plain := w.runsAt(t, fmt.Sprint("plain", n), "/safe/")
-				engine := w.runsAt(t, fmt.Sprint("engine", n), "/stream/")
-				before := w.totalRuns(plain) + w.totalRuns(engine)
-				w.setEndless(part, 0, plain, engine)
-				for i := range 6 {
-					id := fmt.Sprintf("%d-%d", n, i)
-					assertWhole(t, w.sendWithin(t, request{id: "safe" + id, path: "/safe/"}))
-					g := w.sendWithin(t, request{id: "stream" + id, path: "/stream/", tokens: 100})
-					assertWhole(t, g)
-					is.Equal(g.body, events("stream"+id, 10))
-				}
-				is.True(w.totalRuns(plain)+w.totalRuns(engine) >= before+2)
-				w.setEndless(part, 0, "p1", "p2", "e1", "e2")
+				w.setEndless(part, 0, 1, "p1", "p2")
+				assertWhole(t, w.sendWithin(t, request{id: "safe", path: "/safe/"}))
+				is.Equal(w.runs("safe"), 2)
+				w.setEndless(part, 0, 1, "e1", "e2")
+				g := w.sendWithin(t, request{id: "stream", path: "/stream/", tokens: 100})
+				assertWhole(t, g)
+				is.Equal(g.body, events("stream", 10))
+				is.Equal(w.runs("stream"), 2)
+				w.setEndless(part, 0, 0, "p1", "p2", "e1", "e2")
 				for _, path := range []string{"/unsafe/", "/once/"} {
-					id := fmt.Sprintf("%s%d", path, n)
-					g := w.sendWithin(t, request{id: id, path: path, tokens: 100})
+					g := w.sendWithin(t, request{id: path, path: path, tokens: 100})
 					is.NoErr(g.err)
-					is.True(g.status == http.StatusBadGateway || w.runs(id) == 0)
-					is.True(w.runs(id) <= 1)
+					is.Equal(g.status, http.StatusBadGateway)
+					is.Equal(w.runs(path), 1)
 				}
-				w.setEngineFaults(platformtest.EndpointFaults{}, "p1", "p2", "e1", "e2")
 			})
-		}
-	})
+		})
+	}
 }
 
 // TestEventWithoutEnd guards against a stream that takes up memory, or is not resumed elsewhere, as an
@@ -104,13 +98,12 @@
 		t.Run(fmt.Sprintf("%s after %d events", row.part, row.after), func(t *testing.T) {
 			forEachPath(t, func(t *testing.T, w *cluster) {
 				is := is.New(t)
-				used := w.usedEngine(t, "probe")
-				w.setEndless(row.part, row.after, used)
+				w.setEndless(row.part, row.after, 1, "e1", "e2")
 				g := w.sendWithin(t, request{id: "resumed", path: "/stream/", tokens: 100})
 				assertWhole(t, g)
 				is.Equal(withoutComments(g.body), events("resumed", 10))
 				is.Equal(w.runs("resumed"), 2)
-				w.setEndless(row.part, row.after, "e1", "e2")
+				w.setEndless(row.part, row.after, 0, "e1", "e2")
 				g = w.sendWithin(t, request{id: "once", path: "/once/", tokens: 100})
 				is.True(g.err != nil || g.status != http.StatusOK)
 				is.Equal(w.runs("once"), 1)
@@ -126,20 +119,14 @@
 		t.Run(part.String(), func(t *testing.T) {
 			forEachPath(t, func(t *testing.T, w *cluster) {
 				is := is.New(t)
-				used := w.runsAt(t, "probe", "/safe/")
-				w.setEndless(part, 0, used)
-				before := w.totalRuns(used)
-				for i := range 6 {
-					assertWhole(t, w.sendWithin(t, request{id: fmt.Sprint("safe", i), path: "/safe/"}))
-				}
-				is.True(w.totalRuns(used) > before)
-				for _, name := range []string{"p1", "p2"} {
-					w.endpoints[name].SetFaults(platformtest.EndpointFaults{
-						Endless: &platformtest.Endless{
-							Part: part,
-						},
-					})
-				}
+				w.setEndless(part, 0, 1, "p1", "p2")
+				assertWhole(t, w.sendWithin(t, request{id: "safe", path: "/safe/"}))
+				is.Equal(w.runs("safe"), 2)
+				w.setEngineFaults(platformtest.EndpointFaults{
+					Endless: &platformtest.Endless{
+						Part: part,
+					},
+				}, "p1", "p2")
 				began := time.Now()
 				is.True(w.discardAnswer(request{id: "unsafe", path: "/unsafe/"}) != nil) // the caller sees that the answer is incomplete
 				is.True(time.Since(began) <= maxDelay)
@@ -226,7 +213,7 @@
 		{platformtest.EndlessBody, "/safe/"},
 	} {
 		t.Run(row.part.String(), func(t *testing.T) {
-			w.setEndless(row.part, 0, "p1", "p2", "e1", "e2")
+			w.setEndless(row.part, 0, 0, "p1", "p2", "e1", "e2")
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
 			var all sync.WaitGroup
--- a/gateway/truncated_test.go
+++ b/gateway/truncated_test.go
@@ -280,14 +280,8 @@
 // usedEngine returns the engine that runs a stream now.
 func (w *cluster) usedEngine(t *testing.T, id string) string {
 	t.Helper()
-	return w.runsAt(t, id, "/stream/")
-}
-
-// runsAt returns the endpoint that runs a request on the route of a path now.
-func (w *cluster) runsAt(t *testing.T, id, path string) string {
-	t.Helper()
-	// Earlier failures eject an endpoint for a while.
-	w.await("served", func() bool { return w.send(0, request{id: id, path: path, tokens: 100}).status == http.StatusOK })
+	// Earlier failures eject an engine for a while.
+	w.await("served", func() bool { return w.send(0, request{id: id, path: "/stream/", tokens: 100}).status == http.StatusOK })
 	for name, e := range w.endpoints {
 		for _, r := range e.Runs() {
 			if r.ID == id {
@@ -295,7 +289,7 @@
 			}
 		}
 	}
-	t.Fatal("no endpoint ran the request")
+	t.Fatal("no engine ran the stream")
 	return ""
 }
 
