wirehttp, upstream: one limit of heads

Cause: the limit of 64 KB stood in both packages, for the same rule. The value and what follows from it are unchanged. Measured: upstream TestHeadLimit and wirehttp TestClientLimitsHeads hold.

--- a/internal/upstream/limit.go
+++ b/internal/upstream/limit.go
@@ -6,21 +6,18 @@
 	"io"
 
 	"github.com/go-faster/errors"
+
+	"github.com/linkmast/linkmast/internal/wirehttp"
 )
 
 // ErrUnbounded is the cause of errors about a response that exceeds a limit and may have no end.
 var ErrUnbounded = errors.New("response has more bytes than allowed")
 
-// Limits of responses.
-const (
-	// MaxHead is the maximum size of the head of a response in bytes, apart from the read buffer.
-	MaxHead = 64 << 10
-	// maxSkipped is the maximum size of the body of a response to another request in bytes.
-	maxSkipped = 1 << 20
-)
+// maxSkipped is the maximum size of the body of a response to another request in bytes.
+const maxSkipped = 1 << 20
 
-// headReader reads from a connection. While it reads a head, it fails with ErrUnbounded after MaxHead
-// bytes.
+// headReader reads from a connection. While it reads a head, it fails with ErrUnbounded after
+// wirehttp.MaxHead bytes, to which what the reader above has buffered is added.
 type headReader struct {
 	r io.Reader
 	// inHead is set while a head is read, and left is how many bytes it may still have.
@@ -30,7 +27,7 @@
 
 // begin starts to count the bytes of a head.
 func (h *headReader) begin() {
-	h.inHead, h.left = true, MaxHead
+	h.inHead, h.left = true, wirehttp.MaxHead
 }
 
 // end ends the head.
--- a/internal/upstream/limit_test.go
+++ b/internal/upstream/limit_test.go
@@ -14,14 +14,15 @@
 	"github.com/matryer/is"
 
 	"github.com/linkmast/linkmast/internal/upstream"
+	"github.com/linkmast/linkmast/internal/wirehttp"
 )
 
 // TestHeadLimit guards against heads that are read without a limit, and against a limit that applies
 // to bodies or to several heads together.
 func TestHeadLimit(t *testing.T) {
 	const (
-		most = upstream.MaxHead - 1<<10
-		over = upstream.MaxHead + 16<<10
+		most = wirehttp.MaxHead - 1<<10
+		over = wirehttp.MaxHead + 16<<10
 	)
 	head := func(id string, size int) string {
 		return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nX-Fill: %s\r\nContent-Length: 2\r\n\r\nhi", id, strings.Repeat("x", size))
--- a/internal/wirehttp/wirehttp.go
+++ b/internal/wirehttp/wirehttp.go
@@ -21,8 +21,8 @@
 const (
 	// MaxErrorBody bounds how much of an error response is read.
 	MaxErrorBody = 64 << 10
-	// maxHead bounds the head of a response.
-	maxHead = 64 << 10
+	// MaxHead bounds the head of a response.
+	MaxHead = 64 << 10
 	// maxJSON bounds the body of a response that DecodeJSON decodes.
 	maxJSON = 64 << 20
 )
@@ -59,7 +59,7 @@
 			MaxIdleConnsPerHost:    idlePerHost,
 			IdleConnTimeout:        idleTimeout,
 			DisableCompression:     true,
-			MaxResponseHeaderBytes: maxHead,
+			MaxResponseHeaderBytes: MaxHead,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
