relay: don't wait for the body of a rejection

What callers saw: a request was held until its deadline and answered 503, although another endpoint could serve it, when the endpoint that rejected it did not end the body of its rejection.

Cause: the body is read so that the connection can be reused, up to 64 KB, however long that takes. Also, a body above the limit counted as read.

Why this works: the connection is given up after 50 ms or 64 KB, and the request is sent elsewhere. A rejection's body arrives with its head as a rule, so the connection is still reused.

--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -136,6 +136,34 @@
 	}
 }
 
+// TestRejectionWithoutEnd guards against a request that waits for the body of a rejection, although
+// another endpoint could serve it.
+func TestRejectionWithoutEnd(t *testing.T) {
+	for _, pause := range []time.Duration{endlessPause, time.Minute} {
+		t.Run(fmt.Sprint("a part every ", pause), func(t *testing.T) {
+			forEachPath(t, func(t *testing.T, w *cluster) {
+				is := is.New(t)
+				for path, names := range map[string][]string{
+					"/safe/":   {"p1", "p2"},
+					"/unsafe/": {"p1", "p2"},
+					"/stream/": {"e1", "e2"},
+					"/once/":   {"e1", "e2"},
+				} {
+					w.setEngineFaults(platformtest.EndpointFaults{
+						Endless: &platformtest.Endless{
+							Part:    platformtest.EndlessRejection,
+							Answers: 1,
+							Pause:   pause,
+						},
+					}, names...)
+					assertWhole(t, w.sendWithin(t, request{id: path, path: path, tokens: 100}))
+					is.Equal(w.runs(path), 2) // the stand-in records the rejected one as well
+				}
+			})
+		})
+	}
+}
+
 // TestLargeAnswer guards against a large answer that has an end and is taken for one without, or that
 // runs at two endpoints again and again.
 func TestLargeAnswer(t *testing.T) {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -208,6 +208,14 @@
 	return x.conn.via()
 }
 
+// Discard reads the rest of the body, so that Close can keep the connection. If the rest has more
+// than limit bytes or does not arrive in the given time, it closes the connection.
+func (x *Exchange) Discard(limit int64, within time.Duration) {
+	timer := time.AfterFunc(within, x.conn.close)
+	n, err := io.Copy(io.Discard, io.LimitReader(x.Response.Body, limit+1))
+	x.complete = timer.Stop() && err == nil && n <= limit
+}
+
 // MarkComplete records that the body was read to its end. Without this call, Close closes the
 // connection.
 func (x *Exchange) MarkComplete() {
--- a/internal/upstream/limit_test.go
+++ b/internal/upstream/limit_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -63,6 +64,46 @@
 	}
 }
 
+// TestDiscard guards against a connection that is reused although the rest of a body is on it, against
+// one that is lost although the body was read, and against a wait for a body that does not end.
+func TestDiscard(t *testing.T) {
+	const limit = 100
+	for _, row := range []struct {
+		name   string
+		answer string
+		conns  int64
+	}{
+		{"empty body", "", 1},
+		{"body at the limit", strings.Repeat("b", limit), 1},
+		{"body above the limit", strings.Repeat("b", limit+1), 2},
+		{"body that stalls", "stall", 2},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			held := make(chan struct{})
+			defer close(held)
+			e := newEndpoint(t, func(c net.Conn, r *http.Request, _ int) bool {
+				id := r.Header.Get("Id")
+				if row.answer != "stall" {
+					_, err := io.WriteString(c, ok(id, row.answer))
+					return err == nil
+				}
+				io.WriteString(c, strings.TrimSuffix(ok(id, "stalled"), "stalled"))
+				<-held
+				return false
+			})
+			p := upstream.New(upstream.Settings{})
+			for i := range 2 {
+				x, err := p.Do(t.Context(), e.request(fmt.Sprint(i)))
+				is.NoErr(err)
+				x.Discard(limit, 200*time.Millisecond)
+				x.Close()
+			}
+			is.Equal(e.conns.Load(), row.conns)
+		})
+	}
+}
+
 // TestOtherAnswerUntilClose guards against a request that waits for the end of the connection, after an
 // answer to another request whose body only that ends.
 func TestOtherAnswerUntilClose(t *testing.T) {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -270,10 +269,7 @@
 
 // handleRejection returns the result of an attempt whose endpoint did not run the request.
 func (t *attempt) handleRejection(x *upstream.Exchange, head AnswerHead) result {
-	// Reading the rest of the answer allows the connection to be reused.
-	if _, err := io.Copy(io.Discard, io.LimitReader(x.Response.Body, maxRejection)); err == nil {
-		x.MarkComplete()
-	}
+	x.Discard(maxRejection, rejectionTime)
 	r := result{
 		outcome: pool.Rejected,
 		culprit: head.Culprit,
@@ -287,8 +283,13 @@
 	return r
 }
 
-// maxRejection bounds how much of a rejection's body is read, in bytes.
-const maxRejection = 64 << 10
+// Limits on reading the body of a rejection, after which the connection can be reused.
+const (
+	// maxRejection is in bytes.
+	maxRejection = 64 << 10
+	// rejectionTime is short, because the request waits to be sent elsewhere.
+	rejectionTime = 50 * time.Millisecond
+)
 
 // recordFirstEvent reports the first event of a stream, or that another answer was read, to the
 // placer. On streaming routes it also records the time in the metrics. Later calls do nothing.
