--- a/cmd/linkmast/main.go
+++ b/cmd/linkmast/main.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/signal"
 	"reflect"
+	"runtime"
 	"syscall"
 
 	"github.com/go-faster/errors"
@@ -132,20 +133,24 @@
 		Level: level,
 	})
 	log := logr.FromSlogHandler(handler).WithValues("instance", s.ID)
+	log.Info("starting", "version", version.String(), "pid", os.Getpid(), "processors", runtime.GOMAXPROCS(0), "settings", o.Settings)
 	signals := make(chan os.Signal, signalQueue)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	n, err := start(s, log, lines.Dropped)
 	if err != nil {
+		log.Error(err, "start failed", "status", exitFailed)
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
 	for sig := range signals {
+		log.Info("signal received", "signal", sig.String())
 		if sig != syscall.SIGHUP {
 			break
 		}
 		reload(o.Settings, s, log)
 	}
 	stop(n, signals)
+	log.Info("exiting", "status", exitOK)
 	return exitOK
 }
 
--- a/gateway/admin.go
+++ b/gateway/admin.go
@@ -6,7 +6,6 @@
 	"expvar"
 	"fmt"
 	"net/http"
-	"runtime"
 
 	"github.com/linkmast/linkmast/catalog"
 	"github.com/linkmast/linkmast/reach"
@@ -85,31 +84,3 @@
 		Served:     g.forwarder.Served(),
 	}
 }
-
-// processStats holds statistics of the process.
-type processStats struct {
-	Goroutines int `json:"goroutines"`
-	// InFlight is the number of requests being served.
-	InFlight int64 `json:"in_flight"`
-	// Connections is the number of open connections from callers.
-	Connections int `json:"connections"`
-	// Dials is the number of attempts to open a connection to an endpoint since the start.
-	Dials int64 `json:"dials"`
-	// FailedDials is the number of those attempts that failed. If it grows on one instance alone,
-	// the fault lies between that instance and the endpoints.
-	FailedDials int64 `json:"failed_dials"`
-	// LinesDropped is the number of log lines dropped since the start.
-	LinesDropped int64 `json:"lines_dropped"`
-}
-
-// processStats returns the current statistics of the process.
-func (g *Gateway) processStats() processStats {
-	return processStats{
-		Goroutines:   runtime.NumGoroutine(),
-		InFlight:     g.relay.InFlight(),
-		Connections:  g.callerConns.count(),
-		Dials:        g.upstream.Dials(),
-		FailedDials:  g.upstream.FailedDials(),
-		LinesDropped: g.droppedLines(),
-	}
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,6 +41,7 @@
 
 	settings *settings.File
 	log      logr.Logger
+	started  time.Time
 	// droppedLines returns the number of log lines dropped so far.
 	droppedLines func() int64
 	// self describes this instance to other instances.
@@ -105,6 +106,7 @@
 		Done:         make(chan struct{}),
 		settings:     f,
 		log:          p.Log,
+		started:      time.Now(),
 		droppedLines: p.DroppedLines,
 		callerConns:  newConnections(),
 		poolsReady:   make(chan struct{}),
