linkmast: register SIGHUP before anything else happens

What callers saw: an instance that was told of changed settings while it started was killed by SIGHUP, without a line in its log. Cause: the program asked for the signal only after it had read its settings, and the default action of SIGHUP ends a process.

What remains is the time until the runtime has started; no program can handle it.

--- /dev/null
+++ b/cmd/linkmast/instance_test.go
@@ -0,0 +1,319 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/linkmast/linkmast/batch"
+	"github.com/linkmast/linkmast/platform/platformtest"
+	"github.com/linkmast/linkmast/route"
+)
+
+// host is an address of the loopback network that stands for a machine of its own, with the ports that a
+// platform assigns.
+type host struct {
+	ip    string
+	store string
+}
+
+// hosts counts the hosts of the test process.
+var hosts atomic.Int32
+
+// newHost returns a host that no other test uses, and the address of a store for it.
+func newHost(t *testing.T, store string) *host {
+	t.Helper()
+	pid := os.Getpid()
+	return &host{
+		ip:    fmt.Sprintf("127.%d.%d.%d", 64+pid>>8&63, pid&255, 1+hosts.Add(1)),
+		store: store,
+	}
+}
+
+// fields returns the values with which the platform fills the template of the settings.
+func (h *host) fields() map[string]string {
+	return map[string]string{
+		"node_name":                 "front-1",
+		"region":                    "region-1",
+		"zone":                      "domain-1",
+		"ip":                        h.ip,
+		"listen.front":              h.ip + ":8227",
+		"listen.ready":              h.ip + ":8220",
+		"listen.control":            h.ip + ":8229",
+		"bootstrap":                 "true",
+		"limits.cpu_share":          "0.4",
+		"limits.link_mbps":          "1000.0",
+		"limits.memory_mb":          "284",
+		"platform.address":          h.store,
+		"bounds.retry_budget_ratio": "0.2",
+		"bounds.budget_extra":       "100",
+		"bounds.budget_window_s":    "10",
+		"bounds.revoke_ms":          "5000",
+		"bounds.strict_revoke":      "true",
+		"bounds.grace_s":            "8",
+	}
+}
+
+// addresses returns the addresses that an instance on the host listens on.
+func (h *host) addresses() map[string]string {
+	return map[string]string{
+		"callers": h.ip + ":8227",
+		"ready":   h.ip + ":8220",
+		"peers":   h.ip + ":8229",
+		"admin":   h.ip + ":9464",
+	}
+}
+
+// The gaps of the template. A section is kept only for the list of seeds.
+var (
+	seedSection   = regexp.MustCompile(`(?s)\{\{#seeds\}\}.*?\{\{/seeds\}\}`)
+	absentSection = regexp.MustCompile(`(?s)\{\{#([a-z_.]+)\}\}.*?\{\{/([a-z_.]+)\}\}`)
+	gap           = regexp.MustCompile(`\{\{([a-z_.]+)(\|json)?\}\}`)
+)
+
+// settings returns the deployment's settings of an instance on the host.
+func (h *host) settings(t *testing.T) string {
+	t.Helper()
+	text, err := os.ReadFile("../../deploy/settings.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	fields := h.fields()
+	text = seedSection.ReplaceAll(text, fmt.Appendf(nil, "%q", fields["listen.control"]))
+	text = absentSection.ReplaceAll(text, nil)
+	return gap.ReplaceAllStringFunc(string(text), func(g string) string {
+		m := gap.FindStringSubmatch(g)
+		v, ok := fields[m[1]]
+		if !ok {
+			t.Fatalf("no value for %s", g)
+		}
+		if m[2] != "" && v != "true" {
+			return fmt.Sprintf("%q", v)
+		}
+		return v
+	})
+}
+
+// startStore starts a store with a configuration and a plain endpoint, and returns its address.
+func startStore(t *testing.T) string {
+	t.Helper()
+	store := platformtest.NewStore()
+	store.Publish(1, []route.Route{{
+		Name:        "lookup",
+		Host:        "api.example",
+		Prefix:      "/lookup/",
+		Kind:        route.Safe,
+		Shares:      []route.Share{{Service: "plain", Weight: 1}},
+		Timeout:     2 * time.Second,
+		Target:      300 * time.Millisecond,
+		MaxAttempts: 2,
+		Public:      true,
+	}}, map[string]*batch.Model{"plain": nil}, 4<<20, nil)
+	store.PutEndpoint(platformtest.EndpointEntry{
+		Instance: "p1",
+		Service:  "plain",
+		Address:  serveHTTP(t, &platformtest.Endpoint{Instance: "p1", Work: 5 * time.Millisecond}),
+		Domain:   "domain-1",
+		Slots:    6,
+	})
+	return serveHTTP(t, store)
+}
+
+// serveHTTP serves a handler on a free port until the test ends, and returns its address.
+func serveHTTP(t *testing.T, h http.Handler) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &http.Server{Handler: h}
+	go s.Serve(l)
+	t.Cleanup(func() { s.Close() })
+	return l.Addr().String()
+}
+
+// program is a running instance.
+type program struct {
+	t    *testing.T
+	host *host
+	cmd  *exec.Cmd
+	// out is the end of the pipe that reads the standard output.
+	out    *os.File
+	exited chan struct{}
+
+	mu  sync.Mutex
+	log bytes.Buffer
+}
+
+// startProgram starts an instance with a settings file. It doesn't wait until the instance is ready.
+func startProgram(t *testing.T, h *host, settings string) *program {
+	t.Helper()
+	bin, err := build()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &program{
+		t:      t,
+		host:   h,
+		cmd:    exec.Command(filepath.Join(bin, "linkmast"), "--settings", settings),
+		exited: make(chan struct{}),
+	}
+	out, in, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.out = out
+	p.cmd.Stdout = in
+	p.cmd.Stderr = p
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	in.Close()
+	go io.Copy(p, out)
+	go func() {
+		p.cmd.Wait()
+		close(p.exited)
+	}()
+	t.Cleanup(func() {
+		p.cmd.Process.Kill()
+		<-p.exited
+		out.Close()
+	})
+	return p
+}
+
+// startOn writes the settings of an instance on a host and starts it.
+func startOn(t *testing.T, h *host) *program {
+	t.Helper()
+	return startProgram(t, h, writeSettings(t, h.settings(t)))
+}
+
+// writeSettings writes a settings file and returns its path.
+func writeSettings(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "settings.toml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// Write implements io.Writer. It stores output of the instance.
+func (p *program) Write(b []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.Write(b)
+}
+
+// output returns the output so far.
+func (p *program) output() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.String()
+}
+
+// readyWithin bounds the time until an instance with a store is ready.
+const readyWithin = 10 * time.Second
+
+// isReady reports whether the readiness check succeeds.
+func (p *program) isReady() bool {
+	c := &http.Client{Timeout: time.Second}
+	res, err := c.Get("http://" + p.host.addresses()["ready"] + "/")
+	if err != nil {
+		return false
+	}
+	res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+// await waits for a condition and fails the test if it isn't met in time or the instance exits.
+func (p *program) await(what string, met func() bool) {
+	p.t.Helper()
+	for end := time.Now().Add(readyWithin); !met(); time.Sleep(5 * time.Millisecond) {
+		select {
+		case <-p.exited:
+			p.t.Fatalf("%s: the instance exited: %v\n%s", what, p.cmd.ProcessState, p.output())
+		default:
+		}
+		if time.Now().After(end) {
+			p.t.Fatalf("%s: not within %s\n%s", what, readyWithin, p.output())
+		}
+	}
+}
+
+// wantServing fails the test unless the instance becomes ready and answers a request.
+func (p *program) wantServing() {
+	p.t.Helper()
+	p.await("ready", p.isReady)
+	p.await("request served", func() bool { return p.lookup() == http.StatusOK })
+}
+
+// lookup sends a request to the instance and returns the status, or zero without an answer.
+func (p *program) lookup() int {
+	req, err := http.NewRequest(http.MethodGet, "http://"+p.host.addresses()["callers"]+"/lookup/1", nil)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	req.Host = "api.example"
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	res.Body.Close()
+	return res.StatusCode
+}
+
+// stopWithin is the time limit for a planned stop in the settings.
+const stopWithin = 8 * time.Second
+
+// wantStops stops the instance and fails the test unless it exits in time with status 0.
+func (p *program) wantStops() {
+	p.t.Helper()
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	p.wantExit(exitOK, stopWithin)
+}
+
+// wantExit fails the test unless the instance exits with a status in the given time.
+func (p *program) wantExit(status int, within time.Duration) {
+	p.t.Helper()
+	select {
+	case <-p.exited:
+	case <-time.After(within):
+		p.t.Fatalf("the instance still runs after %s\n%s", within, p.output())
+	}
+	if got := p.cmd.ProcessState.ExitCode(); got != status {
+		p.t.Errorf("the instance ended with %v, want status %d\n%s", p.cmd.ProcessState, status, p.output())
+	}
+}
+
+// wantLine fails the test unless the log has a line with the message.
+func (p *program) wantLine(message string) {
+	p.t.Helper()
+	p.await("line \""+message+"\"", func() bool { return p.hasLine(message) })
+}
+
+// hasLine reports whether the log has a line with the message.
+func (p *program) hasLine(message string) bool {
+	for _, line := range strings.Split(p.output(), "\n") {
+		var l struct{ Msg string }
+		if json.Unmarshal([]byte(line), &l) == nil && l.Msg == message {
+			return true
+		}
+	}
+	return false
+}
--- a/cmd/linkmast/main.go
+++ b/cmd/linkmast/main.go
@@ -9,10 +9,8 @@
 	"fmt"
 	"log/slog"
 	"os"
-	"os/signal"
 	"reflect"
 	"runtime"
-	"syscall"
 
 	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
@@ -20,6 +18,7 @@
 
 	"github.com/linkmast/linkmast/gateway"
 	"github.com/linkmast/linkmast/internal/jsonlog"
+	"github.com/linkmast/linkmast/internal/signals"
 	"github.com/linkmast/linkmast/internal/version"
 	"github.com/linkmast/linkmast/node"
 	"github.com/linkmast/linkmast/settings"
@@ -42,9 +41,6 @@
 	Version  bool   `long:"version" description:"print the version and exit"`
 }
 
-// signalQueue is the capacity of the channel for signals.
-const signalQueue = 8
-
 func main() {
 	os.Exit(run(os.Args[1:]))
 }
@@ -134,32 +130,34 @@
 	})
 	log := logr.FromSlogHandler(handler).WithValues("instance", s.ID)
 	log.Info("starting", "version", version.String(), "pid", os.Getpid(), "processors", runtime.GOMAXPROCS(0), "settings", o.Settings)
-	signals := make(chan os.Signal, signalQueue)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	n, err := start(s, log, lines.Dropped)
 	if err != nil {
 		log.Error(err, "start failed", "status", exitFailed)
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	for sig := range signals {
-		log.Info("signal received", "signal", sig.String())
-		if sig != syscall.SIGHUP {
-			break
-		}
-		reload(o.Settings, s, log)
-	}
-	stop(n, signals)
+	// A settings file that can't be read at the moment must not delay the stop.
+	go followHangups(o.Settings, s, log)
+	sig := <-signals.Terminations()
+	log.Info("signal received", "signal", sig.String())
+	stop(n)
 	log.Info("exiting", "status", exitOK)
 	return exitOK
 }
 
+// followHangups checks the settings file again after each SIGHUP. It doesn't return.
+func followHangups(path string, s *settings.File, log logr.Logger) {
+	for range signals.Hangups() {
+		reload(path, s, log)
+	}
+}
+
 // stop ends the instance gracefully, and immediately on a further SIGINT.
-func stop(n instance, signals <-chan os.Signal) {
+func stop(n instance) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() {
-		for sig := range signals {
+		for sig := range signals.Terminations() {
 			if sig == os.Interrupt {
 				cancel()
 			}
