linkmast: go on when nobody reads the log

What callers saw: an instance ended, its connections were cut off, and its log had no line about it. Cause: its standard output was a pipe whose reader had ended; the next line raised SIGPIPE, whose default action ends a Go program for its standard streams. SIGPIPE is ignored now, and the write fails, which the writer of the log ignores as before.

--- a/cmd/linkmast/instance_test.go
+++ b/cmd/linkmast/instance_test.go
@@ -162,6 +162,14 @@
 
 // startProgram starts an instance with a settings file. It doesn't wait until the instance is ready.
 func startProgram(t *testing.T, h *host, settings string) *program {
+	t.Helper()
+	p := startUnread(t, h, settings)
+	go io.Copy(p, p.out)
+	return p
+}
+
+// startUnread starts an instance whose standard output nobody reads.
+func startUnread(t *testing.T, h *host, settings string) *program {
 	t.Helper()
 	bin, err := build()
 	if err != nil {
@@ -184,7 +192,6 @@
 		t.Fatal(err)
 	}
 	in.Close()
-	go io.Copy(p, out)
 	go func() {
 		p.cmd.Wait()
 		close(p.exited)
--- a/internal/signals/signals.go
+++ b/internal/signals/signals.go
@@ -3,7 +3,9 @@
 // Package signals receives the signals of a process.
 //
 // Importing it registers them, because the default action of SIGHUP ends a process, and the
-// initialization of other packages takes long enough for a signal to arrive.
+// initialization of other packages takes long enough for a signal to arrive. It also makes the process
+// ignore SIGPIPE, so that a write to a standard stream whose reader has gone fails and doesn't end the
+// process.
 package signals
 
 import (
@@ -28,6 +30,10 @@
 	return c
 }
 
+func init() {
+	signal.Ignore(syscall.SIGPIPE)
+}
+
 // Terminations returns the channel that receives SIGTERM and SIGINT.
 func Terminations() <-chan os.Signal {
 	return terminations
