jsonlog: bound the memory of the queue, and the wait at the end

What callers saw: nothing yet; found beside the log readers that go away. While nobody reads the log, 2,048 lines of any size were kept (a line of a malformed entry may have 256 KB, so 512 MB at a limit of 284 MB, at which the platform kills the process), and a planned stop never ended, so it was killed at the end of its grace period. The queue is bounded at 4 MB, and Close waits for 0.3 s.

--- a/cmd/linkmast/log_test.go
+++ b/cmd/linkmast/log_test.go
@@ -17,6 +17,17 @@
 	p.wantStops()
 }
 
+// TestLogReaderStalled guards against an instance that doesn't stop in time, or doesn't serve, while
+// nobody reads its log.
+func TestLogReaderStalled(t *testing.T) {
+	t.Parallel()
+	h := newHost(t, startStore(t))
+	p := startUnread(t, h, writeSettings(t, h.settings(t)))
+	p.wantServing()
+	p.await("requests beyond the capacity of the pipe", p.servesFor(2*time.Second))
+	p.wantStops()
+}
+
 // servesFor returns a condition that sends a request each time, and is met after the given time without
 // a failure.
 func (p *program) servesFor(d time.Duration) func() bool {
--- a/internal/jsonlog/jsonlog.go
+++ b/internal/jsonlog/jsonlog.go
@@ -2,7 +2,7 @@
 
 // Package jsonlog writes log lines without blocking the goroutines that log.
 //
-// Lines pass through a bounded queue to one writing goroutine. If the queue is full or the
+// Lines pass through a queue of bounded length and size to one writing goroutine. If the queue is full or the
 // rate limit is exceeded, the line is dropped and counted. The writer reports the number of
 // dropped lines in a line of its own before the next line that it writes.
 package jsonlog
@@ -21,10 +21,14 @@
 const (
 	// queueLines is the capacity of the queue in lines.
 	queueLines = 2048
+	// queueBytes bounds the size of the lines that are queued or being written.
+	queueBytes = 4 << 20
 	// linesPerSecond is the rate limit.
 	linesPerSecond = 1000
 	// burstLines is the burst size of the rate limit.
 	burstLines = 2000
+	// drainTimeout bounds how long Close waits for the output.
+	drainTimeout = 300 * time.Millisecond
 )
 
 // Writer is an io.Writer that takes one log line per call and never blocks.
@@ -33,6 +37,8 @@
 	Done chan struct{}
 
 	queue chan []byte
+	// queued is the size of the lines that are queued or being written.
+	queued atomic.Int64
 	// stop is closed to end the writing goroutine.
 	stop  chan struct{}
 	limit *rate.Limiter
@@ -56,13 +62,20 @@
 
 // Write implements io.Writer. It copies and queues one line, or drops it, and never fails.
 func (j *Writer) Write(line []byte) (int, error) {
+	size := int64(len(line))
 	if !j.limit.Allow() {
 		j.dropped.Add(1)
 		return len(line), nil
 	}
+	if j.queued.Add(size) > queueBytes {
+		j.queued.Add(-size)
+		j.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case j.queue <- bytes.Clone(line):
 	default:
+		j.queued.Add(-size)
 		j.dropped.Add(1)
 	}
 	return len(line), nil
@@ -73,11 +86,15 @@
 	return j.dropped.Load()
 }
 
-// Close writes the queued lines and stops the writing goroutine. It must be called once; lines
-// that are written after it are lost.
+// Close writes the queued lines and stops the writing goroutine. If the output hangs, Close returns after a
+// short time and the goroutine stops later. Close must be called once; lines that are written after it
+// are lost.
 func (j *Writer) Close() {
 	close(j.stop)
-	<-j.Done
+	select {
+	case <-j.Done:
+	case <-time.After(drainTimeout):
+	}
 }
 
 // run writes queued lines until Close is called.
@@ -109,6 +126,7 @@
 // writeLine writes one line, preceded by the number of lines dropped since the last such
 // message, if any.
 func (j *Writer) writeLine(w io.Writer, line []byte) {
+	defer j.queued.Add(-int64(len(line)))
 	if n := j.dropped.Load(); n > j.reported {
 		// A failure to write the log cannot be logged, so the error is ignored.
 		_, _ = fmt.Fprintf(w, "{\"time\":%q,\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"count\":%d}\n",
--- a/internal/jsonlog/jsonlog_test.go
+++ b/internal/jsonlog/jsonlog_test.go
@@ -51,3 +51,41 @@
 	is.True(strings.Contains(got, "log lines dropped"))
 	is.Equal(int64(strings.Count(got, "{}\n"))+w.Dropped(), int64(lines)) // every line is either written or counted
 }
+
+// TestCloseWhileOutputHangs guards against a Close that waits for an output that hangs.
+func TestCloseWhileOutputHangs(t *testing.T) {
+	is := is.New(t)
+	s := &slow{
+		free: make(chan struct{}),
+	}
+	w := jsonlog.New(s)
+	for range 10 {
+		_, err := w.Write([]byte("{}\n"))
+		is.NoErr(err)
+	}
+	began := time.Now()
+	w.Close()
+	is.True(time.Since(began) < time.Second)
+	close(s.free)
+	<-w.Done
+}
+
+// TestMemoryWhileOutputHangs guards against a queue that grows with the size of its lines.
+func TestMemoryWhileOutputHangs(t *testing.T) {
+	is := is.New(t)
+	s := &slow{
+		free: make(chan struct{}),
+	}
+	w := jsonlog.New(s)
+	const lines = 1000
+	line := []byte(strings.Repeat("a", 256<<10))
+	for range lines {
+		_, err := w.Write(line)
+		is.NoErr(err)
+	}
+	const maxQueued = 4 << 20
+	// One more line is being written.
+	is.True((lines-w.Dropped()-1)*int64(len(line)) <= maxQueued)
+	close(s.free)
+	w.Close()
+}
