Wait for an address that is in use at the start

What callers saw: an instance did not start, again at each restart, while one of its four ports was in use, the port of the metrics too. A port may be in use for a moment: by the process before, by a connection that got it as its ephemeral port, or as the address is assigned late. Cause: New gave up at the first error of listen. Errors that can't pass end it as before.

Tests of gateway, node, fleet pass.

--- a/cmd/linkmast/instance_test.go
+++ b/cmd/linkmast/instance_test.go
@@ -324,3 +324,13 @@
 	}
 	return false
 }
+
+// hasMetrics reports whether the instance serves its metrics.
+func (p *program) hasMetrics() bool {
+	res, err := http.Get("http://" + p.host.addresses()["admin"] + "/metrics")
+	if err != nil {
+		return false
+	}
+	res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
--- a/cmd/linkmast/main.go
+++ b/cmd/linkmast/main.go
@@ -93,11 +93,11 @@
 	Stop(ctx context.Context)
 }
 
-// start starts a gateway or a node, as the settings require. The function dropped returns
-// the number of log lines that were dropped.
-func start(s *settings.File, log logr.Logger, dropped func() int64) (instance, error) {
+// start starts a gateway or a node, as the settings require. While an address is not available, it
+// waits until ctx ends. The function dropped returns the number of log lines that were dropped.
+func start(ctx context.Context, s *settings.File, log logr.Logger, dropped func() int64) (instance, error) {
 	if s.Platform.Store != "" {
-		g, err := gateway.New(s, gateway.Parts{
+		g, err := gateway.New(ctx, s, gateway.Parts{
 			Log:          log,
 			DroppedLines: dropped,
 		})
@@ -107,7 +107,7 @@
 		log.Info("started", "version", version.String(), "listen", g.Listen, "ready", g.ReadyListen, "admin", g.AdminListen)
 		return g, nil
 	}
-	n, err := node.New(s, node.Parts{
+	n, err := node.New(ctx, s, node.Parts{
 		Log: log,
 	})
 	if err != nil {
@@ -130,7 +130,18 @@
 	})
 	log := logr.FromSlogHandler(handler).WithValues("instance", s.ID)
 	log.Info("starting", "version", version.String(), "pid", os.Getpid(), "processors", runtime.GOMAXPROCS(0), "settings", o.Settings)
-	n, err := start(s, log, lines.Dropped)
+	terminated, terminate := context.WithCancel(context.Background())
+	defer terminate()
+	go func() {
+		sig := <-signals.Terminations()
+		log.Info("signal received", "signal", sig.String())
+		terminate()
+	}()
+	n, err := start(terminated, s, log, lines.Dropped)
+	if err != nil && terminated.Err() != nil {
+		log.Info("exiting", "status", exitOK)
+		return exitOK
+	}
 	if err != nil {
 		log.Error(err, "start failed", "status", exitFailed)
 		fmt.Fprintln(os.Stderr, err)
@@ -138,8 +149,7 @@
 	}
 	// A settings file that can't be read at the moment must not delay the stop.
 	go followHangups(o.Settings, s, log)
-	sig := <-signals.Terminations()
-	log.Info("signal received", "signal", sig.String())
+	<-terminated.Done()
 	stop(n)
 	log.Info("exiting", "status", exitOK)
 	return exitOK
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -314,7 +314,7 @@
 		f.settings.Node(s)
 	}
 	s.SetDefaults()
-	n, err := node.New(s, node.Parts{
+	n, err := node.New(context.Background(), s, node.Parts{
 		Log:          f.settings.Logger.WithValues("node", s.ID),
 		DialEndpoint: f.dialer(i),
 	})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
 	"google.golang.org/grpc"
 
@@ -36,7 +35,7 @@
 	ReadyListen string
 	// PeerListen is the address for other instances.
 	PeerListen string
-	// AdminListen is the address of the metrics.
+	// AdminListen is the address of the metrics: the one in the settings if it isn't available yet.
 	AdminListen string
 
 	settings *settings.File
@@ -73,9 +72,10 @@
 	peers *peer.Pool
 	rpc   *grpc.Server
 	// servers are all HTTP servers. callers is the one for callers, and callerConns tracks its
-	// connections.
+	// connections. admin is the one for operators.
 	servers     []*http.Server
 	callers     *http.Server
+	admin       *http.Server
 	callerConns *connections
 	// poolsReady is closed after pools has received the first complete snapshot.
 	poolsReady chan struct{}
@@ -96,9 +96,10 @@
 	DialEndpoint tcp.DialFunc
 }
 
-// New starts an instance. Stop ends it gracefully, Close immediately. New returns an error if it
-// can't listen on one of the addresses.
-func New(f *settings.File, p Parts) (*Gateway, error) {
+// New starts an instance. Stop ends it gracefully, Close immediately. While an address is in use or not
+// assigned to the host, New waits for it until ctx ends; it doesn't wait for AdminListen. New returns
+// an error if it can't listen on one of the addresses.
+func New(ctx context.Context, f *settings.File, p Parts) (*Gateway, error) {
 	if p.DialEndpoint == nil {
 		p.DialEndpoint = tcp.DialerFrom(endpointDialTimeout, net.ParseIP(f.EndpointSource)).DialContext
 	}
@@ -112,25 +113,23 @@
 		poolsReady:   make(chan struct{}),
 		stopping:     make(chan struct{}),
 	}
-	l, err := tcp.Listen(f.PeerListen)
+	l, err := g.listen(ctx)
 	if err != nil {
-		return nil, errors.Wrap(err, "listen")
-	}
-	g.PeerListen = l.Addr().String()
-	g.assemble(p.DialEndpoint)
-	if err := g.serve(); err != nil {
-		_ = l.Close()
 		return nil, err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	g.PeerListen = l.peers.Addr().String()
+	g.assemble(p.DialEndpoint)
+	g.serve(l)
+	running, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
-	g.goroutines.Go(func() { g.logServerEnd("peers", g.rpc.Serve(l)) })
-	g.goroutines.Go(func() { g.placer.Run(ctx) })
-	g.goroutines.Go(func() { g.catalog.Run(ctx) })
-	g.goroutines.Go(func() { g.pools.Run(ctx) })
-	g.goroutines.Go(func() { g.recorder.Run(ctx) })
-	g.goroutines.Go(func() { g.followCatalog(ctx) })
-	g.goroutines.Go(func() { g.closeIdleUpstream(ctx) })
+	g.goroutines.Go(func() { g.serveAdmin(running, l.admin) })
+	g.goroutines.Go(func() { g.logServerEnd("peers", g.rpc.Serve(l.peers)) })
+	g.goroutines.Go(func() { g.placer.Run(running) })
+	g.goroutines.Go(func() { g.catalog.Run(running) })
+	g.goroutines.Go(func() { g.pools.Run(running) })
+	g.goroutines.Go(func() { g.recorder.Run(running) })
+	g.goroutines.Go(func() { g.followCatalog(running) })
+	g.goroutines.Go(func() { g.closeIdleUpstream(running) })
 	return g, nil
 }
 
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -209,7 +209,7 @@
 	for len(w.links) <= i {
 		w.links = append(w.links, new(tcptest.Dialer))
 	}
-	g, err := gateway.New(f, gateway.Parts{
+	g, err := gateway.New(w.t.Context(), f, gateway.Parts{
 		Log:          logr.Discard(),
 		DroppedLines: func() int64 { return 0 },
 		DialEndpoint: w.links[i].DialContext,
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -3,11 +3,14 @@
 package gateway
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/linkmast/linkmast/internal/tcp"
 )
 
 // The limits of connections to the HTTP servers.
@@ -20,32 +23,74 @@
 	maxHeaderBytes = 64 << 10
 )
 
-// serve starts the HTTP servers. If it can't listen on one of the addresses, it closes all servers
-// and returns an error.
-func (g *Gateway) serve() error {
+// listeners holds the listening sockets of an instance.
+type listeners struct {
+	callers net.Listener
+	ready   net.Listener
+	peers   net.Listener
+	// admin is nil if its address is not available yet.
+	admin net.Listener
+}
+
+// listen opens the sockets. It waits until ctx ends while an address is not available, except for that of
+// admin.
+func (g *Gateway) listen(ctx context.Context) (*listeners, error) {
 	f := g.settings
+	var l listeners
+	if err := tcp.ListenAll(ctx, []tcp.Socket{
+		{Address: f.Listen, Into: &l.callers},
+		{Address: f.ReadyListen, Into: &l.ready},
+		{Address: f.PeerListen, Probed: true, Into: &l.peers},
+	}, g.logWaiting); err != nil {
+		return nil, err
+	}
+	g.AdminListen = f.AdminListen
+	if err := tcp.ListenOnce([]tcp.Socket{g.adminSocket(&l.admin)}); err != nil {
+		// serveAdmin tries again.
+		g.log.Error(err, "no metrics yet")
+		return &l, nil
+	}
+	g.AdminListen = l.admin.Addr().String()
+	return &l, nil
+}
+
+// adminSocket describes the socket for the metrics.
+func (g *Gateway) adminSocket(into *net.Listener) tcp.Socket {
+	return tcp.Socket{
+		Address: g.settings.AdminListen,
+		Into:    into,
+	}
+}
+
+// logWaiting logs that the instance waits for an address.
+func (g *Gateway) logWaiting(err error) {
+	g.log.Error(err, "waiting for an address")
+}
+
+// serve starts the HTTP servers, except for that of admin.
+func (g *Gateway) serve(l *listeners) {
 	g.callers = newServer(g.relay)
 	g.callers.ConnState = g.callerConns.handleState
-	for _, one := range []struct {
-		name    string
-		address string
-		server  *http.Server
-		into    *string
-	}{
-		{"callers", f.Listen, g.callers, &g.Listen},
-		{"ready", f.ReadyListen, newServer(http.HandlerFunc(g.handleReady)), &g.ReadyListen},
-		{"admin", f.AdminListen, newServer(g.adminHandler()), &g.AdminListen},
-	} {
-		l, err := net.Listen("tcp", one.address)
-		if err != nil {
-			g.closeServers()
-			return errors.Wrap(err, "listen")
+	ready := newServer(http.HandlerFunc(g.handleReady))
+	g.admin = newServer(g.adminHandler())
+	g.Listen = l.callers.Addr().String()
+	g.ReadyListen = l.ready.Addr().String()
+	g.servers = []*http.Server{g.callers, ready, g.admin}
+	g.goroutines.Go(func() { g.logServerEnd("callers", g.callers.Serve(l.callers)) })
+	g.goroutines.Go(func() { g.logServerEnd("ready", ready.Serve(l.ready)) })
+}
+
+// serveAdmin serves the metrics. If l is nil, it waits until the address is available or ctx ends.
+func (g *Gateway) serveAdmin(ctx context.Context, l net.Listener) {
+	if l == nil {
+		if err := tcp.ListenAll(ctx, []tcp.Socket{g.adminSocket(&l)}, g.logWaiting); err != nil {
+			if ctx.Err() == nil {
+				g.log.Error(err, "no metrics")
+			}
+			return
 		}
-		*one.into = l.Addr().String()
-		g.servers = append(g.servers, one.server)
-		g.goroutines.Go(func() { g.logServerEnd(one.name, one.server.Serve(l)) })
 	}
-	return nil
+	g.logServerEnd("admin", g.admin.Serve(l))
 }
 
 // newServer returns an HTTP server with limits on the headers of requests and on idle connections.
--- a/node/node.go
+++ b/node/node.go
@@ -116,38 +116,20 @@
 	admin   net.Listener
 }
 
-// listen opens the sockets for the addresses in the settings. If one fails, it closes the others
-// and returns an error.
-func listen(f *settings.File) (*listeners, error) {
+// listen opens the sockets for the addresses in the settings. It waits until ctx ends while one of them
+// is not available.
+func listen(ctx context.Context, f *settings.File, log logr.Logger) (*listeners, error) {
 	var l listeners
-	for _, one := range []struct {
-		address string
-		into    *net.Listener
-	}{
-		{f.Listen, &l.callers},
-		{f.PeerListen, &l.peers},
-		{f.AdminListen, &l.admin},
-	} {
-		s, err := net.Listen("tcp", one.address)
-		if err != nil {
-			l.close()
-			return nil, errors.Wrap(err, "listen")
-		}
-		*one.into = s
+	if err := tcp.ListenAll(ctx, []tcp.Socket{
+		{Address: f.Listen, Into: &l.callers},
+		{Address: f.PeerListen, Into: &l.peers},
+		{Address: f.AdminListen, Into: &l.admin},
+	}, func(err error) { log.Error(err, "waiting for an address") }); err != nil {
+		return nil, err
 	}
 	return &l, nil
 }
 
-// close closes the sockets that are open.
-func (l *listeners) close() {
-	for _, s := range []net.Listener{l.callers, l.peers, l.admin} {
-		if s != nil {
-			// The socket has not been used, so an error has no effect.
-			_ = s.Close()
-		}
-	}
-}
-
 // Parts holds the dependencies of a Node.
 type Parts struct {
 	// Log receives the log lines.
@@ -156,9 +138,10 @@
 	DialEndpoint tcp.DialFunc
 }
 
-// New starts a node. Stop ends it gracefully, Close immediately. New returns an error if it can't
-// load the TLS files or listen on one of the addresses.
-func New(f *settings.File, p Parts) (*Node, error) {
+// New starts a node. Stop ends it gracefully, Close immediately. While an address is in use or not
+// assigned to the host, New waits for it until ctx ends. New returns an error if it can't load the TLS
+// files or listen on one of the addresses.
+func New(ctx context.Context, f *settings.File, p Parts) (*Node, error) {
 	log := p.Log
 	if p.DialEndpoint == nil {
 		p.DialEndpoint = tcp.DialerFrom(endpointDialTimeout, net.ParseIP(f.EndpointSource)).DialContext
@@ -170,7 +153,7 @@
 	if client == nil {
 		log.Info("warning: connections between instances are neither encrypted nor authenticated; set [tls]")
 	}
-	l, err := listen(f)
+	l, err := listen(ctx, f, log)
 	if err != nil {
 		return nil, err
 	}
