Wait for settings that are being written at the start

What callers saw: an instance did not start (exit status 2, 'id is missing' or a syntax error) when the platform wrote its settings file at the same moment; seen in 1 of 264 starts beside SIGHUPs and in 6 of 163 with a file written in two steps. Worse, a file that ends after a section is valid, and the instance would run with the defaults of the rest. Now a start reads the file again for up to 2 s while it is missing, invalid or changes, and reads a file younger than 0.1 s twice, 20 ms apart.

--- a/cmd/linkmast/main.go
+++ b/cmd/linkmast/main.go
@@ -63,15 +63,14 @@
 	if o.Settings == "" {
 		return reportUsage(errors.New("--settings is missing; see --help"))
 	}
-	s, err := settings.Read(o.Settings)
-	if err != nil {
-		return reportUsage(err)
-	}
 	if o.Check {
+		if _, err := settings.Read(o.Settings); err != nil {
+			return reportUsage(err)
+		}
 		fmt.Println("settings are valid")
 		return exitOK
 	}
-	return serve(s, o)
+	return serve(o)
 }
 
 // reportUsage prints the requested help or the error, and returns the exit code.
@@ -118,17 +117,24 @@
 }
 
 // serve runs the instance until a signal stops it, and returns the exit code.
-func serve(s *settings.File, o options) int {
+func serve(o options) int {
 	level := slog.LevelInfo
 	if o.Verbose {
 		level = slog.LevelDebug
 	}
 	lines := jsonlog.New(os.Stdout)
 	defer lines.Close()
-	handler := slog.NewJSONHandler(lines, &slog.HandlerOptions{
+	log := logr.FromSlogHandler(slog.NewJSONHandler(lines, &slog.HandlerOptions{
 		Level: level,
-	})
-	log := logr.FromSlogHandler(handler).WithValues("instance", s.ID)
+	}))
+	status := runInstance(o, log, lines.Dropped)
+	log.Info("exiting", "status", status)
+	return status
+}
+
+// runInstance starts the instance, runs it until a signal stops it, and returns the exit code. The function
+// dropped returns the number of log lines that were dropped.
+func runInstance(o options, log logr.Logger, dropped func() int64) int {
 	log.Info("starting", "version", version.String(), "pid", os.Getpid(), "processors", runtime.GOMAXPROCS(0), "settings", o.Settings)
 	terminated, terminate := context.WithCancel(context.Background())
 	defer terminate()
@@ -137,24 +143,41 @@
 		log.Info("signal received", "signal", sig.String())
 		terminate()
 	}()
-	n, err := start(terminated, s, log, lines.Dropped)
-	if err != nil && terminated.Err() != nil {
-		log.Info("exiting", "status", exitOK)
+	s, err := awaitSettings(terminated, o.Settings, log)
+	switch {
+	case err != nil && terminated.Err() != nil:
 		return exitOK
+	case err != nil:
+		return reportFailure(log, err, exitUsage)
 	}
-	if err != nil {
-		log.Error(err, "start failed", "status", exitFailed)
-		fmt.Fprintln(os.Stderr, err)
-		return exitFailed
+	log = log.WithValues("instance", s.ID)
+	n, err := start(terminated, s, log, dropped)
+	switch {
+	case err != nil && terminated.Err() != nil:
+		return exitOK
+	case err != nil:
+		return reportFailure(log, err, exitFailed)
 	}
 	// A settings file that can't be read at the moment must not delay the stop.
 	go followHangups(o.Settings, s, log)
 	<-terminated.Done()
 	stop(n)
-	log.Info("exiting", "status", exitOK)
 	return exitOK
 }
 
+// reportFailure reports that the start failed and returns the status.
+func reportFailure(log logr.Logger, err error, status int) int {
+	log.Error(err, "start failed")
+	fmt.Fprintln(os.Stderr, err)
+	return status
+}
+
+// awaitSettings reads the settings. It waits for a short time if they aren't valid, as the file may be in
+// the middle of a change.
+func awaitSettings(ctx context.Context, path string, log logr.Logger) (*settings.File, error) {
+	return settings.Await(ctx, path, func(err error) { log.Error(err, "waiting for settings") })
+}
+
 // followHangups checks the settings file again after each SIGHUP. It doesn't return.
 func followHangups(path string, s *settings.File, log logr.Logger) {
 	for range signals.Hangups() {
@@ -179,7 +202,7 @@
 // reload checks the settings file again and logs whether it has changed. Settings are fixed
 // while the process runs, so a change takes effect at the next start.
 func reload(path string, s *settings.File, log logr.Logger) {
-	fresh, err := settings.Read(path)
+	fresh, err := awaitSettings(context.Background(), path, log)
 	switch {
 	case err != nil:
 		log.Error(err, "reload: settings are invalid; the next start would fail")
--- /dev/null
+++ b/cmd/linkmast/settings_test.go
@@ -0,0 +1,51 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+// TestSettingsWrittenDuringStart guards against an instance that ends because its settings are not written
+// completely while it starts.
+func TestSettingsWrittenDuringStart(t *testing.T) {
+	t.Parallel()
+	for _, row := range []struct {
+		name string
+		// keep is the share of the file that exists at the start.
+		keep float64
+	}{
+		{"missing", -1},
+		{"empty", 0},
+		{"cut", 0.3},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			h := newHost(t, startStore(t))
+			text := h.settings(t)
+			path := filepath.Join(t.TempDir(), "settings.toml")
+			if row.keep >= 0 {
+				if err := os.WriteFile(path, []byte(text[:int(row.keep*float64(len(text)))]), 0o600); err != nil {
+					t.Fatal(err)
+				}
+			}
+			p := startProgram(t, h, path)
+			p.wantLine("waiting for settings")
+			if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			p.wantServing()
+			p.wantStops()
+		})
+	}
+}
+
+// TestInvalidSettings guards against an instance that waits for settings that stay invalid.
+func TestInvalidSettings(t *testing.T) {
+	t.Parallel()
+	h := newHost(t, "")
+	p := startProgram(t, h, writeSettings(t, h.settings(t)+"[unknown]\nkey = 1\n"))
+	p.wantExit(exitUsage, readyWithin)
+}
