Bound the memory of request bodies, and tell the runtime the limit

What callers saw: an instance whose memory passes memory_mb is killed by the platform, with all its connections and without a line. Callers that send bodies of the allowed 4 MB could cause it: each body was read whole by doubling a buffer, without a bound over all requests, and the collector let garbage grow to the size of what was in use.

The settings have memory_mb (from the platform's limits). The Go runtime keeps to 0.8 of it, and all bodies together to a quarter; they take it as they arrive, so a slow caller holds only what it has sent. A request that finds no room gets 503 with a retry time, after the rest of its body is dropped, as after 413. /metrics has both figures.

--- a/cmd/linkmast/main.go
+++ b/cmd/linkmast/main.go
@@ -11,6 +11,7 @@
 	"os"
 	"reflect"
 	"runtime"
+	"runtime/debug"
 
 	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
@@ -151,6 +152,7 @@
 		return reportFailure(log, err, exitUsage)
 	}
 	log = log.WithValues("instance", s.ID)
+	limitMemory(s.MemoryBytes())
 	n, err := start(terminated, s, log, dropped)
 	switch {
 	case err != nil && terminated.Err() != nil:
@@ -165,6 +167,18 @@
 	return exitOK
 }
 
+// runtimeMemoryShare is the share of the process's memory that the Go runtime may use. The rest is for the
+// program itself, thread stacks of the C library and the kernel's buffers of connections.
+const runtimeMemoryShare = 0.8
+
+// limitMemory makes the garbage collector run more often as the process approaches its memory limit. Zero
+// means that there is none.
+func limitMemory(bytes int64) {
+	if bytes > 0 {
+		debug.SetMemoryLimit(int64(float64(bytes) * runtimeMemoryShare))
+	}
+}
+
 // reportFailure reports that the start failed and returns the status.
 func reportFailure(log logr.Logger, err error, status int) int {
 	log.Error(err, "start failed")
--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -119,6 +119,7 @@
 		Self:       f.ID,
 		MaxAge:     time.Duration(float64(f.Times.Revoke) * maxAgeShare),
 		StrictKeys: *f.Times.RevokeStrict,
+		BodyBytes:  int64(float64(f.MemoryBytes()) * bodyMemoryShare),
 	}, relay.Parts{
 		Snapshot:   g.catalog.Snapshot,
 		Age:        g.catalog.Age,
@@ -135,6 +136,10 @@
 	})
 }
 
+// bodyMemoryShare is the share of the process's memory that the bodies of requests may take. Their garbage
+// takes about as much again.
+const bodyMemoryShare = 0.25
+
 // capacityPerCore is the capacity that one processor core provides.
 const capacityPerCore = 1000
 
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -3,8 +3,10 @@
 package gateway
 
 import (
+	"math"
 	"os"
 	"runtime"
+	"runtime/debug"
 	"runtime/metrics"
 	"time"
 
@@ -17,6 +19,10 @@
 	UptimeMS int64 `json:"uptime_ms"`
 	// MemoryBytes is the memory that the Go runtime holds. It doesn't include the kernel's buffers.
 	MemoryBytes uint64 `json:"memory_bytes"`
+	// MemoryLimitBytes is the limit of that memory; zero if there is none.
+	MemoryLimitBytes int64 `json:"memory_limit_bytes"`
+	// BodyBytes is the memory that the bodies of requests take.
+	BodyBytes int64 `json:"body_bytes"`
 	// Descriptors is the number of open file descriptors and MaxDescriptors their limit, each zero
 	// if the system doesn't state it.
 	Descriptors    int    `json:"descriptors"`
@@ -40,17 +46,19 @@
 // processStats returns the current statistics of the process.
 func (g *Gateway) processStats() processStats {
 	return processStats{
-		UptimeMS:       time.Since(g.started).Milliseconds(),
-		MemoryBytes:    runtimeMemory(),
-		Descriptors:    openDescriptors(),
-		MaxDescriptors: maxDescriptors(),
-		Processors:     runtime.GOMAXPROCS(0),
-		Goroutines:     runtime.NumGoroutine(),
-		InFlight:       g.relay.InFlight(),
-		Connections:    g.callerConns.count(),
-		Dials:          g.upstream.Dials(),
-		FailedDials:    g.upstream.FailedDials(),
-		LinesDropped:   g.droppedLines(),
+		UptimeMS:         time.Since(g.started).Milliseconds(),
+		MemoryBytes:      runtimeMemory(),
+		MemoryLimitBytes: runtimeMemoryLimit(),
+		BodyBytes:        g.relay.BodyBytes(),
+		Descriptors:      openDescriptors(),
+		MaxDescriptors:   maxDescriptors(),
+		Processors:       runtime.GOMAXPROCS(0),
+		Goroutines:       runtime.NumGoroutine(),
+		InFlight:         g.relay.InFlight(),
+		Connections:      g.callerConns.count(),
+		Dials:            g.upstream.Dials(),
+		FailedDials:      g.upstream.FailedDials(),
+		LinesDropped:     g.droppedLines(),
 	}
 }
 
@@ -71,6 +79,15 @@
 	return samples[0].Value.Uint64() - samples[1].Value.Uint64()
 }
 
+// runtimeMemoryLimit returns the memory limit of the Go runtime in bytes, or zero if there is none.
+func runtimeMemoryLimit() int64 {
+	limit := debug.SetMemoryLimit(-1) // a negative limit changes nothing
+	if limit == math.MaxInt64 {
+		return 0
+	}
+	return limit
+}
+
 // openDescriptors returns the number of open file descriptors, or zero if the system doesn't state it.
 func openDescriptors() int {
 	entries, err := os.ReadDir("/proc/self/fd")
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -26,6 +26,8 @@
 	host     string
 	header   http.Header
 	body     []byte
+	// bodyHeld is the part of the memory for bodies that the body takes, in bytes.
+	bodyHeld int64
 	arrived  time.Time
 	deadline time.Time
 	// spent is the time between the caller's first try and the arrival of this one; zero for a
@@ -91,7 +93,8 @@
 	}
 	j.header = forwardedHeader(r.Header)
 	j.deadline = arrived.Add(timeLimit(h.Wait, rt))
-	if ref := j.read(r); ref != nil {
+	if ref := j.read(r, &l.bodies); ref != nil {
+		j.releaseBody(&l.bodies)
 		return nil, ref
 	}
 	j.history = quarantine.RequestHistory{
--- a/relay/body.go
+++ b/relay/body.go
@@ -5,6 +5,9 @@
 import (
 	"io"
 	"net/http"
+	"sync/atomic"
+
+	"github.com/go-faster/errors"
 )
 
 // Limits on the body of a request.
@@ -15,32 +18,98 @@
 	maxDiscard = 8 << 20
 )
 
-// read reads the body into the job. It returns a refusal if the body exceeds the limit or does
-// not arrive completely.
-func (j *job) read(r *http.Request) *refusal {
+// firstBlock is the size of the first buffer of a body, in bytes. Most bodies fit.
+const firstBlock = 64 << 10
+
+// errNoRoom is the cause of a body that was not kept.
+var errNoRoom = errors.New("bodies of other requests take up the memory")
+
+// bodyMemory bounds the size of the bodies that all requests hold.
+type bodyMemory struct {
+	// limit is in bytes; zero means that there is no limit.
+	limit int64
+	held  atomic.Int64
+}
+
+// take adds n bytes and returns true, unless that would exceed the limit.
+func (m *bodyMemory) take(n int64) bool {
+	if m.held.Add(n) > m.limit && m.limit > 0 {
+		m.held.Add(-n)
+		return false
+	}
+	return true
+}
+
+// read reads the body into the job. It returns a refusal if the body exceeds the limit, does not
+// arrive completely or finds no room. The caller must call releaseBody in any case.
+func (j *job) read(r *http.Request, m *bodyMemory) *refusal {
 	limit := j.table.Limits.BodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
 	if r.ContentLength > limit {
-		// A caller that is still sending might not read the answer.
-		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxDiscard))
+		discard(r.Body)
 		return tooLarge()
 	}
-	data, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
+	data, err := j.readAll(r.Body, r.ContentLength, limit, m)
+	switch {
+	case errors.Is(err, errNoRoom):
+		discard(r.Body)
+		return serviceUnavailable(err.Error(), defaultRetryAfter)
+	case err != nil:
 		return &refusal{
 			status: http.StatusBadRequest,
 			reason: "body is cut short",
 		}
-	}
-	if int64(len(data)) > limit {
+	case int64(len(data)) > limit:
 		return tooLarge()
 	}
 	j.body = data
 	return nil
 }
 
+// discard reads the rest of a body that is refused, since a caller that is still sending might not read
+// the answer.
+func discard(body io.Reader) {
+	// A failed read means that the caller has disconnected.
+	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxDiscard))
+}
+
+// readAll reads a body of the given size, or of at most one byte more than limit if the size is negative.
+// It takes the memory as the body arrives.
+func (j *job) readAll(body io.Reader, size, limit int64, m *bodyMemory) ([]byte, error) {
+	most := limit + 1
+	if size >= 0 {
+		most = size
+	}
+	var data []byte
+	for int64(len(data)) < most {
+		if len(data) == cap(data) {
+			next := min(max(2*int64(cap(data)), firstBlock), most)
+			if !m.take(next - int64(cap(data))) {
+				return nil, errNoRoom
+			}
+			j.bodyHeld = next
+			data = append(make([]byte, 0, next), data...)
+		}
+		n, err := body.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if errors.Is(err, io.EOF) && (size < 0 || int64(len(data)) == size) {
+			break
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	return data, nil
+}
+
+// releaseBody gives the memory of the job's body back.
+func (j *job) releaseBody(m *bodyMemory) {
+	m.held.Add(-j.bodyHeld)
+	j.bodyHeld = 0
+}
+
 // tooLarge returns the refusal of a body above the limit.
 func tooLarge() *refusal {
 	return &refusal{
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -29,6 +29,9 @@
 	// the configuration has reached MaxAge or is unknown, as the key may have been revoked
 	// since.
 	StrictKeys bool
+	// BodyBytes bounds the memory for the bodies of all requests. A request whose body finds no room
+	// gets 503. Zero means no limit.
+	BodyBytes int64
 }
 
 // Parts holds the dependencies of a Relay.
@@ -79,6 +82,8 @@
 	// a usable configuration.
 	inFlight      atomic.Int64
 	configWaiters atomic.Int64
+	// bodies is the memory for the bodies of requests.
+	bodies bodyMemory
 	// largeAnswers holds the routes on which an answer that is too large to buffer was complete.
 	largeAnswers nameSet
 	// detector finds out whether a failed attempt crashed its endpoint. It is used only with a
@@ -98,6 +103,7 @@
 		parts:     p,
 		startedAt: steady.Now(),
 	}
+	l.bodies.limit = s.BodyBytes
 	l.detector = quarantine.NewDetector(p.Quarantine, p.Check, func() { l.Metrics.add("crashes") }, p.Log)
 	return l
 }
@@ -113,6 +119,11 @@
 	return l.inFlight.Load()
 }
 
+// BodyBytes returns the memory that the bodies of requests take, in bytes.
+func (l *Relay) BodyBytes() int64 {
+	return l.bodies.held.Load()
+}
+
 // ServeHTTP implements http.Handler.
 func (l *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := steady.Now()
@@ -127,6 +138,7 @@
 		l.refuse(w, head, refusal)
 		return
 	}
+	defer j.releaseBody(&l.bodies)
 	release, refusal := l.enterQuarantine(j)
 	if refusal != nil {
 		l.refuse(w, head, refusal)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -50,6 +50,9 @@
 	// LinkMbps is the speed of the instance's network link in Mbit/s; zero means that the link
 	// doesn't limit the instance's capacity.
 	LinkMbps float64 `toml:"link_mbps"`
+	// MemoryMB is the memory that the process may use, in units of 10^6 bytes; zero means that the
+	// limit isn't known.
+	MemoryMB float64 `toml:"memory_mb"`
 	// Retries limits how many requests are sent to endpoints again.
 	Retries Retries `toml:"retries"`
 	// Cold limits the requests that are sent to endpoints that have just started.
@@ -183,6 +186,14 @@
 	Naive = "naive"
 )
 
+// bytesPerMB is the unit of MemoryMB.
+const bytesPerMB = 1e6
+
+// MemoryBytes returns MemoryMB in bytes.
+func (f *File) MemoryBytes() int64 {
+	return int64(f.MemoryMB * bytesPerMB)
+}
+
 // Read reads the settings from a file and checks them.
 func Read(path string) (*File, error) {
 	data, err := os.ReadFile(path)
@@ -315,6 +326,7 @@
 	for name, v := range map[string]float64{
 		"processor_share": f.ProcessorShare,
 		"link_mbps":       f.LinkMbps,
+		"memory_mb":       f.MemoryMB,
 		"retries.ratio":   f.Retries.Ratio,
 		"retries.extra":   f.Retries.Extra,
 		"cold.overage":    f.Cold.Overage,
