--- a/cmd/linkmast/settings_test.go
+++ b/cmd/linkmast/settings_test.go
@@ -3,9 +3,15 @@
 package main
 
 import (
+	"maps"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/linkmast/linkmast/settings"
 )
 
 // TestSettingsWrittenDuringStart guards against an instance that ends because its settings are not written
@@ -42,6 +48,37 @@
 	}
 }
 
+// TestSettingsWithoutOptionalFields guards against settings that are invalid because the platform leaves
+// fields out.
+func TestSettingsWithoutOptionalFields(t *testing.T) {
+	is := is.New(t)
+	h := newHost(t, "127.0.0.1:1")
+	fields := h.fields()
+	whole, err := settings.Parse([]byte(render(t, fields)))
+	is.NoErr(err)
+	is.True(*whole.Times.RevokeStrict)
+	is.True(whole.FirstStart)
+	is.Equal(whole.MemoryMB, 284.0)
+	for name := range fields {
+		if !strings.HasPrefix(name, "limits.") && !strings.HasPrefix(name, "bounds.") && name != "bootstrap" {
+			continue
+		}
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for _, v := range []string{"", "false"} {
+				less := maps.Clone(fields)
+				less[name] = v
+				_, err := settings.Parse([]byte(render(t, less)))
+				is.NoErr(err)
+			}
+		})
+	}
+	fields["bounds.strict_revoke"] = "false"
+	lenient, err := settings.Parse([]byte(render(t, fields)))
+	is.NoErr(err)
+	is.True(!*lenient.Times.RevokeStrict)
+}
+
 // TestInvalidSettings guards against an instance that waits for settings that stay invalid.
 func TestInvalidSettings(t *testing.T) {
 	t.Parallel()
