--- a/cmd/linkmast/settings_test.go
+++ b/cmd/linkmast/settings_test.go
@@ -48,6 +48,17 @@
 	}
 }
 
+// TestSettingsCutOff guards against settings that are cut off while they are written and look complete.
+func TestSettingsCutOff(t *testing.T) {
+	h := newHost(t, "127.0.0.1:1")
+	text := strings.TrimSpace(h.settings(t))
+	for n := range len(text) {
+		if _, err := settings.Parse([]byte(text[:n])); err == nil {
+			t.Fatalf("settings are valid without their last %d bytes:\n%s", len(text)-n, text[:n])
+		}
+	}
+}
+
 // TestSettingsWithoutOptionalFields guards against settings that are invalid because the platform leaves
 // fields out.
 func TestSettingsWithoutOptionalFields(t *testing.T) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -23,6 +23,11 @@
 // and TLS have no effect. On a platform with a log, ReadyListen, FirstStart, ProcessorShare,
 // LinkMbps, Retries, Cold and Worth have none.
 type File struct {
+	// EndMarker states that the file ends with the table End. Without it, a file that is cut off
+	// can't be told from a complete one.
+	EndMarker bool `toml:"end_marker"`
+	// End is an empty table at the end of the file.
+	End *struct{} `toml:"end"`
 	// ID is the instance's ID in the platform's list of instances.
 	ID string `toml:"id"`
 	// Region is the region that the instance runs in.
@@ -288,6 +293,9 @@
 			wrong = append(wrong, name+" is missing")
 		}
 	}
+	if f.EndMarker && f.End == nil {
+		wrong = append(wrong, "end is missing, the file may be cut off")
+	}
 	need("id", f.ID)
 	need("region", f.Region)
 	need("failure_domain", f.FailureDomain)
