--- a/cmd/linkmast/instance_test.go
+++ b/cmd/linkmast/instance_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -26,11 +27,22 @@
 	"github.com/linkmast/linkmast/route"
 )
 
+// platformStore is a store with a configuration and a plain endpoint.
+type platformStore struct {
+	*platformtest.Store
+
+	t       *testing.T
+	address string
+}
+
 // host is an address of the loopback network that stands for a machine of its own, with the ports that a
 // platform assigns.
 type host struct {
 	ip    string
 	store string
+	// seed is the address of another instance that an instance contacts when it starts; if it is empty,
+	// its own.
+	seed string
 }
 
 // hosts counts the hosts of the test process.
@@ -49,13 +61,14 @@
 // fields returns the values with which the platform fills the template of the settings.
 func (h *host) fields() map[string]string {
 	return map[string]string{
-		"node_name":                 "front-1",
+		"node_name":                 "front-" + h.ip,
 		"region":                    "region-1",
 		"zone":                      "domain-1",
 		"ip":                        h.ip,
 		"listen.front":              h.ip + ":8227",
 		"listen.ready":              h.ip + ":8220",
 		"listen.control":            h.ip + ":8229",
+		"seeds":                     cmp.Or(h.seed, h.ip+":8229"),
 		"bootstrap":                 "true",
 		"limits.cpu_share":          "0.4",
 		"limits.link_mbps":          "1000.0",
@@ -125,7 +138,7 @@
 		case !ok:
 			t.Fatalf("section %s has no end", name)
 		case name == "seeds":
-			body = strconv.Quote(fields["listen.control"])
+			body = strconv.Quote(fields["seeds"])
 		case given != (text[at[2]:at[3]] == "#"):
 			body = ""
 		}
@@ -133,11 +146,29 @@
 	}
 }
 
-// startStore starts a store with a configuration and a plain endpoint, and returns its address.
+// startStore starts a store and returns its address.
 func startStore(t *testing.T) string {
 	t.Helper()
-	store := platformtest.NewStore()
-	store.Publish(1, []route.Route{{
+	return newStore(t).address
+}
+
+// newStore starts a store.
+func newStore(t *testing.T) *platformStore {
+	t.Helper()
+	s := &platformStore{
+		Store: platformtest.NewStore(),
+		t:     t,
+	}
+	s.publish(1)
+	s.addEndpoint("p1", "plain")
+	s.address = serveHTTP(t, s)
+	return s
+}
+
+// publish writes a version of the configuration. Each version has a route and a service of its own, besides
+// those for lookups.
+func (s *platformStore) publish(version int) {
+	lookup := route.Route{
 		Name:        "lookup",
 		Host:        "api.example",
 		Prefix:      "/lookup/",
@@ -147,15 +178,24 @@
 		Target:      300 * time.Millisecond,
 		MaxAttempts: 2,
 		Public:      true,
-	}}, map[string]*batch.Model{"plain": nil}, 4<<20, nil)
-	store.PutEndpoint(platformtest.EndpointEntry{
-		Instance: "p1",
-		Service:  "plain",
-		Address:  serveHTTP(t, &platformtest.Endpoint{Instance: "p1", Work: 5 * time.Millisecond}),
+	}
+	own := lookup
+	own.Name = fmt.Sprintf("version-%d", version)
+	own.Prefix = fmt.Sprintf("/version/%d/", version)
+	own.Shares = []route.Share{{Service: own.Name, Weight: 1}}
+	s.Publish(version, []route.Route{lookup, own}, map[string]*batch.Model{"plain": nil, own.Name: nil}, 4<<20, nil)
+}
+
+// addEndpoint starts a plain endpoint and writes its entry.
+func (s *platformStore) addEndpoint(name, service string) {
+	s.t.Helper()
+	s.PutEndpoint(platformtest.EndpointEntry{
+		Instance: name,
+		Service:  service,
+		Address:  serveHTTP(s.t, &platformtest.Endpoint{Instance: name, Work: 5 * time.Millisecond}),
 		Domain:   "domain-1",
 		Slots:    6,
 	})
-	return serveHTTP(t, store)
 }
 
 // serveHTTP serves a handler on a free port until the test ends, and returns its address.
@@ -296,7 +336,12 @@
 
 // lookup sends a request to the instance and returns the status, or zero without an answer.
 func (p *program) lookup() int {
-	req, err := http.NewRequest(http.MethodGet, "http://"+p.host.addresses()["callers"]+"/lookup/1", nil)
+	return p.get("/lookup/1")
+}
+
+// get sends a request for a path to the instance and returns the status, or zero without an answer.
+func (p *program) get(path string) int {
+	req, err := http.NewRequest(http.MethodGet, "http://"+p.host.addresses()["callers"]+path, nil)
 	if err != nil {
 		p.t.Fatal(err)
 	}
