Tests of answers whose connection ends inside their head

Another operator's report: an endpoint stopped in the middle of the head of its answer and closed, and callers got a 200 with an empty or short body.

--- a/gateway/truncated_test.go
+++ b/gateway/truncated_test.go
@@ -93,6 +93,65 @@
 	})
 }
 
+// TestAnswerEndsInsideHead guards against an answer that looks complete to its caller although its connection
+// ended inside its head, or that is not replaced by that of another endpoint where it may be.
+func TestAnswerEndsInsideHead(t *testing.T) {
+	forEachPath(t, func(t *testing.T, w *cluster) {
+		n := 0
+		for _, end := range []platformtest.CutEnd{platformtest.CutClosed, platformtest.CutReset} {
+			for _, bytes := range []int{0, 1, 12, 15, 17, 25, 40, 60, -30, -20, -3, -2, -1} {
+				n++
+				w.assertCutHead(t, fmt.Sprintf("head%d", n), &platformtest.Cut{
+					Bytes: bytes,
+					End:   end,
+				})
+			}
+		}
+	})
+}
+
+// assertCutHead checks the answers to requests of which endpoints send only a part of the head: of all
+// endpoints, and of one of two.
+func (w *cluster) assertCutHead(t *testing.T, id string, cut *platformtest.Cut) {
+	t.Helper()
+	is := is.New(t)
+	for _, all := range []bool{true, false} {
+		for _, e := range w.endpoints {
+			e.SetFaults(platformtest.EndpointFaults{})
+		}
+		w.await("served before", func() bool { return w.send(0, request{id: id + "before", path: "/safe/"}).status == http.StatusOK })
+		w.endpoints["p1"].SetFaults(platformtest.EndpointFaults{CutHead: cut})
+		w.endpoints["e1"].SetFaults(platformtest.EndpointFaults{CutHead: cut})
+		if all {
+			w.endpoints["p2"].SetFaults(platformtest.EndpointFaults{CutHead: cut})
+			w.endpoints["e2"].SetFaults(platformtest.EndpointFaults{CutHead: cut})
+		}
+		for _, p := range paths {
+			id := fmt.Sprintf("%s%t%s", id, all, p[1:3])
+			g := w.send(0, request{id: id, path: p, tokens: 100})
+			whole := platformtest.PlainAnswer(id, nil)
+			if p == "/stream/" || p == "/once/" {
+				whole = events(id, 10)
+			}
+			if g.status == http.StatusOK && (g.err != nil || g.body != whole) {
+				t.Errorf("%s, %+v: status 200 with %q, %v", id, *cut, g.body, g.err)
+			}
+			if all && g.status == http.StatusOK {
+				t.Errorf("%s, %+v: status 200 from endpoints that send no whole head", id, *cut)
+			}
+			if all {
+				is.True(w.runs(id) > 0)
+			}
+			if p == "/unsafe/" || p == "/once/" {
+				is.True(w.runs(id) <= 1)
+			}
+			if !all && (p == "/safe/" || p == "/stream/") {
+				is.Equal(g.status, http.StatusOK)
+			}
+		}
+	}
+}
+
 // TestStreamResumedAfterEndInsideEvent guards against a resumable stream that is not resumed after
 // its endpoint ended it inside an event.
 func TestStreamResumedAfterEndInsideEvent(t *testing.T) {
