linkmast: put the lines of net/http and grpc into the log

What callers saw: nothing yet; same class as a stalled reader of the log. Both libraries wrote to standard error, which blocks them, and with the lock of their logger each other, while nobody reads it; and an operator who kept only the log had no line about connections that could not be accepted. Now they write to the log, which never blocks.

On the log, lines that the libraries write have no instance.

--- a/cmd/linkmast/instance_test.go
+++ b/cmd/linkmast/instance_test.go
@@ -234,15 +234,27 @@
 
 // startUnread starts an instance whose standard output nobody reads.
 func startUnread(t *testing.T, h *host, settings string) *program {
+	t.Helper()
+	return startCommand(t, h, exec.Command(binary(t), "--settings", settings))
+}
+
+// binary returns the path of the program.
+func binary(t *testing.T) string {
 	t.Helper()
 	bin, err := build()
 	if err != nil {
 		t.Fatal(err)
 	}
+	return filepath.Join(bin, "linkmast")
+}
+
+// startCommand starts a command that runs an instance. Nobody reads its standard output.
+func startCommand(t *testing.T, h *host, cmd *exec.Cmd) *program {
+	t.Helper()
 	p := &program{
 		t:      t,
 		host:   h,
-		cmd:    exec.Command(filepath.Join(bin, "linkmast"), "--settings", settings),
+		cmd:    cmd,
 		exited: make(chan struct{}),
 	}
 	out, in, err := os.Pipe()
@@ -385,9 +397,19 @@
 
 // hasLine reports whether the log has a line with the message.
 func (p *program) hasLine(message string) bool {
+	return p.hasMessage(func(m string) bool { return m == message })
+}
+
+// hasLineWith reports whether the log has a line whose message contains the text.
+func (p *program) hasLineWith(text string) bool {
+	return p.hasMessage(func(m string) bool { return strings.Contains(m, text) })
+}
+
+// hasMessage reports whether the log has a line with a message that matches.
+func (p *program) hasMessage(matches func(string) bool) bool {
 	for _, line := range strings.Split(p.output(), "\n") {
 		var l struct{ Msg string }
-		if json.Unmarshal([]byte(line), &l) == nil && l.Msg == message {
+		if json.Unmarshal([]byte(line), &l) == nil && matches(l.Msg) {
 			return true
 		}
 	}
--- a/cmd/linkmast/main.go
+++ b/cmd/linkmast/main.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"reflect"
@@ -16,6 +17,7 @@
 	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
 	"github.com/jessevdk/go-flags"
+	"google.golang.org/grpc/grpclog"
 
 	"github.com/linkmast/linkmast/gateway"
 	"github.com/linkmast/linkmast/internal/jsonlog"
@@ -125,14 +127,23 @@
 	}
 	lines := jsonlog.New(os.Stdout)
 	defer lines.Close()
-	log := logr.FromSlogHandler(slog.NewJSONHandler(lines, &slog.HandlerOptions{
+	handler := slog.NewJSONHandler(lines, &slog.HandlerOptions{
 		Level: level,
-	}))
+	})
+	logLibraries(handler)
+	log := logr.FromSlogHandler(handler)
 	status := runInstance(o, log, lines.Dropped)
 	log.Info("exiting", "status", status)
 	return status
 }
 
+// logLibraries makes net/http and grpc write to the handler. Their own output is the standard error, which
+// blocks them while nobody reads it.
+func logLibraries(h slog.Handler) {
+	slog.SetDefault(slog.New(h))
+	grpclog.SetLoggerV2(grpclog.NewLoggerV2(io.Discard, io.Discard, slog.NewLogLogger(h, slog.LevelError).Writer()))
+}
+
 // runInstance starts the instance, runs it until a signal stops it, and returns the exit code. The function
 // dropped returns the number of log lines that were dropped.
 func runInstance(o options, log logr.Logger, dropped func() int64) int {
