soak: faults of the host while instances start

A soak now also checks that planned stops exit with status 0 and that no instance uses more than 284 MB.

--- a/cmd/linkmastctl/soak.go
+++ b/cmd/linkmastctl/soak.go
@@ -29,6 +29,7 @@
 	Truncations bool    `long:"truncations" description:"answers of endpoints end early, or with their connection, too"`
 	Retries     bool    `long:"retries" description:"a narrow retry budget, and many retries while instances stop, too"`
 	Parts       bool    `long:"parts" description:"a part of prompts crashes engines, too"`
+	Starts      bool    `long:"starts" description:"signals, addresses in use and incomplete settings while instances start, log readers that end, malformed entries, cut heads, too"`
 	Program     string  `long:"program" description:"program of an instance; without it linkmast is built"`
 }
 
@@ -78,6 +79,7 @@
 			Truncations: c.Truncations,
 			Retries:     c.Retries,
 			Parts:       c.Parts,
+			Starts:      c.Starts,
 			Processes:   c.Processes,
 			Out:         os.Stdout,
 		})
--- a/soak/check_final.go
+++ b/soak/check_final.go
@@ -9,7 +9,7 @@
 )
 
 // checkFinalState checks that no endpoint runs requests or holds reserved tokens after the
-// load has ended, and that no instance exited unexpectedly.
+// load has ended, and that instances exited only as planned and stayed within their memory.
 func (d *Deployment) checkFinalState() []Violation {
 	var out []Violation
 	for _, e := range d.endpoints {
@@ -27,14 +27,34 @@
 		}
 	}
 	for _, p := range d.processes {
-		p.mu.Lock()
-		if p.unexpectedExits > 0 {
-			out = append(out, Violation{
-				Guarantee: "instances do not exit unexpectedly",
-				Detail:    fmt.Sprintf("%s exited unexpectedly %d times", p.name, p.unexpectedExits),
-			})
-		}
-		p.mu.Unlock()
+		out = append(out, p.check()...)
+	}
+	return out
+}
+
+// check checks the exits of an instance and its memory.
+func (p *process) check() []Violation {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []Violation
+	if p.unexpectedExits > 0 {
+		out = append(out, Violation{
+			Guarantee: "instances do not exit unexpectedly",
+			Detail:    fmt.Sprintf("%s exited unexpectedly %d times", p.name, p.unexpectedExits),
+		})
+	}
+	if p.failedStops > 0 {
+		out = append(out, Violation{
+			Guarantee: "planned stops exit with status 0",
+			Detail:    fmt.Sprintf("%s exited with another status %d times", p.name, p.failedStops),
+		})
+	}
+	const kilobyte = 1024
+	if peak := max(p.peakMemory, p.peakMemoryNow()); peak*kilobyte > memoryMB*1_000_000 {
+		out = append(out, Violation{
+			Guarantee: "instances stay within their memory",
+			Detail:    fmt.Sprintf("%s used %d KB, %d MB allowed", p.name, peak, memoryMB),
+		})
 	}
 	return out
 }
--- a/soak/process.go
+++ b/soak/process.go
@@ -23,9 +23,11 @@
 // restart.
 type process struct {
 	name string
-	// listen is the address for callers, and ready the address of the readiness check.
+	// listen is the address for callers, ready that of the readiness check, and peers that for other
+	// instances.
 	listen string
 	ready  string
+	peers  string
 	// settings is the path of the instance's settings file.
 	settings string
 	// source is the IP address from which the instance connects to endpoints.
@@ -42,6 +44,10 @@
 	exitExpected bool
 	// starting is true if a call of restart is about to start the instance again.
 	starting bool
+	// failedStops counts exits with another status than zero after a signal.
+	failedStops int
+	// peakMemory is the largest resident memory of the processes that have exited, in KB.
+	peakMemory int64
 }
 
 // Time limits in the settings of instances.
@@ -52,11 +58,15 @@
 	grace = 6 * time.Second
 )
 
+// memoryMB is the memory that an instance may use, in 10^6 bytes.
+const memoryMB = 284
+
 // readyTimeout bounds a readiness check, since a frozen process does not respond.
 const readyTimeout = 300 * time.Millisecond
 
 // settingsText is the format of an instance's settings file.
-const settingsText = `id = %q
+const settingsText = `end_marker = true
+id = %q
 region = "r"
 failure_domain = %q
 listen = %q
@@ -65,6 +75,7 @@
 admin_listen = "127.0.0.1:0"
 peers = [%s]
 endpoint_source = %q
+memory_mb = %d
 [platform]
 store = %q
 [retries]
@@ -75,6 +86,7 @@
 revoke = "%s"
 revoke_strict = %t
 stop_within = "%s"
+[end]
 `
 
 // sourceOf returns the IP address of the connections to endpoints of instance i, a loopback address
@@ -103,8 +115,9 @@
 	if i < len(d.seedAddresses) {
 		own = d.seedAddresses[i]
 	}
+	p.peers = own
 	p.settings = filepath.Join(d.dir, p.name+".toml")
-	text := fmt.Sprintf(settingsText, p.name, domainOf(i), p.listen, p.ready, own, quoted(d.seedAddresses), p.source, p.store.Address,
+	text := fmt.Sprintf(settingsText, p.name, domainOf(i), p.listen, p.ready, own, quoted(d.seedAddresses), p.source, memoryMB, p.store.Address,
 		d.budget.ratio, d.budget.extra, d.budget.window, revoke, d.strict, grace)
 	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
 		return errors.Wrap(err, "write settings of an instance")
@@ -122,14 +135,34 @@
 	return strings.Join(out, ", ")
 }
 
+// openLog opens the log of an instance.
+func (d *Deployment) openLog(p *process) (*os.File, error) {
+	f, err := os.OpenFile(filepath.Join(d.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, errors.Wrap(err, "open log of an instance")
+	}
+	return f, nil
+}
+
 // start starts the program of an instance and appends its output to the instance's log.
 func (d *Deployment) start(p *process) error {
-	out, err := os.OpenFile(filepath.Join(d.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	out, err := d.openLog(p)
 	if err != nil {
-		return errors.Wrap(err, "open log of an instance")
+		return err
 	}
+	return d.startWith(p, out)
+}
+
+// startWith starts the program of an instance with the given standard output, which it closes when the
+// program has exited. The standard error is appended to the instance's log.
+func (d *Deployment) startWith(p *process, stdout *os.File) error {
+	out, err := d.openLog(p)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = out.Close() }()
 	cmd := exec.Command(d.program, "--settings", p.settings)
-	cmd.Stdout, cmd.Stderr = out, out
+	cmd.Stdout, cmd.Stderr = stdout, out
 	if err := cmd.Start(); err != nil {
 		return errors.Wrap(err, "start instance")
 	}
@@ -139,7 +172,7 @@
 	p.exitExpected = false
 	p.starting = false
 	p.exited = make(chan struct{})
-	go p.wait(cmd, out, p.exited)
+	go p.wait(cmd, stdout, p.exited)
 	return nil
 }
 
@@ -161,8 +194,14 @@
 	_ = cmd.Wait()
 	_ = out.Close()
 	p.mu.Lock()
-	if !p.exitExpected {
+	switch {
+	case !p.exitExpected:
 		p.unexpectedExits++
+	case cmd.ProcessState.ExitCode() > 0:
+		p.failedStops++
+	}
+	if usage, ok := cmd.ProcessState.SysUsage().(*syscall.Rusage); ok {
+		p.peakMemory = max(p.peakMemory, usage.Maxrss)
 	}
 	p.mu.Unlock()
 	close(exited)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -37,6 +37,10 @@
 	// Parts makes callers name the parts of their prompts, and adds faults in which one of these
 	// crashes engines.
 	Parts bool
+	// Starts adds faults of the host while instances start and run: signals, addresses in use, settings
+	// that are being written and readers of logs that end. It also adds malformed entries in the store, and
+	// answers whose heads are cut off.
+	Starts bool
 	// Processes is the number of instances.
 	Processes int
 	// Out receives the schedule and the result.
@@ -134,6 +138,9 @@
 	if s.Truncations {
 		schedule = merge(schedule, DrawTruncations(s.Seed, s.Length))
 	}
+	if s.Starts {
+		schedule = merge(schedule, DrawStarts(s.Seed, s.Length, s.Processes))
+	}
 	d.play(ctx, schedule, func(f Fault) { _, _ = fmt.Fprintln(s.Out, f) })
 	wait(ctx, recoverWithin)
 	d.recovered = time.Now()
