--- a/cmd/linkmast/entries_test.go
+++ b/cmd/linkmast/entries_test.go
@@ -81,6 +81,9 @@
 	version++
 	wantFollowing(store, version, running)
 	for _, p := range running {
+		if strings.Contains(p.output(), "error while marshaling") {
+			t.Errorf("%s could not send an entry to other instances", p.host.ip)
+		}
 		for _, line := range strings.Split(p.output(), "\n") {
 			if len(line) > maxLine {
 				t.Errorf("a line of the log has %d bytes, want at most %d: %.300s", len(line), maxLine, line)
