relay: IDs of attempts that other instances and lists can hold

What callers saw: nothing of their own, but the request of another. The ID of a request is any sequence of bytes that its caller sends, and began the IDs of its attempts. The ID of an attempt has at most 64 bytes of it now, others than printable ones and separators replaced.

--- a/gateway/text_test.go
+++ b/gateway/text_test.go
@@ -4,6 +4,9 @@
 
 import (
 	"fmt"
+	"net/http"
+	"strings"
+	"sync"
 	"testing"
 
 	"github.com/matryer/is"
@@ -11,6 +14,29 @@
 	"github.com/linkmast/linkmast/platform/platformtest"
 )
 
+// oddIDs are IDs of requests that are no text, very long, or contain the separators of lists.
+var oddIDs = []string{"\xff\xfe", "a,b/c:d", strings.Repeat("i", 20_000), "\xc3\x28 x"}
+
+// TestOddRequestIDs guards against requests that fail, or make those of other callers fail, because of
+// their ID.
+func TestOddRequestIDs(t *testing.T) {
+	w := newCluster(t, 3)
+	for n, id := range oddIDs {
+		var all sync.WaitGroup
+		for i := range w.gateways {
+			for _, p := range paths {
+				all.Go(func() {
+					g := w.send(i, request{id: fmt.Sprintf("%d%s", i, id), path: p, tokens: 100})
+					if g.err != nil || g.status != http.StatusOK {
+						t.Errorf("ID %d on %s at instance %d: status %d, %v, %.100s", n, p, i, g.status, g.err, g.body)
+					}
+				})
+			}
+		}
+		all.Wait()
+	}
+}
+
 // TestKeysWithoutText guards against endpoints, and instances that follow others, that are lost because a key
 // in the store is no text.
 func TestKeysWithoutText(t *testing.T) {
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -6,6 +6,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/go-faster/errors"
 
@@ -145,7 +146,7 @@
 // newPlacementRequest returns a placement request for the next attempt of a job.
 func (l *Relay) newPlacementRequest(j *job) pool.PlacementRequest {
 	a := pool.PlacementRequest{
-		ID:        j.head.ID + "." + l.settings.Self + "." + strconv.FormatUint(l.counter.Add(1), 36),
+		ID:        l.attemptID(j.head.ID),
 		Service:   j.service,
 		Customer:  j.customer,
 		Rank:      j.rank,
@@ -168,6 +169,22 @@
 	return a
 }
 
+// maxAttemptPrefix bounds the part of a request's ID that the IDs of its attempts contain, in bytes.
+const maxAttemptPrefix = 64
+
+// attemptID returns an ID for an attempt at the request with the given ID, which is any sequence of bytes. The
+// ID of the attempt also appears in messages between instances, which hold only text, and in lists with
+// separators.
+func (l *Relay) attemptID(request string) string {
+	prefix := []byte(request[:min(len(request), maxAttemptPrefix)])
+	for i, c := range prefix {
+		if c <= ' ' || c > '~' || strings.IndexByte(",;:/", c) >= 0 {
+			prefix[i] = '_'
+		}
+	}
+	return string(prefix) + "." + l.settings.Self + "." + strconv.FormatUint(l.counter.Add(1), 36)
+}
+
 // placementFailure returns the refusal of a request that got no placement.
 func (j *job) placementFailure(ctx context.Context, err error) *refusal {
 	var r *pool.Refusal
