--- a/soak/process.go
+++ b/soak/process.go
@@ -28,8 +28,9 @@
 	listen string
 	ready  string
 	peers  string
-	// settings is the path of the instance's settings file.
-	settings string
+	// settings is the path of the instance's settings file, and settingsText its content.
+	settings     string
+	settingsText string
 	// source is the IP address from which the instance connects to endpoints.
 	source string
 	// store is the proxy between the instance and the store.
@@ -64,8 +65,8 @@
 // readyTimeout bounds a readiness check, since a frozen process does not respond.
 const readyTimeout = 300 * time.Millisecond
 
-// settingsText is the format of an instance's settings file.
-const settingsText = `end_marker = true
+// settingsFormat is the format of an instance's settings file.
+const settingsFormat = `end_marker = true
 id = %q
 region = "r"
 failure_domain = %q
@@ -117,9 +118,9 @@
 	}
 	p.peers = own
 	p.settings = filepath.Join(d.dir, p.name+".toml")
-	text := fmt.Sprintf(settingsText, p.name, domainOf(i), p.listen, p.ready, own, quoted(d.seedAddresses), p.source, memoryMB, p.store.Address,
+	p.settingsText = fmt.Sprintf(settingsFormat, p.name, domainOf(i), p.listen, p.ready, own, quoted(d.seedAddresses), p.source, memoryMB, p.store.Address,
 		d.budget.ratio, d.budget.extra, d.budget.window, revoke, d.strict, grace)
-	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(p.settings, []byte(p.settingsText), settingsMode); err != nil {
 		return errors.Wrap(err, "write settings of an instance")
 	}
 	d.processes = append(d.processes, p)
--- a/soak/starts.go
+++ b/soak/starts.go
@@ -138,17 +138,14 @@
 
 // startWithCutSettings starts an instance when only a part of its settings is written.
 func (d *Deployment) startWithCutSettings(s Fault, p *process) error {
-	text, err := os.ReadFile(p.settings)
-	if err != nil {
-		return errors.Wrap(err, "read settings of an instance")
-	}
 	const percent = 100
-	if err := os.WriteFile(p.settings, text[:len(text)*(s.Target%percent)/percent], settingsMode); err != nil {
+	cut := p.settingsText[:len(p.settingsText)*(s.Target%percent)/percent]
+	if err := os.WriteFile(p.settings, []byte(cut), settingsMode); err != nil {
 		return errors.Wrap(err, "cut settings of an instance")
 	}
 	startErr := d.start(p)
 	time.Sleep(s.For / restartDivisor)
-	return errors.Join(startErr, os.WriteFile(p.settings, text, settingsMode))
+	return errors.Join(startErr, os.WriteFile(p.settings, []byte(p.settingsText), settingsMode))
 }
 
 // settingsMode is the mode of a settings file.
