relay: end the wait for a body with its request's time

What callers saw: a request whose body stalled was held for as long as its caller kept the connection, far beyond the time that it stated and the route's timeout, and with it the memory of what had arrived; since bodies share a bound, such callers would have taken the room of others. Found by reading, after that bound. A body has until the request's deadline now; then 408, as it has not run.

--- a/relay/admit.go
+++ b/relay/admit.go
@@ -65,7 +65,7 @@
 }
 
 // admit matches a request to a route and customer and reads its body.
-func (l *Relay) admit(h RequestHead, r *http.Request, arrived time.Time) (*job, *refusal) {
+func (l *Relay) admit(w http.ResponseWriter, h RequestHead, r *http.Request, arrived time.Time) (*job, *refusal) {
 	firstTry, returning := l.timeouts.observe(h.Wait)
 	known := l.awaitConfiguration(r.Context(), h.Wait, firstTry)
 	if known.snapshot == nil {
@@ -93,7 +93,7 @@
 	}
 	j.header = forwardedHeader(r.Header)
 	j.deadline = arrived.Add(timeLimit(h.Wait, rt))
-	if ref := j.read(r, &l.bodies); ref != nil {
+	if ref := j.readInTime(w, r, &l.bodies); ref != nil {
 		j.releaseBody(&l.bodies)
 		return nil, ref
 	}
--- a/relay/body.go
+++ b/relay/body.go
@@ -5,7 +5,9 @@
 import (
 	"io"
 	"net/http"
+	"os"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -40,6 +42,22 @@
 	return true
 }
 
+// readInTime is like read, but refuses a body that doesn't arrive before the job's deadline.
+func (j *job) readInTime(w http.ResponseWriter, r *http.Request, m *bodyMemory) *refusal {
+	if r.ContentLength == 0 {
+		return j.read(r, m)
+	}
+	conn := http.NewResponseController(w)
+	// An error means that the connection is closed already, or that w is not one of net/http's server.
+	_ = conn.SetReadDeadline(time.Now().Add(j.left()))
+	if ref := j.read(r, m); ref != nil {
+		return ref
+	}
+	// The deadline must not end the connection while the answer is written.
+	_ = conn.SetReadDeadline(time.Time{})
+	return nil
+}
+
 // read reads the body into the job. It returns a refusal if the body exceeds the limit, does not
 // arrive completely or finds no room. The caller must call releaseBody in any case.
 func (j *job) read(r *http.Request, m *bodyMemory) *refusal {
@@ -56,6 +74,11 @@
 	case errors.Is(err, errNoRoom):
 		discard(r.Body)
 		return serviceUnavailable(err.Error(), defaultRetryAfter)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &refusal{
+			status: http.StatusRequestTimeout,
+			reason: "body did not arrive in time",
+		}
 	case err != nil:
 		return &refusal{
 			status: http.StatusBadRequest,
--- a/relay/configuration_test.go
+++ b/relay/configuration_test.go
@@ -112,7 +112,7 @@
 			})
 			r := httptest.NewRequest(http.MethodGet, row.path, nil)
 			r.Host = "api.example"
-			_, refused := l.admit(RequestHead{
+			_, refused := l.admit(httptest.NewRecorder(), RequestHead{
 				ID:   "r",
 				Key:  row.key,
 				Wait: time.Second,
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -133,7 +133,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	head := l.parts.Wire.Head(r)
-	j, refusal := l.admit(head, r, arrived)
+	j, refusal := l.admit(w, head, r, arrived)
 	if refusal != nil {
 		l.refuse(w, head, refusal)
 		return
