catalog: ignore feeds that only a later version knows

What callers saw: nothing yet; found by reading for inputs that end a process. An instance indexes its epochs by the number of the feed in a message from another one, so a message of a feed that it doesn't know ended the process (panic: index out of range [3] with length 3), and again at each connection: with a fourth feed, a rolling upgrade would have ended all instances of the old version that follow new ones. Records of unknown feeds are ignored now. Evidence: TestUnknownFeed ended the test process before.

--- a/catalog/following.go
+++ b/catalog/following.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -261,6 +262,10 @@
 	switch k := u.GetKind().(type) {
 	case *catalogpb.Update_Records:
 		feed := Feed(k.Records.GetFeed())
+		if !slices.Contains(feeds[:], feed) {
+			// A later version has further feeds.
+			return nil
+		}
 		records, err := c.decode(feed, k.Records.GetRecords())
 		if err != nil {
 			return err
