--- a/catalog/fuzz_test.go
+++ b/catalog/fuzz_test.go
@@ -29,7 +29,7 @@
 			f.Add(data)
 		}
 	}
-	f.Fuzz(func(t *testing.T, data []byte) {
+	f.Fuzz(func(_ *testing.T, data []byte) {
 		c := New(Settings{}, plainStore{}, nil, logr.Discard())
 		c.apply(Configurations, []Record{record(0, 1)}, 2, allParts, fromStore)
 		c.confirmByStore(time.Now())
--- a/soak/check_final.go
+++ b/soak/check_final.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -37,16 +38,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []Violation
-	if p.unexpectedExits > 0 {
+	if n := len(p.unexpectedExits); n > 0 {
 		out = append(out, Violation{
 			Guarantee: "instances do not exit unexpectedly",
-			Detail:    fmt.Sprintf("%s exited unexpectedly %d times", p.name, p.unexpectedExits),
+			Detail:    fmt.Sprintf("%s exited unexpectedly %d times: %s", p.name, n, strings.Join(p.unexpectedExits, "; ")),
 		})
 	}
-	if p.failedStops > 0 {
+	if n := len(p.failedStops); n > 0 {
 		out = append(out, Violation{
 			Guarantee: "planned stops exit with status 0",
-			Detail:    fmt.Sprintf("%s exited with another status %d times", p.name, p.failedStops),
+			Detail:    fmt.Sprintf("%s exited with another status %d times: %s", p.name, n, strings.Join(p.failedStops, "; ")),
 		})
 	}
 	const kilobyte = 1024
--- a/soak/play.go
+++ b/soak/play.go
@@ -263,7 +263,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.unexpectedExits++
+	p.unexpectedExits = append(p.unexpectedExits, err.Error())
 }
 
 // leave marks the entry of an endpoint as leaving, removes the entry after the given time, and
--- a/soak/process.go
+++ b/soak/process.go
@@ -39,14 +39,14 @@
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	exited chan struct{}
-	// unexpectedExits counts exits that the schedule did not cause, and failed restarts.
-	unexpectedExits int
+	// unexpectedExits lists the exits that the schedule did not cause, and failed restarts.
+	unexpectedExits []string
 	// exitExpected is true if the running process was sent a signal that ends it.
 	exitExpected bool
 	// starting is true if a call of restart is about to start the instance again.
 	starting bool
-	// failedStops counts exits with another status than zero after a signal.
-	failedStops int
+	// failedStops lists the exits with another status than zero after a signal.
+	failedStops []string
 	// peakMemory is the largest resident memory of the processes that have exited, in KB.
 	peakMemory int64
 }
@@ -197,9 +197,9 @@
 	p.mu.Lock()
 	switch {
 	case !p.exitExpected:
-		p.unexpectedExits++
+		p.unexpectedExits = append(p.unexpectedExits, describeExit(cmd))
 	case cmd.ProcessState.ExitCode() > 0:
-		p.failedStops++
+		p.failedStops = append(p.failedStops, describeExit(cmd))
 	}
 	if usage, ok := cmd.ProcessState.SysUsage().(*syscall.Rusage); ok {
 		p.peakMemory = max(p.peakMemory, usage.Maxrss)
@@ -208,6 +208,28 @@
 	close(exited)
 }
 
+// describeExit returns when and how a process has exited.
+func describeExit(cmd *exec.Cmd) string {
+	return fmt.Sprintf("%s: %s, process %d", time.Now().Format("15:04:05.000"), cmd.ProcessState, cmd.ProcessState.Pid())
+}
+
+// kill kills the current process and returns the channel that is closed when it has exited.
+func (p *process) kill() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.exitExpected = true
+	// An error means that the process has exited already.
+	_ = p.cmd.Process.Kill()
+	return p.exited
+}
+
+// current returns the current process and the channel that is closed when it has exited.
+func (p *process) current() (*os.Process, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.Process, p.exited
+}
+
 // signal sends a signal to the current process. With endsProcess, an exit of the process is
 // expected from then on.
 func (p *process) signal(s syscall.Signal, endsProcess bool) {
--- a/soak/starts.go
+++ b/soak/starts.go
@@ -60,8 +60,7 @@
 // restartDuring kills an instance and starts it again under a fault. Unless another call starts it, it does
 // so at once.
 func (d *Deployment) restartDuring(s Fault, p *process, start func(*Deployment, Fault, *process) error) {
-	exited := p.done()
-	p.signal(syscall.SIGKILL, true)
+	exited := p.kill()
 	<-exited
 	if p.claimStart(exited) {
 		p.countFailedStart(start(d, s, p))
@@ -76,8 +75,10 @@
 	if err := d.start(p); err != nil {
 		return err
 	}
-	exited := p.done()
-	for !p.ignoresPipe() {
+	// Another fault may replace the process meanwhile. The signals must not reach the next one, which may not
+	// have registered them yet.
+	started, exited := p.current()
+	for !ignoresPipe(started.Pid) {
 		select {
 		case <-exited:
 			return nil
@@ -85,17 +86,18 @@
 		}
 	}
 	for range hangupsPerStart {
-		p.signal(syscall.SIGHUP, false)
+		// An error means that the process has exited already.
+		_ = started.Signal(syscall.SIGHUP)
 		time.Sleep(time.Millisecond)
 	}
 	return nil
 }
 
-// ignoresPipe reports whether the current process ignores SIGPIPE, as it does after it has registered its
+// ignoresPipe reports whether a process ignores SIGPIPE, as an instance does after it has registered its
 // signals.
-func (p *process) ignoresPipe() bool {
+func ignoresPipe(pid int) bool {
 	mask := uint64(0)
-	return p.scanStatus("SigIgn: %x", &mask) && mask&(1<<(syscall.SIGPIPE-1)) != 0
+	return scanStatus(pid, "SigIgn: %x", &mask) && mask&(1<<(syscall.SIGPIPE-1)) != 0
 }
 
 // peakMemoryNow returns the largest resident memory of the current process so far, in KB; zero if it has
@@ -106,11 +108,6 @@
 	return kilobytes
 }
 
-// scanStatus reads a line of the status of the current process (proc(5)).
-func (p *process) scanStatus(format string, into any) bool {
-	return scanStatus(p.pid(), format, into)
-}
-
 // scanStatus reads a line of the status of a process. It returns false if there is no such line or process.
 func scanStatus(pid int, format string, into any) bool {
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
