--- a/gateway/text_test.go
+++ b/gateway/encoding_test.go
@@ -14,14 +14,14 @@
 	"github.com/linkmast/linkmast/platform/platformtest"
 )
 
-// oddIDs are IDs of requests that are no text, very long, or contain the separators of lists.
-var oddIDs = []string{"\xff\xfe", "a,b/c:d", strings.Repeat("i", 20_000), "\xc3\x28 x"}
+// unusualIDs are IDs of requests that are not valid UTF-8, very long, or contain the separators of lists.
+var unusualIDs = []string{"\xff\xfe", "a,b/c:d", strings.Repeat("i", 20_000), "\xc3\x28 x"}
 
-// TestOddRequestIDs guards against requests that fail, or make those of other callers fail, because of
+// TestRequestIDsOfAnyBytes guards against requests that fail, or make those of other callers fail, because of
 // their ID.
-func TestOddRequestIDs(t *testing.T) {
+func TestRequestIDsOfAnyBytes(t *testing.T) {
 	w := newCluster(t, 3)
-	for n, id := range oddIDs {
+	for n, id := range unusualIDs {
 		var all sync.WaitGroup
 		for i := range w.gateways {
 			for _, p := range paths {
@@ -37,9 +37,9 @@
 	}
 }
 
-// TestKeysWithoutText guards against endpoints, and instances that follow others, that are lost because a key
-// in the store is no text.
-func TestKeysWithoutText(t *testing.T) {
+// TestInvalidUTF8Keys guards against endpoints, and instances that follow others, that are lost because a key
+// in the store is not valid UTF-8.
+func TestInvalidUTF8Keys(t *testing.T) {
 	is := is.New(t)
 	w := newCluster(t, 4)
 	for n := range 20 {
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -172,8 +172,8 @@
 // maxAttemptPrefix bounds the part of a request's ID that the IDs of its attempts contain, in bytes.
 const maxAttemptPrefix = 64
 
-// attemptID returns an ID for an attempt at the request with the given ID, which is any sequence of bytes. The
-// ID of the attempt also appears in messages between instances, which hold only text, and in lists with
+// attemptID returns an ID for an attempt at the request with the given ID, which may have any bytes. The ID of
+// the attempt also appears in messages between instances, which hold only valid UTF-8, and in lists with
 // separators.
 func (l *Relay) attemptID(request string) string {
 	prefix := []byte(request[:min(len(request), maxAttemptPrefix)])
