relay: answers whose status line is none

What callers saw: an endpoint in trouble that answered with status 000, 007 or 099 made the handler panic, and the caller's connection was closed without an answer, also for requests that another endpoint could have served. Status 600 and 999, HTTP/2.0 and HTTP/0.9, and control characters in the reason were passed on as answers.

Cause: http.ReadResponse accepts any three characters that strconv.Atoi takes ("+20" as well), any version and any reason. The relay handed the status to WriteHeader, which panics below 100.

Change: wirehttp.CheckHead says which status lines are those of an HTTP/1 response to our requests (RFC 9110, section 15; RFC 9112, section 4), and package upstream applies it to each head it reads, provisional ones and those of other requests included. A malformed head is an error of a request that may have run; the connection is closed, not pooled. The relay counts it as a failure of the endpoint (answers_malformed), not as a crash, and repeats the request where its route allows it.

Why it works: whatever the bytes mean, nothing of them reaches a caller, and 502 makes no promise about a request that can't be repeated.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -154,7 +154,8 @@
 }
 
 // readHead reads responses until one matches the request. It skips provisional responses and
-// those to other requests.
+// those to other requests. A response with a malformed head is an error, as what follows it on the
+// connection can't be told.
 func (x *Exchange) readHead(r Request) error {
 	req := &http.Request{
 		Method: r.Method,
@@ -166,6 +167,9 @@
 		if err != nil {
 			return errors.Wrap(err, "read answer")
 		}
+		if err := wirehttp.CheckHead(res); err != nil {
+			return err
+		}
 		if res.StatusCode >= http.StatusContinue && res.StatusCode < http.StatusOK {
 			// A provisional response precedes the final one.
 			continue
--- a/internal/upstream/head_test.go
+++ b/internal/upstream/head_test.go
@@ -3,6 +3,7 @@
 package upstream_test
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/linkmast/linkmast/internal/upstream"
+	"github.com/linkmast/linkmast/internal/wirehttp"
 )
 
 // heads are heads of responses to the request with the ID 0.
@@ -63,3 +65,39 @@
 func last(text string) string {
 	return text[strings.LastIndex(strings.TrimRight(text, "\r\n"), "\n")+1:]
 }
+
+// malformedAnswers are answers to the request with the ID 0 of which a head is malformed.
+var malformedAnswers = map[string]string{
+	"status":                         "HTTP/1.1 000 OK\r\nId: 0\r\nContent-Length: 0\r\n\r\n",
+	"another protocol":               "HTTP/1.1 101 Switching Protocols\r\n\r\n" + ok("0", "hi"),
+	"before the answer":              "HTTP/1.1 099 Early Hints\r\nId: a\r\nContent-Length: 0\r\n\r\n" + ok("0", "hi"),
+	"status of another answer":       "HTTP/1.1 600 OK\r\nId: a\r\nContent-Length: 1\r\n\r\na" + ok("0", "hi"),
+	"reason of a provisional answer": "HTTP/1.1 103 Early\x00Hints\r\n\r\n" + ok("0", "hi"),
+}
+
+// TestMalformedHead guards against a response with a malformed head that is taken for an answer, or whose
+// connection is used for a later request.
+func TestMalformedHead(t *testing.T) {
+	for name, answer := range malformedAnswers {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := newEndpoint(t, func(c net.Conn, r *http.Request, _ int) bool {
+				if id := r.Header.Get("Id"); id != "0" {
+					answer = ok(id, "hi")
+				}
+				io.WriteString(c, answer)
+				return true
+			})
+			p := upstream.New(upstream.Settings{})
+			_, err := do(t, p, e.request("0"))
+			is.True(errors.Is(err, wirehttp.ErrMalformedHead))
+			var failed *upstream.Error
+			is.True(errors.As(err, &failed) && failed.Sent) // the request may have run
+			is.Equal(e.requests.Load(), int64(1))
+			body, err := do(t, p, e.request("1"))
+			is.NoErr(err)
+			is.Equal(body, "hi")
+			is.Equal(e.conns.Load(), int64(2))
+		})
+	}
+}
--- /dev/null
+++ b/internal/wirehttp/head_test.go
@@ -0,0 +1,61 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+package wirehttp_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/linkmast/linkmast/internal/wirehttp"
+)
+
+// assertChecked parses the head of a response and checks that it is accepted only if it is valid. An error
+// of the parser counts as well.
+func assertChecked(t *testing.T, head string, valid bool) {
+	t.Helper()
+	res, err := http.ReadResponse(bufio.NewReader(strings.NewReader(head+"\r\n\r\n")), nil)
+	if err == nil {
+		err = wirehttp.CheckHead(res)
+		if err != nil && !errors.Is(err, wirehttp.ErrMalformedHead) {
+			t.Errorf("%q: unexpected cause of %v", head, err)
+		}
+	}
+	if (err == nil) != valid {
+		t.Errorf("%q: error %v, valid %t", head, err, valid)
+	}
+}
+
+// TestCheckStatusCode guards against numbers that are no status codes.
+func TestCheckStatusCode(t *testing.T) {
+	for n := range 1000 {
+		assertChecked(t, fmt.Sprintf("HTTP/1.1 %03d Text", n), n >= 100 && n <= 599 && n != http.StatusSwitchingProtocols)
+	}
+	for _, code := range []string{"", "2", "20", "2000", "+20", "-00", "-20", "2e2", "0x9", "1_0", " 20", "20\t", "2 0", "abc", "٢٠٠"} {
+		assertChecked(t, "HTTP/1.1 "+code+" Text", false)
+	}
+}
+
+// TestCheckReason guards against bytes that a reason phrase doesn't contain.
+func TestCheckReason(t *testing.T) {
+	for b := range 256 {
+		valid := b == '\t' || b >= ' ' && b != 0x7f
+		// LF ends the line, and the rest of it is no field.
+		assertChecked(t, "HTTP/1.1 200 a"+string([]byte{byte(b)})+"b", valid)
+	}
+}
+
+// TestCheckVersion guards against responses of other protocols.
+func TestCheckVersion(t *testing.T) {
+	for major := range 10 {
+		for minor := range 10 {
+			assertChecked(t, fmt.Sprintf("HTTP/%d.%d 200 OK", major, minor), major == 1)
+		}
+	}
+	for _, version := range []string{"", "HTTP", "HTTP/1", "HTTP/1.", "HTTP/11.1", "HTTP/1.11", "http/1.1", "HTTPS/1.1", "ICY", "HTTP/1,1"} {
+		assertChecked(t, version+" 200 OK", false)
+	}
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -54,8 +54,8 @@
 	culprit string
 	// answered states that the caller has received a complete answer.
 	answered bool
-	// interrupted states that the connection failed before the answer was complete, or that the
-	// answer exceeded a limit, and neither the caller nor the deadline ended it. A stream may then
+	// interrupted states that the connection failed before the answer was complete, that the answer
+	// exceeded a limit or that its head was malformed, and neither the caller nor the deadline ended it. A stream may then
 	// be resumed beyond the route's number of attempts. It is not set once an answer that is too
 	// large to buffer is being forwarded.
 	interrupted bool
@@ -244,6 +244,10 @@
 		// The endpoint still runs, so this is no crash.
 		res.interrupted = true
 		t.relay.Metrics.add("answers_unbounded")
+	case errors.Is(err, wirehttp.ErrMalformedHead):
+		// An endpoint that sends an answer still runs.
+		res.interrupted = true
+		t.relay.Metrics.add("answers_malformed")
 	default:
 		res.interrupted, res.connectionLost = true, true
 	}
