wirehttp: answers with blanks in the names of fields

What callers saw: an answer with "X Odd: 1" or "X-Odd : 1" in its head was passed on without that line, one with "Content-Length : 3" with the bytes up to the end of the connection, and one with "Transfer-Encoding : chunked" with status 200 and the sizes of the chunks in its body.

Cause: http.ReadResponse accepts blanks in the name of a field and keeps the field under that name, so the framing that it may be meant to state is ignored, and the server drops the line when it writes the answer.

Change: CheckHead also wants each name to be a token (RFC 9110, section 5.1), by golang.org/x/net/http/httpguts. RFC 9112, section 5.1, would let a proxy remove the blank of a response instead; whether the sender meant the field is not known, and its framing may be wrong.

Why it works: the blank is the one byte outside tokens that the parser lets through (TestCheckNames has all bytes at all places), so no name is left that readers of the head see otherwise than the sender meant it.

Evidence: with CheckHead as it was, 8 of the 24 new cases of gateway TestMalformedHead and 5 of upstream TestMalformedHead failed; all pass now. Tabs, NUL, BEL, DEL, CR, bytes above 127 and empty names, and control bytes in values, were refused by the parser before: 16 cases passed before as now and are kept.

--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -37,13 +37,31 @@
 	{name: "version 0.9", status: "HTTP/0.9 200 OK"},
 }
 
+// malformedLines are header lines whose names contain what names must not.
+var malformedLines = []malformedHead{
+	{name: "blank in a name", line: "X Odd: 1"},
+	{name: "blank after a name", line: "X-Odd : 1"},
+	{name: "blank after Content-Length", line: "Content-Length : 3"},
+	{name: "blank after Transfer-Encoding", line: "Transfer-Encoding : chunked", chunks: true},
+	{name: "tab after a name", line: "X-Odd\t: 1"},
+	{name: "NUL in a name", line: "X\x00Odd: 1"},
+	{name: "BEL in a name", line: "X\aOdd: 1"},
+	{name: "DEL in a name", line: "X\x7fOdd: 1"},
+	{name: "CR in a name", line: "X\rOdd: 1"},
+	{name: "byte above 127 in a name", line: "X\xe9Odd: 1"},
+	{name: "no name", line: ": 1"},
+	{name: "NUL in a value", line: "X-Odd: a\x00b"},
+}
+
 // TestMalformedHead guards against an answer whose head is malformed and that reaches its caller, or is
 // not replaced by that of another endpoint where it may be.
 func TestMalformedHead(t *testing.T) {
-	for _, row := range malformedStatuses {
-		t.Run(row.name, func(t *testing.T) {
-			forEachPath(t, func(t *testing.T, w *cluster) { w.assertNotForwarded(t, row) })
-		})
+	for _, list := range [][]malformedHead{malformedStatuses, malformedLines} {
+		for _, row := range list {
+			t.Run(row.name, func(t *testing.T) {
+				forEachPath(t, func(t *testing.T, w *cluster) { w.assertNotForwarded(t, row) })
+			})
+		}
 	}
 }
 
--- a/internal/upstream/head_test.go
+++ b/internal/upstream/head_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -72,6 +73,11 @@
 	"another protocol":               "HTTP/1.1 101 Switching Protocols\r\n\r\n" + ok("0", "hi"),
 	"before the answer":              "HTTP/1.1 099 Early Hints\r\nId: a\r\nContent-Length: 0\r\n\r\n" + ok("0", "hi"),
 	"status of another answer":       "HTTP/1.1 600 OK\r\nId: a\r\nContent-Length: 1\r\n\r\na" + ok("0", "hi"),
+	"name of a field":                "HTTP/1.1 200 OK\r\nId: 0\r\nX Odd: 1\r\nContent-Length: 0\r\n\r\n",
+	"blank before a colon":           "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length : 2\r\nContent-Length: 2\r\n\r\nhi",
+	"framing with a blank":           "HTTP/1.1 200 OK\r\nId: 0\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+	"name in another answer":         "HTTP/1.1 200 OK\r\nId: a\r\nX-Odd : 1\r\nContent-Length: 1\r\n\r\na" + ok("0", "hi"),
+	"name in a provisional answer":   "HTTP/1.1 103 Early Hints\r\nX-Odd : 1\r\n\r\n" + ok("0", "hi"),
 	"reason of a provisional answer": "HTTP/1.1 103 Early\x00Hints\r\n\r\n" + ok("0", "hi"),
 }
 
@@ -86,6 +92,8 @@
 					answer = ok(id, "hi")
 				}
 				io.WriteString(c, answer)
+				// A body that is taken to end with the connection must not block the test.
+				time.AfterFunc(time.Second, func() { c.Close() })
 				return true
 			})
 			p := upstream.New(upstream.Settings{})
--- a/internal/wirehttp/head.go
+++ b/internal/wirehttp/head.go
@@ -19,9 +19,9 @@
 	maxStatus = 599
 )
 
-// CheckHead returns an error whose cause is ErrMalformedHead unless the status line of a response that
-// net/http has parsed follows RFC 9110 and RFC 9112. The parser accepts any status code of three
-// characters, any version and any reason phrase.
+// CheckHead returns an error whose cause is ErrMalformedHead unless the head of a response that net/http
+// has parsed follows RFC 9110 and RFC 9112. The parser accepts any status code of three characters, any
+// version, any reason phrase, and spaces in the names of fields, also before the colon.
 func CheckHead(res *http.Response) error {
 	switch {
 	case res.ProtoMajor != 1:
@@ -35,5 +35,17 @@
 		// A reason phrase has the same characters as a field's value.
 		return errors.Wrapf(ErrMalformedHead, "control character in status %q", res.Status)
 	}
+	return CheckNames(res.Header)
+}
+
+// CheckNames returns an error whose cause is ErrMalformedHead unless the names of all fields are tokens
+// (RFC 9110, section 5.1). A field such as "Transfer-Encoding : chunked" may be meant to delimit the body,
+// for which the parser ignores it.
+func CheckNames(h http.Header) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Wrapf(ErrMalformedHead, "field name %q", name)
+		}
+	}
 	return nil
 }
--- a/internal/wirehttp/head_test.go
+++ b/internal/wirehttp/head_test.go
@@ -59,3 +59,35 @@
 		assertChecked(t, version+" 200 OK", false)
 	}
 }
+
+// TestCheckNames guards against bytes that names of fields don't contain.
+func TestCheckNames(t *testing.T) {
+	const symbols = "!#$%&'*+-.^_`|~"
+	for b := range 256 {
+		c := string([]byte{byte(b)})
+		valid := b >= '0' && b <= '9' || b >= 'A' && b <= 'Z' || b >= 'a' && b <= 'z' || strings.Contains(symbols, c)
+		for _, name := range []string{c + "Odd", "X" + c + "Odd", "Odd" + c, c} {
+			if b == ':' && name[0] != ':' || b == '\n' {
+				// A colon ends the name. The lines that LF ends are covered below.
+				continue
+			}
+			assertChecked(t, "HTTP/1.1 200 OK\r\nX-First: 1\r\n"+name+": 1", valid || b <= ' ' && isContinuation(name))
+		}
+	}
+	for _, line := range []string{"", ":", ": 1", "Odd", "Odd\nX: 1", "Content-Length : 1", "Transfer-Encoding : chunked", "Odd\r\n : 1"} {
+		assertChecked(t, "HTTP/1.1 200 OK\r\n"+line+"\r\nX-Last: 1", line == "")
+	}
+}
+
+// isContinuation reports whether a line continues the one before it.
+func isContinuation(line string) bool {
+	return line[0] == ' ' || line[0] == '\t'
+}
+
+// TestCheckValues guards against bytes that values of fields don't contain.
+func TestCheckValues(t *testing.T) {
+	for b := range 256 {
+		valid := b == '\t' || b >= ' ' && b != 0x7f
+		assertChecked(t, "HTTP/1.1 200 OK\r\nX-Odd: a"+string([]byte{byte(b)})+"b", valid)
+	}
+}
