wirehttp: all readers of answers reject malformed heads

What callers saw: on the log path a plain service's answer with status 000 came back from plain.HTTP.Call without an error, and one with "Transfer-Encoding : chunked" with the sizes of the chunks in its body. Besides, an append to the log that was answered with status 000 counted as without effect, and a call whose malformed head said that it had not started counted as not run, so that it could be sent again. The store, orders, reports, lists and weights took such heads as well.

Cause: these readers use http.Client, whose transport parses heads by http.ReadResponse, and looked only at what they needed of the result.

Change: the client of package wirehttp, which all of them use, applies CheckHead, and CheckNames to provisional responses. It closes the connection itself: the transport puts it back among the idle ones before RoundTrip returns if the response seems to have no body.

Why it works: there is one client and one rule; an error of Do is already handled by each reader as a call that may have had an effect.

Evidence: with the client as it was, all 36 cases of TestReadersRejectMalformedHeads (12 readers, 3 heads) and all 7 of TestClientChecksHeads failed; all pass now. The tests of entry, node, plain, engine and fleet pass.

--- a/internal/wirehttp/wirehttp.go
+++ b/internal/wirehttp/wirehttp.go
@@ -1,8 +1,8 @@
 // Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
 
 // Package wirehttp holds what the HTTP clients and servers of the other packages share: a client
-// with bounded dial times, request bodies that are never sent twice, the framing of responses, and JSON
-// responses.
+// with bounded dial times, request bodies that are never sent twice, the check of heads and the framing of
+// responses, and JSON responses.
 package wirehttp
 
 import (
@@ -36,8 +36,8 @@
 // idlePerHost bounds the idle connections to one address.
 const idlePerHost = 64
 
-// Client returns an HTTP client that dials within a bounded time, follows no redirects, limits the
-// heads of responses and keeps connections open between calls. The caller bounds the duration of a
+// Client returns an HTTP client that dials within a bounded time, follows no redirects, limits and checks
+// the heads of responses and keeps connections open between calls. The caller bounds the duration of a
 // call by its context, and the size of a body as it reads it.
 func Client() *http.Client {
 	return ClientMaxIdle(0)
@@ -53,13 +53,15 @@
 // bound the time of a dial.
 func ClientBy(dial tcp.DialFunc, idle int) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:            dial,
-			MaxIdleConns:           idle,
-			MaxIdleConnsPerHost:    idlePerHost,
-			IdleConnTimeout:        idleTimeout,
-			DisableCompression:     true,
-			MaxResponseHeaderBytes: MaxHead,
+		Transport: checkedTransport{
+			Transport: &http.Transport{
+				DialContext:            dial,
+				MaxIdleConns:           idle,
+				MaxIdleConnsPerHost:    idlePerHost,
+				IdleConnTimeout:        idleTimeout,
+				DisableCompression:     true,
+				MaxResponseHeaderBytes: MaxHead,
+			},
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
