relay: requests that come late in a planned stop

What callers saw: a request whose head came 2.1 s after the begin of a planned stop, while the address was still open, and whose last byte came at 4.6 s or later was passed on, and cut off at 5.8 s without an answer, also if it may not be repeated.

Cause: after the address is closed the instance waits for all requests in flight. One whose body was still arriving, or that waited for a placement, was passed on whenever it was ready, whatever time was left.

Change: when the address is closed, gateway.Stop calls Relay.EndSending with the time at which it will cut answers off. From then on a request that was never sent and whose deadline comes later than that is refused with 503: reading its body and waiting for a placement end at once, and attempt checks it again before it sends.

Why it works: what is sent later has a deadline before the cut, so it ends by itself. 503 is true, as nothing was sent, and callers can go to another instance at once. Requests that were sent before, their retries and resumed streams are not affected.

Evidence: gateway TestLateRequestsDuringStop failed before: of 32 requests with a late last byte 18 had no complete answer (last byte at 4.6 s or later; 14 of them had run), and all are served or refused before 2.5 s now. Requests with a deadline before the cut are served before and after. relay TestQueuedWhenSendingEnds and TestPlacedAfterSendingEnded cover waiting and late placements. The tests of relay, and those of stops and bodies of gateway, pass with the race detector.

--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -18,19 +18,23 @@
 	// stopMargin is subtracted from the platform's time limit for a stop, because the platform kills
 	// the process at that limit.
 	stopMargin = 700 * time.Millisecond
+	// answerMargin is how long before the end of the stop the answer to a request must be due.
+	answerMargin = 100 * time.Millisecond
 )
 
 // Stop ends the instance gracefully and returns when it has ended. The instance reports that it is
 // not ready, but serves new requests for balancerDelay and asks callers to close their connections.
-// Then it closes the address for callers and ends after the last request, its own or one that it
-// forwards for another instance. When ctx ends, or
-// stopMargin before the platform's time limit, it cuts off the remaining requests.
+// Then it closes the address for callers and refuses what no endpoint has received yet, except for requests
+// that will be over before the stop is. It ends after the last request, its own or one that it forwards for
+// another instance. When ctx ends, or stopMargin before the platform's time limit, it cuts off the remaining
+// requests.
 func (g *Gateway) Stop(ctx context.Context) {
 	g.stopOnce.Do(func() {
 		g.log.Info("stopping", "in_flight", g.relay.InFlight(), "connections", g.callerConns.count())
 		close(g.stopping)
 		g.relay.Stop()
 		within := time.Duration(g.settings.Times.StopWithin) - stopMargin
+		cutAt := steady.Now().Add(within)
 		// The platform's time limit includes time during which the instance is suspended, so this
 		// one does as well.
 		ctx, cancel := steady.WithTimeout(ctx, within)
@@ -39,6 +43,7 @@
 		case <-ctx.Done():
 		case <-time.After(balancerDelay):
 		}
+		g.relay.EndSending(cutAt.Add(-answerMargin))
 		if err := g.callers.Shutdown(ctx); err != nil {
 			g.log.Info("requests cut off by the end of the stop", "in_flight", g.relay.InFlight())
 		}
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -93,7 +93,9 @@
 	}
 	j.header = forwardedHeader(r.Header)
 	j.deadline = arrived.Add(timeLimit(h.Wait, rt))
-	if ref := j.readInTime(w, r, &l.bodies); ref != nil {
+	ctx, stop := l.sendContext(r.Context(), j)
+	defer stop()
+	if ref := j.readInTime(ctx, w, r, &l.bodies); ref != nil {
 		j.releaseBody(&l.bodies)
 		return nil, ref
 	}
--- a/relay/body.go
+++ b/relay/body.go
@@ -3,6 +3,7 @@
 package relay
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"os"
@@ -42,20 +43,32 @@
 	return true
 }
 
-// readInTime is like read, but refuses a body that doesn't arrive before the job's deadline.
-func (j *job) readInTime(w http.ResponseWriter, r *http.Request, m *bodyMemory) *refusal {
+// readInTime is like read, but refuses a body that doesn't arrive before the job's deadline and before the end
+// of ctx, a context of sendContext.
+func (j *job) readInTime(ctx context.Context, w http.ResponseWriter, r *http.Request, m *bodyMemory) *refusal {
 	if r.ContentLength == 0 {
 		return j.read(r, m)
 	}
 	conn := http.NewResponseController(w)
 	// An error means that the connection is closed already, or that w is not one of net/http's server.
 	_ = conn.SetReadDeadline(time.Now().Add(j.left()))
-	if ref := j.read(r, m); ref != nil {
-		return ref
+	ended := make(chan struct{})
+	unregister := context.AfterFunc(ctx, func() {
+		defer close(ended)
+		_ = conn.SetReadDeadline(time.Now())
+	})
+	ref := j.read(r, m)
+	if !unregister() {
+		<-ended
 	}
-	// The deadline must not end the connection while the answer is written.
-	_ = conn.SetReadDeadline(time.Time{})
-	return nil
+	switch {
+	case ref == nil:
+		// The deadline must not end the connection while the answer is written.
+		_ = conn.SetReadDeadline(time.Time{})
+	case ref.status == http.StatusRequestTimeout && errors.Is(context.Cause(ctx), errStopping):
+		return serviceUnavailable(errStopping.Error(), defaultRetryAfter)
+	}
+	return ref
 }
 
 // read reads the body into the job. It returns a refusal if the body exceeds the limit, does not
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -78,6 +78,11 @@
 	// counter counts the placement requests, for their ids.
 	counter  atomic.Uint64
 	stopping atomic.Bool
+	// sendingEnded is done, by endSending, once some requests are not sent any more, and cutAt, which is
+	// valid from then on, is when the instance cuts off its answers.
+	sendingEnded context.Context
+	endSending   context.CancelFunc
+	cutAt        time.Time
 	// inFlight counts the requests that are being served, and configWaiters those that wait for
 	// a usable configuration.
 	inFlight      atomic.Int64
@@ -103,17 +108,12 @@
 		parts:     p,
 		startedAt: steady.Now(),
 	}
+	l.sendingEnded, l.endSending = context.WithCancel(context.Background())
 	l.bodies.limit = s.BodyBytes
 	l.detector = quarantine.NewDetector(p.Quarantine, p.Check, func() { l.Metrics.add("crashes") }, p.Log)
 	return l
 }
 
-// Stop makes the relay answer later requests with "Connection: close", so that callers open
-// their next connection to another instance.
-func (l *Relay) Stop() {
-	l.stopping.Store(true)
-}
-
 // InFlight returns the number of requests that are being served.
 func (l *Relay) InFlight() int64 {
 	return l.inFlight.Load()
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -68,6 +68,12 @@
 		return false, ref
 	}
 	p, err := l.findPlacement(ctx, j)
+	if ref := l.refuseLate(j); ref != nil {
+		if err == nil {
+			l.releasePlacement(p)
+		}
+		return false, ref
+	}
 	if err != nil {
 		return false, j.placementFailure(ctx, err)
 	}
@@ -112,6 +118,8 @@
 	a := l.newPlacementRequest(j)
 	a.Resumed, a.DueIn = j.resumes()
 	j.counted = true
+	ctx, stop := l.sendContext(ctx, j)
+	defer stop()
 	g, err := l.parts.Placer.Place(ctx, a)
 	if err != nil {
 		return nil, err
