upstream: answers of HTTP/1.0 with a transfer coding

What callers saw: an answer of HTTP/1.0 with "Transfer-Encoding: chunked" had status 200 and the sizes of the chunks in its body.

Cause: http.ReadResponse deletes the field if the version is below 1.1 and takes the coded bytes up to the end of the connection for the content. After that nothing of the field is left to check.

Change: wirehttp.ReadResponse, which package upstream uses, looks for the field in the buffered head of a response of HTTP/1.0 before it is parsed, and rejects it as malformed. RFC 9112, section 6.1, calls the framing of such a message faulty, and nothing tells whether it is chunked.

Why it works: the search ends at the blank line, at an error, which it returns, or at the size of the buffer, 8 KB, and consumes nothing.

Evidence: 2 of 2 cases of gateway TestMalformedHead, "chunks in HTTP/1.0", failed before and pass now. TestReadResponseCoding has heads in single bytes, with LF and longer than 4 KB, and TestReadResponseErrors errors in between. An answer of HTTP/1.0 without the field is forwarded as before (TestUnusualHead).

--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -37,12 +37,13 @@
 	{name: "version 0.9", status: "HTTP/0.9 200 OK"},
 }
 
-// malformedLines are header lines whose names contain what names must not.
+// malformedLines are header lines that are not those of a response.
 var malformedLines = []malformedHead{
 	{name: "blank in a name", line: "X Odd: 1"},
 	{name: "blank after a name", line: "X-Odd : 1"},
 	{name: "blank after Content-Length", line: "Content-Length : 3"},
 	{name: "blank after Transfer-Encoding", line: "Transfer-Encoding : chunked", chunks: true},
+	{name: "chunks in HTTP/1.0", status: "HTTP/1.0 200 OK", line: "Transfer-Encoding: chunked", chunks: true},
 	{name: "tab after a name", line: "X-Odd\t: 1"},
 	{name: "NUL in a name", line: "X\x00Odd: 1"},
 	{name: "BEL in a name", line: "X\aOdd: 1"},
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -162,14 +162,11 @@
 	}
 	for range maxResponses {
 		x.conn.head.begin()
-		res, err := http.ReadResponse(x.conn.reader, req)
+		res, err := wirehttp.ReadResponse(x.conn.reader, req)
 		x.conn.head.end()
 		if err != nil {
 			return errors.Wrap(err, "read answer")
 		}
-		if err := wirehttp.CheckHead(res); err != nil {
-			return err
-		}
 		if res.StatusCode >= http.StatusContinue && res.StatusCode < http.StatusOK {
 			// A provisional response precedes the final one.
 			continue
--- a/internal/wirehttp/head.go
+++ b/internal/wirehttp/head.go
@@ -3,7 +3,10 @@
 package wirehttp
 
 import (
+	"bufio"
+	"bytes"
 	"net/http"
+	"strings"
 
 	"github.com/go-faster/errors"
 	"golang.org/x/net/http/httpguts"
@@ -49,3 +52,66 @@
 	}
 	return nil
 }
+
+// ReadResponse is like http.ReadResponse, but returns an error whose cause is ErrMalformedHead for a response
+// that CheckHead rejects, and for one of HTTP/1.0 with a Transfer-Encoding field, whose framing is faulty (RFC
+// 9112, section 6.1). It finds that field only in the part of the head that fits into the buffer of r.
+func ReadResponse(r *bufio.Reader, req *http.Request) (*http.Response, error) {
+	if err := checkCoding(r); err != nil {
+		return nil, err
+	}
+	res, err := http.ReadResponse(r, req)
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckHead(res); err != nil {
+		return nil, err
+	}
+	return res, nil
+}
+
+// checkCoding looks for the Transfer-Encoding field of a response of HTTP/1.0 without consuming it, as
+// http.ReadResponse drops the field and takes the coded body for the content.
+func checkCoding(r *bufio.Reader) error {
+	const version = "HTTP/1.0 "
+	start, err := r.Peek(len(version))
+	if err != nil {
+		return err
+	}
+	if string(start) != version {
+		return nil
+	}
+	for {
+		// The whole of what is buffered can't fail.
+		head, _ := r.Peek(r.Buffered())
+		coded, ended := findCoding(head)
+		if coded {
+			return errors.Wrap(ErrMalformedHead, "transfer coding in a response of HTTP/1.0")
+		}
+		if ended || len(head) == r.Size() {
+			return nil
+		}
+		if _, err := r.Peek(len(head) + 1); err != nil {
+			return err
+		}
+	}
+}
+
+// findCoding reports whether the complete lines of a head contain a Transfer-Encoding field, and whether they
+// contain the end of the head.
+func findCoding(head []byte) (coded, ended bool) {
+	for {
+		line, rest, complete := bytes.Cut(head, []byte("\n"))
+		if !complete {
+			return false, false
+		}
+		if len(bytes.TrimRight(line, "\r")) == 0 {
+			return false, true
+		}
+		name, _, _ := strings.Cut(string(line), ":")
+		if strings.EqualFold(name, "Transfer-Encoding") {
+			return true, false
+		}
+		head = rest
+	}
+}
--- a/internal/wirehttp/head_test.go
+++ b/internal/wirehttp/head_test.go
@@ -6,9 +6,11 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
+	"testing/iotest"
 
 	"github.com/linkmast/linkmast/internal/wirehttp"
 )
@@ -91,3 +93,45 @@
 		assertChecked(t, "HTTP/1.1 200 OK\r\nX-Odd: a"+string([]byte{byte(b)})+"b", valid)
 	}
 }
+
+// TestReadResponseCoding guards against a coded body of HTTP/1.0 that is taken for the content, wherever in the
+// head the field is and in whatever parts the head arrives.
+func TestReadResponseCoding(t *testing.T) {
+	const fields = "X-First: 1\r\nTransfer-Encoding: chunked\r\nX-Last: 1\r\n"
+	fill := strings.Repeat("X-Fill: 1234567890\r\n", 300)
+	for _, row := range []struct {
+		name  string
+		head  string
+		coded bool
+	}{
+		{"between others", "HTTP/1.0 200 OK\r\n" + fields, true},
+		{"lower case", "HTTP/1.0 200 OK\r\n" + strings.ToLower(fields), true},
+		{"LF", "HTTP/1.0 200 OK\n" + strings.ReplaceAll(fields, "\r", ""), true},
+		{"after many", "HTTP/1.0 200 OK\r\n" + fill + fields, true},
+		{"none", "HTTP/1.0 200 OK\r\nX-Transfer-Encoding: chunked\r\nTransfer: Transfer-Encoding: chunked\r\n", false},
+		{"HTTP/1.1", "HTTP/1.1 200 OK\r\n" + fields, false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			for _, reader := range []io.Reader{
+				strings.NewReader(row.head + "\r\n0\r\n\r\nTransfer-Encoding: chunked\r\n"),
+				iotest.OneByteReader(strings.NewReader(row.head + "\r\n0\r\n\r\nTransfer-Encoding: chunked\r\n")),
+			} {
+				_, err := wirehttp.ReadResponse(bufio.NewReaderSize(reader, 8<<10), nil)
+				if errors.Is(err, wirehttp.ErrMalformedHead) != row.coded || (err != nil) != row.coded {
+					t.Errorf("error %v", err)
+				}
+			}
+		})
+	}
+}
+
+// TestReadResponseErrors guards against an error of the connection that is lost while a head is looked at.
+func TestReadResponseErrors(t *testing.T) {
+	failed := errors.New("connection failed")
+	for _, head := range []string{"", "HTTP/1.0", "HTTP/1.0 200 OK\r\nX-Odd: 1", "HTTP/1.1 200 OK\r\nX-Odd: 1"} {
+		once := io.MultiReader(strings.NewReader(head), iotest.ErrReader(failed))
+		if _, err := wirehttp.ReadResponse(bufio.NewReader(once), nil); !errors.Is(err, failed) {
+			t.Errorf("after %q: error %v", head, err)
+		}
+	}
+}
