wirehttp: don't wait for more of a response that is malformed already

What callers would have seen: after a short line that is no status line, on a connection that stays open, a request waited for its deadline.

Change: the search asks for one byte more than it has, and only while what it has may be the begin of a response of HTTP/1.0.

Evidence: TestReadResponseWaits and the new check of TestReadResponseErrors failed before and pass now.

--- a/internal/wirehttp/head.go
+++ b/internal/wirehttp/head.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"io"
 	"net/http"
 	"strings"
 
@@ -42,8 +43,8 @@
 }
 
 // CheckNames returns an error whose cause is ErrMalformedHead unless the names of all fields are tokens
-// (RFC 9110, section 5.1). A field such as "Transfer-Encoding : chunked" may be meant to delimit the body,
-// for which the parser ignores it.
+// (RFC 9110, section 5.1). The parser ignores a field such as "Transfer-Encoding : chunked", although the sender
+// may have meant it to delimit the body.
 func CheckNames(h http.Header) error {
 	for name := range h {
 		if !httpguts.ValidHeaderFieldName(name) {
@@ -71,19 +72,17 @@
 }
 
 // checkCoding looks for the Transfer-Encoding field of a response of HTTP/1.0 without consuming it, as
-// http.ReadResponse drops the field and takes the coded body for the content.
+// http.ReadResponse drops the field and takes the coded body for the content. It waits for no more bytes than the
+// parser needs to fail. Its error at an early end of the data is io.ErrUnexpectedEOF, as the parser's is.
 func checkCoding(r *bufio.Reader) error {
-	const version = "HTTP/1.0 "
-	start, err := r.Peek(len(version))
-	if err != nil {
-		return err
-	}
-	if string(start) != version {
-		return nil
-	}
+	version := []byte("HTTP/1.0 ")
 	for {
-		// The whole of what is buffered can't fail.
+		// A Peek of what is buffered doesn't fail.
 		head, _ := r.Peek(r.Buffered())
+		known := min(len(head), len(version))
+		if !bytes.Equal(head[:known], version[:known]) {
+			return nil
+		}
 		coded, ended := findCoding(head)
 		if coded {
 			return errors.Wrap(ErrMalformedHead, "transfer coding in a response of HTTP/1.0")
@@ -91,7 +90,11 @@
 		if ended || len(head) == r.Size() {
 			return nil
 		}
-		if _, err := r.Peek(len(head) + 1); err != nil {
+		_, err := r.Peek(len(head) + 1)
+		if errors.Is(err, io.EOF) {
+			return io.ErrUnexpectedEOF
+		}
+		if err != nil {
 			return err
 		}
 	}
--- a/internal/wirehttp/head_test.go
+++ b/internal/wirehttp/head_test.go
@@ -125,13 +125,27 @@
 	}
 }
 
+// TestReadResponseWaits guards against a response that is malformed already and for which more bytes are awaited.
+func TestReadResponseWaits(t *testing.T) {
+	for _, head := range []string{"a\r\n", "\r\n", "HTTP\n", "HTTP/1.0\r\n", "HTTP/1.0 x\r\n\r\n", "HTTP/1.1 x\r\n"} {
+		more := errors.New("read again")
+		_, err := wirehttp.ReadResponse(bufio.NewReader(io.MultiReader(strings.NewReader(head), iotest.ErrReader(more))), nil)
+		if err == nil || errors.Is(err, more) {
+			t.Errorf("after %q: error %v", head, err)
+		}
+	}
+}
+
 // TestReadResponseErrors guards against an error of the connection that is lost while a head is looked at.
 func TestReadResponseErrors(t *testing.T) {
 	failed := errors.New("connection failed")
-	for _, head := range []string{"", "HTTP/1.0", "HTTP/1.0 200 OK\r\nX-Odd: 1", "HTTP/1.1 200 OK\r\nX-Odd: 1"} {
+	for _, head := range []string{"", "HTT", "HTTP/1.0", "HTTP/1.0 200 OK\r\nX-Odd: 1", "HTTP/1.1 200 OK\r\nX-Odd: 1"} {
 		once := io.MultiReader(strings.NewReader(head), iotest.ErrReader(failed))
 		if _, err := wirehttp.ReadResponse(bufio.NewReader(once), nil); !errors.Is(err, failed) {
 			t.Errorf("after %q: error %v", head, err)
 		}
+		if _, err := wirehttp.ReadResponse(bufio.NewReader(strings.NewReader(head)), nil); !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Errorf("the end after %q: error %v", head, err)
+		}
 	}
 }
