relay: rejected requests that wait for another placement in a stop

What callers would have seen: a request that an endpoint rejected before the address was closed, and that waited for another placement, could be sent late in a planned stop and cut off.

Cause: the refusal of late requests looked at the number of sends, which counts rejected ones, rather than at whether an endpoint may have run the request.

--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -24,7 +24,7 @@
 
 // Stop ends the instance gracefully and returns when it has ended. The instance reports that it is
 // not ready, but serves new requests for balancerDelay and asks callers to close their connections.
-// Then it closes the address for callers and refuses what no endpoint has received yet, except for requests
+// Then it closes the address for callers and refuses what no endpoint may have run yet, except for requests
 // that will be over before the stop is. It ends after the last request, its own or one that it forwards for
 // another instance. When ctx ends, or stopMargin before the platform's time limit, it cuts off the remaining
 // requests.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -55,9 +55,9 @@
 	// answered states that the caller has received a complete answer.
 	answered bool
 	// interrupted states that the connection failed before the answer was complete, that the answer
-	// exceeded a limit or that its head was malformed, and neither the caller nor the deadline ended it. A stream may then
-	// be resumed beyond the route's number of attempts. It is not set once an answer that is too
-	// large to buffer is being forwarded.
+	// exceeded a limit or that its head was malformed, and neither the caller nor the deadline ended
+	// it. A stream may then be resumed beyond the route's number of attempts. It is not set once an
+	// answer that is too large to buffer is being forwarded.
 	interrupted bool
 	// unsent states that nothing was sent, because an endpoint of the grant became unavailable
 	// after the placement.
--- a/relay/body.go
+++ b/relay/body.go
@@ -43,8 +43,8 @@
 	return true
 }
 
-// readInTime is like read, but refuses a body that doesn't arrive before the job's deadline and before the end
-// of ctx, a context of sendContext.
+// readInTime is like read, but refuses a body that doesn't arrive before the job's deadline or before the end
+// of ctx, which is a context of sendContext.
 func (j *job) readInTime(ctx context.Context, w http.ResponseWriter, r *http.Request, m *bodyMemory) *refusal {
 	if r.ContentLength == 0 {
 		return j.read(r, m)
@@ -66,7 +66,7 @@
 		// The deadline must not end the connection while the answer is written.
 		_ = conn.SetReadDeadline(time.Time{})
 	case ref.status == http.StatusRequestTimeout && errors.Is(context.Cause(ctx), errStopping):
-		return serviceUnavailable(errStopping.Error(), defaultRetryAfter)
+		return refuseStopping()
 	}
 	return ref
 }
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -47,18 +47,21 @@
 )
 
 // TestQueuedWhenSendingEnds guards against a request that gets a placement so late that the stop may cut its
-// answer off, and against one that is refused although that can't happen, or although it was sent before.
+// answer off, and against one that is refused although that can't happen, or although it may have run.
 func TestQueuedWhenSendingEnds(t *testing.T) {
 	for _, row := range []struct {
 		name     string
 		deadline time.Duration
-		sends    int
+		// sends and ran are those of the job.
+		sends int
+		ran   bool
 		// refusedAfter is when the request is refused; zero if it is placed.
 		refusedAfter time.Duration
 	}{
-		{"may be cut off", 10 * time.Second, 0, endOfSending},
-		{"over before the cut", cutAfter, 0, 0},
-		{"was sent before", 10 * time.Second, 1, 0},
+		{"may be cut off", 10 * time.Second, 0, false, endOfSending},
+		{"over before the cut", cutAfter, 0, false, 0},
+		{"was rejected by an endpoint", 10 * time.Second, 1, false, endOfSending},
+		{"may have run", 10 * time.Second, 1, true, 0},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -70,10 +73,11 @@
 					},
 				})
 				j := &job{
-					route:    &route.Route{MaxAttempts: 2},
-					deadline: began.Add(row.deadline),
-					sends:    row.sends,
-					out:      &answer{},
+					route:      &route.Route{MaxAttempts: 2},
+					deadline:   began.Add(row.deadline),
+					sends:      row.sends,
+					mayHaveRun: row.ran,
+					out:        &answer{},
 				}
 				time.AfterFunc(endOfSending, func() { l.EndSending(began.Add(cutAfter)) })
 				if row.refusedAfter == 0 {
