review: a leaving endpoint that crashes under an unframed answer

Two endpoints say that they leave and are killed 1 s later, while they send answers that end with their connection. relay/ending.go takes such an end for the proper one where the endpoint is known to leave.

--- /dev/null
+++ b/review/rig2/replica/main.go
@@ -0,0 +1,106 @@
+// Copyright 2026 The Linkmast Authors. BSD 3-Clause licence, see LICENSE.
+
+// Command replica is an endpoint of the second review's cases: an engine or a plain service in a process of
+// its own. It prints its address, and then a line for the begin and the end of each request.
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/linkmast/linkmast/platform/platformtest"
+	"github.com/linkmast/linkmast/review/rig2"
+)
+
+// options are the options of the command line.
+type options struct {
+	Name     string        `long:"name" required:"true"`
+	Service  string        `long:"service" required:"true"`
+	Listen   string        `long:"listen" default:"127.0.0.1:0"`
+	Events   int           `long:"events" default:"60"`
+	Work     time.Duration `long:"work" default:"60ms"`
+	Unframed bool          `long:"unframed" description:"the end of the connection ends an answer"`
+	Pause    time.Duration `long:"pause" description:"pause in the middle of a plain answer"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(rig2.ExitFailed)
+	}
+	l, err := net.Listen("tcp", o.Listen)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(rig2.ExitFailed)
+	}
+	e := &platformtest.Endpoint{
+		Instance: o.Name,
+		Events:   o.Events,
+		Work:     o.Work,
+	}
+	if o.Service == rig2.Engines {
+		e.Engine = rig2.Model()
+	}
+	e.SetFaults(platformtest.EndpointFaults{
+		Unframed: o.Unframed,
+	})
+	fmt.Println(l.Addr())
+	s := &http.Server{
+		Handler:           handler(e, &o),
+		ReadHeaderTimeout: time.Minute,
+	}
+	fmt.Fprintln(os.Stderr, s.Serve(l))
+}
+
+// handler serves the requests of an endpoint, and prints when each begins and ends.
+func handler(e *platformtest.Endpoint, o *options) http.Handler {
+	var mu sync.Mutex
+	print := func(format string, args ...any) {
+		mu.Lock()
+		defer mu.Unlock()
+		fmt.Printf(format+"\n", args...)
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get("Request-Id")
+		if id == "" {
+			e.ServeHTTP(w, r)
+			return
+		}
+		print("begins %s", id)
+		defer print("ends %s", id)
+		if o.Pause > 0 && o.Service == rig2.Plain {
+			w = &pausingWriter{
+				ResponseWriter: w,
+				pause:          o.Pause,
+			}
+		}
+		e.ServeHTTP(w, r)
+	})
+}
+
+// pausingWriter sends the first half of what is written, and the rest after a pause.
+type pausingWriter struct {
+	http.ResponseWriter
+
+	pause time.Duration
+}
+
+// Write implements io.Writer.
+func (w *pausingWriter) Write(p []byte) (int, error) {
+	n, err := w.ResponseWriter.Write(p[:len(p)/2])
+	if err != nil {
+		return n, err
+	}
+	if err := http.NewResponseController(w.ResponseWriter).Flush(); err != nil {
+		return n, err
+	}
+	time.Sleep(w.pause)
+	m, err := w.ResponseWriter.Write(p[len(p)/2:])
+	return n + m, err
+}
