review: an endpoint whose entry is removed gets requests for seconds

The connections of the two readers of the store are reset six times, half a second apart, and the entry of an endpoint is removed meanwhile. The readers hold the removal back after each failed read, for their undisturbed followers as well.

--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -7,6 +7,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -52,6 +53,8 @@
 	Instances []*Instance
 	// Endpoints are the endpoints by name.
 	Endpoints map[string]*Endpoint
+	// OnLine, if not nil, is called with the time of each line that an endpoint prints.
+	OnLine func(endpoint, line string, at time.Time)
 
 	began  time.Time
 	dir    string
@@ -290,6 +293,33 @@
 	return false
 }
 
+// Upstreams returns the instance that each instance follows by its log; those that follow none are missing.
+func (r *Rig) Upstreams() (map[string]string, error) {
+	out := make(map[string]string)
+	for _, p := range r.Instances {
+		data, err := os.ReadFile(p.Log)
+		if err != nil {
+			return nil, errors.Wrap(err, "log")
+		}
+		for line := range strings.Lines(string(data)) {
+			var l struct {
+				Msg  string
+				Peer string
+			}
+			if err := json.Unmarshal([]byte(line), &l); err != nil {
+				continue
+			}
+			switch l.Msg {
+			case "follows":
+				out[p.Name] = l.Peer
+			case "no longer follows":
+				delete(out, p.Name)
+			}
+		}
+	}
+	return out, nil
+}
+
 // EndpointOptions says how an endpoint behaves.
 type EndpointOptions struct {
 	Service string
@@ -334,6 +364,9 @@
 		lines := bufio.NewScanner(in)
 		for lines.Scan() {
 			r.Recordf("%s %s", name, lines.Text())
+			if r.OnLine != nil {
+				r.OnLine(name, lines.Text(), time.Now())
+			}
 		}
 		// The status doesn't matter.
 		_ = cmd.Wait()
