--- a/review/5/main.go
+++ b/review/5/main.go
@@ -21,7 +21,8 @@
 const (
 	path      = "/unsafe/"
 	leaving   = "plain-0"
-	instances = 6
+	instances = 8
+	endpoints = 6
 	// readers is the number of instances that read the store. The others follow them.
 	readers = 2
 	// resets is how often the connections are reset, every resetGap, from beforeRemoval on.
@@ -70,10 +71,10 @@
 		}
 	}
 	r.Publish(1, rig2.Route(path, route.Unsafe, rig2.Plain, false))
-	for i := range 3 {
+	for i := range endpoints {
 		o := rig2.EndpointOptions{
 			Service:   rig2.Plain,
-			Domain:    fmt.Sprintf("domain-%d", i),
+			Domain:    fmt.Sprintf("domain-%d", i%3),
 			Arguments: []string{"--work", "200ms"},
 		}
 		if err := r.StartEndpoint(fmt.Sprintf("plain-%d", i), o); err != nil {
