--- a/review/rig2/replica/main.go
+++ b/review/rig2/replica/main.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -27,6 +28,7 @@
 	Work     time.Duration `long:"work" default:"60ms"`
 	Unframed bool          `long:"unframed" description:"the end of the connection ends an answer"`
 	Pause    time.Duration `long:"pause" description:"pause in the middle of a plain answer"`
+	Spoil    int           `long:"spoil" description:"every so many answers lack the proof of origin; zero means none"`
 }
 
 func main() {
@@ -61,6 +63,7 @@
 // handler serves the requests of an endpoint, and prints when each begins and ends.
 func handler(e *platformtest.Endpoint, o *options) http.Handler {
 	var mu sync.Mutex
+	var answers atomic.Int64
 	print := func(format string, args ...any) {
 		mu.Lock()
 		defer mu.Unlock()
@@ -74,6 +77,12 @@
 		}
 		print("begins %s", id)
 		defer print("ends %s", id)
+		if o.Spoil > 0 && answers.Add(1)%int64(o.Spoil) == 0 {
+			print("spoils %s", id)
+			w = &spoilingWriter{
+				ResponseWriter: w,
+			}
+		}
 		if o.Pause > 0 && o.Service == rig2.Plain {
 			w = &pausingWriter{
 				ResponseWriter: w,
@@ -104,3 +113,38 @@
 	m, err := w.ResponseWriter.Write(p[len(p)/2:])
 	return n + m, err
 }
+
+// spoilingWriter leaves the proof of origin out of the head of an answer.
+type spoilingWriter struct {
+	http.ResponseWriter
+
+	sent bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *spoilingWriter) WriteHeader(status int) {
+	w.spoil()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements io.Writer.
+func (w *spoilingWriter) Write(p []byte) (int, error) {
+	w.spoil()
+	return w.ResponseWriter.Write(p)
+}
+
+// spoil removes the field without which the head has no proof of origin.
+func (w *spoilingWriter) spoil() {
+	if w.sent {
+		return
+	}
+	w.sent = true
+	h := w.Header()
+	for name := range h {
+		without := h.Clone()
+		without.Del(name)
+		if !platformtest.Signed(without) {
+			h.Del(name)
+		}
+	}
+}
