review: ports below those of outgoing connections; spoiled answers keep their ID

The rig took ports that an outgoing connection could take before the instance listened; none failed so far.

--- a/review/rig2/replica/main.go
+++ b/review/rig2/replica/main.go
@@ -145,6 +145,7 @@
 		without.Del(name)
 		if !platformtest.Signed(without) {
 			h.Del(name)
+			return
 		}
 	}
 }
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -10,11 +10,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -60,6 +62,8 @@
 	dir    string
 	server *http.Server
 	target string
+	// taken has the addresses that were given to instances.
+	taken  map[string]bool
 	mu     sync.Mutex
 	record *os.File
 }
@@ -101,6 +105,7 @@
 		Store:     platformtest.NewStore(),
 		Endpoints: make(map[string]*Endpoint),
 		began:     time.Now(),
+		taken:     make(map[string]bool),
 	}
 	var err error
 	if r.record, err = os.Create(record); err != nil {
@@ -147,14 +152,28 @@
 	_ = os.RemoveAll(r.dir)
 }
 
-// freeAddress returns an address of a loopback host on which nothing listens.
-func freeAddress(ip string) (string, error) {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return "", errors.Wrap(err, "free address")
+// The range of the ports of instances. It lies below that of outgoing connections, so that nothing takes a port
+// before its instance listens.
+const (
+	firstPort = 20_000
+	portCount = 10_000
+)
+
+// freeAddress returns an address of a loopback host on which nothing listens, and which it hasn't returned before.
+func (r *Rig) freeAddress(ip string) (string, error) {
+	for range portCount {
+		address := net.JoinHostPort(ip, strconv.Itoa(firstPort+rand.IntN(portCount)))
+		if r.taken[address] {
+			continue
+		}
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		r.taken[address] = true
+		return address, l.Close()
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", errors.New("no free port")
 }
 
 // deployFile is the part of the deploy file that the rig needs.
@@ -212,7 +231,7 @@
 	}
 	ip := fmt.Sprintf("127.0.0.%d", 10+i)
 	for _, into := range []*string{&p.Address, &p.Ready, &p.Peers} {
-		if *into, err = freeAddress(ip); err != nil {
+		if *into, err = r.freeAddress(ip); err != nil {
 			return err
 		}
 	}
