--- a/review/rig2/replica/main.go
+++ b/review/rig2/replica/main.go
@@ -64,7 +64,7 @@
 func handler(e *platformtest.Endpoint, o *options) http.Handler {
 	var mu sync.Mutex
 	var answers atomic.Int64
-	print := func(format string, args ...any) {
+	printLine := func(format string, args ...any) {
 		mu.Lock()
 		defer mu.Unlock()
 		fmt.Printf(format+"\n", args...)
@@ -75,10 +75,10 @@
 			e.ServeHTTP(w, r)
 			return
 		}
-		print("begins %s", id)
-		defer print("ends %s", id)
+		printLine("begins %s", id)
+		defer printLine("ends %s", id)
 		if o.Spoil > 0 && answers.Add(1)%int64(o.Spoil) == 0 {
-			print("spoils %s", id)
+			printLine("spoils %s", id)
 			w = &spoilingWriter{
 				ResponseWriter: w,
 			}
